--- /dev/null
+++ b/internal/core/queue/item.go
@@ -0,0 +1,21 @@
+package queue
+
+import (
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/request"
+)
+
+// Item is one queued request.
+type Item[T any] struct {
+	Organisation string
+	// Weight is the organisation's share; 0 counts as 1.
+	Weight float64
+	// Cost is the estimated work, in tokens for a model pool and 1 for a plain call; 0 counts as 1.
+	Cost     float64
+	Priority request.Priority
+	Enqueued time.Time
+	// Deadline is the time by which the caller wants the whole answer; zero is none.
+	Deadline time.Time
+	Value    T
+}
