--- /dev/null
+++ b/internal/program/deps/deps.go
@@ -0,0 +1,33 @@
+// Package deps pins the libraries until each is imported.
+package deps
+
+import (
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/gofiber/fiber/v3"
+	_ "github.com/gofiber/fiber/v3/middleware/adaptor"
+	_ "github.com/google/go-cmp/cmp"
+	_ "github.com/google/go-cmp/cmp/cmpopts"
+	_ "github.com/pkg/errors"
+	_ "github.com/prometheus/client_golang/prometheus"
+	_ "github.com/prometheus/client_golang/prometheus/collectors"
+	_ "github.com/prometheus/client_golang/prometheus/promhttp"
+	_ "github.com/prometheus/client_golang/prometheus/testutil"
+	_ "github.com/rogpeppe/go-internal/testscript"
+	_ "github.com/rs/zerolog"
+	_ "github.com/sourcegraph/conc"
+	_ "github.com/sourcegraph/conc/pool"
+	_ "github.com/tailscale/hujson"
+	_ "github.com/urfave/cli/v3"
+	_ "github.com/valyala/fasthttp"
+	_ "github.com/valyala/fasthttp/fasthttputil"
+	_ "github.com/vmihailenco/msgpack/v5"
+	_ "go.uber.org/goleak"
+	_ "golang.org/x/sys/unix"
+	_ "golang.org/x/time/rate"
+	_ "gonum.org/v1/plot"
+	_ "gonum.org/v1/plot/plotter"
+	_ "gonum.org/v1/plot/vg"
+	_ "gonum.org/v1/plot/vg/vgsvg"
+	_ "pgregory.net/rapid"
+)
--- /dev/null
+++ b/internal/program/settings/field.go
@@ -0,0 +1,198 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+)
+
+// field is one setting: what is right, and how it is read.
+type field struct {
+	want string
+	set  func(set *Settings, raw json.RawMessage) error
+}
+
+const (
+	wantAddress = `an address with port, such as "127.0.0.1:8080"`
+	wantName    = `a name of letters, digits, "-", "_" and ".", such as "om-north-a"`
+	wantTime    = `a positive duration, such as "90s"`
+	wantFile    = `the path of a file that can be read`
+	wantURL     = `a URL, such as "http://10.0.0.5:9000"`
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	errValue    = errors.New("value out of range")
+)
+
+var fields = map[string]field{
+	"listen":             {wantAddress, address(func(s *Settings) *netip.AddrPort { return &s.Listen })},
+	"peerListen":         {wantAddress, address(func(s *Settings) *netip.AddrPort { return &s.PeerListen })},
+	"adminListen":        {wantAddress, address(func(s *Settings) *netip.AddrPort { return &s.AdminListen })},
+	"availabilityZone":   {wantName, text(validName, func(s *Settings) *string { return &s.AvailabilityZone })},
+	"hostId":             {wantName, text(validName, func(s *Settings) *string { return &s.HostID })},
+	"platformUrl":        {wantURL, text(validURL, func(s *Settings) *string { return &s.PlatformURL })},
+	"dataFolder":         {`the path of a folder`, text(notEmpty, func(s *Settings) *string { return &s.DataFolder })},
+	"logLevel":           {`one of "debug", "info", "warn", "error"`, setLogLevel},
+	"pool":               {wantName, text(validName, func(s *Settings) *string { return &s.Pool })},
+	"serverUrl":          {wantURL, text(validURL, func(s *Settings) *string { return &s.ServerURL })},
+	"peerSecret":         {`a string of at least 16 characters`, text(longEnough, func(s *Settings) *string { return &s.PeerSecret })},
+	"tlsCertificateFile": {wantFile, text(readable, func(s *Settings) *string { return &s.TLSCertificateFile })},
+	"tlsKeyFile":         {wantFile, text(readable, func(s *Settings) *string { return &s.TLSKeyFile })},
+	"tlsAuthorityFile":   {wantFile, text(readable, func(s *Settings) *string { return &s.TLSAuthorityFile })},
+	"operatorKeyHashes":  {`a list of SHA-256 sums in lower-case hexadecimal`, setOperatorKeys},
+	"usageWindow":        {`a duration of whole seconds, such as "1h"`, setUsageWindow},
+	"leaveDelay":         {wantTime, duration(func(s *Settings) *time.Duration { return &s.LeaveDelay })},
+	"drainTime":          {wantTime, duration(func(s *Settings) *time.Duration { return &s.DrainTime })},
+	"bodyLimitBytes":     {`a whole number of bytes from 1024 to 1073741824`, setBodyLimit},
+}
+
+func knownFields() []string {
+	names := make([]string, 0, len(fields))
+	for name := range fields {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// decode reads one value strictly.
+func decode[T any](raw json.RawMessage) (T, error) {
+	var value T
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&value)
+	if err == nil && string(raw) == "null" {
+		err = errValue
+	}
+	return value, err
+}
+
+func text(valid func(string) bool, target func(*Settings) *string) func(*Settings, json.RawMessage) error {
+	return func(set *Settings, raw json.RawMessage) error {
+		value, err := decode[string](raw)
+		if err != nil {
+			return err
+		}
+		if !valid(value) {
+			return errValue
+		}
+		*target(set) = value
+		return nil
+	}
+}
+
+func address(target func(*Settings) *netip.AddrPort) func(*Settings, json.RawMessage) error {
+	return func(set *Settings, raw json.RawMessage) error {
+		value, err := decode[netip.AddrPort](raw)
+		if err != nil {
+			return err
+		}
+		if !value.IsValid() {
+			return errValue
+		}
+		*target(set) = value
+		return nil
+	}
+}
+
+func duration(target func(*Settings) *time.Duration) func(*Settings, json.RawMessage) error {
+	return func(set *Settings, raw json.RawMessage) error {
+		written, err := decode[string](raw)
+		if err != nil {
+			return err
+		}
+		value, err := time.ParseDuration(written)
+		if err != nil {
+			return err
+		}
+		if value <= 0 {
+			return errValue
+		}
+		*target(set) = value
+		return nil
+	}
+}
+
+func setUsageWindow(set *Settings, raw json.RawMessage) error {
+	if err := duration(func(s *Settings) *time.Duration { return &s.UsageWindow })(set, raw); err != nil {
+		return err
+	}
+	if set.UsageWindow%time.Second != 0 {
+		return errValue
+	}
+	return nil
+}
+
+func setLogLevel(set *Settings, raw json.RawMessage) error {
+	name, err := decode[string](raw)
+	if err != nil {
+		return err
+	}
+	levels := map[string]zerolog.Level{
+		"debug": zerolog.DebugLevel,
+		"info":  zerolog.InfoLevel,
+		"warn":  zerolog.WarnLevel,
+		"error": zerolog.ErrorLevel,
+	}
+	level, known := levels[name]
+	if !known {
+		return errValue
+	}
+	set.LogLevel = level
+	return nil
+}
+
+func setOperatorKeys(set *Settings, raw json.RawMessage) error {
+	hashes, err := decode[[]string](raw)
+	if err != nil {
+		return err
+	}
+	for _, hash := range hashes {
+		if !hashPattern.MatchString(hash) {
+			return errValue
+		}
+	}
+	set.OperatorKeyHashes = hashes
+	return nil
+}
+
+func setBodyLimit(set *Settings, raw json.RawMessage) error {
+	limit, err := decode[int](raw)
+	if err != nil {
+		return err
+	}
+	if limit < 1<<10 || limit > 1<<30 {
+		return errValue
+	}
+	set.BodyLimitBytes = limit
+	return nil
+}
+
+func validName(name string) bool { return namePattern.MatchString(name) }
+
+func notEmpty(value string) bool { return value != "" }
+
+func longEnough(value string) bool { return len(value) >= minSecretLength }
+
+func validURL(value string) bool {
+	parsed, err := url.Parse(value)
+	return err == nil && parsed.Host != "" && (parsed.Scheme == "http" || parsed.Scheme == "https")
+}
+
+func readable(path string) bool {
+	file, err := os.Open(path)
+	if err != nil {
+		return false
+	}
+	return file.Close() == nil
+}
