--- /dev/null
+++ b/internal/edge/trainer/deps.go
@@ -0,0 +1,116 @@
+package trainer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/delivery"
+	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
+	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+)
+
+// Token is one generated token and the weight version that produced it.
+type Token = delivery.Token
+
+// GenerateRequest asks for one sample.
+type GenerateRequest struct {
+	Job          string
+	Organisation string
+	Model        string
+	// SampleID makes the call idempotent.
+	SampleID  string
+	Prompt    string
+	MaxTokens int
+	// Resume is the prefix that an earlier call returned before it failed.
+	Resume []Token
+}
+
+// Generator generates samples at the backend servers of a model.
+type Generator interface {
+	// Generate returns all tokens, the resumed prefix included. With an error it returns the
+	// tokens so far, so that the next call can resume from them.
+	Generate(ctx context.Context, request GenerateRequest) ([]Token, error)
+}
+
+// ScoreRequest asks for the score of one sample.
+type ScoreRequest struct {
+	SampleID string
+	Prompt   string
+	Text     string
+}
+
+// Score is the score of one sample.
+type Score struct {
+	SampleID string
+	Value    float64
+}
+
+// Scorer asks a scoring pool; the call is idempotent.
+type Scorer interface {
+	Score(ctx context.Context, pool, organisation string, samples []ScoreRequest) ([]Score, error)
+}
+
+// CopiedSample is the encoded content of a finished sample under its digest.
+type CopiedSample struct {
+	Digest string `msgpack:"d"`
+	Raw    []byte `msgpack:"r"`
+}
+
+// Copier keeps finished samples on a second host.
+type Copier interface {
+	// Copy returns the host that confirmed the copy.
+	Copy(ctx context.Context, job string, sample CopiedSample) (netip.AddrPort, error)
+	// Fetch returns those of the named contents that the host still holds.
+	Fetch(ctx context.Context, from netip.AddrPort, job string, digests []string) ([]CopiedSample, error)
+}
+
+// Configuration is the part of *ticket.View that the coordinator reads.
+type Configuration interface {
+	Authenticate(key string) (ticket.Organisation, string, bool)
+	TrainerJob(name string) (ticket.TrainerJob, bool)
+	TrainerJobs() []ticket.TrainerJob
+}
+
+// Fence is a lease that is held.
+type Fence struct {
+	// Number is the fencing number.
+	Number platform.Version
+	// Deadline is when the holder must have stopped, the safety margin taken off.
+	Deadline time.Time
+}
+
+// Lease is the lease of one duty as this host sees it.
+type Lease interface {
+	// Held says whether this host holds the lease now.
+	Held(now time.Time) (Fence, bool)
+	// Holder returns the peer address of the holder last seen.
+	Holder() (netip.AddrPort, bool)
+	// Changed is closed at the next change of holder.
+	Changed() <-chan struct{}
+}
+
+// Forwarder sends a trainer's request to the holder of the job's lease.
+type Forwarder interface {
+	Forward(ctx context.Context, to netip.AddrPort, request Forwarded) (Reply, error)
+}
+
+// Deps is what the coordinator needs from its process.
+type Deps struct {
+	Store platform.Store
+	// View returns the configuration in force; it is never nil.
+	View      func() Configuration
+	Generator Generator
+	Scorer    Scorer
+	Copier    Copier
+	// Lease returns the lease of trainerJob/{job}; it contends until the context ends.
+	Lease func(ctx context.Context, job string) Lease
+	// Forwarder is nil in a process that never leaves a job to another.
+	Forwarder Forwarder
+	// Self is this host's peer address.
+	Self netip.AddrPort
+	// Secret signs the cursors; all entries share it.
+	Secret []byte
+	// PublishModelVersion makes a model version known to the backend servers, by a change of head.
+	PublishModelVersion func(ctx context.Context, version ticket.ModelVersion) error
+}
