Order samples over trainer jobs and copy stragglers within a budget

Jobs share the engines by weight; a step's begun groups are ended first; a sample whose tokens come at less than half the typical speed gets a copy from its prefix, within 5 % of the job's work.

--- /dev/null
+++ b/internal/core/rollout/doc.go
@@ -0,0 +1,25 @@
+// Package rollout decides which sample of which trainer job is generated next, and which running
+// sample gets a second copy.
+//
+// Load pattern: several trainer jobs share the engines of a model. Each step brings groups of samples
+// that are worth something only as whole groups and a whole step; a few samples fall behind because
+// their engine is slow, busy or gone; new weights arrive every few minutes and age what is unfinished.
+//
+// Without it: first come first served lets one job's large step block the others' for minutes, all
+// groups end at the same late moment, one slow engine decides the length of every step, and samples
+// that were near the staleness bound are thrown away after the work was done.
+//
+// Order: jobs share by weight (start-time fair queueing on the expected tokens). Within a job steps go
+// first come first served, coarsely: a step is started as a whole before the next one, but within it
+// groups already begun are ended first, those with the fewest samples left before others, and the
+// sample expected to be longest first. A job whose samples go stale with the next version goes ahead
+// of its turn by a bounded amount of work and pays for it later.
+//
+// The coarse first come first served and the preference for work that ends what was begun follow the
+// scheduling policies of Dask's distributed scheduler; docs/DECISIONS.md has the measurement.
+//
+// Grounds for the figures: a sample counts as a straggler when its copy would be done in half the time
+// that it still needs itself. Below a factor of two the spread of normal engines sets off copies
+// that win nothing. Copies may add 5 % to the work of a job, the bound that the users set; a copy
+// starts from the tokens that are known, so it is charged for the rest only.
+package rollout
