Carry typed messages between processes over multiplexed TCP frames

One connection a pair with length-prefixed msgpack frames, mutual proof of the shared secret, flow control per stream, heartbeats, and closing frames with length and checksum.

--- /dev/null
+++ b/internal/edge/peer/client.go
@@ -0,0 +1,147 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+)
+
+// Client sends requests to other processes over one connection to each.
+type Client struct {
+	secret   []byte
+	settings settings
+	ctx      context.Context
+	wg       *conc.WaitGroup
+
+	mu    sync.Mutex
+	peers map[netip.AddrPort]*dialling
+}
+
+// dialling is a connection that is open or being opened; callers share it.
+type dialling struct {
+	ready   chan struct{} // closed when channel or err is set
+	channel *channel
+	err     error
+}
+
+// NewClient returns a client whose connections end with ctx.
+func NewClient(ctx context.Context, secret []byte, opts ...ClientOption) *Client {
+	c := &Client{
+		secret:   secret,
+		settings: defaultSettings(),
+		ctx:      ctx,
+		wg:       conc.NewWaitGroup(),
+		peers:    make(map[netip.AddrPort]*dialling),
+	}
+	for _, opt := range opts {
+		opt(&c.settings)
+	}
+	return c
+}
+
+// Wait returns when all connections have ended, after the client's context has.
+func (c *Client) Wait() {
+	<-c.ctx.Done()
+	c.mu.Lock() // dialling has counted in its last goroutine
+	c.mu.Unlock() //nolint:staticcheck // the empty section is the point
+	c.wg.Wait()
+}
+
+// acquire returns an open connection with one stream reserved on it.
+func (c *Client) acquire(ctx context.Context, to netip.AddrPort) (*channel, error) {
+	for {
+		d, err := c.dialling(to)
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case <-d.ready:
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		}
+		if d.err != nil {
+			return nil, d.err
+		}
+		if d.channel.reserve() {
+			return d.channel, nil
+		}
+		c.forget(to, d)
+	}
+}
+
+func (c *Client) dialling(to netip.AddrPort) (*dialling, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.ctx.Err(); err != nil {
+		return nil, errors.Wrap(ErrClosed, "client")
+	}
+	if d, ok := c.peers[to]; ok {
+		return d, nil
+	}
+	d := &dialling{ready: make(chan struct{})}
+	c.peers[to] = d
+	c.wg.Go(func() { c.serve(to, d) })
+	return d, nil
+}
+
+func (c *Client) forget(to netip.AddrPort, d *dialling) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.peers[to] == d {
+		delete(c.peers, to)
+	}
+}
+
+func (c *Client) serve(to netip.AddrPort, d *dialling) {
+	defer c.forget(to, d)
+	l, err := c.dial(to)
+	if err != nil {
+		d.err = errors.Wrapf(err, "connect to %s", to)
+		close(d.ready)
+		return
+	}
+	d.channel = newChannel(l)
+	close(d.ready)
+	d.channel.run()
+}
+
+func (c *Client) dial(to netip.AddrPort) (*link, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, c.settings.dialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", to.String())
+	if err != nil {
+		return nil, err
+	}
+	if c.settings.tls != nil {
+		conn = tls.Client(conn, c.settings.tls)
+	}
+	l, err := establish(c.ctx, conn, c.settings, c.secret, greet)
+	if err != nil {
+		_ = conn.Close()
+	}
+	return l, err
+}
+
+// establish runs the handshake within the dial timeout.
+func establish(
+	ctx context.Context, conn net.Conn, s settings, secret []byte,
+	shake func(net.Conn, *frameReader, []byte) (uint64, error),
+) (*link, error) {
+	timeout := time.AfterFunc(s.dialTimeout, func() { _ = conn.Close() })
+	defer timeout.Stop()
+	progress := &progressConn{Conn: conn, readTimeout: s.heartbeatTimeout, writeTimeout: s.writeTimeout}
+	reader := newFrameReader(bufio.NewReaderSize(progress, bufferSize), maxHandshakeFrame)
+	incarnation, err := shake(progress, reader, secret)
+	if err != nil {
+		return nil, err
+	}
+	return newLink(ctx, progress, reader, incarnation, s), nil
+}
--- /dev/null
+++ b/internal/edge/peer/link.go
@@ -0,0 +1,194 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// outgoing is a frame that waits for the writer of its connection.
+type outgoing struct {
+	frame frame
+	// claim, if set, is called right before the frame is written, and may fill it in;
+	// the frame is dropped if it returns false.
+	claim func(f *frame) bool
+}
+
+// link is one authenticated connection: a writer with heartbeats and a reader.
+// The reader never waits for a stream, so that a slow reader of one answer holds up no other.
+type link struct {
+	conn        net.Conn
+	reader      *frameReader
+	incarnation uint64
+	settings    settings
+	out         chan outgoing
+	ctx         context.Context
+	end         context.CancelCauseFunc
+}
+
+// progressConn sets a new deadline for each read and each bounded write, so that a long frame may
+// take its time as long as bytes move, and a peer that stands still is noticed.
+type progressConn struct {
+	net.Conn
+	readTimeout, writeTimeout time.Duration
+}
+
+func (c *progressConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.readTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+func (c *progressConn) Write(p []byte) (int, error) {
+	written := 0
+	for written < len(p) {
+		if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:min(len(p), written+bufferSize)])
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+func newLink(ctx context.Context, conn net.Conn, reader *frameReader, incarnation uint64, s settings) *link {
+	ctx, end := context.WithCancelCause(ctx)
+	reader.limit = s.maxFrame
+	return &link{
+		conn:        conn,
+		reader:      reader,
+		incarnation: incarnation,
+		settings:    s,
+		out:         make(chan outgoing, queueLength),
+		ctx:         ctx,
+		end:         end,
+	}
+}
+
+// run serves the connection until it ends; dispatch is called for each frame but heartbeats.
+func (l *link) run(dispatch func(frame) error) error {
+	stop := context.AfterFunc(l.ctx, func() { _ = l.conn.Close() })
+	defer stop()
+	wg := conc.NewWaitGroup()
+	wg.Go(func() { l.end(l.write()) })
+	l.end(l.read(dispatch))
+	_ = l.conn.Close()
+	wg.Wait()
+	return context.Cause(l.ctx)
+}
+
+func (l *link) read(dispatch func(frame) error) error {
+	for {
+		f, err := l.reader.next()
+		if err != nil {
+			return err
+		}
+		if f.Incarnation != l.incarnation {
+			return errors.Wrapf(ErrProtocol, "frame of connection %016x on %016x", f.Incarnation, l.incarnation)
+		}
+		if f.Kind == kindHeartbeat {
+			continue
+		}
+		if err := dispatch(f); err != nil {
+			return err
+		}
+	}
+}
+
+// write sends queued frames, as many in one system call as are waiting, and heartbeats when quiet.
+func (l *link) write() error {
+	ticker := time.NewTicker(l.settings.heartbeat)
+	defer ticker.Stop()
+	batch := batch{link: l, encoder: msgpack.NewEncoder(nil)}
+	quiet := true
+	for {
+		select {
+		case <-l.ctx.Done():
+			return context.Cause(l.ctx)
+		case o := <-l.out:
+			quiet = false
+			if err := batch.send(o); err != nil {
+				return err
+			}
+		case <-ticker.C:
+			if err := batch.heartbeat(quiet); err != nil {
+				return err
+			}
+			quiet = true
+		}
+	}
+}
+
+// send queues a frame. It waits while the queue is full, until ctx or the connection ends.
+func (l *link) send(ctx context.Context, o outgoing) error {
+	select {
+	case l.out <- o:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-l.ctx.Done():
+		return context.Cause(l.ctx)
+	}
+}
+
+// batch collects the frames of one system call.
+type batch struct {
+	link    *link
+	buf     bytes.Buffer
+	encoder *msgpack.Encoder
+}
+
+func (b *batch) send(o outgoing) error {
+	for {
+		if err := b.add(o); err != nil {
+			return err
+		}
+		if b.buf.Len() >= bufferSize {
+			return b.flush()
+		}
+		select {
+		case o = <-b.link.out:
+		default:
+			return b.flush()
+		}
+	}
+}
+
+func (b *batch) add(o outgoing) error {
+	o.frame.Incarnation = b.link.incarnation
+	if o.claim != nil && !o.claim(&o.frame) {
+		return nil
+	}
+	return appendFrame(&b.buf, b.encoder, o.frame)
+}
+
+func (b *batch) heartbeat(quiet bool) error {
+	if !quiet {
+		return nil
+	}
+	if err := b.add(outgoing{frame: frame{Kind: kindHeartbeat}}); err != nil {
+		return err
+	}
+	return b.flush()
+}
+
+func (b *batch) flush() error {
+	if b.buf.Len() == 0 {
+		return nil
+	}
+	_, err := b.link.conn.Write(b.buf.Bytes())
+	if b.buf.Cap() > 4*bufferSize {
+		b.buf = bytes.Buffer{}
+	}
+	b.buf.Reset()
+	return errors.Wrap(err, "write frames")
+}
