--- a/internal/core/fleet/decide.go
+++ b/internal/core/fleet/decide.go
@@ -12,6 +12,8 @@
 	maxReportAge = 10 * time.Second
 	missingPart  = 4
 	suspectTime  = 30 * time.Second
+	// stopTime is how long the platform may take to stop a server.
+	stopTime     = 5 * time.Minute
 	leastHold    = time.Minute
 	holdStartups = 2
 	raisePart    = 2
