--- /dev/null
+++ b/internal/core/ticket/validate.go
@@ -0,0 +1,146 @@
+package ticket
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+)
+
+// maxVersion bounds model versions so that they stay exact in JSON numbers.
+const maxVersion = 1 << 53
+
+// namePattern keeps names safe in URL paths, object names and metric labels.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// Descriptions of what is right, used at several fields.
+const (
+	expectName     = "1 to 64 letters, digits, dots, dashes or underscores"
+	expectNoMinus  = "0 or more"
+	expectPositive = "1 or more"
+	expectOnce     = "one entry for each name"
+)
+
+// Validate returns FieldErrors for everything that is wrong with the ticket by itself. What needs
+// the present configuration is checked when the ticket is applied.
+func (t Ticket) Validate() error {
+	var found findings
+	found.require(t.entries() > 0, "ticket", "it changes nothing", "at least one entry")
+	validateEach(&found, "organisations", t.Organisations, Organisation.entry, Organisation.validate)
+	validateEach(&found, "pools", t.Pools, Pool.entry, Pool.validate)
+	validateEach(&found, "trainerJobs", t.TrainerJobs, TrainerJob.entry, TrainerJob.validate)
+	validateEach(&found, "modelVersions", t.ModelVersions, ModelVersion.entry, ModelVersion.validate)
+	return found.err()
+}
+
+func (t Ticket) entries() int {
+	return len(t.Organisations) + len(t.Pools) + len(t.TrainerJobs) + len(t.ModelVersions)
+}
+
+func (m ModelVersion) entry() (name string, removed bool) { return m.Model, false }
+
+func validateEach[T any](f *findings, list string, entries []T, entry func(T) (string, bool), validate func(T, *findings, string)) {
+	seen := map[string]bool{}
+	for i, value := range entries {
+		path := fmt.Sprintf("%s[%d]", list, i)
+		name, _ := entry(value)
+		f.require(!seen[name], path, fmt.Sprintf("%q comes twice", name), expectOnce)
+		seen[name] = true
+		validate(value, f, path)
+	}
+}
+
+func validateName(f *findings, path, name string) {
+	f.require(namePattern.MatchString(name), path, fmt.Sprintf("%.80q is no name", name), expectName)
+}
+
+func validateNames(f *findings, path string, names []string) {
+	seen := map[string]bool{}
+	for i, name := range names {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		validateName(f, at, name)
+		f.require(!seen[name], at, fmt.Sprintf("%.80q comes twice", name), expectOnce)
+		seen[name] = true
+	}
+}
+
+// notNegative also refuses NaN.
+func notNegative(f *findings, path string, value float64) {
+	f.require(value >= 0, path, fmt.Sprintf("%v is negative", value), expectNoMinus)
+}
+
+func (o Organisation) validate(f *findings, path string) {
+	validateName(f, path+".name", o.Name)
+	if o.Removed {
+		bare := o.Weight == 0 && o.RequestsPerSecond == 0 && o.Burst == 0 && len(o.KeyHashes) == 0
+		f.require(bare, path+".removed", "a removed organisation has other fields", "only name and removed")
+		return
+	}
+	notNegative(f, path+".weight", o.Weight)
+	notNegative(f, path+".requestsPerSecond", o.RequestsPerSecond)
+	notNegative(f, path+".burst", float64(o.Burst))
+	f.require(o.Burst == 0 || o.RequestsPerSecond > 0, path+".burst",
+		"there is a burst without a rate", "requestsPerSecond beside burst")
+	seen := map[string]bool{}
+	for i, keyHash := range o.KeyHashes {
+		at := fmt.Sprintf("%s.keyHashes[%d]", path, i)
+		f.require(hashPattern.MatchString(keyHash), at, "it is no key hash", "the SHA-256 of the key as 64 lower-case hexadecimal digits")
+		f.require(!seen[keyHash], at, "the key comes twice", "each key once")
+		seen[keyHash] = true
+	}
+}
+
+func (p Pool) validate(f *findings, path string) {
+	validateName(f, path+".name", p.Name)
+	if p.Removed {
+		return
+	}
+	p.validateKind(f, path)
+	validateNames(f, path+".organisations", p.Organisations)
+	validateNames(f, path+".availabilityZones", p.AvailabilityZones)
+	notNegative(f, path+".minServers", float64(p.MinServers))
+	notNegative(f, path+".maxServers", float64(p.MaxServers))
+	f.require(p.MinServers <= p.MaxServers || p.MinServers < 0, path+".minServers",
+		fmt.Sprintf("%d is above maxServers, which is %d", p.MinServers, p.MaxServers), "minServers up to maxServers")
+	notNegative(f, path+".concurrency", float64(p.Concurrency))
+	notNegative(f, path+".startupTime", float64(p.StartupTime))
+	for i, prefix := range p.IdempotentPaths {
+		f.require(strings.HasPrefix(prefix, "/"), fmt.Sprintf("%s.idempotentPaths[%d]", path, i),
+			fmt.Sprintf("%.80q is no path", prefix), "a path that starts with /")
+	}
+}
+
+func (p Pool) validateKind(f *findings, path string) {
+	switch p.Kind {
+	case KindModel:
+		f.require(p.Model != "", path+".model", "a model pool names no model", "the name of the model")
+		if p.Model != "" {
+			validateName(f, path+".model", p.Model)
+		}
+	case KindService, KindScoring:
+		f.require(p.Model == "", path+".model", fmt.Sprintf("a pool of kind %q names a model", p.Kind), "no model")
+	default:
+		f.add(path+".kind", fmt.Sprintf("%.80q is no kind", string(p.Kind)), `"model", "service" or "scoring"`)
+	}
+	f.require(p.Kind == KindService || len(p.IdempotentPaths) == 0, path+".idempotentPaths",
+		fmt.Sprintf("a pool of kind %q has no paths", p.Kind), "no idempotentPaths")
+}
+
+func (j TrainerJob) validate(f *findings, path string) {
+	validateName(f, path+".name", j.Name)
+	if j.Removed {
+		return
+	}
+	validateName(f, path+".organisation", j.Organisation)
+	validateName(f, path+".model", j.Model)
+	f.require(j.BatchSize >= 1, path+".batchSize", fmt.Sprintf("%d is no batch", j.BatchSize), expectPositive)
+	notNegative(f, path+".stalenessBound", float64(j.StalenessBound))
+	notNegative(f, path+".maxTokens", float64(j.MaxTokens))
+}
+
+func (m ModelVersion) validate(f *findings, path string) {
+	validateName(f, path+".model", m.Model)
+	f.require(m.Version >= 1 && m.Version <= maxVersion, path+".version",
+		fmt.Sprintf("%d is no version", m.Version), expectPositive)
+}
--- a/internal/edge/duty/keeper.go
+++ b/internal/edge/duty/keeper.go
@@ -1,14 +1,37 @@
 // Package duty holds duties on the platform's store: it renews, observes and takes over leases.
+//
+// The decisions are those of core/lease; this package carries out its steps one at a time in a
+// control goroutine and publishes the grant, which any goroutine checks without I/O.
 package duty
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
 	"github.com/oleandershelf/oleandershelf/internal/core/lease"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
 )
 
+// ObjectPrefix starts the names of lease objects; the duty's name follows.
+const ObjectPrefix = "lease/"
+
+const (
+	// callTimeout bounds each call. A renewal that takes longer is sent again while the term still runs.
+	callTimeout = 1500 * time.Millisecond
+	// retryPause is the mean pause after a failed call: a few tries fit into a term, and in an outage
+	// 48 duties with 3 contenders make 480 calls a second at most, a quarter of what the platform takes.
+	retryPause  = 300 * time.Millisecond
+	jitterShare = 0.3
+)
+
+// ErrNotReleased is returned by Release if the object still names this holder or could not be read.
+// The duty is not carried out any more all the same; the next holder waits for the term to pass.
+var ErrNotReleased = errors.New("lease is not released")
+
 // Holder names one run of a process that may hold a duty.
 type Holder = lease.Holder
 
@@ -23,37 +46,125 @@
 // Option changes a Keeper.
 type Option func(*Keeper)
 
-// WithContend(false) makes a keeper that only observes who holds the duty.
+// WithContend says whether the keeper may take the duty over; if not, it only observes who holds it.
 func WithContend(contend bool) Option {
-	return func(k *Keeper) { k.contend = contend }
+	return WithContendIf(func() bool { return contend })
+}
+
+// WithContendIf makes a keeper take the duty over only while may returns true, such as while the host
+// is among the first few by rendezvous hashing. A holder keeps the duty all the same.
+func WithContendIf(may func() bool) Option {
+	return func(k *Keeper) { k.may = may }
+}
+
+// WithTiming replaces the default timing; all hosts must use the same.
+func WithTiming(timing lease.Timing) Option {
+	return func(k *Keeper) { k.timing = timing }
+}
+
+// WithClock replaces the clock, which must return times with a monotonic reading or not at all.
+func WithClock(clock func() time.Time) Option {
+	return func(k *Keeper) { k.clock = clock }
 }
 
 // Keeper keeps one duty.
 type Keeper struct {
-	contend bool
+	store   platform.Store
+	name    string
+	object  string
+	self    Holder
+	timing  lease.Timing
+	may     func() bool
+	clock   func() time.Time
+	start   time.Time
+	machine *lease.Machine
+	current atomic.Pointer[snapshot]
+	// released is set by Release; stopWatch ends waits, so that the control goroutine sees it at once.
+	released  atomic.Bool
+	stopWatch context.CancelFunc
+	// settled is closed when the object is known not to name this holder any more.
+	settled chan struct{}
+	wg      conc.WaitGroup
+}
+
+// snapshot is what other goroutines see; it never changes.
+type snapshot struct {
+	grant     lease.Grant
+	granted   bool
+	held      bool
+	holder    Holder
+	hasHolder bool
+	lastError string
+	// changed is closed when the next snapshot that differs is published.
 	changed chan struct{}
 }
 
-// NewKeeper starts to keep the duty of that name until ctx ends.
-func NewKeeper(_ context.Context, _ platform.Store, _ string, _ Holder, opts ...Option) *Keeper {
-	k := &Keeper{contend: true, changed: make(chan struct{})}
+// NewKeeper starts to keep the duty of that name until ctx ends. A duty still held then runs out by itself.
+func NewKeeper(ctx context.Context, store platform.Store, name string, self Holder, opts ...Option) *Keeper {
+	k := &Keeper{
+		store:   store,
+		name:    name,
+		object:  ObjectPrefix + name,
+		self:    self,
+		timing:  lease.DefaultTiming(),
+		may:     func() bool { return true },
+		clock:   time.Now,
+		settled: make(chan struct{}),
+	}
 	for _, opt := range opts {
 		opt(k)
 	}
+	k.start = k.clock()
+	k.machine = lease.NewMachine(self, k.may(), k.timing)
+	k.current.Store(&snapshot{changed: make(chan struct{})})
+	watching, stop := context.WithCancel(ctx)
+	k.stopWatch = stop
+	k.wg.Go(func() {
+		defer stop()
+		k.run(ctx, watching)
+	})
 	return k
 }
 
-// Held reports whether the duty is held at now, without any I/O. Check it right before each write.
-func (k *Keeper) Held(_ time.Time) (Fence, bool) { return Fence{}, false }
+// Wait returns when the keeping has ended, after the context has.
+func (k *Keeper) Wait() { k.wg.Wait() }
 
-// Holder returns the holder last seen in the lease object.
-func (k *Keeper) Holder() (Holder, bool) { return Holder{}, false }
+// Held reports whether the duty is held at now, without any I/O. Check it right before each write,
+// and let the write end by the fence's deadline: a holder that was paused may wake long after its
+// term, and its own clocks then tell it so at once.
+func (k *Keeper) Held(now time.Time) (Fence, bool) {
+	s := k.current.Load()
+	if k.released.Load() || !s.granted || !k.timing.Held(s.grant, k.instant(now)) {
+		return Fence{}, false
+	}
+	return Fence{Number: platform.Version(s.grant.Version), Deadline: k.deadline(s.grant)}, true
+}
 
-// Release gives the duty up, so that the next holder need not wait for the term to pass.
-func (k *Keeper) Release(_ context.Context) error { return nil }
+func (k *Keeper) instant(now time.Time) lease.Instant { return lease.InstantAt(k.start, now) }
 
-// Changed is closed at the next change of the holder.
-func (k *Keeper) Changed() <-chan struct{} { return k.changed }
+func (k *Keeper) deadline(grant lease.Grant) time.Time {
+	return k.start.Add(grant.Since.Monotonic + k.timing.Term - k.timing.Margin)
+}
 
-// State returns the keeper's state for the dump.
-func (k *Keeper) State() any { return nil }
+// Holder returns the holder last seen in the lease object; its term may have run out.
+func (k *Keeper) Holder() (Holder, bool) {
+	s := k.current.Load()
+	return s.holder, s.hasHolder
+}
+
+// Changed is closed when the holder changes or this host gains or loses the duty. The loss of a term
+// that runs out shows with the next step of the keeper; Held is exact.
+func (k *Keeper) Changed() <-chan struct{} { return k.current.Load().changed }
+
+// Release gives the duty up, so that the next holder need not wait for the term to pass. All writes
+// under the duty must have ended. Held is false from the moment that Release is called.
+func (k *Keeper) Release(ctx context.Context) error {
+	k.released.Store(true)
+	k.stopWatch()
+	select {
+	case <-k.settled:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrapf(ErrNotReleased, "%s: %v", k.name, ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/edge/duty/run.go
@@ -0,0 +1,162 @@
+package duty
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/lease"
+	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+)
+
+// run is the control goroutine: one step of the machine at a time.
+func (k *Keeper) run(ctx, watching context.Context) {
+	for ctx.Err() == nil {
+		k.machine.SetContend(k.may())
+		if k.released.Load() {
+			k.machine.Release()
+		}
+		if k.machine.Released() {
+			k.publish(nil)
+			close(k.settled)
+			return
+		}
+		err := k.step(ctx, watching)
+		k.publish(err)
+		if err != nil {
+			pause(ctx, jitter(retryPause))
+		}
+	}
+}
+
+func (k *Keeper) step(ctx, watching context.Context) error {
+	step := k.machine.Next(k.instant(k.clock()))
+	switch step.Kind {
+	case lease.StepRead:
+		return k.observe(k.read(ctx))
+	case lease.StepWatch:
+		return k.observe(k.watch(watching, step))
+	case lease.StepWrite:
+		return k.write(ctx, step)
+	default:
+		pause(watching, step.Wait)
+		return nil
+	}
+}
+
+func (k *Keeper) read(ctx context.Context) (platform.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return k.store.Get(ctx, k.object)
+}
+
+func (k *Keeper) watch(ctx context.Context, step lease.Step) (platform.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, step.Wait+callTimeout)
+	defer cancel()
+	return k.store.Watch(ctx, k.object, platform.Version(step.IfVersion), step.Wait)
+}
+
+// observe tells the machine what a read returned. A failed read tells nothing.
+func (k *Keeper) observe(object platform.Object, err error) error {
+	now := k.instant(k.clock())
+	if errors.Is(err, platform.ErrNotFound) {
+		k.machine.ObservedAbsent(now)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	record, err := lease.ReadRecord(object.Value)
+	if err != nil {
+		return errors.Wrap(err, k.object)
+	}
+	k.machine.Observed(now, uint64(object.Version), record)
+	return nil
+}
+
+// write carries out a write and tells the machine its fate. Only errors that exclude an effect count
+// as not written; any other leaves the machine in doubt until it has read the object.
+func (k *Keeper) write(ctx context.Context, step lease.Step) error {
+	value, err := json.Marshal(step.Record)
+	if err != nil {
+		k.machine.NotWritten(false)
+		return errors.Wrap(err, k.object)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	version, err := k.store.Put(ctx, k.object, value, platform.Version(step.IfVersion))
+	switch {
+	case err == nil:
+		k.machine.Wrote(k.instant(k.clock()), uint64(version))
+		return nil
+	case errors.Is(err, platform.ErrConflict):
+		k.machine.NotWritten(true)
+		return nil
+	case errors.Is(err, platform.ErrUnavailable):
+		k.machine.NotWritten(false)
+	default:
+		k.machine.Doubtful()
+	}
+	return err
+}
+
+// publish makes the machine's state visible to other goroutines.
+func (k *Keeper) publish(failure error) {
+	last := k.current.Load()
+	next := &snapshot{changed: last.changed}
+	next.grant, next.granted = k.machine.Grant()
+	next.holder, next.hasHolder = k.machine.Holder()
+	next.held = next.granted && k.timing.Held(next.grant, k.instant(k.clock()))
+	if failure != nil {
+		next.lastError = failure.Error()
+	}
+	same := next.held == last.held && next.hasHolder == last.hasHolder && next.holder == last.holder
+	if same {
+		k.current.Store(next)
+		return
+	}
+	next.changed = make(chan struct{})
+	k.current.Store(next)
+	close(last.changed)
+}
+
+// State is the keeper's state in the dump.
+type State struct {
+	Duty      string    `json:"duty"`
+	Held      bool      `json:"held"`
+	Fencing   uint64    `json:"fencing,omitempty"`
+	Deadline  time.Time `json:"deadline,omitzero"`
+	Holder    *Holder   `json:"holder,omitempty"`
+	LastError string    `json:"lastError,omitempty"`
+}
+
+// State returns the keeper's state for the dump.
+func (k *Keeper) State() any {
+	s := k.current.Load()
+	state := State{Duty: k.name, LastError: s.lastError}
+	if fence, held := k.Held(k.clock()); held {
+		state.Held = true
+		state.Fencing = uint64(fence.Number)
+		state.Deadline = fence.Deadline
+	}
+	if s.hasHolder {
+		state.Holder = &s.holder
+	}
+	return state
+}
+
+func jitter(mean time.Duration) time.Duration {
+	return time.Duration(float64(mean) * (1 - jitterShare + 2*jitterShare*rand.Float64()))
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/edge/membership/rank.go
@@ -0,0 +1,39 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+)
+
+// Rank orders hosts for a purpose by rendezvous hashing: each host with the same list finds the same
+// order, and a host that comes or goes moves only its own place.
+func Rank(purpose string, hosts []platform.Host) []platform.Host {
+	type weighted struct {
+		host   platform.Host
+		weight uint64
+	}
+	list := make([]weighted, len(hosts))
+	for i, host := range hosts {
+		list[i] = weighted{host: host, weight: xxhash.Sum64String(purpose + "\x00" + host.ID)}
+	}
+	slices.SortFunc(list, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.host.ID, b.host.ID))
+	})
+	ranked := make([]platform.Host, len(list))
+	for i, entry := range list {
+		ranked[i] = entry.host
+	}
+	return ranked
+}
+
+// Among reports whether the host is one of the first count live hosts for the purpose.
+func Among(purpose, hostID string, hosts []platform.Host, count int) bool {
+	live := slices.DeleteFunc(slices.Clone(hosts), func(h platform.Host) bool { return h.State != platform.HostLive })
+	ranked := Rank(purpose, live)
+	first := ranked[:min(count, len(ranked))]
+	return slices.ContainsFunc(first, func(h platform.Host) bool { return h.ID == hostID })
+}
