--- a/internal/core/queue/item.go
+++ b/internal/core/queue/item.go
@@ -18,4 +18,6 @@
 	// Deadline is the time by which the caller wants the whole answer; zero is none.
 	Deadline time.Time
 	Value    T
+	// long is set by Pop, so that Finished counts the same as Pop did, though the typical cost moves.
+	long bool
 }
--- /dev/null
+++ b/internal/core/queue/leave.go
@@ -0,0 +1,65 @@
+package queue
+
+import (
+	"slices"
+	"time"
+)
+
+// Expire takes out the items whose answer can't come before their deadline any more, and returns them
+// with those that made room for others since the last call. None of them ran. It guards against work for
+// callers that have given up: under overload that work would take the server's time from others.
+func (q *Queue[T]) Expire(now time.Time) []Item[T] {
+	out := q.lost
+	q.lost = nil
+	late := q.Remove(func(item Item[T]) bool {
+		return !item.Deadline.IsZero() && now.Add(q.service(item.Cost)).After(item.Deadline)
+	})
+	return append(out, late...)
+}
+
+// Remove takes out the items for which drop is true, sorted by the time they came.
+func (q *Queue[T]) Remove(drop func(Item[T]) bool) []Item[T] {
+	var out []ranked[T]
+	for _, from := range slices.Clone(q.heap) {
+		for at := len(from.items) - 1; at >= 0; at-- {
+			candidate := from.items[at]
+			if drop(candidate.item) {
+				out = append(out, candidate)
+				q.remove(from, at)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b ranked[T]) int { return int(a.sequence) - int(b.sequence) })
+	items := make([]Item[T], 0, len(out))
+	for _, r := range out {
+		items = append(items, r.item)
+	}
+	return items
+}
+
+// Wait estimates how long a new item of the organisation would wait, from the work that goes before
+// it and the pace of the last seconds; 0 while nothing waits or no pace is known.
+func (q *Queue[T]) Wait(_ time.Time, organisation string, weight float64) time.Duration {
+	if q.length == 0 {
+		return 0
+	}
+	start, own := q.clock, 0.0
+	found := q.lanes[organisation]
+	if found != nil {
+		start = max(found.start, q.clock) + found.cost/positive(weight)
+		own = found.cost
+	}
+	return q.pace.duration(own + q.ahead(start, found))
+}
+
+// ahead is the work of the lanes other than own that goes before a virtual start time.
+func (q *Queue[T]) ahead(start float64, own *lane[T]) float64 {
+	work := 0.0
+	for _, other := range q.heap {
+		if other != own && other.start <= start {
+			first := other.items[0].item.Cost
+			work += min(other.cost, max(first, (start-other.start)*other.weight))
+		}
+	}
+	return work
+}
