Carry HTTP calls with an own pool over fasthttp's codec

fasthttp's client can't end a call with a context, and its errors do not tell a request that never left the host from one whose answer was lost; both are needed for a true "not run". Ruled out: its DoDeadline (no cancellation), one HostClient a connection (each keeps a cleaner goroutine). The codec stays the library's; there are no retries and no redirects.

--- /dev/null
+++ b/internal/edge/exchange/client_test.go
@@ -0,0 +1,253 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// peer is a raw HTTP/1.1 server whose behaviour on each connection is the test's.
+func peer(t *testing.T, serve func(conn net.Conn, reader *bufio.Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group conc.WaitGroup
+	group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn, bufio.NewReader(conn))
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		group.Wait()
+	})
+	return listener.Addr().String()
+}
+
+func readRequest(reader *bufio.Reader) bool {
+	var req fasthttp.Request
+	return req.Read(reader) == nil
+}
+
+func write(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Logf("write: %v", err)
+	}
+}
+
+func do(ctx context.Context, client *exchange.Client, address string) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + address + "/call")
+	req.Header.SetMethod("POST")
+	return client.Do(ctx, req, resp)
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// A caller books a ride and is told "lost" although the booking never left the host, or, worse,
+// is told "not sent" and books again although the first call ran. Each way in which a call can
+// fail has to be put on the right side.
+func TestFailureSaysWhetherTheCallWasSent(t *testing.T) {
+	cases := []struct {
+		name  string
+		serve func(t *testing.T, conn net.Conn, reader *bufio.Reader)
+		want  error
+	}{
+		{name: "answered", serve: func(t *testing.T, conn net.Conn, reader *bufio.Reader) {
+			readRequest(reader)
+			write(t, conn, okAnswer)
+		}},
+		{name: "closed after the request was read", want: exchange.ErrLost,
+			serve: func(_ *testing.T, _ net.Conn, reader *bufio.Reader) { readRequest(reader) }},
+		{name: "cut inside the head", want: exchange.ErrLost,
+			serve: func(t *testing.T, conn net.Conn, reader *bufio.Reader) {
+				readRequest(reader)
+				write(t, conn, "HTTP/1.1 200 OK\r\nContent-Le")
+			}},
+		{name: "cut inside the body", want: exchange.ErrLost,
+			serve: func(t *testing.T, conn net.Conn, reader *bufio.Reader) {
+				readRequest(reader)
+				write(t, conn, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok")
+			}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			address := peer(t, func(conn net.Conn, reader *bufio.Reader) { c.serve(t, conn, reader) })
+			client := exchange.NewClient()
+			defer client.Close()
+			if err := do(t.Context(), client, address); !errors.Is(err, c.want) {
+				t.Fatalf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+func TestUnsentCalls(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	client := exchange.NewClient()
+	defer client.Close()
+	if err := do(t.Context(), client, listener.Addr().String()); !errors.Is(err, exchange.ErrNotSent) {
+		t.Errorf("refused dial: got %v", err)
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := do(ended, client, listener.Addr().String()); !errors.Is(err, exchange.ErrNotSent) {
+		t.Errorf("ended context: got %v", err)
+	}
+}
+
+// A booking fails as "may have run" in a quiet hour although nobody booked. The server had closed
+// the idle connection just before; the client wrote the call to it and got a reset, from which it
+// could not tell whether the call ran. The client has to see the close before it sends.
+func TestIdleConnectionClosedByServerIsNotUsed(t *testing.T) {
+	var served atomic.Int32
+	closed := make(chan struct{}, 2)
+	address := peer(t, func(conn net.Conn, reader *bufio.Reader) {
+		if readRequest(reader) {
+			served.Add(1)
+			write(t, conn, okAnswer)
+		}
+		_ = conn.Close()
+		closed <- struct{}{}
+	})
+	client := exchange.NewClient()
+	defer client.Close()
+	for range 2 {
+		if err := do(t.Context(), client, address); err != nil {
+			t.Fatalf("call after the server closed the idle connection: %v", err)
+		}
+		<-closed
+	}
+	if got := served.Load(); got != 2 {
+		t.Errorf("served %d calls, want 2", got)
+	}
+}
+
+// The server closes the kept-alive connection at the very moment at which the request is sent:
+// it reads the request and closes without an answer. Whether the call ran is unknown, and a second
+// send by the client would run it twice.
+func TestKeptConnectionClosedUnderTheRequestIsLostAndNotRetried(t *testing.T) {
+	var seen atomic.Int32
+	address := peer(t, func(conn net.Conn, reader *bufio.Reader) {
+		for readRequest(reader) {
+			if seen.Add(1) > 1 {
+				return
+			}
+			write(t, conn, okAnswer)
+		}
+	})
+	client := exchange.NewClient()
+	defer client.Close()
+	if err := do(t.Context(), client, address); err != nil {
+		t.Fatal(err)
+	}
+	if err := do(t.Context(), client, address); !errors.Is(err, exchange.ErrLost) {
+		t.Errorf("got %v, want %v", err, exchange.ErrLost)
+	}
+	if got := seen.Load(); got != 2 {
+		t.Errorf("the server saw %d requests, want 2", got)
+	}
+}
+
+// A caller cancels while the server is silent. The call must end with the context, as lost, and
+// the half-used connection must not serve the next call, which would get the first one's answer.
+func TestCancelledCallEndsAndItsConnectionIsNotReused(t *testing.T) {
+	release := make(chan struct{})
+	arrived := make(chan struct{}, 1)
+	var count atomic.Int32
+	address := peer(t, func(conn net.Conn, reader *bufio.Reader) {
+		for readRequest(reader) {
+			if count.Add(1) == 1 {
+				arrived <- struct{}{}
+				<-release
+				write(t, conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst")
+				return
+			}
+			write(t, conn, okAnswer)
+		}
+	})
+	client := exchange.NewClient()
+	defer client.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	var group conc.WaitGroup
+	group.Go(func() {
+		<-arrived
+		cancel()
+	})
+	if err := do(ctx, client, address); !errors.Is(err, exchange.ErrLost) {
+		t.Errorf("got %v, want %v", err, exchange.ErrLost)
+	}
+	group.Wait()
+	close(release)
+	if err := do(t.Context(), client, address); err != nil {
+		t.Errorf("next call: %v", err)
+	}
+}
+
+func TestStreamReadsChunksAndTellsACut(t *testing.T) {
+	cases := []struct {
+		name string
+		end  string
+		want error
+	}{
+		{name: "whole", end: "0\r\n\r\n", want: nil},
+		{name: "cut", end: "", want: exchange.ErrLost},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			address := peer(t, func(conn net.Conn, reader *bufio.Reader) {
+				readRequest(reader)
+				write(t, conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n"+c.end)
+			})
+			client := exchange.NewClient()
+			defer client.Close()
+			req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			defer fasthttp.ReleaseRequest(req)
+			defer fasthttp.ReleaseResponse(resp)
+			req.SetRequestURI("http://" + address + "/stream")
+			stream, err := client.Open(t.Context(), req, resp)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = stream.Close() }()
+			body, err := io.ReadAll(stream)
+			if !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+			if diff := cmp.Diff("abcde", string(body)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
