--- /dev/null
+++ b/internal/edge/platform/client.go
@@ -0,0 +1,245 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
+)
+
+// ErrTooLarge is returned for a value above the platform's limit; nothing was written.
+var ErrTooLarge = errors.New("value too large")
+
+// DefaultCallTimeout bounds a call whose context has no earlier deadline. The platform answers in
+// milliseconds; a call that took longer than this is treated as lost.
+const DefaultCallTimeout = 5 * time.Second
+
+// Paths of the platform's HTTP interface.
+const (
+	PathObjects      = "/v1/objects"
+	PathWatch        = "/v1/watch"
+	PathServerOrders = "/v1/serverOrders"
+	PathUsageReports = "/v1/usageReports"
+	PathHosts        = "/v1/hosts"
+)
+
+// Query parameters of the platform's HTTP interface.
+const (
+	QueryIfVersion = "ifVersion"
+	QueryPrefix    = "prefix"
+	QueryAfter     = "after"
+	QueryWait      = "waitMilliseconds"
+)
+
+// ObjectList is the answer to a list of objects.
+type ObjectList struct {
+	Objects []Object `json:"objects"`
+}
+
+// Written is the answer to a write of an object.
+type Written struct {
+	Version Version `json:"version"`
+}
+
+// HostRows is the answer to a read of the host list.
+type HostRows struct {
+	Hosts []Host `json:"hosts"`
+}
+
+// Client calls the platform over HTTP. It never sends a request twice.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *exchange.Client
+}
+
+var _ Platform = (*Client)(nil)
+
+// ClientOption changes a client under construction.
+type ClientOption func(*Client)
+
+// WithCallTimeout bounds each call beside its context; a watch may last its wait longer.
+func WithCallTimeout(timeout time.Duration) ClientOption {
+	return func(c *Client) { c.timeout = timeout }
+}
+
+// NewClient returns a client of the platform at the URL.
+func NewClient(base string, opts ...ClientOption) *Client {
+	client := &Client{
+		base:    strings.TrimSuffix(base, "/"),
+		timeout: DefaultCallTimeout,
+		http:    exchange.NewClient(),
+	}
+	for _, opt := range opts {
+		opt(client)
+	}
+	return client
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.http.Close()
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, name string) (Object, error) {
+	var object Object
+	err := c.read(ctx, c.timeout, objectPath(PathObjects, name), nil, &object)
+	return object, errors.Wrap(err, name)
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]Object, error) {
+	var list ObjectList
+	err := c.read(ctx, c.timeout, PathObjects, url.Values{QueryPrefix: {prefix}}, &list)
+	return list.Objects, errors.Wrap(err, prefix)
+}
+
+// Put implements Store.
+func (c *Client) Put(ctx context.Context, name string, value json.RawMessage, ifVersion Version) (Version, error) {
+	var written Written
+	query := url.Values{QueryIfVersion: {formatVersion(ifVersion)}}
+	err := c.write(ctx, http.MethodPut, objectPath(PathObjects, name), query, value, &written)
+	return written.Version, errors.Wrap(err, name)
+}
+
+// Delete implements Store.
+func (c *Client) Delete(ctx context.Context, name string, ifVersion Version) error {
+	query := url.Values{QueryIfVersion: {formatVersion(ifVersion)}}
+	err := c.write(ctx, http.MethodDelete, objectPath(PathObjects, name), query, nil, nil)
+	return errors.Wrap(err, name)
+}
+
+// Watch implements Store by a long poll.
+func (c *Client) Watch(ctx context.Context, name string, after Version, wait time.Duration) (Object, error) {
+	var object Object
+	query := url.Values{
+		QueryAfter: {formatVersion(after)},
+		QueryWait:  {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	err := c.read(ctx, c.timeout+wait, objectPath(PathWatch, name), query, &object)
+	return object, errors.Wrap(err, name)
+}
+
+// Order implements ServerOrders.
+func (c *Client) Order(ctx context.Context, order ServerOrder) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return errors.Wrapf(err, "%s/%s", order.AvailabilityZone, order.Pool)
+	}
+	err = c.write(ctx, http.MethodPut, PathServerOrders, nil, body, nil)
+	return errors.Wrapf(err, "%s/%s", order.AvailabilityZone, order.Pool)
+}
+
+// Report implements Reports.
+func (c *Client) Report(ctx context.Context, name string, raw json.RawMessage) error {
+	err := c.write(ctx, http.MethodPut, objectPath(PathUsageReports, name), nil, raw, nil)
+	return errors.Wrap(err, name)
+}
+
+// Hosts implements HostList.
+func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	var rows HostRows
+	err := c.read(ctx, c.timeout, PathHosts, nil, &rows)
+	return rows.Hosts, errors.Wrap(err, "host list")
+}
+
+func (c *Client) read(ctx context.Context, timeout time.Duration, path string, query url.Values, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	err := c.call(ctx, http.MethodGet, path, query, nil, into)
+	if errors.Is(err, exchange.ErrNotSent) || errors.Is(err, exchange.ErrLost) || errors.Is(err, ErrUnsettled) {
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return err
+}
+
+// write tells a write that can't have been sent from one whose answer was lost. Taking a lost
+// answer for a failed write would let the caller write twice; taking an unsent one for lost would
+// make it settle what never happened.
+func (c *Client) write(
+	ctx context.Context, method, path string, query url.Values, body []byte, into any,
+) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	err := c.call(ctx, method, path, query, body, into)
+	switch {
+	case errors.Is(err, exchange.ErrNotSent):
+		return errors.Wrap(ErrUnavailable, err.Error())
+	case errors.Is(err, exchange.ErrLost):
+		return errors.Wrap(ErrUnsettled, err.Error())
+	default:
+		return err
+	}
+}
+
+func (c *Client) call(
+	ctx context.Context, method, path string, query url.Values, body []byte, into any,
+) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	target := c.base + path
+	if len(query) > 0 {
+		target += "?" + query.Encode()
+	}
+	req.SetRequestURI(target)
+	req.URI().DisablePathNormalizing = true
+	req.Header.SetMethod(method)
+	if body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(body)
+	}
+	if err := c.http.Do(ctx, req, resp); err != nil {
+		return err
+	}
+	if err := statusError(resp.StatusCode()); err != nil {
+		return err
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(resp.Body(), into); err != nil {
+		return errors.Wrapf(ErrUnsettled, "answer is no JSON: %v", err)
+	}
+	return nil
+}
+
+// statusError maps a status to the errors of the platform; 5xx other than 503 leave a write open.
+func statusError(status int) error {
+	switch {
+	case status < http.StatusMultipleChoices:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status == http.StatusConflict:
+		return ErrConflict
+	case status == http.StatusPreconditionFailed, status == http.StatusForbidden:
+		return ErrFenced
+	case status == http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests:
+		return errors.Wrapf(ErrUnavailable, "status %d", status)
+	case status >= http.StatusInternalServerError:
+		return errors.Wrapf(ErrUnsettled, "status %d", status)
+	default:
+		return errors.Errorf("platform answered status %d", status)
+	}
+}
+
+func objectPath(parent, name string) string {
+	return parent + "/" + url.PathEscape(name)
+}
+
+func formatVersion(version Version) string {
+	return strconv.FormatUint(uint64(version), 10)
+}
--- /dev/null
+++ b/internal/edge/platform/client_test.go
@@ -0,0 +1,192 @@
+package platform_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/goleak"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+	standin "github.com/oleandershelf/oleandershelf/internal/standin/platform"
+)
+
+func TestMain(m *testing.M) {
+	// The library keeps one goroutine a process that formats the date header.
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+}
+
+// start serves a stand-in over loopback and returns it with a client.
+func start(t *testing.T, opts ...standin.Option) (*standin.Server, *platform.Client) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := standin.New(context.Background(), listener, opts...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := platform.NewClient(server.URL())
+	t.Cleanup(func() {
+		client.Close()
+		server.Close()
+	})
+	return server, client
+}
+
+func TestObjectsOverHTTP(t *testing.T) {
+	_, client := start(t)
+	ctx := t.Context()
+	names := []string{"lease/usage/0", "a b/ü?x=1", "plain", "dots/../kept//double"}
+	for _, name := range names {
+		version, err := client.Put(ctx, name, json.RawMessage(`{"n":1}`), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		object, err := client.Get(ctx, name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := platform.Object{Name: name, Version: version, Value: json.RawMessage(`{"n":1}`)}
+		if diff := cmp.Diff(want, object); diff != "" {
+			t.Error(diff)
+		}
+	}
+	listed, err := client.List(ctx, "lease/")
+	if err != nil || len(listed) != 1 {
+		t.Errorf("list: %v, %v", listed, err)
+	}
+	if err := client.Delete(ctx, "plain", listed[0].Version+2); err != nil {
+		t.Errorf("delete: %v", err)
+	}
+}
+
+func TestErrorsOverHTTP(t *testing.T) {
+	server, client := start(t)
+	first, err := client.Put(t.Context(), "known", json.RawMessage(`1`), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	put := func(ifVersion platform.Version) error {
+		_, err := client.Put(t.Context(), "known", json.RawMessage(`2`), ifVersion)
+		return err
+	}
+	get := func(name string) error {
+		_, err := client.Get(t.Context(), name)
+		return err
+	}
+	order := func(fencing platform.Version) error {
+		return client.Order(t.Context(), platform.ServerOrder{AvailabilityZone: "begnas", Pool: "billdesk", Fencing: fencing})
+	}
+	cases := []struct {
+		name   string
+		faults standin.Faults
+		call   func() error
+		want   error
+	}{
+		{name: "absent object", call: func() error { return get("unknown") }, want: platform.ErrNotFound},
+		{name: "old version", call: func() error { return put(first + 1) }, want: platform.ErrConflict},
+		{name: "newer fencing", call: func() error { return order(7) }},
+		{name: "older fencing", call: func() error { return order(6) }, want: platform.ErrFenced},
+		{name: "older fencing ignored", faults: standin.Faults{IgnoreFencing: true}, call: func() error { return order(6) }},
+		{name: "write in an outage", faults: standin.Faults{Outage: true},
+			call: func() error { return put(first) }, want: platform.ErrUnavailable},
+		{name: "read in an outage", faults: standin.Faults{Outage: true},
+			call: func() error { return get("known") }, want: platform.ErrUnavailable},
+		{name: "rate limit", faults: standin.Faults{CallsPerSecond: 0.001},
+			call: func() error { _ = get("known"); return get("known") }, want: platform.ErrUnavailable},
+		{name: "lost answer of a write", faults: standin.Faults{LoseAnswers: 1},
+			call: func() error { return put(first) }, want: platform.ErrUnsettled},
+		{name: "the write of the lost answer took effect", call: func() error { return put(first) }, want: platform.ErrConflict},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server.SetFaults(c.faults)
+			if err := c.call(); !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+// A lease is renewed, the platform is slow and the holder's deadline passes while the write is
+// under way. The holder must not take the renewal for failed: the write still takes effect.
+func TestWriteWhoseContextEndsAfterSendingIsUnsettled(t *testing.T) {
+	server, client := start(t)
+	server.Delay(200 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := client.Put(ctx, "lease", json.RawMessage(`1`), 0); !errors.Is(err, platform.ErrUnsettled) {
+		t.Errorf("ended after sending: got %v", err)
+	}
+	if _, err := client.Put(ctx, "lease", json.RawMessage(`1`), 0); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("ended before sending: got %v", err)
+	}
+	object, err := client.Watch(t.Context(), "lease", 0, 10*time.Second)
+	if err != nil || string(object.Value) != "1" {
+		t.Errorf("the write has to take effect: %v, %v", object, err)
+	}
+}
+
+func TestWatchOverHTTP(t *testing.T) {
+	server, client := start(t)
+	first, err := server.Put(t.Context(), "head", json.RawMessage(`1`), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	unchanged, err := client.Watch(t.Context(), "head", first, time.Millisecond)
+	if err != nil || unchanged.Version != first {
+		t.Errorf("unchanged: %v, %v", unchanged, err)
+	}
+	var group conc.WaitGroup
+	group.Go(func() {
+		changed, err := client.Watch(t.Context(), "head", first, 30*time.Second)
+		if err != nil || changed.Version <= first {
+			t.Errorf("changed: %v, %v", changed, err)
+		}
+	})
+	if _, err := server.Put(t.Context(), "head", json.RawMessage(`2`), first); err != nil {
+		t.Fatal(err)
+	}
+	group.Wait()
+}
+
+func TestReportsAndHostsOverHTTP(t *testing.T) {
+	hosts := []platform.Host{
+		{ID: "agent-1", Role: platform.RoleAgent, Pool: "billdesk", AvailabilityZone: "begnas",
+			PeerAddress: netip.MustParseAddrPort("127.0.0.1:7001")},
+		{ID: "entry-1", Role: platform.RoleEntry, AvailabilityZone: "begnas"},
+	}
+	server, client := start(t, standin.WithHosts(hosts))
+	for _, raw := range []string{`{"a":1}`, `{"a":1}`} {
+		if err := client.Report(t.Context(), "w/org one", json.RawMessage(raw)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := client.Report(t.Context(), "w/org one", json.RawMessage(`{"a":2}`)); !errors.Is(err, platform.ErrConflict) {
+		t.Errorf("differing report: got %v", err)
+	}
+	if diff := cmp.Diff([]string{"w/org one"}, server.Violations()); diff != "" {
+		t.Error(diff)
+	}
+	if err := client.Order(t.Context(), platform.ServerOrder{AvailabilityZone: "begnas", Pool: "billdesk", Count: 1}); err != nil {
+		t.Fatal(err)
+	}
+	listed, err := client.Hosts(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range hosts {
+		hosts[i].State = platform.HostLive
+	}
+	if diff := cmp.Diff(hosts, listed, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })); diff != "" {
+		t.Error(diff)
+	}
+}
