--- a/internal/program/settings/document.go
+++ b/internal/program/settings/document.go
@@ -13,6 +13,16 @@
 // ErrInvalid is the cause of every error about the content of a settings file.
 var ErrInvalid = errors.New("invalid settings")
 
+// invalidError holds one line for each problem.
+type invalidError struct{ lines []string }
+
+func (e *invalidError) Error() string { return strings.Join(e.lines, "\n") }
+
+// Is makes errors.Is(err, ErrInvalid) hold.
+func (e *invalidError) Is(target error) bool { return target == ErrInvalid }
+
+func invalid(lines ...string) error { return &invalidError{lines: lines} }
+
 // document is a parsed settings file with the problems found in it.
 type document struct {
 	path    string
@@ -31,11 +41,11 @@
 func parseDocument(path string, data []byte) (*document, error) {
 	value, err := hujson.Parse(data)
 	if err != nil {
-		return nil, errors.Wrapf(ErrInvalid, "%s: %v", path, err)
+		return nil, invalid(fmt.Sprintf("%s: %v", path, err))
 	}
 	object, ok := value.Value.(*hujson.Object)
 	if !ok {
-		return nil, errors.Wrapf(ErrInvalid, "%s:1: want one object { … }", path)
+		return nil, invalid(path + ":1: want one object { … }")
 	}
 	doc := &document{path: path, data: data, members: map[string]hujson.Value{}, lines: map[string]int{}}
 	for _, member := range object.Members {
@@ -48,7 +58,7 @@
 	name := decodeName(member.Name)
 	line := 1 + strings.Count(string(d.data[:member.Name.StartOffset]), "\n")
 	if _, twice := d.members[name]; twice {
-		d.found = append(d.found, problem{line, name, fmt.Sprintf("stands twice, first on line %d; keep one", d.lines[name])})
+		d.found = append(d.found, problem{line, name, fmt.Sprintf("given twice, first on line %d; keep one", d.lines[name])})
 		return
 	}
 	d.members[name] = member.Value
@@ -68,7 +78,7 @@
 	for _, name := range d.names() {
 		f, known := fields[name]
 		if !known {
-			d.refuse(name, "is unknown; known fields are %s", strings.Join(knownFields(), ", "))
+			d.refuse(name, "unknown field; known fields are %s", strings.Join(knownFields(), ", "))
 			continue
 		}
 		value := d.members[name].Clone()
@@ -109,7 +119,7 @@
 func (d *document) refuseFor(role Role, names ...string) {
 	for _, name := range names {
 		if d.has(name) {
-			d.refuse(name, "has no meaning for the role %s; remove it", role)
+			d.refuse(name, "no meaning for the role %s; remove it", role)
 		}
 	}
 }
@@ -117,7 +127,7 @@
 func (d *document) require(names ...string) {
 	for _, name := range names {
 		if !d.has(name) {
-			d.found = append(d.found, problem{1, name, fmt.Sprintf("is missing; want %s", fields[name].want)})
+			d.found = append(d.found, problem{1, name, fmt.Sprintf("missing; want %s", fields[name].want)})
 		}
 	}
 }
@@ -129,7 +139,7 @@
 	sort.SliceStable(d.found, func(i, j int) bool { return d.found[i].line < d.found[j].line })
 	lines := make([]string, 0, len(d.found))
 	for _, p := range d.found {
-		lines = append(lines, fmt.Sprintf("%s:%d: %s %s", d.path, p.line, p.field, p.text))
+		lines = append(lines, fmt.Sprintf("%s:%d: %s: %s", d.path, p.line, p.field, p.text))
 	}
-	return errors.Wrap(ErrInvalid, strings.Join(lines, "\n"))
+	return invalid(lines...)
 }
--- /dev/null
+++ b/internal/program/settings/settings_test.go
@@ -0,0 +1,71 @@
+package settings
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// A broken settings file must be refused before anything starts, with file, line, field and what would be
+// right; an operator who restarts a host at night has only this message.
+func TestBrokenFilesAreRefused(t *testing.T) {
+	files, err := filepath.Glob("testdata/broken/*.json")
+	if err != nil || len(files) < 10 {
+		t.Fatalf("broken files: %d, %v", len(files), err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			_, err := Load(file, RoleEntry)
+			if !errors.Is(err, ErrInvalid) {
+				t.Fatalf("want ErrInvalid, have %v", err)
+			}
+			golden := strings.TrimSuffix(file, ".json") + ".golden"
+			have := err.Error() + "\n"
+			if *update {
+				if err := os.WriteFile(golden, []byte(have), 0o644); err != nil {
+					t.Fatal(err)
+				}
+			}
+			want, err := os.ReadFile(golden)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(string(want), have); diff != "" {
+				t.Errorf("message (-want +have):\n%s", diff)
+			}
+			if strings.Contains(have, "hunter2") {
+				t.Error("the message shows a secret")
+			}
+		})
+	}
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		pattern string
+		role    Role
+	}{
+		{"entries", "../../../examples/*/entry.json", RoleEntry},
+		{"agents", "../../../examples/*/agent-*.json", RoleAgent},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			files, err := filepath.Glob(test.pattern)
+			if err != nil || len(files) < 2 {
+				t.Fatalf("examples: %d, %v", len(files), err)
+			}
+			for _, file := range files {
+				if _, err := Load(file, test.role); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+}
