--- /dev/null
+++ b/internal/edge/backendserver/weightstore.go
@@ -0,0 +1,44 @@
+package backendserver
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// WeightStore is the client of the rate-limited weight store. It is safe for concurrent use.
+type WeightStore struct {
+	caller
+}
+
+// NewWeightStore returns a client of the weight store at the URL.
+func NewWeightStore(base string, opts ...Option) *WeightStore {
+	return &WeightStore{caller: newCaller(base, opts)}
+}
+
+// Fetch copies the weights to the writer and returns their length in bytes. ErrBusy says that the
+// store's rate is used up.
+func (w *WeightStore) Fetch(ctx context.Context, name string, to io.Writer) (int64, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := w.prepare(req, http.MethodGet, PathWeights+"/"+url.PathEscape(name), nil); err != nil {
+		return 0, err
+	}
+	req.URI().DisablePathNormalizing = true
+	stream, err := w.http.Open(ctx, req, resp)
+	if err != nil {
+		return 0, errors.Wrap(err, name)
+	}
+	defer func() { _ = stream.Close() }()
+	if err := statusError(PathWeights, resp.StatusCode()); err != nil {
+		return 0, errors.Wrap(err, name)
+	}
+	n, err := io.Copy(to, stream)
+	return n, errors.Wrap(err, name)
+}
--- /dev/null
+++ b/internal/edge/backendserver/wire.go
@@ -0,0 +1,129 @@
+// Package backendserver holds the HTTP clients of the backend servers (model engines, plain
+// services, scoring services and the weight store) and the wire types that both sides share.
+package backendserver
+
+import (
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+)
+
+// Paths of the backend servers' HTTP interfaces.
+const (
+	PathGenerate    = "/generate"
+	PathLoad        = "/load"
+	PathOrders      = "/orders"
+	PathCancel      = "/cancel"
+	PathCacheEvents = "/cacheEvents"
+	PathScore       = "/score"
+	PathWeights     = "/weights"
+)
+
+// QueryAfter names the sequence number after which cache events are asked for.
+const QueryAfter = "after"
+
+// Token is one generated token with the weight version that produced it.
+type Token struct {
+	Text    string `json:"text"`
+	Version int    `json:"version"`
+}
+
+// GenerateRequest asks an engine for the tokens that follow the prompt and the resumed tokens.
+type GenerateRequest struct {
+	SampleID string `json:"sampleId"`
+	Prompt   string `json:"prompt"`
+	// Resume are tokens that were generated before; they are not sent again.
+	Resume []Token `json:"resume,omitempty"`
+	// MaxTokens bounds the whole length, resumed tokens included.
+	MaxTokens int `json:"maxTokens"`
+	// Priority orders waiting requests; a lower number goes first.
+	Priority int   `json:"priority,omitempty"`
+	Seed     int64 `json:"seed,omitempty"`
+}
+
+// Event is one server-sent event of an engine: a token, or at the end Done with the number of
+// tokens sent in this answer.
+type Event struct {
+	Text    string `json:"text,omitempty"`
+	Version int    `json:"version,omitempty"`
+	Done    bool   `json:"done,omitempty"`
+	Tokens  int    `json:"tokens,omitempty"`
+}
+
+// EngineLoad is an engine's own report; it lags behind the engine.
+type EngineLoad struct {
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+	Slots   int `json:"slots"`
+	// Version is the weight version in use.
+	Version int `json:"version"`
+	// Prefetched are the weight versions that a switch can go to at once.
+	Prefetched []int `json:"prefetched,omitempty"`
+	// TokenTime is the time of one token at the present batch.
+	TokenTime time.Duration `json:"tokenTimeNanoseconds"`
+	// Measured is when the report was true.
+	Measured time.Time `json:"measured"`
+}
+
+// OrderKind is the kind of a weight order.
+type OrderKind string
+
+// The kinds of weight orders.
+const (
+	// OrderPrefetch loads weights beside those in use.
+	OrderPrefetch OrderKind = "prefetch"
+	// OrderSwitch makes later tokens come from the version, loading it first where needed.
+	OrderSwitch OrderKind = "switch"
+)
+
+// WeightOrder tells an engine which weights to load or to use.
+type WeightOrder struct {
+	Kind    OrderKind `json:"kind"`
+	Model   string    `json:"model"`
+	Version int       `json:"version"`
+	// Weights names the weights in the weight store.
+	Weights string `json:"weights"`
+	// Fencing is the version of the lease under which the order is given; some engines ignore it.
+	Fencing platform.Version `json:"fencing"`
+}
+
+// CancelRequest ends the generation of a sample.
+type CancelRequest struct {
+	SampleID string `json:"sampleId"`
+}
+
+// CacheEventKind is what happened to a cached prefix.
+type CacheEventKind string
+
+// The kinds of cache events.
+const (
+	CacheStored  CacheEventKind = "stored"
+	CacheEvicted CacheEventKind = "evicted"
+)
+
+// CacheEvent says that an engine stored or evicted a prompt prefix. Sequence numbers have gaps
+// where events were lost.
+type CacheEvent struct {
+	Sequence uint64         `json:"sequence"`
+	Kind     CacheEventKind `json:"kind"`
+	// Prefix is the hash of the prompt prefix, as PrefixHash makes it.
+	Prefix uint64 `json:"prefix"`
+}
+
+// CacheEventList is the answer to a read of cache events.
+type CacheEventList struct {
+	Events []CacheEvent `json:"events"`
+}
+
+// ScoreRequest asks for the score of one sample.
+type ScoreRequest struct {
+	SampleID string `json:"sampleId"`
+	Prompt   string `json:"prompt"`
+	Text     string `json:"text"`
+}
+
+// Score is the score of one sample.
+type Score struct {
+	SampleID string  `json:"sampleId"`
+	Value    float64 `json:"value"`
+}
