Run requests at a backend server through an agent with an execution record

The record makes a request run at most once and keeps a verdict of not run true when a frame comes late; the agent puts the queue, the concurrency limit, usage counts and weight orders round it.

--- /dev/null
+++ b/internal/edge/agent/weights.go
@@ -0,0 +1,184 @@
+package agent
+
+import (
+	"context"
+	"hash/fnv"
+	"sync/atomic"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
+)
+
+const (
+	minBackoff = 200 * time.Millisecond
+	// maxBackoff keeps a server whose swap failed within the 7 s in which weights reach all servers.
+	maxBackoff   = 3 * time.Second
+	orderTimeout = time.Minute
+	loadTimeout  = 2 * time.Second
+)
+
+// weights keeps a model engine at the version that the configuration names.
+//
+// A swap may fail at any step. The old version serves on until a switch succeeds; the orders are
+// given again with growing pauses, and a newer version replaces the one that is being tried.
+type weights struct {
+	config Config
+	deps   Dependencies
+	state  atomic.Pointer[weightState]
+	report atomic.Pointer[EngineLoad]
+}
+
+// weightState is the published progress of the weight orders.
+type weightState struct {
+	Served    int    `json:"served"`
+	Wanted    int    `json:"wanted"`
+	Failures  int    `json:"failures"`
+	LastError string `json:"lastError,omitempty"`
+}
+
+func newWeights(config Config, deps Dependencies) *weights {
+	w := &weights{config: config, deps: deps}
+	w.state.Store(&weightState{})
+	w.report.Store(&EngineLoad{})
+	return w
+}
+
+// version is the weight version that serves.
+func (w *weights) version() int { return w.state.Load().Served }
+
+// run follows the configuration until ctx ends.
+func (w *weights) run(ctx context.Context) {
+	for {
+		changed := w.deps.Changed()
+		target, ok := w.target()
+		if !ok || target.Version == w.version() {
+			if !waitFor(ctx, changed, 0) {
+				return
+			}
+			continue
+		}
+		if w.swap(ctx, changed, target) {
+			continue
+		}
+		if !waitFor(ctx, changed, w.backoff()) {
+			return
+		}
+	}
+}
+
+// waitFor waits for the channel, or the time if it isn't 0; false when ctx ends.
+func waitFor(ctx context.Context, changed <-chan struct{}, pause time.Duration) bool {
+	var elapsed <-chan time.Time
+	if pause > 0 {
+		timer := time.NewTimer(pause)
+		defer timer.Stop()
+		elapsed = timer.C
+	}
+	select {
+	case <-changed:
+		return true
+	case <-elapsed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (w *weights) target() (ticket.ModelVersion, bool) {
+	view := w.deps.View()
+	pool, ok := view.Pool(w.config.Pool)
+	if !ok || pool.Kind != ticket.KindModel {
+		return ticket.ModelVersion{}, false
+	}
+	return view.ModelVersion(pool.Model)
+}
+
+// swap prefetches and switches; false if it has to be tried again.
+func (w *weights) swap(ctx context.Context, changed <-chan struct{}, target ticket.ModelVersion) bool {
+	w.update(func(s *weightState) { s.Wanted = target.Version })
+	order := WeightOrder{
+		Kind:    OrderPrefetch,
+		Model:   target.Model,
+		Version: target.Version,
+		Weights: target.Weights,
+		Fencing: w.deps.View().Revision(),
+	}
+	if pause := w.spread(); pause > 0 && !waitFor(ctx, changed, pause) {
+		return false
+	}
+	for _, kind := range []OrderKind{OrderPrefetch, OrderSwitch} {
+		order.Kind = kind
+		if err := w.order(ctx, order); err != nil {
+			w.failed(order, err)
+			return false
+		}
+	}
+	w.update(func(s *weightState) { *s = weightState{Served: target.Version, Wanted: target.Version} })
+	return true
+}
+
+func (w *weights) order(ctx context.Context, order WeightOrder) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return w.deps.Engine.Order(ctx, order)
+}
+
+func (w *weights) failed(order WeightOrder, err error) {
+	w.deps.Logger.Warn().Err(err).Str("kind", string(order.Kind)).Int("version", order.Version).
+		Msg("weight order failed")
+	w.update(func(s *weightState) {
+		s.Failures++
+		s.LastError = err.Error()
+	})
+}
+
+// spread gives each host its own share of the spread, always the same.
+func (w *weights) spread() time.Duration {
+	if w.config.PrefetchSpread <= 0 {
+		return 0
+	}
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(w.config.HostID)) // never fails
+	return time.Duration(int64(sum.Sum32()) % int64(w.config.PrefetchSpread))
+}
+
+func (w *weights) backoff() time.Duration {
+	shift := min(max(w.state.Load().Failures-1, 0), 8)
+	return min(minBackoff<<shift, maxBackoff)
+}
+
+// update publishes a changed copy; readers never see a state in between. A lost race is tried again.
+func (w *weights) update(change func(*weightState)) {
+	for {
+		old := w.state.Load()
+		changed := *old
+		change(&changed)
+		if w.state.CompareAndSwap(old, &changed) {
+			return
+		}
+	}
+}
+
+// poll asks the engine for its load until ctx ends.
+func (w *weights) poll(ctx context.Context) {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		w.pollOnce(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (w *weights) pollOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	load, err := w.deps.Engine.Load(ctx)
+	if err != nil {
+		return
+	}
+	w.report.Store(&load)
+}
--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -20,8 +20,9 @@
 	ctx      context.Context
 	wg       *conc.WaitGroup
 
-	mu    sync.Mutex
-	peers map[netip.AddrPort]*dialling
+	mu     sync.Mutex
+	peers  map[netip.AddrPort]*dialling
+	closed bool
 }
 
 // dialling is a connection that is open or being opened; callers share it.
@@ -49,11 +50,17 @@
 // Wait returns when all connections have ended, after the client's context has.
 func (c *Client) Wait() {
 	<-c.ctx.Done()
-	c.mu.Lock() // dialling has counted in its last goroutine
-	c.mu.Unlock() //nolint:staticcheck // the empty section is the point
+	c.close()
 	c.wg.Wait()
 }
 
+// close makes sure that no goroutine is counted in while Wait waits.
+func (c *Client) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+}
+
 // acquire returns an open connection with one stream reserved on it.
 func (c *Client) acquire(ctx context.Context, to netip.AddrPort) (*channel, error) {
 	for {
@@ -79,7 +86,7 @@
 func (c *Client) dialling(to netip.AddrPort) (*dialling, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err := c.ctx.Err(); err != nil {
+	if c.closed || c.ctx.Err() != nil {
 		return nil, errors.Wrap(ErrClosed, "client")
 	}
 	if d, ok := c.peers[to]; ok {
--- a/internal/edge/peer/outbound.go
+++ b/internal/edge/peer/outbound.go
@@ -16,7 +16,6 @@
 	channel *channel
 	ctx     context.Context
 	signal  chan struct{}
-	once    sync.Once
 
 	mu sync.Mutex
 	// stream is 0 until the request frame is about to be written.
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -26,6 +26,12 @@
 	Write(p []byte) (int, error)
 }
 
+// Aborter is implemented by the sinks of this package.
+type Aborter interface {
+	// Abort ends the handler's context with the cause, and with it a Write that waits for a slow reader.
+	Abort(cause error)
+}
+
 // Errors of the transport. A refusal of the remote handler is returned as its *verdict.Refusal.
 var (
 	// ErrUnsent: no byte of the request can have reached the peer; the request has not run.
--- a/internal/edge/peer/session.go
+++ b/internal/edge/peer/session.go
@@ -186,6 +186,9 @@
 	in.length += uint64(len(p))
 }
 
+// Abort implements Aborter.
+func (in *inbound) Abort(cause error) { in.cancel(cause) }
+
 // Head implements Sink.
 func (in *inbound) Head(head request.AnswerHead) error {
 	payload, err := msgpack.Marshal(head)
