Let a stream own its response

The body's reader belongs to the pooled response: releasing the response when the call returned handed the reader to another call while the stream was still read.

--- a/internal/edge/backendserver/engine.go
+++ b/internal/edge/backendserver/engine.go
@@ -34,17 +34,15 @@
 func (e *Engine) Generate(ctx context.Context, ask GenerateRequest, each func(Token) error) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
 	if err := e.prepare(req, http.MethodPost, PathGenerate, ask); err != nil {
 		return err
 	}
-	stream, err := e.http.Open(ctx, req, resp)
+	stream, err := e.http.Open(ctx, req)
 	if err != nil {
 		return errors.Wrap(err, ask.SampleID)
 	}
 	defer func() { _ = stream.Close() }()
-	if err := statusError(PathGenerate, resp.StatusCode()); err != nil {
+	if err := statusError(PathGenerate, stream.Status()); err != nil {
 		return errors.Wrap(err, ask.SampleID)
 	}
 	if err := readEvents(stream, each); err != nil {
--- a/internal/edge/backendserver/service.go
+++ b/internal/edge/backendserver/service.go
@@ -11,6 +11,9 @@
 	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
 )
 
+// userAgent keeps the library's default from being taken for the caller's.
+const userAgent = "oleandershelf"
+
 // Service is the client of one backend server whose answers are handed on as they are. It follows
 // no redirects and sends every call once. It is safe for concurrent use.
 type Service struct {
@@ -36,8 +39,6 @@
 ) (*Answer, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
 	target := s.base + path
 	if query != "" {
 		target += "?" + query
@@ -45,22 +46,24 @@
 	req.SetRequestURI(target)
 	req.URI().DisablePathNormalizing = true
 	req.Header.SetMethod(method)
+	req.Header.SetNoDefaultContentType(true)
+	req.Header.SetUserAgent(userAgent)
 	for _, field := range header {
 		req.Header.Add(field.Name, field.Value)
 	}
 	req.SetBodyRaw(body)
-	stream, err := s.http.Open(ctx, req, resp)
+	stream, err := s.http.Open(ctx, req)
 	if err != nil {
 		return nil, errors.Wrapf(err, "%s %s", method, path)
 	}
-	return &Answer{Status: resp.StatusCode(), Header: fields(resp), Body: stream}, nil
+	return &Answer{Status: stream.Status(), Header: fields(stream.Header()), Body: stream}, nil
 }
 
 // fields copies the header: the library reuses its buffers. What concerns only the connection
 // between this host and the server stays out.
-func fields(resp *fasthttp.Response) []request.HeaderField {
+func fields(from *fasthttp.ResponseHeader) []request.HeaderField {
 	var header []request.HeaderField
-	for name, value := range resp.Header.All() {
+	for name, value := range from.All() {
 		if connectionField(string(name)) {
 			continue
 		}
--- a/internal/edge/backendserver/weightstore.go
+++ b/internal/edge/backendserver/weightstore.go
@@ -25,18 +25,16 @@
 func (w *WeightStore) Fetch(ctx context.Context, name string, to io.Writer) (int64, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
 	if err := w.prepare(req, http.MethodGet, PathWeights+"/"+url.PathEscape(name), nil); err != nil {
 		return 0, err
 	}
 	req.URI().DisablePathNormalizing = true
-	stream, err := w.http.Open(ctx, req, resp)
+	stream, err := w.http.Open(ctx, req)
 	if err != nil {
 		return 0, errors.Wrap(err, name)
 	}
 	defer func() { _ = stream.Close() }()
-	if err := statusError(PathWeights, resp.StatusCode()); err != nil {
+	if err := statusError(PathWeights, stream.Status()); err != nil {
 		return 0, errors.Wrap(err, name)
 	}
 	n, err := io.Copy(to, stream)
--- a/internal/edge/exchange/client.go
+++ b/internal/edge/exchange/client.go
@@ -92,14 +92,16 @@
 	return nil
 }
 
-// Open sends the request and returns once the head of the answer is in resp. The stream must be closed.
-func (c *Client) Open(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) (*Stream, error) {
+// Open sends the request and returns once the head of the answer came. The stream must be closed.
+func (c *Client) Open(ctx context.Context, req *fasthttp.Request) (*Stream, error) {
+	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
 	call, err := c.start(ctx, req, resp)
 	if err != nil {
+		fasthttp.ReleaseResponse(resp)
 		return nil, err
 	}
-	return &Stream{call: call, body: resp.BodyStream()}, nil
+	return &Stream{call: call, resp: resp, body: resp.BodyStream()}, nil
 }
 
 // Close closes the idle connections; calls under way end with their contexts.
--- a/internal/edge/exchange/client_test.go
+++ b/internal/edge/exchange/client_test.go
@@ -232,11 +232,10 @@
 			})
 			client := exchange.NewClient()
 			defer client.Close()
-			req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			req := fasthttp.AcquireRequest()
 			defer fasthttp.ReleaseRequest(req)
-			defer fasthttp.ReleaseResponse(resp)
 			req.SetRequestURI("http://" + address + "/stream")
-			stream, err := client.Open(t.Context(), req, resp)
+			stream, err := client.Open(t.Context(), req)
 			if err != nil {
 				t.Fatal(err)
 			}
