--- /dev/null
+++ b/internal/core/delivery/ask.go
@@ -0,0 +1,209 @@
+package delivery
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+)
+
+// retrySoon is when a trainer comes back after a refusal that passes by itself: a lease moves
+// within seconds, and the platform is tried again each second.
+const retrySoon = time.Second
+
+// ask is a request of the trainer that waits for its answer.
+type ask struct {
+	id     AskID
+	event  Event
+	cursor *Cursor
+	// sent says that a write for the request was sent and may have taken effect.
+	sent bool
+}
+
+func newAsk(event Event) *ask {
+	switch e := event.(type) {
+	case StepAsked:
+		return &ask{id: e.ID, event: e, cursor: e.Cursor}
+	case BatchAsked:
+		return &ask{id: e.ID, event: e, cursor: e.Cursor}
+	case VersionAsked:
+		return &ask{id: e.ID, event: e, cursor: e.Cursor}
+	}
+	return &ask{event: event}
+}
+
+// outcome is what became of one look at a request: an answer, a move that has to be made first,
+// or neither while it waits.
+type outcome struct {
+	result Result
+	next   *Record
+}
+
+func waiting() outcome { return outcome{} }
+
+func refused(status int, reason verdict.Reason, retryAfter time.Duration, format string, args ...any) outcome {
+	return outcome{result: Refused{verdict.New(verdict.NotRun, status, reason, retryAfter, format, args...)}}
+}
+
+// answerOne answers one request or makes one move alone; it returns false when nothing is left to do.
+func (j *Job) answerOne() bool {
+	for i, a := range j.asks {
+		done := j.try(a)
+		if done.result != nil {
+			j.asks = append(j.asks[:i:i], j.asks[i+1:]...)
+			j.answer(a, done.result)
+			return true
+		}
+		if done.next != nil && j.move(a, *done.next) {
+			return true
+		}
+		if j.writing != nil {
+			return false
+		}
+	}
+	return false
+}
+
+// move starts the write of a move, or makes it alone; it returns true if it was made.
+func (j *Job) move(a *ask, next Record) bool {
+	if j.mayWrite() {
+		a.sent = true
+		j.write(next)
+		return false
+	}
+	if _, version := a.event.(VersionAsked); version || !j.mayMoveAlone(a.cursor) {
+		return false
+	}
+	if j.unsettled != nil && sameMove(*j.unsettled, next) {
+		// The lost write may have taken effect: hand out the very same batch.
+		next = *j.unsettled
+	}
+	j.record = next
+	j.record.Step = next.Step.clone()
+	j.unwritten = true
+	j.sync()
+	return true
+}
+
+func sameMove(a, b Record) bool {
+	return a.ModelVersion == b.ModelVersion && a.Step.key() == b.Step.key() &&
+		a.Step != nil && a.Step.Manifest != nil && a.Step.Batch == b.Step.Batch &&
+		b.Step.Manifest != nil && a.Step.Manifest.Batch == b.Step.Manifest.Batch
+}
+
+func (j *Job) try(a *ask) outcome {
+	if refusal, ok := j.checkCursor(a.cursor); !ok {
+		return refusal
+	}
+	if !j.loaded && !j.mayMoveAlone(a.cursor) {
+		return waiting()
+	}
+	switch e := a.event.(type) {
+	case StepAsked:
+		return j.tryStep(e)
+	case BatchAsked:
+		return j.tryBatch(e)
+	case VersionAsked:
+		return j.tryVersion(e)
+	}
+	return waiting()
+}
+
+func (j *Job) checkCursor(cursor *Cursor) (outcome, bool) {
+	switch {
+	case cursor == nil:
+		return outcome{}, true
+	case cursor.Job != j.name:
+		return refused(http.StatusBadRequest, verdict.ReasonBadRequest, 0, "the cursor is of trainer job %s", cursor.Job), false
+	case cursor.Fencing > j.fence:
+		// The trainer was served by a later holder of the lease: this one must not go on.
+		return refused(http.StatusServiceUnavailable, verdict.ReasonNotLeader, retrySoon, "a later coordinator serves the job"), false
+	}
+	return outcome{}, true
+}
+
+func (j *Job) tryVersion(e VersionAsked) outcome {
+	if !j.loaded {
+		return waiting()
+	}
+	switch known := j.record; {
+	case e.Version < known.ModelVersion:
+		return refused(http.StatusConflict, verdict.ReasonBadRequest, 0, "version %d is older than %d", e.Version, known.ModelVersion)
+	case e.Version == known.ModelVersion && e.Weights != known.Weights:
+		return refused(http.StatusConflict, verdict.ReasonBadRequest, 0, "version %d has other weights", e.Version)
+	case e.Version == known.ModelVersion && j.unwritten:
+		return waiting()
+	case e.Version == known.ModelVersion:
+		return outcome{result: VersionAccepted{Version: e.Version, Weights: e.Weights, Cursor: j.cursorOfStep()}}
+	}
+	next := j.record
+	next.Step = j.record.Step.clone()
+	next.ModelVersion = e.Version
+	next.Weights = e.Weights
+	return outcome{next: &next}
+}
+
+func (j *Job) cursorOfStep() *Cursor {
+	if j.record.Step == nil {
+		return nil
+	}
+	cursor := j.cursor()
+	return &cursor
+}
+
+// cursor returns the cursor that goes out with the newest batch.
+func (j *Job) cursor() Cursor {
+	step := j.record.Step
+	return Cursor{
+		Job:          j.name,
+		Step:         step.Step,
+		Digest:       step.Digest,
+		Batch:        step.Batch,
+		Delivered:    step.Delivered.Clone(),
+		ModelVersion: j.current(),
+		Fencing:      j.fence,
+	}
+}
+
+func (j *Job) expire(e AskExpired) {
+	for i, a := range j.asks {
+		if a.id != e.ID {
+			continue
+		}
+		j.asks = append(j.asks[:i:i], j.asks[i+1:]...)
+		j.answer(a, Refused{j.expiry(e.RetryAfter)})
+		return
+	}
+}
+
+func (j *Job) expiry(retryAfter time.Duration) *verdict.Refusal {
+	if j.down {
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonPlatformUnavailable,
+			retryAfter, "trainer job %s waits for the platform", j.name)
+	}
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonDeadlinePassed,
+		retryAfter, "trainer job %s is not that far yet", j.name)
+}
+
+// answer ends a request. After a write whose answer was lost a refusal can't say "not run".
+func (j *Job) answer(a *ask, result Result) {
+	if no, ok := result.(Refused); ok && a.sent {
+		no.Refusal.Verdict = verdict.MayHaveRun
+	}
+	j.effects = append(j.effects, Answer{ID: a.id, Result: result})
+}
+
+func (j *Job) refuseAll() {
+	for _, a := range j.asks {
+		j.answer(a, Refused{verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonNotLeader,
+			retrySoon, "another coordinator serves trainer job %s", j.name)})
+	}
+	j.asks = nil
+}
+
+// unsend notes that the write under way is known not to have taken effect.
+func (j *Job) unsend() {
+	for _, a := range j.asks {
+		a.sent = false
+	}
+}
--- /dev/null
+++ b/internal/core/delivery/record.go
@@ -0,0 +1,165 @@
+package delivery
+
+import (
+	"encoding/json"
+	"net/netip"
+
+	"github.com/pkg/errors"
+)
+
+// pastSteps is how many finished steps the job object remembers, so that a repeated post of one
+// is answered as before. A trainer repeats at most the step before the one it works on; eight
+// leave room and keep the object small.
+const pastSteps = 8
+
+// ObjectName returns the name of the job object.
+func ObjectName(job string) string {
+	return "trainerJob/" + job
+}
+
+// Record is the value of the job object. One object holds both the model version and the newest
+// manifest, so that a conditional update lets a new version and a delivery never pass each other.
+type Record struct {
+	Job          string `json:"job"`
+	ModelVersion int    `json:"modelVersion"`
+	Weights      string `json:"weights,omitempty"`
+	// Fencing is the fencing number of the lease under which the record was written.
+	Fencing uint64      `json:"fencing"`
+	Step    *StepRecord `json:"step,omitempty"`
+	Past    []PastStep  `json:"past,omitempty"`
+}
+
+// StepRecord is the current step.
+type StepRecord struct {
+	Step   int    `json:"step"`
+	Digest string `json:"digest"`
+	// Chunks is the number of objects that hold the step's body; 0 while it is stored nowhere.
+	Chunks int `json:"chunks"`
+	// Sizes is the number of samples of each group.
+	Sizes     []int `json:"sizes"`
+	BatchSize int   `json:"batchSize"`
+	// Batch is the newest batch; 0 before the first.
+	Batch int `json:"batch"`
+	// Delivered holds the samples of the batches up to Batch.
+	Delivered Bitmap `json:"delivered"`
+	// Manifest is that of Batch; nil when the batch is known only from the trainer's cursor.
+	Manifest *Manifest `json:"manifest,omitempty"`
+}
+
+// PastStep is a step whose last batch was acknowledged.
+type PastStep struct {
+	Step    int    `json:"step"`
+	Digest  string `json:"digest"`
+	Samples int    `json:"samples"`
+	Batches int    `json:"batches"`
+}
+
+// Manifest fixes the content of a batch.
+type Manifest struct {
+	Batch int `json:"batch"`
+	// ModelVersion is the current version at the write of the manifest.
+	ModelVersion int  `json:"modelVersion"`
+	Last         bool `json:"last"`
+	// Holder is the peer address of the coordinator that made the batch.
+	Holder netip.AddrPort `json:"holder"`
+	Refs   []Ref          `json:"samples"`
+}
+
+// Ref names the content of a sample in a manifest.
+type Ref struct {
+	Group  int     `json:"group"`
+	Index  int     `json:"index"`
+	Digest string  `json:"digest"`
+	Score  float64 `json:"score"`
+	// Oldest is the oldest weight version among the sample's spans.
+	Oldest int `json:"oldest"`
+	// Copy is the second host that holds the content.
+	Copy netip.AddrPort `json:"copy"`
+}
+
+// ParseRecord decodes the value of the job object.
+func ParseRecord(raw []byte) (Record, error) {
+	var record Record
+	if err := json.Unmarshal(raw, &record); err != nil {
+		return Record{}, errors.Wrap(err, "trainer job object")
+	}
+	return record, nil
+}
+
+// Samples returns the number of samples of the step.
+func (s *StepRecord) Samples() int {
+	total := 0
+	for _, size := range s.Sizes {
+		total += size
+	}
+	return total
+}
+
+// Batches returns the number of batches of the step.
+func (s *StepRecord) Batches() int {
+	return (s.Samples() + s.BatchSize - 1) / s.BatchSize
+}
+
+// Complete says whether the newest batch is the last one.
+func (s *StepRecord) Complete() bool {
+	return s.Batch == s.Batches()
+}
+
+// Position returns the place of a sample in the step.
+func (s *StepRecord) Position(group, index int) int {
+	for _, size := range s.Sizes[:group] {
+		index += size
+	}
+	return index
+}
+
+// Locate is the inverse of Position.
+func (s *StepRecord) Locate(position int) (group, index int) {
+	for group, size := range s.Sizes {
+		if position < size {
+			return group, position
+		}
+		position -= size
+	}
+	return len(s.Sizes), position
+}
+
+// deliveredBefore returns the delivered set without the newest batch; ok is false if the newest
+// batch's manifest is unknown.
+func (s *StepRecord) deliveredBefore() (set Bitmap, ok bool) {
+	if s.Batch == 0 {
+		return s.Delivered, true
+	}
+	if s.Manifest == nil {
+		return nil, false
+	}
+	set = s.Delivered.Clone()
+	for _, ref := range s.Manifest.Refs {
+		set.Clear(s.Position(ref.Group, ref.Index))
+	}
+	return set, true
+}
+
+func (s *StepRecord) clone() *StepRecord {
+	if s == nil {
+		return nil
+	}
+	copied := *s
+	copied.Delivered = s.Delivered.Clone()
+	return &copied
+}
+
+// withPast returns the past steps with the current one added.
+func (r Record) withPast() []PastStep {
+	if r.Step == nil {
+		return r.Past
+	}
+	past := append([]PastStep{}, r.Past...)
+	past = append(past, PastStep{
+		Step:    r.Step.Step,
+		Digest:  r.Step.Digest,
+		Samples: r.Step.Samples(),
+		Batches: r.Step.Batches(),
+	})
+	return past[max(0, len(past)-pastSteps):]
+}
--- /dev/null
+++ b/internal/core/delivery/world_test.go
@@ -0,0 +1,341 @@
+package delivery
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"pgregory.net/rapid"
+)
+
+// fate is what becomes of a write.
+type fate int
+
+const (
+	fateDone fate = iota
+	fateLostApplied
+	fateLostDropped
+	fateLostLate
+)
+
+// lateWrite is a write whose answer was lost and which takes effect later.
+type lateWrite struct {
+	record    Record
+	ifVersion uint64
+}
+
+// coordinator is one process: a Job and its operations under way.
+type coordinator struct {
+	job   *Job
+	reads int
+	write *Write
+}
+
+// reply is an answer on its way to the trainer.
+type reply struct {
+	result Result
+	digest string
+}
+
+// world is a platform, coordinators that may all believe in their lease, and one trainer.
+type world struct {
+	t          *rapid.T
+	bound      int
+	useCursor  bool
+	up         bool
+	outages    int
+	record     Record
+	version    uint64
+	late       []lateWrite
+	fence      uint64
+	coords     []*coordinator
+	asked      AskID
+	replies    []reply
+	step       int
+	batch      int
+	posted     bool
+	cursor     *Cursor
+	accepted   map[string]bool
+	manifests  map[string]string
+	modelPosts int
+}
+
+const (
+	worldSteps   = 2
+	worldSamples = 6
+	worldBatch   = 2
+)
+
+var worldSizes = []int{4, 2}
+
+func newWorld(t *rapid.T, useCursor bool) *world {
+	w := &world{
+		t: t, bound: rapid.IntRange(0, 1).Draw(t, "bound"), useCursor: useCursor, up: true, step: 1,
+		accepted: map[string]bool{}, manifests: map[string]string{}, record: Record{Job: "fees"},
+	}
+	for range 2 {
+		w.coords = append(w.coords, w.newCoordinator())
+	}
+	w.lease(0)
+	return w
+}
+
+func (w *world) newCoordinator() *coordinator {
+	self := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 9000)
+	return &coordinator{job: NewJob("fees", self, w.bound)}
+}
+
+func (w *world) lease(at int) {
+	w.fence++
+	w.feed(at, FenceChanged{Number: w.fence, Held: true})
+}
+
+// feed hands an event to a coordinator and keeps its effects.
+func (w *world) feed(at int, event Event) {
+	c := w.coords[at]
+	for _, effect := range c.job.Handle(event) {
+		switch e := effect.(type) {
+		case Read:
+			c.reads++
+		case Write:
+			if c.write != nil {
+				w.t.Fatalf("two writes under way")
+			}
+			c.write = &e
+		case Answer:
+			w.note(e.Result)
+		}
+	}
+}
+
+// note checks an answer when it leaves the coordinator.
+func (w *world) note(result Result) {
+	r := reply{result: result}
+	if ready, ok := result.(BatchReady); ok {
+		w.checkBound(ready.Manifest)
+		r.digest = fmt.Sprint(ready.Manifest)
+		key := fmt.Sprintf("%d/%d", ready.Step, ready.Manifest.Batch)
+		known, seen := w.manifests[key]
+		if seen && known != r.digest && (!w.useCursor || w.outages == 0) {
+			w.t.Fatalf("batch %s changed between two answers:\n%s\n%s", key, known, r.digest)
+		}
+		w.manifests[key] = r.digest
+	}
+	w.replies = append(w.replies, r)
+}
+
+func (w *world) checkBound(manifest Manifest) {
+	for _, ref := range manifest.Refs {
+		if ref.Oldest < manifest.ModelVersion-w.bound {
+			w.t.Fatalf("stale sample: version %d at current %d, bound %d", ref.Oldest, manifest.ModelVersion, w.bound)
+		}
+	}
+}
+
+// put applies a conditional write to the job object.
+func (w *world) put(record Record, ifVersion uint64) bool {
+	if w.version != ifVersion {
+		return false
+	}
+	old := w.record
+	w.record = record
+	w.version++
+	if record.ModelVersion < old.ModelVersion {
+		w.t.Fatalf("the model version went back from %d to %d", old.ModelVersion, record.ModelVersion)
+	}
+	step := record.Step
+	if step == nil || step.Manifest == nil || (old.Step != nil && fmt.Sprint(old.Step.Manifest) == fmt.Sprint(step.Manifest)) {
+		return true
+	}
+	for _, ref := range step.Manifest.Refs {
+		if ref.Oldest < record.ModelVersion-w.bound {
+			w.t.Fatalf("manifest written with a sample of version %d at %d, bound %d", ref.Oldest, record.ModelVersion, w.bound)
+		}
+	}
+	return true
+}
+
+// runRead ends a coordinator's read.
+func (w *world) runRead(at int) {
+	c := w.coords[at]
+	if c.reads == 0 {
+		return
+	}
+	c.reads--
+	if !w.up {
+		w.feed(at, ReadFailed{})
+		return
+	}
+	w.feed(at, Loaded{Record: w.record, Version: w.version})
+}
+
+// runWrite ends a coordinator's write in the given way.
+func (w *world) runWrite(at int, how fate) {
+	c := w.coords[at]
+	if c.write == nil {
+		return
+	}
+	write := *c.write
+	c.write = nil
+	switch {
+	case !w.up && how == fateDone:
+		w.feed(at, WriteUnavailable{})
+	case !w.up || how == fateLostDropped:
+		w.feed(at, WriteUnsettled{})
+	case how == fateLostApplied:
+		w.put(write.Record, write.IfVersion)
+		w.feed(at, WriteUnsettled{})
+	case how == fateLostLate:
+		w.late = append(w.late, lateWrite{write.Record, write.IfVersion})
+		w.feed(at, WriteUnsettled{})
+	case w.put(write.Record, write.IfVersion):
+		w.feed(at, Written{Version: w.version})
+	default:
+		w.feed(at, WriteConflicted{})
+	}
+}
+
+func (w *world) runLate() {
+	if len(w.late) == 0 || !w.up {
+		return
+	}
+	w.put(w.late[0].record, w.late[0].ifVersion)
+	w.late = w.late[1:]
+}
+
+// ask sends the trainer's next request.
+func (w *world) ask(at int) {
+	var cursor *Cursor
+	if w.useCursor {
+		cursor = w.cursor
+	}
+	w.asked++
+	if !w.posted {
+		w.feed(at, StepAsked{
+			ID: w.asked, Step: w.step, Digest: fmt.Sprint("body", w.step), Sizes: worldSizes,
+			BatchSize: worldBatch, Chunks: 1, Cursor: cursor,
+		})
+		return
+	}
+	w.feed(at, BatchAsked{ID: w.asked, Step: w.step, Batch: w.batch + 1, Cursor: cursor})
+}
+
+// postVersion sends the model version that the trainer made last, or the next one.
+func (w *world) postVersion(at int, version int) {
+	w.asked++
+	w.feed(at, VersionAsked{ID: w.asked, Version: version, Weights: fmt.Sprint("weights", version)})
+}
+
+// receive hands the trainer one answer; answers that it no longer waits for are ignored.
+func (w *world) receive(at int) {
+	r := w.replies[at]
+	w.replies = slices.Delete(w.replies, at, at+1)
+	switch e := r.result.(type) {
+	case StepAccepted:
+		if !w.posted && e.Cursor.Step == w.step {
+			w.posted = true
+			w.batch = 0
+			w.cursor = &e.Cursor
+		}
+	case BatchReady:
+		w.accept(e)
+	case Refused:
+		// The trainer posts a step again that a successor does not know.
+		if e.Refusal.Status == 404 && w.posted {
+			w.repost()
+		}
+	case VersionAccepted:
+	}
+}
+
+func (w *world) repost() {
+	for at := range w.coords {
+		w.asked++
+		w.feed(at, StepAsked{
+			ID: w.asked, Step: w.step, Digest: fmt.Sprint("body", w.step), Sizes: worldSizes,
+			BatchSize: worldBatch, Chunks: 1, Cursor: w.cursor,
+		})
+	}
+}
+
+func (w *world) accept(e BatchReady) {
+	if !w.posted || e.Step != w.step || e.Manifest.Batch != w.batch+1 {
+		return
+	}
+	w.batch++
+	w.cursor = &e.Cursor
+	for _, ref := range e.Manifest.Refs {
+		key := fmt.Sprintf("%d/%d/%d", e.Step, ref.Group, ref.Index)
+		if w.accepted[key] {
+			w.t.Fatalf("sample %s delivered twice", key)
+		}
+		w.accepted[key] = true
+	}
+	if e.Manifest.Last != (w.batch == worldSamples/worldBatch) {
+		w.t.Fatalf("batch %d of step %d: last is %v", w.batch, e.Step, e.Manifest.Last)
+	}
+	if e.Manifest.Last && w.step < worldSteps {
+		w.step++
+		w.posted = false
+	}
+}
+
+func (w *world) finished() bool {
+	return w.step == worldSteps && w.posted && w.batch == worldSamples/worldBatch
+}
+
+// progress moves one sample of a coordinator a stage on, made by weights of the given version.
+func (w *world) progress(at, pick, version int) {
+	job := w.coords[at].job
+	var open []int
+	for _, state := range []SampleState{StatePending, StateGenerating, StateGenerated, StateCopied} {
+		open = append(open, job.Positions(state)...)
+	}
+	if len(open) == 0 {
+		return
+	}
+	position := open[pick%len(open)]
+	sample, work := job.Sample(position)
+	switch sample.State {
+	case StatePending:
+		w.feed(at, SampleStarted{Work: work})
+	case StateGenerating:
+		tokens := append(slices.Clone(sample.Prefix), Token{Text: "x", Version: version})
+		if pick%5 == 0 {
+			w.feed(at, SampleFailed{Work: work, Tokens: tokens})
+			return
+		}
+		digest := fmt.Sprintf("%d-%d-%d-%d", at, w.fence, position, work.Attempt)
+		w.feed(at, SampleGenerated{Work: work, Tokens: tokens, Digest: digest})
+	case StateGenerated:
+		w.feed(at, SampleCopied{Work: work})
+	default:
+		w.feed(at, SampleScored{Work: work, Score: 1})
+	}
+}
+
+// heal ends all faults and lets one coordinator finish the job.
+func (w *world) heal() {
+	w.up = true
+	for len(w.late) > 0 {
+		w.runLate()
+	}
+	w.coords = []*coordinator{w.newCoordinator()}
+	w.lease(0)
+	for round := 0; !w.finished(); round++ {
+		if round > 500 {
+			w.t.Fatalf("no end after all faults: step %d batch %d posted %v, %+v", w.step, w.batch, w.posted, w.coords[0].job.Status())
+		}
+		w.feed(0, Ticked{})
+		w.runRead(0)
+		w.runWrite(0, fateDone)
+		w.progress(0, 1, w.record.ModelVersion)
+		w.ask(0)
+		for len(w.replies) > 0 {
+			w.receive(0)
+		}
+	}
+	if len(w.accepted) != worldSteps*worldSamples {
+		w.t.Fatalf("%d samples delivered, not %d", len(w.accepted), worldSteps*worldSamples)
+	}
+}
