Publish tickets by one conditional update and follow them through relays

Purpose: a total order of tickets with the update of the head object as the commit point, and a spread that costs the platform two watches an availability zone. A host serves while its view is confirmed or an outage of the platform is established by more than half of the relays.

--- a/internal/core/ticket/freshness.go
+++ b/internal/core/ticket/freshness.go
@@ -8,6 +8,12 @@
 // running (half a second at a relay, one second more at the hosts that follow it).
 const FreshFor = 3 * time.Second
 
+// OutageAfter is how old the confirmations of all relays that answer must be for an outage of the
+// platform. A relay asks every half second, so that its confirmation is at most about a second old in
+// normal running. Half a second later the outage is established and known to all hosts before the
+// first view of them is older than FreshFor: nobody refuses at the start of an outage.
+const OutageAfter = 1500 * time.Millisecond
+
 // Freshness is what a host knows about how new its view is. Both times are safe bounds: the moment
 // before the question was asked whose answer they come from.
 type Freshness struct {
@@ -24,9 +30,12 @@
 // so both times grow old and it refuses. In an outage of the platform no ticket can be accepted, so
 // the view stays the newest however old its confirmation is.
 func (f Freshness) Fresh(now time.Time) bool {
-	return within(now, f.Confirmed) || within(now, f.Outage)
+	return within(now, f.Confirmed, FreshFor) || within(now, f.Outage, FreshFor)
 }
 
+// InOutage reports whether an outage of the platform is established at now.
+func (f Freshness) InOutage(now time.Time) bool { return within(now, f.Outage, FreshFor) }
+
 // Later returns the newer of both kinds of knowledge.
 func (f Freshness) Later(other Freshness) Freshness {
 	return Freshness{Confirmed: later(f.Confirmed, other.Confirmed), Outage: later(f.Outage, other.Outage)}
@@ -34,14 +43,14 @@
 
 // OutageEstablished judges one round of questions to all relays: relays is their number, asked the
 // moment before the round, and confirmed the confirmation times of those that answered, this host
-// included if it is a relay. More than half have to answer and none may hold a confirmation that is
-// still fresh at asked; a minority could be cut off together with this host.
+// included if it is a relay. More than half have to answer, since a minority could be cut off together
+// with this host, and none may hold a confirmation from OutageAfter before asked or later.
 func OutageEstablished(asked time.Time, relays int, confirmed []time.Time) bool {
 	if 2*len(confirmed) <= relays {
 		return false
 	}
 	for _, at := range confirmed {
-		if within(asked, at) {
+		if within(asked, at, OutageAfter) {
 			return false
 		}
 	}
@@ -49,12 +58,12 @@
 }
 
 // within measures by both clocks: the monotonic one misses a suspended machine, the wall clock a step.
-func within(now, since time.Time) bool {
+func within(now, since time.Time, span time.Duration) bool {
 	if since.IsZero() {
 		return false
 	}
 	age := max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
-	return age <= FreshFor
+	return age <= span
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/edge/configuration/publisher.go
+++ b/internal/edge/configuration/publisher.go
@@ -2,44 +2,290 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
 )
 
-// Status says what became of a ticket.
-type Status struct {
-	Number     int  `json:"number"`
-	Accepted   bool `json:"accepted"`
-	LastTicket int  `json:"lastTicket"`
-	// Hosts is how many hosts are known; InForce is how many of them are known to have the ticket.
-	Hosts   int     `json:"hosts"`
-	InForce int     `json:"inForce"`
-	Share   float64 `json:"share"`
-}
+const (
+	// earlyWait is how long a ticket waits for its predecessors: long enough for an operator's tool that
+	// sends several tickets at once, short enough that a connection is not kept for a forgotten one.
+	earlyWait = 2 * time.Second
+	// settleWait is how long a write whose answer was lost is settled before the caller is told that it
+	// may have taken effect.
+	settleWait = 3 * time.Second
+	settlePace = 200 * time.Millisecond
+	// callTimeout bounds each call to the platform.
+	callTimeout = 2 * time.Second
+	// retryLater is when a caller should come back after an outage.
+	retryLater = 5 * time.Second
+	// retrySoon is when a caller should come back where the outcome is known within a moment.
+	retrySoon = time.Second
+)
 
 // PublisherOption changes a Publisher.
 type PublisherOption func(*Publisher)
 
-// Publisher applies tickets.
-type Publisher struct{ store platform.Store }
+// WithFollower lets the publisher use the parts that the follower holds, and hand an accepted head to
+// it and to all relays at once.
+func WithFollower(follower *Follower) PublisherOption {
+	return func(p *Publisher) { p.follower = follower }
+}
+
+func withPublisherWaits(early, settle time.Duration) PublisherOption {
+	return func(p *Publisher) { p.earlyWait, p.settleWait = early, settle }
+}
+
+// Publisher applies tickets. It may be used on any number of hosts at once: the conditional update of
+// the head object decides between them.
+type Publisher struct {
+	store      platform.Store
+	follower   *Follower
+	earlyWait  time.Duration
+	settleWait time.Duration
+}
 
 // NewPublisher returns a publisher that writes to the store.
 func NewPublisher(store platform.Store, opts ...PublisherOption) *Publisher {
-	p := &Publisher{store: store}
+	p := &Publisher{store: store, earlyWait: earlyWait, settleWait: settleWait}
 	for _, opt := range opts {
 		opt(p)
 	}
 	return p
 }
 
-// Apply accepts the ticket under its number, or returns a *verdict.Refusal.
-func (p *Publisher) Apply(_ context.Context, _ int, _ ticket.Ticket) error { return nil }
+// Apply accepts the ticket under its number, or returns a *verdict.Refusal. A ticket that was accepted
+// before under the same number is accepted again without effect, so that a caller may repeat it.
+func (p *Publisher) Apply(ctx context.Context, number int, t ticket.Ticket) error {
+	if err := t.Validate(); err != nil {
+		return refuseTicket(number, err)
+	}
+	digest, err := ticket.Digest(t)
+	if err != nil {
+		return refuseTicket(number, err)
+	}
+	return p.commit(ctx, &numbered{number: number, ticket: t, digest: digest, early: time.Now().Add(p.earlyWait)})
+}
+
+// PublishModelVersion sets the version that a model's servers are to serve, without a ticket. Versions
+// only grow; the version that is set already is accepted again without effect.
+func (p *Publisher) PublishModelVersion(ctx context.Context, version ticket.ModelVersion) error {
+	single := ticket.Ticket{ModelVersions: []ticket.ModelVersion{version}}
+	if err := single.Validate(); err != nil {
+		return verdict.New(verdict.NotRun, http.StatusBadRequest, verdict.ReasonBadRequest, 0, "%v", err)
+	}
+	return p.commit(ctx, &versioned{version: version})
+}
+
+// decision is what a proposal makes of the present configuration.
+type decision struct {
+	// done: the proposal is in force already.
+	done bool
+	// wait: a predecessor is missing; ask again at the next change.
+	wait time.Duration
+	// change is to be committed otherwise.
+	change ticket.Change
+}
+
+// proposal is a change of the head that is decided again after each conflict.
+type proposal interface {
+	// decide judges the proposal by the view. Doubted says that an update of this attempt may have taken
+	// effect and been replaced by a later one.
+	decide(view *ticket.View, now time.Time, doubted bool) (decision, error)
+	unsettled(cause error) *verdict.Refusal
+}
+
+// commit brings a proposal into the head by conditional update.
+//
+// It guards against two failures. Operators race: the update is conditional on the version that the
+// decision was made on, so exactly one of them wins and the others decide again. And the answer of an
+// update may be lost: it may have taken effect or still be under way. Reading the head alone can't
+// tell these apart, so the same update is tried again. Either it succeeds, and the lost one can have no
+// effect any more, or it conflicts, and the head shows whose ticket has the number.
+func (p *Publisher) commit(ctx context.Context, proposed proposal) error {
+	a := attempt{publisher: p, proposal: proposed}
+	for {
+		done, err := a.once(ctx)
+		if done {
+			return err
+		}
+		if err := a.mayGoOn(ctx, err); err != nil {
+			return err
+		}
+	}
+}
+
+// attempt is one call of commit.
+type attempt struct {
+	publisher *Publisher
+	proposal  proposal
+	// doubt is the version on which an update of unknown fate was conditional; 0 doesn't occur for a
+	// head that exists, so inDoubt says whether there is one.
+	doubt   platform.Version
+	inDoubt bool
+	// doubted stays set after a doubt was settled.
+	doubted bool
+	// giveUp is when an update of unknown fate is reported as such.
+	giveUp time.Time
+}
 
-// PublishModelVersion sets the version that a model's servers are to serve, without a ticket.
-func (p *Publisher) PublishModelVersion(_ context.Context, _ ticket.ModelVersion) error { return nil }
+// mayGoOn returns the refusal that ends the attempt, or nil after a pause.
+func (a *attempt) mayGoOn(ctx context.Context, cause error) error {
+	if cause == nil {
+		return a.ended(ctx)
+	}
+	if !a.inDoubt {
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonPlatformUnavailable,
+			retryLater, "nothing was written: %v", cause)
+	}
+	if time.Now().After(a.giveUp) || ctx.Err() != nil {
+		return a.proposal.unsettled(cause)
+	}
+	pause(ctx, settlePace)
+	return nil
+}
+
+func (a *attempt) ended(ctx context.Context) error {
+	if ctx.Err() == nil {
+		return nil
+	}
+	if a.inDoubt {
+		return a.proposal.unsettled(ctx.Err())
+	}
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonCancelled, retrySoon,
+		"nothing was written: %v", ctx.Err())
+}
+
+// once reads the head, decides, and writes. It returns true when the outcome is known. Else a nil error
+// asks for another try at once, and an error says which step failed.
+func (a *attempt) once(ctx context.Context) (bool, error) {
+	found, err := a.publisher.read(ctx)
+	if err != nil {
+		return false, err
+	}
+	version := found.version
+	// A head with another version than the one in doubt shows that the update took effect or never will.
+	if a.inDoubt && version != a.doubt {
+		a.inDoubt = false
+	}
+	decided, err := a.proposal.decide(found.view, time.Now(), a.doubted)
+	switch {
+	case err != nil:
+		return true, err
+	case decided.done:
+		a.publisher.spread(ctx, found)
+		return true, nil
+	case decided.wait > 0:
+		return false, a.publisher.await(ctx, version, decided.wait)
+	default:
+		return a.write(ctx, version, decided.change)
+	}
+}
+
+// write stores the parts and then the head, the commit point. A failure at the parts leaves at most
+// parts that no head names.
+func (a *attempt) write(ctx context.Context, version platform.Version, change ticket.Change) (bool, error) {
+	value, err := change.Head.Value()
+	if err != nil {
+		return true, verdict.New(verdict.NotRun, http.StatusInternalServerError, verdict.ReasonInternal, 0, "%v", err)
+	}
+	for _, part := range change.Parts {
+		if err := a.publisher.writePart(ctx, part); err != nil {
+			return false, err
+		}
+	}
+	return a.writeHead(ctx, version, value, change)
+}
+
+func (a *attempt) writeHead(ctx context.Context, version platform.Version, value json.RawMessage, change ticket.Change) (bool, error) {
+	calling, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	written, err := a.publisher.store.Put(calling, ticket.HeadObject, value, version)
+	switch {
+	case err == nil:
+		a.publisher.spreadChange(ctx, uint64(written), value, change)
+		return true, nil
+	case errors.Is(err, platform.ErrConflict):
+		return false, nil
+	case errors.Is(err, platform.ErrUnavailable):
+		return false, errors.Wrap(err, "head")
+	}
+	if !a.inDoubt {
+		a.inDoubt, a.doubted, a.doubt = true, true, version
+		a.giveUp = time.Now().Add(a.publisher.settleWait)
+	}
+	return false, errors.Wrap(err, "head")
+}
+
+// writePart creates the part if it is absent. The name is the content's hash, so a part that is there
+// already is the same one, and an update of unknown fate can simply be repeated.
+func (p *Publisher) writePart(ctx context.Context, part ticket.Part) error {
+	for range 2 {
+		calling, cancel := context.WithTimeout(ctx, callTimeout)
+		_, err := p.store.Put(calling, ticket.PartObject(part.Hash), part.Content, 0)
+		cancel()
+		if err == nil || errors.Is(err, platform.ErrConflict) {
+			return nil
+		}
+		if errors.Is(err, platform.ErrUnavailable) {
+			return errors.Wrapf(err, "part %s", part.Name)
+		}
+	}
+	return errors.Wrapf(platform.ErrUnsettled, "part %s", part.Name)
+}
+
+// reading is the configuration as the platform had it at one moment.
+type reading struct {
+	view    *ticket.View
+	version platform.Version
+	value   json.RawMessage
+}
+
+// read returns the configuration as the platform has it now. The follower's view may be older, so only
+// its parts are used.
+func (p *Publisher) read(ctx context.Context) (reading, error) {
+	calling, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	object, err := p.store.Get(calling, ticket.HeadObject)
+	if errors.Is(err, platform.ErrNotFound) {
+		return reading{view: ticket.Empty()}, nil
+	}
+	if err != nil {
+		return reading{}, errors.Wrap(err, "head")
+	}
+	head, err := ticket.ReadHead(object.Value)
+	if err != nil {
+		return reading{}, err
+	}
+	held := newSnapshot()
+	if p.follower != nil {
+		held = p.follower.current.Load()
+	}
+	parts, err := readParts(calling, p.store, held.missing(head))
+	if err != nil {
+		return reading{}, err
+	}
+	view, err := ticket.NewView(uint64(object.Version), head, joined(held.parts, parts))
+	return reading{view: view, version: object.Version, value: object.Value}, err
+}
+
+// await waits for a change of the head.
+func (p *Publisher) await(ctx context.Context, version platform.Version, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	_, err := p.store.Watch(ctx, ticket.HeadObject, version, wait)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	return errors.Wrap(err, "head")
+}
 
-// Status says whether the ticket was accepted and on how many hosts it is in force.
-func (p *Publisher) Status(_ context.Context, number int) (Status, error) {
-	return Status{Number: number}, nil
+func refuseTicket(number int, cause error) *verdict.Refusal {
+	return verdict.New(verdict.NotRun, http.StatusBadRequest, verdict.ReasonBadRequest, 0, "ticket %d: %v", number, cause)
 }
--- /dev/null
+++ b/internal/edge/configuration/route.go
@@ -0,0 +1,101 @@
+package configuration
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/membership"
+	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+)
+
+const (
+	// relaysPerZone lets one relay of a zone die without a host of the zone looking elsewhere.
+	relaysPerZone = 2
+	// neighbourZones is how many other zones' relays are the second choice.
+	neighbourZones = 2
+)
+
+// route is where the configuration comes from, as the host list has it now.
+type route struct {
+	// relay says that this host is a relay itself.
+	relay bool
+	// near holds the relays of the own zone, then those of neighbour zones, without this host.
+	near []netip.AddrPort
+	// all holds every relay but this host.
+	all []netip.AddrPort
+}
+
+// direct reports whether the platform is to be watched.
+func (r route) direct() bool { return r.relay || len(r.near) == 0 }
+
+func (r route) follows(relay netip.AddrPort) bool { return slices.Contains(r.near, relay) }
+
+// count is the number of all relays, this host included if it is one.
+func (r route) count() int {
+	if r.relay {
+		return len(r.all) + 1
+	}
+	return len(r.all)
+}
+
+func (f *Follower) route() route {
+	if f.exchange == nil {
+		return route{}
+	}
+	relays := zoneRelays(f.directory.Entries())
+	r := route{}
+	for _, zone := range nearestFirst(relays, f.self.AvailabilityZone) {
+		for _, host := range relays[zone] {
+			if host.ID == f.self.HostID {
+				r.relay = true
+				continue
+			}
+			r.all = append(r.all, host.PeerAddress)
+		}
+	}
+	r.near = f.near(relays)
+	return r
+}
+
+func (f *Follower) near(relays map[string][]platform.Host) []netip.AddrPort {
+	var near []netip.AddrPort
+	neighbours := 0
+	for _, zone := range nearestFirst(relays, f.self.AvailabilityZone) {
+		if zone != f.self.AvailabilityZone {
+			neighbours++
+		}
+		if neighbours > neighbourZones {
+			break
+		}
+		for _, host := range relays[zone] {
+			if host.ID != f.self.HostID {
+				near = append(near, host.PeerAddress)
+			}
+		}
+	}
+	return near
+}
+
+// zoneRelays returns the relays of each availability zone.
+func zoneRelays(entries []platform.Host) map[string][]platform.Host {
+	zones := map[string][]platform.Host{}
+	for _, entry := range entries {
+		if entry.State == platform.HostLive {
+			zones[entry.AvailabilityZone] = append(zones[entry.AvailabilityZone], entry)
+		}
+	}
+	for zone, hosts := range zones {
+		ranked := membership.Rank("relay/"+zone, hosts)
+		zones[zone] = ranked[:min(relaysPerZone, len(ranked))]
+	}
+	return zones
+}
+
+// nearestFirst returns the zones by name, starting with the own one, so that the second choices of
+// different zones are spread over all zones.
+func nearestFirst(relays map[string][]platform.Host, own string) []string {
+	zones := slices.Sorted(maps.Keys(relays))
+	at, _ := slices.BinarySearch(zones, own)
+	return slices.Concat(zones[at:], zones[:at])
+}
