Serve callers at the entry: authentication, headers, placement, retries, settling, idempotency records

A call in doubt is never sent to a second agent, a half answer is never passed on, no key leaves the entry, and one run stands behind an Idempotency-Key over all entries. Idempotency records live in the platform: two home agents were ruled out, since the lagging host list lets two entries see different homes.

--- /dev/null
+++ b/internal/edge/entry/authenticate.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+)
+
+const bearerPrefix = "Bearer "
+
+// isolatedRetry is when a caller refused by an isolated host should come back; the balancer may pick another host.
+const isolatedRetry = 2 * time.Second
+
+// caller is an authenticated sender of a request.
+type caller struct {
+	organisation ticket.Organisation
+	// key is the presented key; it is used to keep it out of what is passed on, and goes nowhere.
+	key     string
+	keyHash string
+}
+
+// authenticate finds the organisation of the presented key.
+//
+// Guard: a host that is cut off from the platform and the relays doesn't learn that a key was withdrawn, and
+// would go on serving it. Such a host refuses everything; Fresh bounds how long it may be unaware.
+func (e *Entry) authenticate(c fiber.Ctx) (caller, error) {
+	if !e.deps.Views.Fresh(time.Now()) {
+		return caller{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonIsolated, isolatedRetry,
+			"this host can't confirm that keys are still valid")
+	}
+	key, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), bearerPrefix)
+	if !ok || key == "" {
+		return caller{}, verdict.New(verdict.NotRun, http.StatusUnauthorized, verdict.ReasonUnknownKey, 0,
+			"send the key as Authorization: Bearer KEY")
+	}
+	organisation, hash, ok := e.deps.Views.View().Authenticate(key)
+	if !ok {
+		return caller{}, verdict.New(verdict.NotRun, http.StatusUnauthorized, verdict.ReasonUnknownKey, 0,
+			"the key is unknown or withdrawn")
+	}
+	return caller{organisation: organisation, key: key, keyHash: hash}, nil
+}
+
+// permit checks that the organisation may use the pool.
+func permit(from caller, pool ticket.Pool) error {
+	if len(pool.Organisations) == 0 || slices.Contains(pool.Organisations, from.organisation.Name) {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, http.StatusForbidden, verdict.ReasonForbidden, 0,
+		"organisation %s may not use pool %s", from.organisation.Name, pool.Name)
+}
--- /dev/null
+++ b/internal/edge/entry/dispatcher_test.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/request"
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
+)
+
+// lose makes an agent that takes the frame and whose answer is then lost, as when its connection is cut.
+func lose(v verdict.Verdict) *fakeAgent {
+	return &fakeAgent{
+		execute: func(context.Context, request.Execute, peer.Sink) (request.AnswerEnd, error) {
+			return request.AnswerEnd{}, errLostAnswer
+		},
+		settle: func(request.Settle) request.Settled { return request.Settled{Verdict: v} },
+	}
+}
+
+// errLostAnswer is an error without a verdict, which leaves the entry in doubt.
+var errLostAnswer = verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonServerLost, 0, "lost")
+
+// A tower clerk's charge is sent, and the connection to the agent is lost before the answer.
+// The agent can't rule out that the charge ran. Running it at another server as well would bill the airline
+// twice; the caller must be told that it may have run, and nothing else may be tried.
+func TestCallInDoubtIsNeverRunAgain(t *testing.T) {
+	for _, test := range []struct {
+		name, method, path string
+		wantRuns           int
+		wantVerdict        verdict.Verdict
+	}{
+		{"a call that may not be repeated", http.MethodPost, "/v1/services/billdesk/charge", 1, verdict.MayHaveRun},
+		{"a call that may be repeated", http.MethodGet, "/v1/services/billdesk/charge", 2, verdict.MayHaveRun},
+		{"a path that may be repeated by its pool", http.MethodPost, "/v1/services/billdesk/search/x", 2, verdict.MayHaveRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			first, second := lose(verdict.MayHaveRun), lose(verdict.MayHaveRun)
+			f := newFixture(t, first, second)
+			have := f.send(test.method, test.path, "x")
+			if have.verdict != test.wantVerdict || runs(first, second) != test.wantRuns {
+				t.Errorf("have %d runs and %+v", runs(first, second), have)
+			}
+		})
+	}
+}
+
+// The only agent refuses before it started the call, as a leaving one does; another is free.
+// The caller must get the whole answer from the other, and the call must have run there once.
+func TestNotRunIsTriedElsewhere(t *testing.T) {
+	leaving := &fakeAgent{execute: func(context.Context, request.Execute, peer.Sink) (request.AnswerEnd, error) {
+		return request.AnswerEnd{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonLeaving, 0, "leaving")
+	}}
+	ready := &fakeAgent{}
+	f := newFixture(t, leaving, ready)
+	have := f.send(http.MethodPost, "/v1/services/billdesk/charge", "once")
+	if have.status != http.StatusOK || have.body != "once" || runs(ready) != 1 {
+		t.Errorf("have %d runs and %+v", runs(ready), have)
+	}
+}
+
+// An agent sends half of an answer under status 200 and then fails.
+// A caller that got the half under status 200 would take it for the whole bill. It must get a refusal
+// that says that the call may have run.
+func TestHalfAnswerIsNotPassedOn(t *testing.T) {
+	half := &fakeAgent{
+		execute: func(_ context.Context, _ request.Execute, out peer.Sink) (request.AnswerEnd, error) {
+			if err := out.Head(request.AnswerHead{Status: http.StatusOK}); err != nil {
+				return request.AnswerEnd{}, err
+			}
+			if _, err := out.Write([]byte("half of")); err != nil {
+				return request.AnswerEnd{}, err
+			}
+			return request.AnswerEnd{}, errLostAnswer
+		},
+		settle: func(request.Settle) request.Settled { return request.Settled{Verdict: verdict.MayHaveRun} },
+	}
+	f := newFixture(t, half)
+	have := f.send(http.MethodPost, "/v1/services/billdesk/charge", "x")
+	if have.status != http.StatusBadGateway || have.verdict != verdict.MayHaveRun {
+		t.Errorf("have %+v", have)
+	}
+}
+
+// A host is cut off from the platform and the relays while a key is withdrawn elsewhere.
+// Its view still has the key; serving it would run requests for somebody who lost the right minutes ago.
+func TestIsolatedHostRefuses(t *testing.T) {
+	ready := &fakeAgent{}
+	f := newFixture(t, ready)
+	f.views.mu.Lock()
+	f.views.stale = true
+	f.views.mu.Unlock()
+	have := f.send(http.MethodGet, "/v1/services/billdesk/x", "")
+	if have.verdict != verdict.NotRun || have.reason != verdict.ReasonIsolated || runs(ready) != 0 {
+		t.Errorf("have %d runs and %+v", runs(ready), have)
+	}
+}
--- /dev/null
+++ b/internal/edge/entry/eventqueue.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"bufio"
+	"encoding/json"
+	"sync"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+	"github.com/oleandershelf/oleandershelf/internal/edge/backendserver"
+)
+
+// eventWindow is how many tokens may wait for a slow caller before its generation is held back.
+const eventWindow = 256
+
+// tokenEvent is one streamed token.
+type tokenEvent struct {
+	Text    string `json:"text"`
+	Version int    `json:"version"`
+}
+
+// doneEvent closes a stream; a stream without it was cut.
+type doneEvent struct {
+	Done   bool   `json:"done"`
+	Tokens int    `json:"tokens"`
+	Spans  []span `json:"spans"`
+}
+
+// eventQueue carries the tokens of one generation to the writer of its stream.
+type eventQueue struct {
+	tokens chan tokenEvent
+	ended  chan struct{}
+	answer generateAnswer
+	err    error
+	// opened is closed at the first token or the end.
+	opened     chan struct{}
+	openedOnce sync.Once
+	// gone is closed when the caller takes no more.
+	gone     chan struct{}
+	goneOnce sync.Once
+}
+
+func newEventQueue() *eventQueue {
+	return &eventQueue{
+		tokens: make(chan tokenEvent, eventWindow),
+		ended:  make(chan struct{}),
+		opened: make(chan struct{}),
+		gone:   make(chan struct{}),
+	}
+}
+
+// token queues one token; it waits for a slow caller, and fails once the caller is gone.
+func (q *eventQueue) token(token backendserver.Token) error {
+	select {
+	case q.tokens <- tokenEvent{Text: token.Text, Version: token.Version}:
+	case <-q.gone:
+		return errReceiver
+	}
+	q.openedOnce.Do(func() { close(q.opened) })
+	return nil
+}
+
+func (q *eventQueue) finish(answer generateAnswer, err error) {
+	q.answer = answer
+	q.err = err
+	close(q.ended)
+	q.openedOnce.Do(func() { close(q.opened) })
+}
+
+// first waits for the first token, and returns the error of a generation that ended without one.
+func (q *eventQueue) first() error {
+	<-q.opened
+	if len(q.tokens) > 0 {
+		return nil
+	}
+	select {
+	case <-q.ended:
+		return q.err
+	default:
+		return nil
+	}
+}
+
+// copyTo writes all events, and returns the refusal that ended the stream, if any.
+func (q *eventQueue) copyTo(w *bufio.Writer) *verdict.Refusal {
+	defer q.goneOnce.Do(func() { close(q.gone) })
+	for {
+		select {
+		case token := <-q.tokens:
+			if !writeEvent(w, "", token) {
+				return nil
+			}
+		case <-q.ended:
+			return q.drainTo(w)
+		}
+	}
+}
+
+func (q *eventQueue) drainTo(w *bufio.Writer) *verdict.Refusal {
+	for len(q.tokens) > 0 {
+		if !writeEvent(w, "", <-q.tokens) {
+			return nil
+		}
+	}
+	if q.err != nil {
+		refusal := verdict.From(q.err)
+		writeEvent(w, "refusal", refusal)
+		return refusal
+	}
+	writeEvent(w, "", doneEvent{Done: true, Tokens: q.answer.Tokens, Spans: q.answer.Spans})
+	return nil
+}
+
+// writeEvent writes one server-sent event and flushes it; it returns false if the caller is gone.
+func writeEvent(w *bufio.Writer, name string, value any) bool {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return false
+	}
+	if name != "" {
+		_, err = w.WriteString("event: " + name + "\n")
+	}
+	if err == nil {
+		_, err = w.WriteString("data: " + string(body) + "\n\n")
+	}
+	return err == nil && w.Flush() == nil
+}
--- /dev/null
+++ b/internal/edge/entry/generate.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/request"
+	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+	"github.com/oleandershelf/oleandershelf/internal/edge/backendserver"
+)
+
+const (
+	defaultMaxTokens = 256
+	maxMaxTokens     = 1 << 20
+)
+
+// generateBody is the JSON body of POST /v1/models/{model}/generate.
+type generateBody struct {
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"maxTokens,omitempty"`
+	Stream    bool   `json:"stream,omitempty"`
+	Seed      int64  `json:"seed,omitempty"`
+}
+
+// generateAnswer is the whole answer of a generation.
+type generateAnswer struct {
+	Text   string `json:"text"`
+	Tokens int    `json:"tokens"`
+	// Spans name the weight versions that produced the tokens.
+	Spans []span `json:"spans"`
+}
+
+// generate runs a model for a caller. Generation is idempotent: a lost stream resumes elsewhere from its tokens.
+func (e *Entry) generate(c fiber.Ctx) error {
+	from, err := e.authenticate(c)
+	if err != nil {
+		return err
+	}
+	model := c.Params("model")
+	pool, ok := e.deps.Views.View().ModelPool(model)
+	if !ok {
+		return verdict.New(verdict.NotRun, http.StatusNotFound, verdict.ReasonNotFound, 0, "no pool serves a model named %q", model)
+	}
+	if err := permit(from, pool); err != nil {
+		return err
+	}
+	body, err := parseGenerate(c.Body())
+	if err != nil {
+		return err
+	}
+	if err := refuseKeyInContent("", []byte(body.Prompt), e.keyFinder(from)); err != nil {
+		return err
+	}
+	end, err := deadline(c, time.Now())
+	if err != nil {
+		return err
+	}
+	g := newGeneration(body.Prompt, body.MaxTokens, body.Seed, nil)
+	generation := e.generationCall(from, pool, g)
+	if body.Stream {
+		return e.stream(c, generation, g, end)
+	}
+	ctx, cancel := context.WithDeadline(c.Context(), end)
+	defer cancel()
+	defer watchHangup(c.RequestCtx().Conn(), cancel)()
+	err = e.admitted(ctx, generation, func() error { return e.deps.Dispatcher.run(ctx, generation, g.consume) })
+	if err != nil {
+		return err
+	}
+	return c.JSON(g.answer())
+}
+
+func parseGenerate(data []byte) (generateBody, error) {
+	body := generateBody{MaxTokens: defaultMaxTokens}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
+		return body, badRequest("body: %v; want {\"prompt\":…,\"maxTokens\":…,\"stream\":…}", err)
+	}
+	if body.Prompt == "" {
+		return body, badRequest("body: prompt is missing")
+	}
+	if body.MaxTokens < 1 || body.MaxTokens > maxMaxTokens {
+		return body, badRequest("body: maxTokens is %d; want 1 to %d", body.MaxTokens, maxMaxTokens)
+	}
+	return body, nil
+}
+
+func (e *Entry) generationCall(from caller, pool ticket.Pool, g *generation) call {
+	return call{
+		organisation: from.organisation.Name,
+		keyHash:      from.keyHash,
+		pool:         pool,
+		prefix:       backendserver.PrefixHash(g.prompt),
+		idempotent:   true,
+		cost:         float64(g.maxTokens),
+		message:      g.message,
+	}
+}
+
+// stream sends tokens as server-sent events. The status is sent with the first token, so that a generation
+// refused before it gets its own status; a failure after it ends the stream with an event named refusal.
+func (e *Entry) stream(c fiber.Ctx, generation call, g *generation, end time.Time) error {
+	// The request's own context ends with this handler, before the stream does.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(c.Context()), end)
+	stopWatch := watchHangup(c.RequestCtx().Conn(), cancel)
+	events := newEventQueue()
+	g.onToken = events.token
+	e.running.Add(1)
+	e.work.Go(func() {
+		defer e.running.Add(-1)
+		defer cancel()
+		err := e.admitted(ctx, generation, func() error { return e.deps.Dispatcher.run(ctx, generation, g.consume) })
+		events.finish(g.answer(), err)
+	})
+	if err := events.first(); err != nil {
+		stopWatch()
+		return err
+	}
+	c.Set(fiber.HeaderContentType, "text/event-stream")
+	c.Set(fiber.HeaderCacheControl, "no-cache")
+	e.running.Add(1)
+	return c.SendStreamWriter(func(w *bufio.Writer) {
+		defer e.running.Add(-1)
+		defer stopWatch()
+		if refusal := events.copyTo(w); refusal != nil {
+			e.metrics.refused(refusal)
+		}
+		cancel()
+	})
+}
+
+// enginePost builds the engine's call from a JSON body.
+func enginePost(body []byte) request.Execute {
+	return request.Execute{
+		Method: http.MethodPost,
+		Path:   backendserver.PathGenerate,
+		Header: []request.HeaderField{{Name: "Content-Type", Value: fiber.MIMEApplicationJSON}},
+		Body:   body,
+	}
+}
--- /dev/null
+++ b/internal/edge/entry/generator.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/request"
+	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+	"github.com/oleandershelf/oleandershelf/internal/edge/backendserver"
+	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
+	"github.com/oleandershelf/oleandershelf/internal/edge/trainer"
+)
+
+// SampleGenerator generates and scores the samples of trainer jobs through the same placement as callers'
+// requests. Its requests carry no caller's key: the trainer's key was checked with the step.
+type SampleGenerator struct {
+	dispatcher *Dispatcher
+	view       func() *ticket.View
+}
+
+// NewSampleGenerator returns a generator over the dispatcher.
+func NewSampleGenerator(d *Dispatcher, view func() *ticket.View) *SampleGenerator {
+	return &SampleGenerator{dispatcher: d, view: view}
+}
+
+// Generate runs one sample; it is idempotent by sample id. With an error it returns the tokens so far.
+func (s *SampleGenerator) Generate(ctx context.Context, ask trainer.GenerateRequest) ([]trainer.Token, error) {
+	pool, ok := s.view().ModelPool(ask.Model)
+	if !ok {
+		return ask.Resume, noServer(ask.Model)
+	}
+	g := newGeneration(ask.Prompt, ask.MaxTokens, 0, engineTokens(ask.Resume))
+	g.sampleID = ask.SampleID
+	err := s.dispatcher.run(ctx, call{
+		organisation: ask.Organisation,
+		pool:         pool,
+		prefix:       backendserver.PrefixHash(ask.Prompt),
+		idempotent:   true,
+		priority:     request.PriorityBulk,
+		cost:         float64(ask.MaxTokens),
+		message:      g.message,
+	}, g.consume)
+	return sampleTokens(g.tokens), err
+}
+
+func engineTokens(tokens []trainer.Token) []backendserver.Token {
+	converted := make([]backendserver.Token, 0, len(tokens))
+	for _, token := range tokens {
+		converted = append(converted, backendserver.Token{Text: token.Text, Version: token.Version})
+	}
+	return converted
+}
+
+func sampleTokens(tokens []backendserver.Token) []trainer.Token {
+	converted := make([]trainer.Token, 0, len(tokens))
+	for _, token := range tokens {
+		converted = append(converted, trainer.Token{Text: token.Text, Version: token.Version})
+	}
+	return converted
+}
+
+// Score asks the scoring pool; the call is idempotent.
+func (s *SampleGenerator) Score(ctx context.Context, poolName, organisation string, samples []trainer.ScoreRequest) ([]trainer.Score, error) {
+	pool, ok := s.view().Pool(poolName)
+	if !ok {
+		return nil, noServer(poolName)
+	}
+	asks := make([]backendserver.ScoreRequest, 0, len(samples))
+	for _, sample := range samples {
+		asks = append(asks, backendserver.ScoreRequest{SampleID: sample.SampleID, Prompt: sample.Prompt, Text: sample.Text})
+	}
+	body, err := json.Marshal(asks)
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, http.StatusInternalServerError, verdict.ReasonInternal, 0, "encode scores: %v", err)
+	}
+	var answer wholeAnswer
+	err = s.dispatcher.run(ctx, call{
+		organisation: organisation,
+		pool:         pool,
+		idempotent:   true,
+		priority:     request.PriorityBulk,
+		cost:         1,
+		message: func() request.Execute {
+			return request.Execute{
+				Method: http.MethodPost,
+				Path:   backendserver.PathScore,
+				Header: []request.HeaderField{{Name: fiber.HeaderContentType, Value: fiber.MIMEApplicationJSON}},
+				Body:   body,
+			}
+		},
+	}, func(opened *peer.Answer[request.AnswerEnd]) error {
+		var err error
+		answer, err = readWhole(opened)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return readScores(answer)
+}
+
+func readScores(answer wholeAnswer) ([]trainer.Score, error) {
+	var scores []backendserver.Score
+	if err := json.Unmarshal(answer.Body, &scores); err != nil || answer.Status != http.StatusOK {
+		return nil, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonServerFailed, noServerRetry, "the scoring service answered %d", answer.Status)
+	}
+	converted := make([]trainer.Score, 0, len(scores))
+	for _, score := range scores {
+		converted = append(converted, trainer.Score{SampleID: score.SampleID, Value: score.Value})
+	}
+	return converted, nil
+}
--- /dev/null
+++ b/internal/edge/entry/recordkeeper.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/request"
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+)
+
+const (
+	// maxRecordedBody is the longest answer that is kept for repeats; a repeat of a longer one is told that the call ran.
+	maxRecordedBody = 256 << 10
+	recordTries     = 5
+	recordPause     = 200 * time.Millisecond
+	recordTime      = 5 * time.Second
+	inProgressRetry = time.Second
+)
+
+// record is the object kept for one idempotency key.
+type record struct {
+	// Digest is of method, path, query and body: the same key with another call is refused.
+	Digest string `json:"digest"`
+	// Writer names the try that created the record, so that a lost answer can be settled.
+	Writer string       `json:"writer"`
+	Answer *wholeAnswer `json:"answer,omitempty"`
+	// InDoubt says that the call may have run and that no answer will come.
+	InDoubt bool      `json:"inDoubt,omitempty"`
+	Created time.Time `json:"created"`
+}
+
+// recordKeeper maps a caller's idempotency key to one run over all entries.
+//
+// Guard: the caller repeats a call that may not run twice, at another entry, while or after the first ran.
+// The record is created in the platform before the run, and creation has one winner. Where the platform
+// can't be reached the call is refused as not run.
+type recordKeeper struct {
+	store  platform.Store
+	config Config
+	count  atomic.Uint64
+}
+
+func newRecordKeeper(store platform.Store, config Config) *recordKeeper {
+	return &recordKeeper{store: store, config: config}
+}
+
+func (k *recordKeeper) once(ctx context.Context, c call, message request.Execute, key string, run func() (wholeAnswer, error)) (wholeAnswer, error) {
+	name := recordName(c, key)
+	mine := record{
+		Digest:  messageDigest(c.pool.Name, message),
+		Writer:  fmt.Sprintf("%s-%016x-%d", k.config.HostID, k.config.Incarnation, k.count.Add(1)),
+		Created: time.Now().UTC(),
+	}
+	version, err := k.create(ctx, name, mine)
+	if errors.Is(err, platform.ErrConflict) {
+		return k.repeat(ctx, name, mine)
+	}
+	if err != nil {
+		return wholeAnswer{}, platformRefusal(err)
+	}
+	answer, err := run()
+	k.finish(ctx, name, mine, version, answer, err)
+	return answer, err
+}
+
+func recordName(c call, key string) string {
+	sum := sha256.Sum256([]byte(c.pool.Name + "\x00" + key))
+	return "idempotency/" + c.organisation + "/" + hex.EncodeToString(sum[:])
+}
+
+func messageDigest(pool string, message request.Execute) string {
+	sum := sha256.New()
+	for _, part := range []string{pool, message.Method, message.Path, message.Query} {
+		// A hash takes all bytes and never fails.
+		_, _ = fmt.Fprintf(sum, "%d:%s", len(part), part)
+	}
+	sum.Write(message.Body)
+	return hex.EncodeToString(sum.Sum(nil))
+}
+
+// create writes the record if there is none. After a lost answer it reads whose record is there.
+func (k *recordKeeper) create(ctx context.Context, name string, mine record) (platform.Version, error) {
+	value, err := json.Marshal(mine)
+	if err != nil {
+		return 0, errors.Wrap(err, name)
+	}
+	version, err := k.store.Put(ctx, name, value, 0)
+	if err == nil || errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable) {
+		return version, err
+	}
+	object, readErr := k.store.Get(ctx, name)
+	if readErr != nil {
+		return 0, err
+	}
+	var found record
+	if json.Unmarshal(object.Value, &found) == nil && found.Writer == mine.Writer {
+		return object.Version, nil
+	}
+	return 0, platform.ErrConflict
+}
+
+func platformRefusal(err error) error {
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonPlatformUnavailable, noServerRetry,
+		"the record for the idempotency key can't be written: %v", err)
+}
+
+// repeat answers a call whose key has a record already.
+func (k *recordKeeper) repeat(ctx context.Context, name string, mine record) (wholeAnswer, error) {
+	object, err := k.store.Get(ctx, name)
+	if err != nil {
+		// This repeat hasn't run, but the first call may have.
+		return wholeAnswer{}, verdict.New(verdict.MayHaveRun, http.StatusServiceUnavailable, verdict.ReasonPlatformUnavailable, noServerRetry,
+			"a call with this idempotency key was made before, and its record can't be read")
+	}
+	var found record
+	if err := json.Unmarshal(object.Value, &found); err != nil {
+		return wholeAnswer{}, errors.Wrapf(err, "record %s", name)
+	}
+	switch {
+	case found.Digest != mine.Digest:
+		return wholeAnswer{}, verdict.New(verdict.NotRun, http.StatusUnprocessableEntity, verdict.ReasonKeyReused, 0,
+			"the idempotency key was used for another call")
+	case found.Answer != nil:
+		return *found.Answer, nil
+	case found.InDoubt:
+		return wholeAnswer{}, verdict.New(verdict.MayHaveRun, http.StatusConflict, verdict.ReasonServerLost, 0,
+			"the first call with this idempotency key may have run; its answer was lost")
+	default:
+		return wholeAnswer{}, verdict.New(verdict.MayHaveRun, http.StatusConflict, verdict.ReasonInProgress, inProgressRetry,
+			"a call with this idempotency key is running")
+	}
+}
+
+// finish records the outcome. A call that has not run gives its key back. If the outcome can't be
+// written the record stays as it is, so that a repeat is told that the call may have run.
+func (k *recordKeeper) finish(ctx context.Context, name string, mine record, version platform.Version, answer wholeAnswer, runErr error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTime)
+	defer cancel()
+	for range recordTries {
+		err := k.writeOutcome(ctx, name, mine, version, answer, runErr)
+		if err == nil || errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotFound) {
+			return
+		}
+		if !wait(ctx, recordPause) {
+			return
+		}
+	}
+}
+
+func (k *recordKeeper) writeOutcome(ctx context.Context, name string, mine record, version platform.Version, answer wholeAnswer, runErr error) error {
+	if runErr != nil && verdict.From(runErr).Verdict == verdict.NotRun {
+		return k.store.Delete(ctx, name, version)
+	}
+	mine.InDoubt = runErr != nil || len(answer.Body) > maxRecordedBody
+	if !mine.InDoubt {
+		mine.Answer = &answer
+	}
+	value, err := json.Marshal(mine)
+	if err != nil {
+		return errors.Wrap(err, name)
+	}
+	_, err = k.store.Put(ctx, name, value, version)
+	return err
+}
--- /dev/null
+++ b/internal/edge/entry/recordkeeper_test.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/request"
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
+)
+
+const bookingPath = "/v1/services/billdesk/bookings"
+
+// A parent books a ride and repeats the call with the same Idempotency-Key, since no answer came in time.
+// Two runs would send two families to one horse. The repeat gets the first run's answer, whatever the
+// outcome of the first try's record write was.
+func TestRepeatWithIdempotencyKeyRunsOnce(t *testing.T) {
+	ready := &fakeAgent{}
+	f := newFixture(t, ready)
+	f.memory.LoseAnswers(1)
+	first := f.send(http.MethodPost, bookingPath, "pony 3", "Idempotency-Key", "k1")
+	again := f.send(http.MethodPost, bookingPath, "pony 3", "Idempotency-Key", "k1")
+	if first.status != http.StatusOK || again != first || runs(ready) != 1 {
+		t.Errorf("have %d runs, first %+v, again %+v", runs(ready), first, again)
+	}
+	other := f.send(http.MethodPost, bookingPath, "pony 4", "Idempotency-Key", "k1")
+	if other.reason != verdict.ReasonKeyReused || other.verdict != verdict.NotRun || runs(ready) != 1 {
+		t.Errorf("another call under the same key: %d runs, %+v", runs(ready), other)
+	}
+}
+
+// Ten tries with one Idempotency-Key arrive at once.
+// All find no record at the same moment; only the creation of the object decides who runs.
+func TestRacingRepeatsRunOnce(t *testing.T) {
+	ready := &fakeAgent{}
+	f := newFixture(t, ready)
+	var group sync.WaitGroup
+	for range 10 {
+		group.Go(func() {
+			have := f.send(http.MethodPost, bookingPath, "pony 3", "Idempotency-Key", "k1")
+			if have.status != http.StatusOK && have.reason != verdict.ReasonInProgress {
+				t.Errorf("have %+v", have)
+			}
+		})
+	}
+	group.Wait()
+	if runs(ready) != 1 {
+		t.Errorf("%d runs", runs(ready))
+	}
+}
+
+// The platform is down, and a call that may not be repeated comes with an Idempotency-Key.
+// Without a record another entry could run a repeat, so the call is refused as not run, and isn't run.
+func TestNoRecordNoRun(t *testing.T) {
+	ready := &fakeAgent{}
+	f := newFixture(t, ready)
+	f.memory.Outage(true)
+	have := f.send(http.MethodPost, bookingPath, "pony 3", "Idempotency-Key", "k1")
+	if have.verdict != verdict.NotRun || have.reason != verdict.ReasonPlatformUnavailable || runs(ready) != 0 {
+		t.Errorf("have %d runs and %+v", runs(ready), have)
+	}
+}
+
+// The first call with a key ends in doubt, and the caller repeats it.
+// The repeat can't be answered and must not run; it is told that the first may have run. A call
+// that has not run gives its key back, so that its repeat runs.
+func TestOutcomeOfTheFirstCallDecides(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		first    verdict.Verdict
+		wantRuns int
+	}{
+		{"in doubt", verdict.MayHaveRun, 1},
+		{"not run", verdict.NotRun, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			failed := false
+			agent := &fakeAgent{}
+			agent.execute = func(ctx context.Context, q request.Execute, out peer.Sink) (request.AnswerEnd, error) {
+				if !failed {
+					failed = true
+					return request.AnswerEnd{}, verdict.New(test.first, http.StatusBadGateway, verdict.ReasonServerLost, 0, "lost")
+				}
+				return echo(ctx, q, out)
+			}
+			f := newFixture(t, agent)
+			if first := f.send(http.MethodPost, bookingPath, "x", "Idempotency-Key", "k"); first.verdict != test.first {
+				t.Errorf("first %+v", first)
+			}
+			again := f.send(http.MethodPost, bookingPath, "x", "Idempotency-Key", "k")
+			if runs(agent) != test.wantRuns {
+				t.Errorf("%d runs, want %d; again %+v", runs(agent), test.wantRuns, again)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/edge/entry/settle.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/placement"
+	"github.com/oleandershelf/oleandershelf/internal/core/request"
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+	"github.com/oleandershelf/oleandershelf/internal/edge/agent"
+	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
+)
+
+const (
+	// settleTime bounds the question after a lost connection: a caller that is given up on is answered soon.
+	settleTime = 1500 * time.Millisecond
+	// settleTimeAfterDeadline is the bound once the caller's deadline has passed.
+	settleTimeAfterDeadline = 200 * time.Millisecond
+	settlePause             = 100 * time.Millisecond
+)
+
+// settle asks the agent what became of a request whose connection was lost.
+//
+// Guard: the frame of a lost connection may still arrive and run after the caller was told "not run".
+// The agent records an id that it has not seen as never to be run before it answers NotRun, so the late
+// frame is refused. An agent that can't be asked leaves MayHaveRun.
+func (d *Dispatcher) settle(ctx context.Context, server placement.Server, id request.ID) verdict.Verdict {
+	bound := settleTime
+	if ctx.Err() != nil {
+		bound = settleTimeAfterDeadline
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), bound)
+	defer cancel()
+	result := verdict.MayHaveRun
+	for {
+		settled, err := peer.Ask[request.Settle, request.Settled](ctx, d.client, server.Address, agent.MethodSettle, request.Settle{ID: id})
+		if err == nil {
+			result = settled.Verdict
+			break
+		}
+		if !wait(ctx, settlePause) {
+			break
+		}
+	}
+	d.metrics.settledAs(result)
+	return result
+}
