--- a/internal/edge/agent/control.go
+++ b/internal/edge/agent/control.go
@@ -24,24 +24,28 @@
 	limiter     *queue.Limiter
 	record      *execution.Record
 	keys        *execution.Keys[outcome]
-	running     map[*job]struct{}
+	running     map[*job]queue.Item[*job]
 	leaving     bool
 	drained     chan struct{}
 }
 
 func newControl(config Config, deps Dependencies) *control {
-	return &control{
+	c := &control{
 		view:        deps.View,
 		pool:        config.Pool,
 		fresh:       deps.Fresh,
 		concurrency: defaultConcurrency,
-		queue:       queue.New[*job](),
 		limiter:     queue.NewLimiter(defaultConcurrency),
 		record:      execution.NewRecord(),
 		keys:        execution.NewKeys[outcome](0, 0),
-		running:     make(map[*job]struct{}),
+		running:     make(map[*job]queue.Item[*job]),
 		drained:     make(chan struct{}),
 	}
+	c.queue = queue.New[*job](
+		queue.WithSlots(func() int { return c.limiter.Limit() }),
+		queue.WithServiceTime(func(cost float64) time.Duration { return c.limiter.Typical(cost) }),
+	)
+	return c
 }
 
 // submit takes a request in; a refusal is handed to the job like a start.
@@ -62,7 +66,7 @@
 		c.drop(now, j, err)
 		return
 	}
-	c.dispatch(now)
+	c.expireQueue(now)
 }
 
 // claim reserves the caller's idempotency key; true if the job has its decision.
@@ -113,23 +117,26 @@
 		if !ok {
 			return
 		}
-		c.start(now, item.Value)
+		c.start(now, item)
 	}
 }
 
 // start runs a request unless its key was withdrawn, its deadline passed or its identifier was fenced
 // while it was queued.
-func (c *control) start(now time.Time, j *job) {
-	if err := c.startable(now, j); err != nil {
-		c.drop(now, j, err)
-		return
+func (c *control) start(now time.Time, item queue.Item[*job]) {
+	j := item.Value
+	err := c.startable(now, j)
+	if err == nil {
+		err = c.record.Start(now, j.q.ID)
 	}
-	if err := c.record.Start(now, j.q.ID); err != nil {
+	if err != nil {
+		c.queue.Finished(item)
 		c.drop(now, j, err)
 		return
 	}
 	j.since = now
-	c.running[j] = struct{}{}
+	c.running[j] = item
+	c.limiter.Used(len(c.running))
 	j.started <- nil
 }
 
@@ -157,6 +164,7 @@
 
 // finish ends a running request and starts the next.
 func (c *control) finish(now time.Time, j *job, v verdict.Verdict, result outcome) {
+	c.queue.Finished(c.running[j])
 	delete(c.running, j)
 	_ = c.record.Finish(now, j.q.ID, v) // it is running: only this method ends it
 	if j.keyed() {
@@ -208,17 +216,26 @@
 // expireQueue refuses what can't be answered in time any more, at once.
 func (c *control) expireQueue(now time.Time) {
 	for _, item := range c.queue.Expire(now) {
-		j := item.Value
-		if !j.deadline.IsZero() && !now.Before(j.deadline) {
-			c.drop(now, j, c.deadlinePassed(now, j))
-			continue
-		}
-		c.drop(now, j, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonOverloaded,
-			c.retryAfter(now, j), "the queue is full"))
+		c.drop(now, item.Value, c.expired(now, item.Value))
 	}
 	c.dispatch(now)
 }
 
+// expired says why a request left the queue: its deadline, or another organisation's place.
+func (c *control) expired(now time.Time, j *job) error {
+	answer := now.Add(c.limiter.Typical(j.q.Cost))
+	switch {
+	case j.deadline.IsZero() || !answer.After(j.deadline):
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonOverloaded,
+			c.retryAfter(now, j), "the queue is full, and this organisation has the most work in it")
+	case now.Before(j.deadline):
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonDeadlineUnreachable,
+			c.retryAfter(now, j), "the answer can't come before the deadline")
+	default:
+		return c.deadlinePassed(now, j)
+	}
+}
+
 func (c *control) expireRecords(now time.Time) {
 	c.record.Expire(now)
 	c.keys.Expire(now)
--- a/internal/edge/agent/weights.go
+++ b/internal/edge/agent/weights.go
@@ -15,6 +15,8 @@
 	maxBackoff   = 3 * time.Second
 	orderTimeout = time.Minute
 	loadTimeout  = 2 * time.Second
+	// lostAfter differing reports in a row, 5 s, are longer than a report lags behind its engine.
+	lostAfter = 10
 )
 
 // weights keeps a model engine at the version that the configuration names.
@@ -24,6 +26,8 @@
 type weights struct {
 	config Config
 	deps   Dependencies
+	// lost receives when the engine serves another version than the one it was switched to.
+	lost   chan struct{}
 	state  atomic.Pointer[weightState]
 	report atomic.Pointer[EngineLoad]
 }
@@ -37,7 +41,7 @@
 }
 
 func newWeights(config Config, deps Dependencies) *weights {
-	w := &weights{config: config, deps: deps}
+	w := &weights{config: config, deps: deps, lost: make(chan struct{}, 1)}
 	w.state.Store(&weightState{})
 	w.report.Store(&EngineLoad{})
 	return w
@@ -52,7 +56,7 @@
 		changed := w.deps.Changed()
 		target, ok := w.target()
 		if !ok || target.Version == w.version() {
-			if !waitFor(ctx, changed, 0) {
+			if !w.waitFor(ctx, changed, 0) {
 				return
 			}
 			continue
@@ -60,14 +64,14 @@
 		if w.swap(ctx, changed, target) {
 			continue
 		}
-		if !waitFor(ctx, changed, w.backoff()) {
+		if !w.waitFor(ctx, changed, w.backoff()) {
 			return
 		}
 	}
 }
 
-// waitFor waits for the channel, or the time if it isn't 0; false when ctx ends.
-func waitFor(ctx context.Context, changed <-chan struct{}, pause time.Duration) bool {
+// waitFor waits for a change, a lost version, or the time if it isn't 0; false when ctx ends.
+func (w *weights) waitFor(ctx context.Context, changed <-chan struct{}, pause time.Duration) bool {
 	var elapsed <-chan time.Time
 	if pause > 0 {
 		timer := time.NewTimer(pause)
@@ -77,6 +81,8 @@
 	select {
 	case <-changed:
 		return true
+	case <-w.lost:
+		return true
 	case <-elapsed:
 		return true
 	case <-ctx.Done():
@@ -103,7 +109,7 @@
 		Weights: target.Weights,
 		Fencing: w.deps.View().Revision(),
 	}
-	if pause := w.spread(); pause > 0 && !waitFor(ctx, changed, pause) {
+	if pause := w.spread(); pause > 0 && !w.waitFor(ctx, changed, pause) {
 		return false
 	}
 	for _, kind := range []OrderKind{OrderPrefetch, OrderSwitch} {
@@ -163,8 +169,11 @@
 func (w *weights) poll(ctx context.Context) {
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
+	differing := 0
 	for {
-		w.pollOnce(ctx)
+		if _, ok := w.target(); ok {
+			differing = w.compare(w.pollOnce(ctx), differing)
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -173,12 +182,33 @@
 	}
 }
 
-func (w *weights) pollOnce(ctx context.Context) {
+func (w *weights) pollOnce(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	load, err := w.deps.Engine.Load(ctx)
 	if err != nil {
-		return
+		return false
 	}
 	w.report.Store(&load)
+	return true
+}
+
+// compare notices an engine that was restarted and serves its old weights: samples would name a
+// version that did not produce them, and grow too stale. Reports lag, so only a row of differing
+// ones counts. It returns the length of that row.
+func (w *weights) compare(reported bool, differing int) int {
+	state := *w.state.Load()
+	version := w.report.Load().Version
+	if !reported || version == state.Served || state.Served != state.Wanted {
+		return 0
+	}
+	if differing+1 < lostAfter {
+		return differing + 1
+	}
+	w.update(func(s *weightState) { s.Served = version })
+	select {
+	case w.lost <- struct{}{}:
+	default:
+	}
+	return 0
 }
--- /dev/null
+++ b/internal/edge/peer/proxy_test.go
@@ -0,0 +1,89 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"github.com/sourcegraph/conc"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// proxy stands between client and server and tampers with the frames that the server sends.
+type proxy struct {
+	listener net.Listener
+	wg       conc.WaitGroup
+	mu       sync.Mutex
+	conns    []net.Conn
+	// tamper returns the frames to pass on in place of f.
+	tamper func(f frame) []frame
+	// frozen, once closed, stops all bytes towards the client while connections stay open.
+	frozen chan struct{}
+}
+
+func newProxy(t *testing.T, to netip.AddrPort, tamper func(frame) []frame) (*proxy, netip.AddrPort) {
+	t.Helper()
+	l, address := listen(t)
+	p := &proxy{listener: l, tamper: tamper, frozen: make(chan struct{})}
+	p.wg.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			server, err := net.Dial("tcp", to.String())
+			if err != nil {
+				_ = conn.Close()
+				continue
+			}
+			p.mu.Lock()
+			p.conns = append(p.conns, conn, server)
+			p.mu.Unlock()
+			p.wg.Go(func() { _, _ = io.Copy(server, conn) })
+			p.wg.Go(func() { p.pass(conn, server) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		p.cut()
+		p.wg.Wait()
+	})
+	return p, address
+}
+
+// cut closes all connections at once.
+func (p *proxy) cut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.conns {
+		_ = conn.Close()
+	}
+}
+
+func (p *proxy) pass(client, server net.Conn) {
+	defer func() { _ = client.Close() }()
+	reader := newFrameReader(bufio.NewReader(server), defaultMaxFrame)
+	for {
+		f, err := reader.next()
+		if err != nil {
+			return
+		}
+		select {
+		case <-p.frozen:
+			_, _ = io.Copy(io.Discard, server)
+			return
+		default:
+		}
+		var buf bytes.Buffer
+		for _, out := range p.tamper(f) {
+			_ = appendFrame(&buf, msgpack.NewEncoder(nil), out)
+		}
+		if _, err := client.Write(buf.Bytes()); err != nil {
+			return
+		}
+	}
+}
