Add stand-ins of engine, plain service, scorer and weight store

Each serves HTTP until its context ends, with fault switches and a state page. A failing stream cuts its connection: the library would otherwise close the chunked answer properly and a cut would look like a whole answer.

--- /dev/null
+++ b/internal/edge/backendserver/service_test.go
@@ -0,0 +1,171 @@
+package backendserver_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/request"
+	"github.com/oleandershelf/oleandershelf/internal/edge/backendserver"
+	"github.com/oleandershelf/oleandershelf/internal/standin/scorer"
+	"github.com/oleandershelf/oleandershelf/internal/standin/service"
+	"github.com/oleandershelf/oleandershelf/internal/standin/weightstore"
+)
+
+func startService(t *testing.T) (*service.Server, *backendserver.Service) {
+	t.Helper()
+	server, err := service.New(context.Background(), listen(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := backendserver.NewService(server.URL())
+	t.Cleanup(func() {
+		client.Close()
+		server.Close()
+	})
+	return server, client
+}
+
+func book(ctx context.Context, client *backendserver.Service, id string) (string, error) {
+	body := []byte(fmt.Sprintf(`{"id":%q}`, id))
+	answer, err := client.Call(ctx, http.MethodPost, service.PathBookings, "", nil, body)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	raw, err := io.ReadAll(answer.Body)
+	return string(raw), err
+}
+
+func TestServiceReceivesWhatWasCalled(t *testing.T) {
+	server, client := startService(t)
+	header := []request.HeaderField{{Name: "X-Stable", Value: "one"}, {Name: "X-Stable", Value: "two"}}
+	answer, err := client.Call(t.Context(), http.MethodPatch, "/a%2Fb/../c", "q=1&q=2", header, []byte("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.Status != http.StatusOK {
+		t.Errorf("status %d", answer.Status)
+	}
+	got := server.State().Received[0]
+	var kept []request.HeaderField
+	for _, field := range got.Header {
+		if field.Name == "X-Stable" {
+			kept = append(kept, field)
+		}
+	}
+	got.Header = kept
+	want := service.Received{Method: http.MethodPatch, Path: "/a%2Fb/../c", Query: "q=1&q=2", Header: header, Body: "body"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Two families stand at the gate for one pony: the service ran a booking, its answer was lost, and
+// something below the caller sent the booking again. The client must send once, and say that the
+// call may have run.
+func TestBookingWhoseAnswerIsLostRunsOnce(t *testing.T) {
+	server, client := startService(t)
+	if _, err := book(t.Context(), client, "warm-up"); err != nil {
+		t.Fatal(err)
+	}
+	server.SetFaults(service.Faults{CutAfterRun: 1})
+	if _, err := book(t.Context(), client, "b1"); !errors.Is(err, backendserver.ErrLost) {
+		t.Errorf("got %v, want %v", err, backendserver.ErrLost)
+	}
+	if runs := server.State().Runs["b1"]; runs != 1 {
+		t.Errorf("the booking ran %d times", runs)
+	}
+}
+
+// A redirect that is followed could run a call at a host that nobody chose, with the caller's body.
+func TestRedirectIsHandedOn(t *testing.T) {
+	server, client := startService(t)
+	server.SetFaults(service.Faults{FailStatus: http.StatusTemporaryRedirect})
+	answer, err := client.Call(t.Context(), http.MethodGet, "/x", "", nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.Status != http.StatusTemporaryRedirect {
+		t.Errorf("status %d", answer.Status)
+	}
+}
+
+// A caller reads another caller's answer: buffers of the HTTP library were kept past their
+// request and filled by the next one. Many callers at once must each get their own id back.
+func TestConcurrentCallersGetTheirOwnAnswers(t *testing.T) {
+	_, client := startService(t)
+	var group conc.WaitGroup
+	for caller := range 16 {
+		group.Go(func() {
+			for call := range 50 {
+				id := fmt.Sprintf("caller-%d-call-%d", caller, call)
+				want := fmt.Sprintf(`{"id":%q,"runs":1}`, id)
+				if got, err := book(t.Context(), client, id); err != nil || got != want {
+					t.Errorf("got %s, %v, want %s", got, err, want)
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+func TestCallEndsWithItsContext(t *testing.T) {
+	server, client := startService(t)
+	server.SetFaults(service.Faults{DelayMilliseconds: 60_000})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := book(ctx, client, "b1"); !errors.Is(err, backendserver.ErrLost) {
+		t.Errorf("got %v, want %v", err, backendserver.ErrLost)
+	}
+}
+
+func TestScorer(t *testing.T) {
+	server, err := scorer.New(context.Background(), listen(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	client := backendserver.NewScorer(server.URL())
+	defer client.Close()
+	asks := []backendserver.ScoreRequest{{SampleID: "a", Text: "x"}, {SampleID: "b", Text: "y"}}
+	want := []backendserver.Score{
+		{SampleID: "a", Value: scorer.ScoreOf(asks[0])},
+		{SampleID: "b", Value: scorer.ScoreOf(asks[1])},
+	}
+	got, err := client.Score(t.Context(), asks)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestWeightStoreLimitsItsRate(t *testing.T) {
+	server, err := weightstore.New(context.Background(), listen(t), weightstore.WithRate(1), weightstore.WithWeightBytes(100))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	client := backendserver.NewWeightStore(server.URL())
+	defer client.Close()
+	if n, err := client.Fetch(t.Context(), "draft/7", io.Discard); n != 100 || err != nil {
+		t.Errorf("fetched %d bytes, %v", n, err)
+	}
+	if _, err := client.Fetch(t.Context(), "draft/7", io.Discard); !errors.Is(err, backendserver.ErrBusy) {
+		t.Errorf("above the rate: got %v", err)
+	}
+	if diff := cmp.Diff(map[string]int{"draft/7": 1}, server.State().Served); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/cache.go
@@ -0,0 +1,68 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/backendserver"
+)
+
+// maxCacheEvents is how many events are kept for readers that are behind.
+const maxCacheEvents = 1024
+
+// cacheEvent is an event with the time from which it is published.
+type cacheEvent struct {
+	backendserver.CacheEvent
+	publish time.Time
+}
+
+// cache holds prompt prefixes, the least recently used one first.
+type cache struct {
+	size     int
+	lag      time.Duration
+	prefixes []uint64
+	events   []cacheEvent
+	sequence uint64
+	hits     int
+}
+
+func newCache(size int, lag time.Duration) *cache {
+	return &cache{size: size, lag: lag}
+}
+
+// use reports whether the prefix was cached, and caches it.
+func (c *cache) use(prefix uint64, now time.Time) bool {
+	if index := slices.Index(c.prefixes, prefix); index >= 0 {
+		c.prefixes = append(slices.Delete(c.prefixes, index, index+1), prefix)
+		c.hits++
+		return true
+	}
+	c.prefixes = append(c.prefixes, prefix)
+	c.note(backendserver.CacheStored, prefix, now)
+	if len(c.prefixes) > c.size {
+		c.note(backendserver.CacheEvicted, c.prefixes[0], now)
+		c.prefixes = c.prefixes[1:]
+	}
+	return false
+}
+
+func (c *cache) note(kind backendserver.CacheEventKind, prefix uint64, now time.Time) {
+	c.sequence++
+	event := backendserver.CacheEvent{Sequence: c.sequence, Kind: kind, Prefix: prefix}
+	c.events = append(c.events, cacheEvent{CacheEvent: event, publish: now.Add(c.lag)})
+	if len(c.events) > maxCacheEvents {
+		c.events = c.events[1:]
+	}
+}
+
+// published returns the events after the sequence number whose time has come, less the lost ones.
+func (c *cache) published(now time.Time, after uint64, lose int) []backendserver.CacheEvent {
+	events := make([]backendserver.CacheEvent, 0)
+	for _, event := range c.events {
+		lost := lose > 0 && event.Sequence%uint64(lose) == 0
+		if event.Sequence > after && !event.publish.After(now) && !lost {
+			events = append(events, event.CacheEvent)
+		}
+	}
+	return events
+}
--- /dev/null
+++ b/internal/standin/engine/server.go
@@ -0,0 +1,338 @@
+// Package engine is a small stand-in for a model engine: it streams deterministic tokens marked
+// with the weight version, batches continuously in limited slots, caches prompt prefixes, reports
+// its load and its cache late, takes weight orders, and fails by switches.
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/backendserver"
+	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+	"github.com/oleandershelf/oleandershelf/internal/standin/web"
+)
+
+// Defaults of an engine. They are small, so that tests and the demo end soon.
+const (
+	DefaultSlots       = 8
+	DefaultQueue       = 32
+	DefaultTokenTime   = 2 * time.Millisecond
+	DefaultBatchGrowth = 0.1
+	DefaultPrefillTime = 4 * time.Millisecond
+	DefaultCacheSize   = 64
+	DefaultLag         = 200 * time.Millisecond
+	DefaultLoadTime    = 50 * time.Millisecond
+	DefaultVersion     = 1
+)
+
+// Faults are the switches of the stand-in; the zero value is a healthy engine.
+type Faults struct {
+	// Crashed cuts all streams when it is set and every call while it stays set.
+	Crashed bool `json:"crashed"`
+	// Stalled stops all streams without closing them.
+	Stalled bool `json:"stalled"`
+	// CutAfterTokens cuts each answer after so many tokens; 0 is never.
+	CutAfterTokens int `json:"cutAfterTokens"`
+	// SlowFactor multiplies the time of a token; 0 is 1.
+	SlowFactor float64 `json:"slowFactor"`
+	// FailSwaps fails switches and leaves the weights in use.
+	FailSwaps bool `json:"failSwaps"`
+	// IgnoreFencing takes orders with an old fencing number.
+	IgnoreFencing bool `json:"ignoreFencing"`
+	// LoseCacheEvents loses every so many-th cache event; 0 is none.
+	LoseCacheEvents int `json:"loseCacheEvents"`
+}
+
+// State is the content of the stand-in, for tests and dumps.
+type State struct {
+	Version    int                         `json:"version"`
+	Prefetched []int                       `json:"prefetched"`
+	Fencing    platform.Version            `json:"fencing"`
+	Orders     []backendserver.WeightOrder `json:"orders"`
+	Refused    int                         `json:"refusedOrders"`
+	Running    int                         `json:"running"`
+	Queued     int                         `json:"queued"`
+	Generated  int                         `json:"generatedTokens"`
+	Started    map[string]int              `json:"startedSamples"`
+	CacheHits  int                         `json:"cacheHits"`
+	Faults     Faults                      `json:"faults"`
+}
+
+// Server is one engine.
+type Server struct {
+	*web.Server
+	tokenTime   time.Duration
+	growth      float64
+	prefillTime time.Duration
+	loadTime    time.Duration
+	store       *backendserver.WeightStore
+
+	mutex     sync.Mutex
+	faults    Faults
+	resumed   chan struct{}
+	batch     *batch
+	cache     *cache
+	load      *history
+	weights   weights
+	samples   samples
+	generated int
+}
+
+// Option changes an engine under construction.
+type Option func(*Server)
+
+// WithSlots sets how many requests run and how many wait.
+func WithSlots(slots, queue int) Option {
+	return func(s *Server) { s.batch = newBatch(slots, queue) }
+}
+
+// WithTokenTime sets the time of one token, and by which part it grows with each further request in the batch.
+func WithTokenTime(base time.Duration, growth float64) Option {
+	return func(s *Server) { s.tokenTime, s.growth = base, growth }
+}
+
+// WithPrefillTime sets the time that a prompt takes whose prefix is not cached.
+func WithPrefillTime(prefill time.Duration) Option {
+	return func(s *Server) { s.prefillTime = prefill }
+}
+
+// WithCache sets the number of prefixes in the cache and the lag of its events.
+func WithCache(size int, lag time.Duration) Option {
+	return func(s *Server) { s.cache = newCache(size, lag) }
+}
+
+// WithLoadLag sets the lag of the load report.
+func WithLoadLag(lag time.Duration) Option {
+	return func(s *Server) { s.load = newHistory(lag) }
+}
+
+// WithVersion sets the weight version at the start.
+func WithVersion(version int) Option {
+	return func(s *Server) { s.weights = newWeights(version) }
+}
+
+// WithWeightStore fetches weights from the store at the URL; without it loading takes loadTime.
+func WithWeightStore(url string) Option {
+	return func(s *Server) { s.store = backendserver.NewWeightStore(url) }
+}
+
+// WithLoadTime sets the time that loading weights takes beside the fetch.
+func WithLoadTime(loadTime time.Duration) Option {
+	return func(s *Server) { s.loadTime = loadTime }
+}
+
+// New serves an engine on the listener until the context ends.
+func New(ctx context.Context, listener net.Listener, opts ...Option) (*Server, error) {
+	server := &Server{
+		Server:      web.NewServer(ctx, listener),
+		tokenTime:   DefaultTokenTime,
+		growth:      DefaultBatchGrowth,
+		prefillTime: DefaultPrefillTime,
+		loadTime:    DefaultLoadTime,
+		resumed:     make(chan struct{}),
+		batch:       newBatch(DefaultSlots, DefaultQueue),
+		cache:       newCache(DefaultCacheSize, DefaultLag),
+		load:        newHistory(DefaultLag),
+		weights:     newWeights(DefaultVersion),
+		samples:     newSamples(),
+	}
+	for _, opt := range opts {
+		opt(server)
+	}
+	server.record()
+	app := web.NewApp()
+	app.Post(web.PathFaults, server.setFaults)
+	app.Get(web.PathState, func(c fiber.Ctx) error { return c.JSON(server.State()) })
+	app.Use(server.crashed)
+	app.Post(backendserver.PathGenerate, server.generate)
+	app.Get(backendserver.PathLoad, server.reportLoad)
+	app.Post(backendserver.PathOrders, server.order)
+	app.Post(backendserver.PathCancel, server.cancel)
+	app.Get(backendserver.PathCacheEvents, server.cacheEvents)
+	server.Serve(app)
+	return server, nil
+}
+
+// Close ends the engine and waits for it.
+func (s *Server) Close() {
+	s.Server.Close()
+	if s.store != nil {
+		s.store.Close()
+	}
+}
+
+// SetFaults replaces all switches.
+func (s *Server) SetFaults(faults Faults) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.faults = faults
+	close(s.resumed)
+	s.resumed = make(chan struct{})
+}
+
+// State returns the content of the stand-in.
+func (s *Server) State() State {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return State{
+		Version:    s.weights.version,
+		Prefetched: s.weights.loaded(),
+		Fencing:    s.weights.fencing,
+		Orders:     s.weights.orders,
+		Refused:    s.weights.refused,
+		Running:    s.batch.running,
+		Queued:     len(s.batch.waiting),
+		Generated:  s.generated,
+		Started:    s.samples.copyStarted(),
+		CacheHits:  s.cache.hits,
+		Faults:     s.faults,
+	}
+}
+
+func (s *Server) currentFaults() Faults {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.faults
+}
+
+func (s *Server) setFaults(c fiber.Ctx) error {
+	faults := s.currentFaults()
+	if !web.Decode(c, &faults) {
+		return nil
+	}
+	s.SetFaults(faults)
+	if faults.Crashed {
+		s.CutOthers(c)
+	}
+	return c.JSON(faults)
+}
+
+// crashed cuts every call while the switch is on.
+func (s *Server) crashed(c fiber.Ctx) error {
+	if s.currentFaults().Crashed {
+		return web.CutAnswer(c)
+	}
+	return c.Next()
+}
+
+func (s *Server) reportLoad(c fiber.Ctx) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return c.JSON(s.load.at(time.Now()))
+}
+
+func (s *Server) cancel(c fiber.Ctx) error {
+	var ask backendserver.CancelRequest
+	if !web.Decode(c, &ask) {
+		return nil
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.samples.cancel(ask.SampleID)
+	return c.JSON(struct{}{})
+}
+
+func (s *Server) cacheEvents(c fiber.Ctx) error {
+	after, err := strconv.ParseUint(c.Query(backendserver.QueryAfter, "0"), 10, 64)
+	if err != nil {
+		return c.SendStatus(http.StatusBadRequest)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	events := s.cache.published(time.Now(), after, s.faults.LoseCacheEvents)
+	return c.JSON(backendserver.CacheEventList{Events: events})
+}
+
+// order takes a weight order and answers when it has taken effect.
+func (s *Server) order(c fiber.Ctx) error {
+	var order backendserver.WeightOrder
+	if !web.Decode(c, &order) {
+		return nil
+	}
+	s.mutex.Lock()
+	accepted := s.weights.accept(order, s.faults.IgnoreFencing)
+	loaded := s.weights.has(order.Version)
+	s.mutex.Unlock()
+	if !accepted {
+		return c.SendStatus(http.StatusPreconditionFailed)
+	}
+	if !loaded {
+		if err := s.loadWeights(order.Weights); err != nil {
+			return c.Status(http.StatusFailedDependency).SendString(err.Error())
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if order.Kind == backendserver.OrderSwitch && s.faults.FailSwaps {
+		return c.SendStatus(http.StatusFailedDependency)
+	}
+	s.weights.apply(order)
+	s.recordLocked()
+	return c.JSON(struct{}{})
+}
+
+func (s *Server) loadWeights(name string) error {
+	if s.store != nil {
+		if _, err := s.store.Fetch(s.Context(), name, io.Discard); err != nil {
+			return err
+		}
+	}
+	return pause(s.Context(), s.loadTime)
+}
+
+func (s *Server) generate(c fiber.Ctx) error {
+	var ask backendserver.GenerateRequest
+	if !web.Decode(c, &ask) {
+		return nil
+	}
+	s.mutex.Lock()
+	ticket, ok := s.batch.enter(ask.Priority)
+	s.recordLocked()
+	s.mutex.Unlock()
+	if !ok {
+		c.Set(fiber.HeaderRetryAfter, "1")
+		return c.SendStatus(http.StatusServiceUnavailable)
+	}
+	c.Set(fiber.HeaderContentType, "text/event-stream")
+	conn := c.RequestCtx().Conn()
+	return c.SendStreamWriter(func(w *bufio.Writer) {
+		if err := s.stream(ask, ticket, w); err != nil {
+			// The library would end the chunked answer properly; a real failure doesn't.
+			_ = conn.Close()
+		}
+	})
+}
+
+// pause returns the context's error if it ended first.
+func pause(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return errors.WithStack(ctx.Err())
+	case <-timer.C:
+		return nil
+	}
+}
+
+// writeEvent sends one event at once.
+func writeEvent(w *bufio.Writer, event backendserver.Event) error {
+	raw, err := json.Marshal(event)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if _, err := w.WriteString("data: " + string(raw) + "\n\n"); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(w.Flush())
+}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -23,12 +23,11 @@
 type Server struct {
 	*web.Server
 	*Memory
-	ctx context.Context
 }
 
 // New serves an empty platform on the listener until the context ends.
 func New(ctx context.Context, listener net.Listener, opts ...Option) (*Server, error) {
-	server := &Server{Memory: NewMemory(opts...), ctx: ctx}
+	server := &Server{Server: web.NewServer(ctx, listener), Memory: NewMemory(opts...)}
 	app := web.NewApp()
 	app.Get(edge.PathObjects, server.list)
 	app.Get(edge.PathObjects+"/*", server.get)
@@ -41,27 +40,27 @@
 	app.Put(PathLoadHosts, server.loadHosts)
 	app.Post(web.PathFaults, server.setFaults)
 	app.Get(web.PathState, func(c fiber.Ctx) error { return c.JSON(server.State()) })
-	server.Server = web.NewServer(ctx, listener, app)
+	server.Serve(app)
 	return server, nil
 }
 
 func (s *Server) list(c fiber.Ctx) error {
-	objects, err := s.List(s.ctx, c.Query(edge.QueryPrefix))
+	objects, err := s.List(s.Context(), c.Query(edge.QueryPrefix))
 	return answer(c, edge.ObjectList{Objects: objects}, err)
 }
 
 func (s *Server) get(c fiber.Ctx) error {
-	object, err := s.Get(s.ctx, nameOf(c))
+	object, err := s.Get(s.Context(), nameOf(c))
 	return answer(c, object, err)
 }
 
 func (s *Server) put(c fiber.Ctx) error {
-	version, err := s.Put(s.ctx, nameOf(c), json.RawMessage(c.Body()), versionOf(c, edge.QueryIfVersion))
+	version, err := s.Put(s.Context(), nameOf(c), json.RawMessage(c.Body()), versionOf(c, edge.QueryIfVersion))
 	return answer(c, edge.Written{Version: version}, err)
 }
 
 func (s *Server) remove(c fiber.Ctx) error {
-	err := s.Delete(s.ctx, nameOf(c), versionOf(c, edge.QueryIfVersion))
+	err := s.Delete(s.Context(), nameOf(c), versionOf(c, edge.QueryIfVersion))
 	return answer(c, struct{}{}, err)
 }
 
@@ -71,7 +70,7 @@
 		return c.SendStatus(http.StatusBadRequest)
 	}
 	wait := time.Duration(milliseconds) * time.Millisecond
-	object, err := s.Watch(s.ctx, nameOf(c), versionOf(c, edge.QueryAfter), wait)
+	object, err := s.Watch(s.Context(), nameOf(c), versionOf(c, edge.QueryAfter), wait)
 	return answer(c, object, err)
 }
 
@@ -80,15 +79,15 @@
 	if !web.Decode(c, &order) {
 		return nil
 	}
-	return answer(c, struct{}{}, s.Order(s.ctx, order))
+	return answer(c, struct{}{}, s.Order(s.Context(), order))
 }
 
 func (s *Server) report(c fiber.Ctx) error {
-	return answer(c, struct{}{}, s.Report(s.ctx, nameOf(c), json.RawMessage(c.Body())))
+	return answer(c, struct{}{}, s.Report(s.Context(), nameOf(c), json.RawMessage(c.Body())))
 }
 
 func (s *Server) hosts(c fiber.Ctx) error {
-	hosts, err := s.Hosts(s.ctx)
+	hosts, err := s.Hosts(s.Context())
 	return answer(c, edge.HostRows{Hosts: hosts}, err)
 }
 
--- a/internal/standin/web/server.go
+++ b/internal/standin/web/server.go
@@ -31,6 +31,7 @@
 // Server serves an app on a listener until its context ends.
 type Server struct {
 	listener *trackingListener
+	ctx      context.Context
 	cancel   context.CancelFunc
 	group    conc.WaitGroup
 }
@@ -40,13 +41,24 @@
 	return fiber.New(fiber.Config{Immutable: true, BodyLimit: maxBody})
 }
 
-// NewServer serves the app until the context ends.
-func NewServer(ctx context.Context, listener net.Listener, app *fiber.App) *Server {
+// NewServer returns a server that ends with the context and is still to be started by Serve.
+func NewServer(ctx context.Context, listener net.Listener) *Server {
 	ctx, cancel := context.WithCancel(ctx)
 	server := &Server{
 		listener: &trackingListener{Listener: listener, open: make(map[net.Conn]struct{})},
+		ctx:      ctx,
 		cancel:   cancel,
 	}
+	server.group.Go(func() {
+		<-ctx.Done()
+		_ = server.listener.Close()
+		server.CutConnections()
+	})
+	return server
+}
+
+// Serve starts to answer; it returns at once.
+func (s *Server) Serve(app *fiber.App) {
 	engine := &fasthttp.Server{
 		Handler:               app.Handler(),
 		MaxRequestBodySize:    maxBody,
@@ -54,16 +66,15 @@
 		MaxIdleWorkerDuration: idleWorker,
 		Logger:                silentLogger{},
 	}
-	server.group.Go(func() {
+	s.group.Go(func() {
 		// The listener's end is the only way out, and is no error.
-		_ = engine.Serve(server.listener)
-	})
-	server.group.Go(func() {
-		<-ctx.Done()
-		_ = server.listener.Close()
-		server.CutConnections()
+		_ = engine.Serve(s.listener)
 	})
-	return server
+}
+
+// Context ends with the server.
+func (s *Server) Context() context.Context {
+	return s.ctx
 }
 
 // Address returns the address that the server listens on.
@@ -83,6 +94,16 @@
 	}
 }
 
+// CutOthers closes all connections but that of the request, which can still be answered.
+func (s *Server) CutOthers(c fiber.Ctx) {
+	own := c.RequestCtx().Conn()
+	for _, conn := range s.listener.connections() {
+		if conn != own {
+			_ = conn.Close()
+		}
+	}
+}
+
 // Close ends the server and waits for it.
 func (s *Server) Close() {
 	s.cancel()
@@ -110,8 +131,17 @@
 // trackingListener knows its open connections.
 type trackingListener struct {
 	net.Listener
-	mutex sync.Mutex
-	open  map[net.Conn]struct{}
+	mutex  sync.Mutex
+	closed bool
+	open   map[net.Conn]struct{}
+}
+
+// Close implements net.Listener.
+func (l *trackingListener) Close() error {
+	l.mutex.Lock()
+	l.closed = true
+	l.mutex.Unlock()
+	return l.Listener.Close()
 }
 
 // Accept implements net.Listener.
@@ -123,6 +153,11 @@
 	tracked := &trackedConn{Conn: conn, listener: l}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if l.closed {
+		// The connection came between the listener's end and the cut of the open connections.
+		_ = conn.Close()
+		return nil, net.ErrClosed
+	}
 	l.open[tracked] = struct{}{}
 	return tracked, nil
 }
--- /dev/null
+++ b/internal/standin/weightstore/server.go
@@ -0,0 +1,149 @@
+// Package weightstore is a small stand-in for the rate-limited weight store.
+package weightstore
+
+import (
+	"bytes"
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+
+	"github.com/gofiber/fiber/v3"
+	"golang.org/x/time/rate"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/backendserver"
+	"github.com/oleandershelf/oleandershelf/internal/standin/web"
+)
+
+// Defaults of a weight store.
+const (
+	DefaultWeightBytes       = 64 << 10
+	DefaultRequestsPerSecond = 20
+)
+
+// Faults are the switches of the stand-in; the zero value is a healthy store.
+type Faults struct {
+	// Outage refuses every read.
+	Outage bool `json:"outage"`
+	// CutAnswers is the number of answers whose connection is cut.
+	CutAnswers int `json:"cutAnswers"`
+}
+
+// State is the content of the stand-in, for tests and dumps.
+type State struct {
+	// Served counts reads by name of the weights.
+	Served  map[string]int `json:"served"`
+	Limited int            `json:"limited"`
+	Faults  Faults         `json:"faults"`
+}
+
+// Server is one weight store.
+type Server struct {
+	*web.Server
+	limiter *rate.Limiter
+	size    int
+
+	mutex   sync.Mutex
+	faults  Faults
+	served  map[string]int
+	limited int
+}
+
+// Option changes a weight store under construction.
+type Option func(*Server)
+
+// WithRate sets the reads a second; as many may come at once.
+func WithRate(requestsPerSecond int) Option {
+	return func(s *Server) {
+		s.limiter = rate.NewLimiter(rate.Limit(requestsPerSecond), requestsPerSecond)
+	}
+}
+
+// WithWeightBytes sets the length of all weights.
+func WithWeightBytes(size int) Option {
+	return func(s *Server) { s.size = size }
+}
+
+// New serves a weight store on the listener until the context ends.
+func New(ctx context.Context, listener net.Listener, opts ...Option) (*Server, error) {
+	server := &Server{
+		Server:  web.NewServer(ctx, listener),
+		limiter: rate.NewLimiter(DefaultRequestsPerSecond, DefaultRequestsPerSecond),
+		size:    DefaultWeightBytes,
+		served:  make(map[string]int),
+	}
+	for _, opt := range opts {
+		opt(server)
+	}
+	app := web.NewApp()
+	app.Get(backendserver.PathWeights+"/*", server.read)
+	app.Post(web.PathFaults, server.setFaults)
+	app.Get(web.PathState, func(c fiber.Ctx) error { return c.JSON(server.State()) })
+	server.Serve(app)
+	return server, nil
+}
+
+// SetFaults replaces all switches.
+func (s *Server) SetFaults(faults Faults) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.faults = faults
+}
+
+// State returns the content of the stand-in.
+func (s *Server) State() State {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return State{Served: maps.Clone(s.served), Limited: s.limited, Faults: s.faults}
+}
+
+func (s *Server) setFaults(c fiber.Ctx) error {
+	faults := s.State().Faults
+	if !web.Decode(c, &faults) {
+		return nil
+	}
+	s.SetFaults(faults)
+	return c.JSON(faults)
+}
+
+func (s *Server) read(c fiber.Ctx) error {
+	name, err := url.PathUnescape(c.Params("*"))
+	if err != nil {
+		return c.SendStatus(http.StatusBadRequest)
+	}
+	switch s.admit(name) {
+	case admitted:
+		return c.Send(bytes.Repeat([]byte{'w'}, s.size))
+	case cut:
+		return web.CutAnswer(c)
+	default:
+		c.Set(fiber.HeaderRetryAfter, "1")
+		return c.SendStatus(http.StatusTooManyRequests)
+	}
+}
+
+// admission is what becomes of a read.
+type admission int
+
+const (
+	admitted admission = iota
+	cut
+	refused
+)
+
+func (s *Server) admit(name string) admission {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.faults.Outage || !s.limiter.Allow() {
+		s.limited++
+		return refused
+	}
+	if s.faults.CutAnswers > 0 {
+		s.faults.CutAnswers--
+		return cut
+	}
+	s.served[name]++
+	return admitted
+}
