--- a/internal/edge/entry/generator.go
+++ b/internal/edge/entry/generator.go
@@ -16,7 +16,8 @@
 )
 
 // SampleGenerator generates and scores the samples of trainer jobs through the same placement as callers'
-// requests. Its requests carry no caller's key: the trainer's key was checked with the step.
+// requests. Its requests run under a key that the organisation holds at that moment, so that agents stop
+// the samples of an organisation whose last key was withdrawn.
 type SampleGenerator struct {
 	dispatcher *Dispatcher
 	view       func() *ticket.View
@@ -33,10 +34,15 @@
 	if !ok {
 		return ask.Resume, noServer(ask.Model)
 	}
+	keyHash, err := s.keyHash(ask.Organisation)
+	if err != nil {
+		return ask.Resume, err
+	}
 	g := newGeneration(ask.Prompt, ask.MaxTokens, 0, engineTokens(ask.Resume))
 	g.sampleID = ask.SampleID
-	err := s.dispatcher.run(ctx, call{
+	err = s.dispatcher.run(ctx, call{
 		organisation: ask.Organisation,
+		keyHash:      keyHash,
 		pool:         pool,
 		prefix:       backendserver.PrefixHash(ask.Prompt),
 		idempotent:   true,
@@ -47,6 +53,15 @@
 	return sampleTokens(g.tokens), err
 }
 
+// keyHash returns the hash of a key that the organisation holds now.
+func (s *SampleGenerator) keyHash(name string) (string, error) {
+	organisation, ok := s.view().Organisation(name)
+	if !ok || len(organisation.KeyHashes) == 0 {
+		return "", verdict.New(verdict.NotRun, http.StatusUnauthorized, verdict.ReasonKeyWithdrawn, 0, "organisation %s holds no key", name)
+	}
+	return organisation.KeyHashes[0], nil
+}
+
 func engineTokens(tokens []trainer.Token) []backendserver.Token {
 	converted := make([]backendserver.Token, 0, len(tokens))
 	for _, token := range tokens {
@@ -69,6 +84,10 @@
 	if !ok {
 		return nil, noServer(poolName)
 	}
+	keyHash, err := s.keyHash(organisation)
+	if err != nil {
+		return nil, err
+	}
 	asks := make([]backendserver.ScoreRequest, 0, len(samples))
 	for _, sample := range samples {
 		asks = append(asks, backendserver.ScoreRequest{SampleID: sample.SampleID, Prompt: sample.Prompt, Text: sample.Text})
@@ -80,6 +99,7 @@
 	var answer wholeAnswer
 	err = s.dispatcher.run(ctx, call{
 		organisation: organisation,
+		keyHash:      keyHash,
 		pool:         pool,
 		idempotent:   true,
 		priority:     request.PriorityBulk,
