Make the stand-in engine's stream a body that is read on demand

A cut closed the connection while tokens still sat in the library's pipe: the first of them were lost and TestCutGenerationIsLostAndResumesToTheSameText failed now and then (no token in place of four). The stream's goroutine is gone with it.

--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -4,9 +4,7 @@
 package engine
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -304,13 +302,7 @@
 		return c.SendStatus(http.StatusServiceUnavailable)
 	}
 	c.Set(fiber.HeaderContentType, "text/event-stream")
-	conn := c.RequestCtx().Conn()
-	return c.SendStreamWriter(func(w *bufio.Writer) {
-		if err := s.stream(ask, ticket, w); err != nil {
-			// The library would end the chunked answer properly; a real failure doesn't.
-			_ = conn.Close()
-		}
-	})
+	return c.SendStream(newStream(s, ask, ticket), -1)
 }
 
 // pause returns the context's error if it ended first.
@@ -324,15 +316,3 @@
 		return nil
 	}
 }
-
-// writeEvent sends one event at once.
-func writeEvent(w *bufio.Writer, event backendserver.Event) error {
-	raw, err := json.Marshal(event)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	if _, err := w.WriteString("data: " + string(raw) + "\n\n"); err != nil {
-		return errors.WithStack(err)
-	}
-	return errors.WithStack(w.Flush())
-}
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -1,8 +1,9 @@
 package engine
 
 import (
-	"bufio"
 	"context"
+	"encoding/json"
+	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,48 +16,118 @@
 	errCancelled = errors.New("generation cancelled")
 )
 
-// stream waits for a slot and sends the tokens that follow the resumed ones.
-func (s *Server) stream(ask backendserver.GenerateRequest, ticket *ticket, w *bufio.Writer) error {
-	defer s.leave(ticket)
-	ctx, cancel := context.WithCancel(s.Context())
-	defer cancel()
-	defer s.register(ask.SampleID, cancel)()
-	select {
-	case <-ctx.Done():
-		return errCancelled
-	case <-ticket.started:
-	}
-	if err := s.prefill(ctx, ask); err != nil {
-		return err
+// stream is the body of one answer; each Read takes the time of what it returns. An error of Read
+// makes the library cut the connection after what was sent before, as a failing engine does.
+type stream struct {
+	engine *Server
+	ask    backendserver.GenerateRequest
+	ticket *ticket
+	ctx    context.Context
+	end    func()
+	length int
+	// index is the next token of the whole answer, sent counts those of this one.
+	index   int
+	sent    int
+	ready   bool
+	closed  bool
+	pending []byte
+}
+
+var _ io.ReadCloser = (*stream)(nil)
+
+func newStream(engine *Server, ask backendserver.GenerateRequest, ticket *ticket) *stream {
+	ctx, cancel := context.WithCancel(engine.Context())
+	forget := engine.register(ask.SampleID, cancel)
+	return &stream{
+		engine: engine,
+		ask:    ask,
+		ticket: ticket,
+		ctx:    ctx,
+		length: lengthOf(ask),
+		index:  len(ask.Resume),
+		end: func() {
+			forget()
+			cancel()
+			engine.leave(ticket)
+		},
 	}
-	length := lengthOf(ask)
-	sent := 0
-	for index := len(ask.Resume); index < length; index++ {
-		if err := s.token(ctx, ask, index, sent, w); err != nil {
-			return err
+}
+
+// Read implements io.Reader.
+func (s *stream) Read(data []byte) (int, error) {
+	if len(s.pending) == 0 {
+		event, err := s.next()
+		if err != nil {
+			return 0, err
 		}
-		sent++
+		raw, err := json.Marshal(event)
+		if err != nil {
+			return 0, errors.WithStack(err)
+		}
+		s.pending = []byte("data: " + string(raw) + "\n\n")
 	}
-	return writeEvent(w, backendserver.Event{Done: true, Tokens: sent})
+	n := copy(data, s.pending)
+	s.pending = s.pending[n:]
+	return n, nil
 }
 
-// token takes the time of one token, then sends it.
-func (s *Server) token(ctx context.Context, ask backendserver.GenerateRequest, index, sent int, w *bufio.Writer) error {
-	if err := pause(ctx, s.currentTokenTime()); err != nil {
+// Close implements io.Closer; the library calls it when the answer is over or its caller is gone.
+func (s *stream) Close() error {
+	s.end()
+	return nil
+}
+
+// next waits for the slot and for the next event; it returns io.EOF after the closing event.
+func (s *stream) next() (backendserver.Event, error) {
+	if s.closed {
+		return backendserver.Event{}, io.EOF
+	}
+	if err := s.start(); err != nil {
+		return backendserver.Event{}, err
+	}
+	if s.index >= s.length {
+		s.closed = true
+		return backendserver.Event{Done: true, Tokens: s.sent}, nil
+	}
+	version, err := s.engine.token(s.ctx, s.sent)
+	if err != nil {
+		return backendserver.Event{}, err
+	}
+	event := backendserver.Event{Text: tokenText(s.ask, s.index), Version: version}
+	s.index++
+	s.sent++
+	return event, nil
+}
+
+// start waits for a slot and prefills the prompt, once.
+func (s *stream) start() error {
+	if s.ready {
+		return nil
+	}
+	s.ready = true
+	select {
+	case <-s.ctx.Done():
 		return errCancelled
+	case <-s.ticket.started:
+	}
+	return s.engine.prefill(s.ctx, s.ask)
+}
+
+// token takes the time of one token and returns the version that produced it.
+func (s *Server) token(ctx context.Context, sent int) (int, error) {
+	if err := pause(ctx, s.currentTokenTime()); err != nil {
+		return 0, errCancelled
 	}
 	if err := s.unstalled(ctx); err != nil {
-		return err
+		return 0, err
 	}
 	s.mutex.Lock()
-	cut := s.faults.CutAfterTokens > 0 && sent >= s.faults.CutAfterTokens
-	version := s.weights.version
-	s.generated++
-	s.mutex.Unlock()
-	if cut {
-		return errCut
+	defer s.mutex.Unlock()
+	if s.faults.CutAfterTokens > 0 && sent >= s.faults.CutAfterTokens {
+		return 0, errCut
 	}
-	return writeEvent(w, backendserver.Event{Text: tokenText(ask, index), Version: version})
+	s.generated++
+	return s.weights.version, nil
 }
 
 // unstalled waits while the engine is stalled.
