--- a/internal/edge/agent/failure_test.go
+++ b/internal/edge/agent/failure_test.go
@@ -205,7 +205,9 @@
 	<-first
 	<-second
 	<-third
-	<-b.server.ended
+	if cause := <-b.server.ended; cause == nil {
+		t.Error("the stream ended without a cause")
+	}
 	b.untilQueued(t, 0)
 	if diff := cmp.Diff(request.Settled{Verdict: verdict.NotRun}, b.settle(t, waiting.ID)); diff != "" {
 		t.Error(diff)
--- a/internal/edge/peer/failure_test.go
+++ b/internal/edge/peer/failure_test.go
@@ -267,7 +267,9 @@
 	drained := make(chan error, 1)
 	var drain conc.WaitGroup
 	drain.Go(func() { drained <- b.server.Drain(t.Context()) })
-	askUntilRefused(t, b)
+	if refusal := askUntilRefused(t, b); refusal.Reason != verdict.ReasonLeaving {
+		t.Error(refusal)
+	}
 	pause(t.Context(), 3*goodbye)
 	if len(drained) > 0 {
 		t.Error("the server closed with a request running")
@@ -322,9 +324,10 @@
 	for _, tc := range []struct {
 		name    string
 		timeout time.Duration
+		hangUp  bool
 		want    error
 	}{
-		{name: "cancelled", timeout: time.Hour, want: ErrCancelled},
+		{name: "cancelled", timeout: time.Hour, hangUp: true, want: ErrCancelled},
 		{name: "deadline", timeout: 50 * time.Millisecond, want: context.DeadlineExceeded},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -335,7 +338,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if tc.want == ErrCancelled {
+			if tc.hangUp {
 				a.Cancel()
 			}
 			if cause := <-b.ended; !errors.Is(cause, tc.want) && !errors.Is(cause, ErrCancelled) {
