Settle a lost answer by a read before a trainer job moves alone

A random schedule showed two faults. A lost answer alone was taken for an outage, so that two coordinators handed out different batches of one number without any outage: 'batch 1/1 changed between two answers'. And a new version was written together with a manifest handed out alone before: 'manifest written with a sample of version 0 at 1, bound 0'. A lost answer is now settled by a read first, and moves made alone are written before a version. Renewals of the lease, which change its number, no longer count as a new term.

--- a/internal/core/delivery/ask.go
+++ b/internal/core/delivery/ask.go
@@ -77,6 +77,10 @@
 	if j.unsettled != nil && sameMove(*j.unsettled, next) {
 		// The lost write may have taken effect: hand out the very same batch.
 		next = *j.unsettled
+		j.extended = true
+	}
+	if !j.extended {
+		j.unsettled = nil
 	}
 	j.record = next
 	j.record.Step = next.Step.clone()
@@ -115,7 +119,7 @@
 		return outcome{}, true
 	case cursor.Job != j.name:
 		return refused(http.StatusBadRequest, verdict.ReasonBadRequest, 0, "the cursor is of trainer job %s", cursor.Job), false
-	case cursor.Fencing > j.fence:
+	case cursor.Fencing > j.fence():
 		// The trainer was served by a later holder of the lease: this one must not go on.
 		return refused(http.StatusServiceUnavailable, verdict.ReasonNotLeader, retrySoon, "a later coordinator serves the job"), false
 	}
@@ -123,7 +127,9 @@
 }
 
 func (j *Job) tryVersion(e VersionAsked) outcome {
-	if !j.loaded {
+	// Moves made alone are written before a new version: in one write with it their manifests,
+	// right when they were handed out, would stand in the object beyond the staleness bound.
+	if !j.loaded || j.unwritten {
 		return waiting()
 	}
 	switch known := j.record; {
@@ -131,8 +137,6 @@
 		return refused(http.StatusConflict, verdict.ReasonBadRequest, 0, "version %d is older than %d", e.Version, known.ModelVersion)
 	case e.Version == known.ModelVersion && e.Weights != known.Weights:
 		return refused(http.StatusConflict, verdict.ReasonBadRequest, 0, "version %d has other weights", e.Version)
-	case e.Version == known.ModelVersion && j.unwritten:
-		return waiting()
 	case e.Version == known.ModelVersion:
 		return outcome{result: VersionAccepted{Version: e.Version, Weights: e.Weights, Cursor: j.cursorOfStep()}}
 	}
@@ -161,7 +165,7 @@
 		Batch:        step.Batch,
 		Delivered:    step.Delivered.Clone(),
 		ModelVersion: j.current(),
-		Fencing:      j.fence,
+		Fencing:      j.fence(),
 	}
 }
 
--- a/internal/core/delivery/event.go
+++ b/internal/core/delivery/event.go
@@ -70,10 +70,12 @@
 
 // Changes around the job.
 type (
-	// FenceChanged tells whether the lease is held, and its fencing number.
+	// FenceChanged tells whether the lease is held, and its fencing number. Renewed says that
+	// the lease was held without a gap since the last number, so that no other holder came between.
 	FenceChanged struct {
-		Number uint64
-		Held   bool
+		Number  uint64
+		Held    bool
+		Renewed bool
 	}
 	// Superseded says that another holder of the lease was seen.
 	Superseded struct{}
--- a/internal/core/delivery/job.go
+++ b/internal/core/delivery/job.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/netip"
 	"reflect"
+	"slices"
 )
 
 // Job is the state machine of one trainer job at one coordinator. Two coordinators may both
@@ -39,19 +40,21 @@
 	// writing and reading are the operations under way.
 	writing   *Record
 	reading   bool
-	readFence uint64
-	// unsettled is the last write whose answer was lost.
+	readTerm  uint64
+	// unsettled is the last write whose answer was lost, unless record went another way since.
 	unsettled *Record
+	// extended says that record has gone on from unsettled.
+	extended bool
 	// floor is the newest model version that may be in force, though unconfirmed.
 	floor int
 	down  bool
 	lost  ContentLost
 
-	fence       uint64
-	held        bool
-	own         map[uint64]bool
-	loadedFence uint64
-	superseded  bool
+	held bool
+	// terms are the times of holding the lease, the newest last.
+	terms      []term
+	loadedTerm uint64
+	superseded bool
 
 	asks        []*ask
 	samples     []Sample
@@ -60,6 +63,15 @@
 	effects     []Effect
 }
 
+// term is a time during which the lease was held without a gap, by its fencing numbers.
+type term struct {
+	first uint64
+	last  uint64
+}
+
+// keptTerms bounds the memory of former terms; a cursor is rarely older than the term before.
+const keptTerms = 16
+
 type stepKey struct {
 	step   int
 	digest string
@@ -82,7 +94,7 @@
 
 // NewJob returns the machine for a job at the host with the peer address self.
 func NewJob(name string, self netip.AddrPort, bound int) *Job {
-	return &Job{name: name, self: self, bound: bound, own: map[uint64]bool{}}
+	return &Job{name: name, self: self, bound: bound}
 }
 
 // Handle takes one event and returns what is to be done.
@@ -140,11 +152,30 @@
 // against: a coordinator that wakes up late and can't reach the platform would otherwise hand out
 // samples that its successor has delivered.
 func (j *Job) mayMoveAlone(cursor *Cursor) bool {
-	return j.down && cursor != nil && j.own[cursor.Fencing] && j.loadedFence == j.fence && j.writing == nil
+	return j.down && cursor != nil && j.issued(cursor) && j.loadedTerm == j.term().first && j.writing == nil
+}
+
+func (j *Job) issued(cursor *Cursor) bool {
+	return slices.ContainsFunc(j.terms, func(t term) bool {
+		return t.first <= cursor.Fencing && cursor.Fencing <= t.last
+	})
+}
+
+// term returns the newest term; the zero one before the first.
+func (j *Job) term() term {
+	if len(j.terms) == 0 {
+		return term{}
+	}
+	return j.terms[len(j.terms)-1]
+}
+
+// fence returns the newest fencing number.
+func (j *Job) fence() uint64 {
+	return j.term().last
 }
 
 func (j *Job) write(next Record) {
-	next.Fencing = j.fence
+	next.Fencing = j.fence()
 	j.writing = &next
 	body := next.Step != nil && next.Step.key() != j.storedStep
 	j.effects = append(j.effects, Write{Record: next, IfVersion: j.stored, Body: body})
@@ -155,7 +186,7 @@
 		return
 	}
 	j.reading = true
-	j.readFence = j.fence
+	j.readTerm = j.term().first
 	j.effects = append(j.effects, Read{})
 }
 
@@ -180,8 +211,10 @@
 		j.down = true
 	case WriteUnsettled:
 		j.unsettled = next
+		j.extended = false
 		j.floor = max(j.floor, next.ModelVersion)
-		j.down = true
+		// One lost answer is no outage: only a failed read allows moves without the platform.
+		j.read()
 	case WriteFenced:
 		j.unsend()
 		j.held = false
@@ -206,22 +239,21 @@
 func (j *Job) load(e Loaded) {
 	j.reading = false
 	j.down = false
-	// A read that began under an older lease may miss the last write of a holder in between.
-	if j.readFence != j.fence {
+	// A read that began in an older term may miss the last write of a holder in between.
+	if j.readTerm != j.term().first {
 		j.read()
 		return
 	}
-	if e.Record.Fencing > j.fence {
+	if e.Record.Fencing > j.fence() {
 		j.supersede()
 		return
 	}
 	j.loaded = true
-	j.loadedFence = j.fence
-	landed := j.unsettled != nil && sameRecord(*j.unsettled, e.Record)
+	j.loadedTerm = j.term().first
+	landed := j.extended && j.unsettled != nil && sameRecord(*j.unsettled, e.Record)
 	if j.unwritten && (e.Version == j.stored || landed) {
 		j.stored = e.Version
 		j.storedStep = e.Record.Step.key()
-		j.unsettled = nil
 		return
 	}
 	j.adopt(e.Record, e.Version)
@@ -229,11 +261,15 @@
 
 func (j *Job) changeFence(e FenceChanged) {
 	j.held = e.Held
-	if !e.Held || e.Number == j.fence {
+	if !e.Held || e.Number == j.fence() {
+		return
+	}
+	if e.Renewed && len(j.terms) > 0 {
+		j.terms[len(j.terms)-1].last = e.Number
 		return
 	}
-	j.fence = e.Number
-	j.own[e.Number] = true
+	j.terms = append(j.terms, term{first: e.Number, last: e.Number})
+	j.terms = j.terms[max(0, len(j.terms)-keptTerms):]
 	j.superseded = false
 	j.loaded = false
 	j.read()
--- a/internal/core/delivery/job_rapid_test.go
+++ b/internal/core/delivery/job_rapid_test.go
@@ -52,6 +52,11 @@
 				w.lease(coord(t))
 			}
 		},
+		"renew": func(t *rapid.T) {
+			if w.up {
+				w.renew(coord(t))
+			}
+		},
 		"lapse": func(t *rapid.T) { w.feed(coord(t), FenceChanged{}) },
 		"kill": func(t *rapid.T) {
 			at := coord(t)
--- a/internal/core/delivery/progress.go
+++ b/internal/core/delivery/progress.go
@@ -230,7 +230,7 @@
 		Samples:      map[string]int{},
 		Discarded:    j.discarded,
 		Waiting:      len(j.asks),
-		Fencing:      j.fence,
+		Fencing:      j.fence(),
 		Held:         j.held,
 		Loaded:       j.loaded,
 		Unwritten:    j.unwritten,
--- a/internal/core/delivery/world_test.go
+++ b/internal/core/delivery/world_test.go
@@ -39,25 +39,24 @@
 
 // world is a platform, coordinators that may all believe in their lease, and one trainer.
 type world struct {
-	t          *rapid.T
-	bound      int
-	useCursor  bool
-	up         bool
-	outages    int
-	record     Record
-	version    uint64
-	late       []lateWrite
-	fence      uint64
-	coords     []*coordinator
-	asked      AskID
-	replies    []reply
-	step       int
-	batch      int
-	posted     bool
-	cursor     *Cursor
-	accepted   map[string]bool
-	manifests  map[string]string
-	modelPosts int
+	t         *rapid.T
+	bound     int
+	useCursor bool
+	up        bool
+	outages   int
+	record    Record
+	version   uint64
+	late      []lateWrite
+	fence     uint64
+	coords    []*coordinator
+	asked     AskID
+	replies   []reply
+	step      int
+	batch     int
+	posted    bool
+	cursor    *Cursor
+	accepted  map[string]bool
+	manifests map[string]string
 }
 
 const (
@@ -90,6 +89,15 @@
 	w.feed(at, FenceChanged{Number: w.fence, Held: true})
 }
 
+// renew gives the newest holder a higher number without a gap.
+func (w *world) renew(at int) {
+	if w.coords[at].job.fence() != w.fence || w.fence == 0 {
+		return
+	}
+	w.fence++
+	w.feed(at, FenceChanged{Number: w.fence, Held: true, Renewed: true})
+}
+
 // feed hands an event to a coordinator and keeps its effects.
 func (w *world) feed(at int, event Event) {
 	c := w.coords[at]
