--- a/internal/core/scenario/scenario_test.go
+++ b/internal/core/scenario/scenario_test.go
@@ -85,11 +85,11 @@
 }
 
 func scenarios() []scenario {
-	long := sources(0.8)
+	long := sources(0.9)
 	for i := range long {
-		long[i].longShare = 0.02
+		long[i].longShare = 0.08
 	}
-	flood := with(sources(0.6), 1, func(src *source) { src.load, src.longShare = steady(0.9), 1 })
+	flood := with(sources(0.6), 1, func(src *source) { src.load, src.longShare = steady(1.2), 1 })
 	return []scenario{
 		{name: "at capacity", sources: sources(1)},
 		{name: "burst", sources: with(sources(0.7), 2, func(src *source) { src.load = burst })},
--- a/internal/core/scenario/server_test.go
+++ b/internal/core/scenario/server_test.go
@@ -120,10 +120,6 @@
 	return false
 }
 
-func (s *server) cancel(r *run) {
-	s.change(func() { s.running = slices.DeleteFunc(s.running, func(o *run) bool { return o == r }) })
-}
-
 // fail ends all runs without an answer.
 func (s *server) fail() {
 	var lost []*run
--- a/internal/core/scenario/sim_test.go
+++ b/internal/core/scenario/sim_test.go
@@ -16,12 +16,13 @@
 	entryCount  = 4
 	meanCost    = 100.0
 	// longCost tells long calls from short ones.
-	longCost = 10 * meanCost
-	patience = 20 * time.Second
-	begin    = 20 * time.Second
-	end      = 120 * time.Second
+	longCost   = 10 * meanCost
+	longFactor = 12
+	patience   = 20 * time.Second
+	begin      = 20 * time.Second
+	end        = 120 * time.Second
 	// feedEnd is after end, so that the calls measured meet the same load until they are answered.
-	feedEnd = 180 * time.Second
+	feedEnd = 240 * time.Second
 	drain   = 500 * time.Second
 	// capacity of the pool in tokens a second.
 	capacity = serverCount * knee * slotSpeed
@@ -99,7 +100,7 @@
 
 // feed makes the calls of an organisation: a Poisson process with exponential costs.
 func (s *sim) feed(org int, src source, random *rand.Rand) {
-	mean := meanCost * (1 + src.longShare*39)
+	mean := meanCost * (1 + src.longShare*(longFactor-1))
 	var next func()
 	next = func() {
 		at := s.clock.elapsed()
@@ -121,8 +122,8 @@
 	c := &call{org: org, patience: patience, measured: at >= begin && at <= end}
 	c.cost = math.Ceil(min(5, max(0.05, random.ExpFloat64())) * meanCost)
 	if random.Float64() < src.longShare {
-		c.cost = 40 * meanCost
-		c.patience = 15 * patience
+		c.cost = longFactor * meanCost
+		c.patience = 4 * patience
 	}
 	if src.keys > 1 && random.Float64() > src.hotKey {
 		c.key = 1 + random.IntN(src.keys-1)
