--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -109,3 +109,9 @@
 	// Revision is the agent's configuration revision.
 	Revision uint64 `msgpack:"rev"`
 }
+
+// Leave tells an agent to take no new work because its server is to be stopped, or to take work again.
+// The agent answers with its load.
+type Leave struct {
+	Leave bool `msgpack:"l"`
+}
--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -28,6 +28,7 @@
 	MethodExecute peer.Method = "execute"
 	MethodSettle  peer.Method = "settle"
 	MethodProbe   peer.Method = "probe"
+	MethodLeave   peer.Method = "leave"
 )
 
 const (
@@ -143,6 +144,7 @@
 	peer.HandleStream(r, MethodExecute, a.Execute)
 	peer.Handle(r, MethodSettle, a.settle)
 	peer.Handle(r, MethodProbe, a.probe)
+	peer.Handle(r, MethodLeave, a.leave)
 }
 
 // run is the control goroutine: it alone touches the control state.
--- /dev/null
+++ b/internal/program/process/agent.go
@@ -0,0 +1,109 @@
+package process
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/usage"
+	"github.com/oleandershelf/oleandershelf/internal/edge/admin"
+	"github.com/oleandershelf/oleandershelf/internal/edge/agent"
+	"github.com/oleandershelf/oleandershelf/internal/edge/configuration"
+	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
+	"github.com/oleandershelf/oleandershelf/internal/program/settings"
+)
+
+// Agent is a running agent process.
+type Agent struct {
+	runtime  *runtime
+	cancel   context.CancelFunc
+	follower *configuration.Follower
+	agent    *agent.Agent
+	peers    *peer.Server
+	admin    *admin.Server
+}
+
+// RunAgent runs the agent until ctx ends, then drains it.
+func RunAgent(ctx context.Context, set settings.Settings, log zerolog.Logger) error {
+	p, err := StartAgent(context.WithoutCancel(ctx), set, log)
+	if err != nil {
+		return err
+	}
+	return serve(ctx, p, set, log)
+}
+
+// StartAgent starts an agent; it runs until Close, or until ctx ends.
+func StartAgent(ctx context.Context, set settings.Settings, log zerolog.Logger) (*Agent, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	p, err := newAgent(ctx, set, log)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	p.cancel = cancel
+	return p, nil
+}
+
+func newAgent(ctx context.Context, set settings.Settings, log zerolog.Logger) (*Agent, error) {
+	r, err := newRuntime(ctx, set, log)
+	if err != nil {
+		return nil, err
+	}
+	p := &Agent{runtime: r}
+	p.follower = r.newFollower(ctx)
+	server := newBackendServer(set.ServerURL)
+	p.agent, err = agent.New(ctx, agent.Config{
+		HostID:           set.HostID,
+		AvailabilityZone: set.AvailabilityZone,
+		Pool:             set.Pool,
+		ServerURL:        set.ServerURL,
+		Incarnation:      r.incarnation,
+		UsageWindow:      set.UsageWindow,
+	}, agent.Dependencies{
+		View:       p.follower.View,
+		Changed:    p.follower.Changed,
+		Fresh:      p.follower.Fresh,
+		Server:     server,
+		Engine:     newEngine(p.follower.View, set.Pool, set.ServerURL),
+		Ledger:     usage.NewLedger(),
+		Registerer: r.registry,
+		Logger:     log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.agent.Register(r.peers)
+	if p.peers, err = r.servePeers(ctx); err != nil {
+		return nil, err
+	}
+	p.admin, err = r.serveAdmin(ctx, map[string]admin.Dump{
+		"agent":         p.agent.State,
+		"configuration": p.follower.State,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.admin.SetReady(true)
+	return p, nil
+}
+
+func (p *Agent) drain(ctx context.Context) error {
+	p.admin.SetReady(false)
+	if err := p.agent.Drain(ctx); err != nil {
+		return err
+	}
+	return p.peers.Drain(ctx)
+}
+
+// Drain ends the agent's work without cutting off a request.
+func (p *Agent) Drain(ctx context.Context) error { return p.drain(ctx) }
+
+// Close ends all goroutines of the process at once.
+func (p *Agent) Close() { p.close() }
+
+func (p *Agent) close() {
+	p.cancel()
+	p.agent.Wait()
+	p.admin.Wait()
+	p.runtime.client.Wait()
+}
--- /dev/null
+++ b/internal/program/process/backendserver.go
@@ -0,0 +1,69 @@
+package process
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
+	"github.com/oleandershelf/oleandershelf/internal/edge/agent"
+	"github.com/oleandershelf/oleandershelf/internal/edge/backendserver"
+	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+)
+
+// errNoEngine is returned for a load question to a server that isn't a model engine.
+var errNoEngine = errors.New("not a model engine")
+
+// agentServer is the backend server at a URL as the agent calls it.
+type agentServer struct{ service *backendserver.Service }
+
+func newBackendServer(url string) agentServer {
+	return agentServer{service: backendserver.NewService(url)}
+}
+
+// Call sends one call, once.
+func (s agentServer) Call(ctx context.Context, call agent.Call) (*agent.Reply, error) {
+	answer, err := s.service.Call(ctx, call.Method, call.Path, call.Query, call.Header, call.Body)
+	if errors.Is(err, backendserver.ErrNotSent) {
+		return nil, errors.Wrap(agent.ErrNotSent, err.Error())
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &agent.Reply{Status: answer.Status, Header: answer.Header, Body: answer.Body}, nil
+}
+
+// agentEngine is the control side of a model engine as the agent calls it.
+type agentEngine struct {
+	engine *backendserver.Engine
+	pool   string
+	view   func() *ticket.View
+}
+
+func newEngine(view func() *ticket.View, pool, url string) agentEngine {
+	return agentEngine{engine: backendserver.NewEngine(url), pool: pool, view: view}
+}
+
+// Load asks the engine for its report; a plain service is never asked.
+func (e agentEngine) Load(ctx context.Context) (agent.EngineLoad, error) {
+	pool, ok := e.view().Pool(e.pool)
+	if !ok || pool.Kind != ticket.KindModel {
+		return agent.EngineLoad{}, errNoEngine
+	}
+	load, err := e.engine.Load(ctx)
+	if err != nil {
+		return agent.EngineLoad{}, err
+	}
+	return agent.EngineLoad{Running: load.Running, Waiting: load.Queued, Version: load.Version}, nil
+}
+
+// Order gives one weight order.
+func (e agentEngine) Order(ctx context.Context, order agent.WeightOrder) error {
+	return e.engine.Order(ctx, backendserver.WeightOrder{
+		Kind:    backendserver.OrderKind(order.Kind),
+		Model:   order.Model,
+		Version: order.Version,
+		Weights: order.Weights,
+		Fencing: platform.Version(order.Fencing),
+	})
+}
--- /dev/null
+++ b/internal/program/process/gather.go
@@ -0,0 +1,110 @@
+package process
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/fleet"
+	"github.com/oleandershelf/oleandershelf/internal/core/request"
+	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
+	"github.com/oleandershelf/oleandershelf/internal/edge/agent"
+	"github.com/oleandershelf/oleandershelf/internal/edge/configuration"
+	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
+	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+)
+
+const (
+	// probeParallel bounds the questions under way at once; a zone has about a hundred servers.
+	probeParallel = 32
+	probeTimeout  = time.Second
+	// noReport marks a server that gave no load report.
+	noReport = -time.Second
+)
+
+// errUnknownHost is returned for a host that isn't on the list.
+var errUnknownHost = errors.New("host is not on the list")
+
+// zone sees the backend servers of one availability zone for the duty serverOrders/{zone}.
+type zone struct {
+	name     string
+	runtime  *runtime
+	follower *configuration.Follower
+}
+
+// gather returns the state of each pool that has servers ordered in the zone.
+func (z zone) gather(ctx context.Context, now time.Time) ([]fleet.State, error) {
+	states := []fleet.State{}
+	for _, configured := range z.follower.View().Pools() {
+		if !slices.Contains(configured.AvailabilityZones, z.name) {
+			continue
+		}
+		states = append(states, fleet.State{
+			AvailabilityZone: z.name,
+			Pool:             configured.Name,
+			MinServers:       configured.MinServers,
+			MaxServers:       configured.MaxServers,
+			StartupTime:      time.Duration(configured.StartupTime),
+			ViewAge:          z.runtime.members.Age(now),
+			Servers:          z.servers(ctx, configured),
+		})
+	}
+	return states, nil
+}
+
+// servers asks every agent of the pool in this zone for its load.
+func (z zone) servers(ctx context.Context, configured ticket.Pool) []fleet.Server {
+	hosts := []platform.Host{}
+	for _, host := range z.runtime.members.Servers(configured.Name) {
+		if host.AvailabilityZone == z.name {
+			hosts = append(hosts, host)
+		}
+	}
+	servers := make([]fleet.Server, len(hosts))
+	probes := pool.New().WithMaxGoroutines(probeParallel)
+	for i, host := range hosts {
+		probes.Go(func() { servers[i] = z.server(ctx, host) })
+	}
+	probes.Wait()
+	return servers
+}
+
+func (z zone) server(ctx context.Context, host platform.Host) fleet.Server {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	server := fleet.Server{HostID: host.ID, Leaving: host.State == platform.HostLeaving, ReportAge: noReport}
+	load, err := peer.Ask[request.Probe, request.Load](ctx, z.runtime.client, host.PeerAddress, agent.MethodProbe, request.Probe{})
+	if err != nil {
+		return server
+	}
+	server.ReportAge = 0
+	server.Running = load.Running
+	server.Queued = load.Queued
+	server.Limit = load.Limit
+	server.Draining = load.Leaving
+	return server
+}
+
+// drain tells an agent to take no new work, or to take work again.
+func (z zone) drain(ctx context.Context, hostID string, drain bool) error {
+	host, ok := z.host(hostID)
+	if !ok {
+		return errors.Wrap(errUnknownHost, hostID)
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := peer.Ask[request.Leave, request.Load](ctx, z.runtime.client, host.PeerAddress, agent.MethodLeave, request.Leave{Leave: drain})
+	return errors.Wrap(err, hostID)
+}
+
+func (z zone) host(id string) (platform.Host, bool) {
+	for _, host := range z.runtime.members.Hosts() {
+		if host.ID == id {
+			return host, true
+		}
+	}
+	return platform.Host{}, false
+}
