--- a/internal/core/delivery/job.go
+++ b/internal/core/delivery/job.go
@@ -38,9 +38,9 @@
 	// loaded says that the object's state was confirmed since the last doubt.
 	loaded bool
 	// writing and reading are the operations under way.
-	writing   *Record
-	reading   bool
-	readTerm  uint64
+	writing  *Record
+	reading  bool
+	readTerm uint64
 	// unsettled is the last write whose answer was lost, unless record went another way since.
 	unsettled *Record
 	// extended says that record has gone on from unsettled.
