Compare latency for a unit of cost, and let it rise by 30 % only

Within a class of cost the latency itself varies by two, which hid a slowdown: the limit rose until requests ran at half speed. Goodput now counts the work answered within the measured time.

--- a/internal/core/queue/limiter.go
+++ b/internal/core/queue/limiter.go
@@ -8,7 +8,7 @@
 // Figures of the limiter.
 const (
 	// defaultTolerance is how far latency may rise over that of a lightly loaded server.
-	defaultTolerance = 2.0
+	defaultTolerance = 1.3
 	// backOff is how much one step down takes.
 	backOff = 0.9
 	// failureBackOff is the step down when requests fail.
@@ -22,7 +22,9 @@
 	// baseDrift is how much a base rises with each request above it, so that a server that has become
 	// slower for good, as with larger weights, isn't held at the floor for ever.
 	baseDrift = 0.002
-	classes   = 32
+	// recentShare is the part of a new time in the usual one.
+	recentShare = 0.125
+	classes     = 32
 )
 
 // LimiterOption changes a Limiter.
@@ -43,15 +45,16 @@
 // latency is over the tolerance (additive increase, multiplicative decrease).
 //
 // It guards against collapse on long jobs: a job of a thousand tokens isn't slow because it takes a
-// thousand times as long. Each latency is compared with the lowest of its own class of cost (powers
+// thousand times as long. Each latency, for a unit of cost, is compared with the lowest of its own class of cost (powers
 // of two) only, and a floor holds in any case. It is owned by one goroutine.
 type Limiter struct {
 	limit     float64
 	floor     float64
 	ceiling   float64
 	tolerance float64
-	base      [classes]time.Duration
-	recent    [classes]time.Duration
+	// base and recent are the lowest and the usual time for a unit of cost in each class.
+	base   [classes]float64
+	recent [classes]float64
 	// ratios sums up the logarithms of latency over base in this round.
 	ratios   float64
 	seen     int
@@ -85,8 +88,10 @@
 	l.usedSeen = true
 }
 
-// Typical is the latency of a request of the cost of late; 0 if none was seen.
-func (l *Limiter) Typical(cost float64) time.Duration { return l.recent[class(cost)] }
+// Typical is the latency of a request of the cost of late; 0 if none of its class was seen.
+func (l *Limiter) Typical(cost float64) time.Duration {
+	return time.Duration(l.recent[class(cost)] * max(1, cost) * float64(time.Second))
+}
 
 // Observe takes in one finished request: its time at the server, its cost and whether it failed. A
 // request that failed at once says nothing about latency.
@@ -95,7 +100,7 @@
 	if failed {
 		l.failures++
 	} else {
-		l.ratios += l.compare(class(cost), latency)
+		l.ratios += l.compare(latency, cost)
 	}
 	if l.seen >= max(roundSamples, int(l.limit)) {
 		l.step()
@@ -110,20 +115,20 @@
 	return min(int(math.Log2(cost)), classes-1)
 }
 
-// compare returns the logarithm of latency over the class's base, and moves the base.
-func (l *Limiter) compare(class int, latency time.Duration) float64 {
-	latency = max(latency, time.Microsecond)
-	base := l.base[class]
-	if base == 0 || latency < base {
-		l.base[class] = latency
+// compare returns the logarithm of the time for a unit of cost over the class's base, and moves the base.
+func (l *Limiter) compare(latency time.Duration, cost float64) float64 {
+	unit := max(latency, time.Microsecond).Seconds() / max(1, cost)
+	at := class(cost)
+	if base := l.base[at]; base == 0 || unit < base {
+		l.base[at] = unit
 	} else {
-		l.base[class] += time.Duration(float64(latency-base) * baseDrift)
+		l.base[at] += (unit - base) * baseDrift
 	}
-	if l.recent[class] == 0 {
-		l.recent[class] = latency
+	if l.recent[at] == 0 {
+		l.recent[at] = unit
 	}
-	l.recent[class] += (latency - l.recent[class]) / 8
-	return math.Log(float64(latency) / float64(l.base[class]))
+	l.recent[at] += (unit - l.recent[at]) * recentShare
+	return math.Log(unit / l.base[at])
 }
 
 // step ends a round.
--- a/internal/core/scenario/call_test.go
+++ b/internal/core/scenario/call_test.go
@@ -25,6 +25,8 @@
 type tally struct {
 	offered float64
 	served  float64
+	// done is the work of all calls answered within the measured time.
+	done    float64
 	calls   int
 	refused int
 	failed  int
@@ -86,6 +88,9 @@
 		s.late(c)
 		return
 	}
+	if at := s.clock.elapsed(); at >= begin && at <= end {
+		t.done += c.cost
+	}
 	if !c.measured {
 		return
 	}
--- a/internal/core/scenario/result_test.go
+++ b/internal/core/scenario/result_test.go
@@ -14,7 +14,7 @@
 	p99   time.Duration
 	// shortP99 is that of short calls of the organisations that ask for less than their share.
 	shortP99 time.Duration
-	// goodput is the work answered in time over the pool's capacity.
+	// goodput is the work answered in time within the measured time over the pool's capacity.
 	goodput float64
 	refused float64
 	late    float64
@@ -47,7 +47,7 @@
 func (s *sim) result(available func(time.Duration) float64) result {
 	shares := s.fairShares(available)
 	r := result{share: 10, coldKey: 1}
-	worst, calls, refused, late, back, backOK, served := 0, 0, 0, 0, 0, 0, 0.0
+	worst, calls, refused, late, back, backOK, done := 0, 0, 0, 0, 0, 0, 0.0
 	var short []time.Duration
 	for i, t := range s.tallies {
 		if part := t.served / shares[i]; part < r.share {
@@ -58,7 +58,7 @@
 		late += t.late + t.failed
 		back += t.back
 		backOK += t.backOK
-		served += t.served
+		done += t.done
 		if s.modest(i) {
 			short = append(short, t.short...)
 		}
@@ -66,7 +66,7 @@
 	}
 	r.p50, r.p99 = quantile(s.tallies[worst].waits, 0.5), quantile(s.tallies[worst].waits, 0.99)
 	r.shortP99 = quantile(short, 0.99)
-	r.goodput = served / (capacity * (end - begin).Seconds())
+	r.goodput = done / (capacity * (end - begin).Seconds())
 	r.refused = float64(refused) / float64(calls)
 	r.late = float64(late) / float64(calls)
 	r.back = float64(backOK) / max(1, float64(back))
