Cancel generations at the engine and answer probes from its prefix cache

Cutting the connection reaches an engine only at its next token, so a generation that nobody waits for is cancelled by its sample as well.

--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -92,8 +92,10 @@
 	control *control
 	load    atomic.Pointer[request.Load]
 	weights *weights
-	metrics *metrics
-	wg      *conc.WaitGroup
+	// prefixes is nil unless the engine publishes its prefix cache.
+	prefixes *prefixes
+	metrics  *metrics
+	wg       *conc.WaitGroup
 }
 
 // New starts an agent, which ends with ctx.
@@ -117,6 +119,10 @@
 		a.wg.Go(func() { a.weights.run(ctx) })
 		a.wg.Go(func() { a.weights.poll(ctx) })
 	}
+	if source, ok := deps.Engine.(PrefixSource); ok {
+		a.prefixes = newPrefixes(source)
+		a.wg.Go(func() { a.prefixes.run(ctx, a.weights.serves) })
+	}
 	return a, nil
 }
 
@@ -211,6 +217,7 @@
 	if !ok {
 		return load, ErrEnded
 	}
+	load.PrefixCached = a.prefixes != nil && a.prefixes.cached(q.PrefixHash)
 	return load, nil
 }
 
--- a/internal/edge/agent/backend.go
+++ b/internal/edge/agent/backend.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/request"
+	"github.com/oleandershelf/oleandershelf/internal/edge/backendserver"
 )
 
 // ErrNotSent is returned by a Server when no byte of a call can have reached the backend server,
@@ -76,6 +77,19 @@
 	Order(ctx context.Context, order WeightOrder) error
 }
 
+// Canceller is implemented by engines that can be told to end a generation. Cutting the connection
+// is seen by an engine only at its next token; a generation that waits for its turn, or an engine that
+// stands still, would keep its place until then.
+type Canceller interface {
+	Cancel(ctx context.Context, sampleID string) error
+}
+
+// PrefixSource is implemented by engines that publish what their prefix cache holds. Events come late
+// and with gaps.
+type PrefixSource interface {
+	CacheEvents(ctx context.Context, after uint64) ([]backendserver.CacheEvent, error)
+}
+
 // callTimeout bounds a call that may not be cut short by its caller, so that a backend server that
 // never answers does not hold its place for ever. No application call of the users takes minutes.
 const callTimeout = 5 * time.Minute
--- a/internal/edge/agent/execute.go
+++ b/internal/edge/agent/execute.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,11 +14,15 @@
 	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
 	"github.com/oleandershelf/oleandershelf/internal/core/usage"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+	"github.com/oleandershelf/oleandershelf/internal/edge/backendserver"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 )
 
 const copySize = 16 << 10
 
+// copyBuffers are used again: an answer of a plain call is far smaller than its buffer.
+var copyBuffers = sync.Pool{New: func() any { return new([copySize]byte) }}
+
 // Execute runs one call at the backend server and streams its answer to out.
 func (a *Agent) Execute(ctx context.Context, q request.Execute, out peer.Sink) (request.AnswerEnd, error) {
 	end, err := a.execute(ctx, q, out)
@@ -113,6 +119,9 @@
 	if err != nil {
 		v = verdict.From(err).Verdict
 	}
+	if err != nil {
+		a.cancelGeneration(j, pool)
+	}
 	var end request.AnswerEnd
 	if r.reached {
 		end = a.account(j.q, usage.Amount{Requests: 1, Tokens: r.tokens.count, ServerTime: time.Since(started)})
@@ -121,6 +130,24 @@
 	return end, err
 }
 
+// cancelGeneration tells the engine to end a generation that nobody waits for any more. It may have
+// ended by itself; the order is harmless then.
+func (a *Agent) cancelGeneration(j *job, pool ticket.Pool) {
+	canceller, ok := a.deps.Engine.(Canceller)
+	if !ok || pool.Kind != ticket.KindModel || j.ctx.Err() == nil {
+		return
+	}
+	var ask backendserver.GenerateRequest
+	if err := json.Unmarshal(j.q.Body, &ask); err != nil || ask.SampleID == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(a.ctx, loadTimeout)
+	defer cancel()
+	if err := canceller.Cancel(ctx, ask.SampleID); err != nil {
+		a.deps.Logger.Warn().Err(err).Str("sample", ask.SampleID).Msg("cancel generation")
+	}
+}
+
 // account adds to the usage counter of the organisation. It is called before the closing frame is
 // sent, so that the count travels with the answer and two hosts hold it.
 func (a *Agent) account(q request.Execute, amount usage.Amount) request.AnswerEnd {
@@ -182,7 +209,9 @@
 // copy streams the body. When the caller has gone, a call that may not be cut short is read to its
 // end all the same, so that its outcome is known.
 func (r *run) copy(body io.Reader) error {
-	buffer := make([]byte, copySize)
+	pooled := copyBuffers.Get().(*[copySize]byte)
+	defer copyBuffers.Put(pooled)
+	buffer := pooled[:]
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
--- a/internal/edge/agent/failure_test.go
+++ b/internal/edge/agent/failure_test.go
@@ -186,37 +186,51 @@
 	close(s.released)
 }
 
-// A caller hangs up. Its queued request must never run; its stream must be cancelled at the engine;
-// its booking must run to the end, so that its outcome is known.
+// A caller hangs up. Its queued request must leave the queue and never run, and its bookings must run to
+// the end, so that their outcome is known.
 func TestCallerGone(t *testing.T) {
 	b := newBench(t, ticket.KindService)
 	ctx, hangUp := context.WithCancel(t.Context())
-	booking := b.execute(pathHold)
-	first := b.sendAsync(ctx, booking)
-	<-b.server.started
-	stream := b.execute(pathFlow)
-	stream.Idempotent = true
-	second := b.sendAsync(ctx, stream)
-	<-b.server.started
+	var bookings []request.Execute
+	for range 2 {
+		booking := b.execute(pathHold)
+		bookings = append(bookings, booking)
+		b.sendAsync(ctx, booking)
+		<-b.server.started
+	}
 	waiting := b.execute(pathOK)
-	third := b.sendAsync(ctx, waiting)
+	b.sendAsync(ctx, waiting)
 	b.untilQueued(t, 1)
 	hangUp()
-	<-first
-	<-second
-	<-third
-	if cause := <-b.server.ended; cause == nil {
-		t.Error("the stream ended without a cause")
-	}
 	b.untilQueued(t, 0)
 	if diff := cmp.Diff(request.Settled{Verdict: verdict.NotRun}, b.settle(t, waiting.ID)); diff != "" {
 		t.Error(diff)
 	}
 	close(b.server.release)
-	for b.settle(t, booking.ID).Running {
+	for _, booking := range bookings {
+		for b.settle(t, booking.ID).Running {
+		}
+		if diff := cmp.Diff(request.Settled{Verdict: verdict.Ran}, b.settle(t, booking.ID)); diff != "" {
+			t.Error(diff)
+		}
 	}
-	if diff := cmp.Diff(request.Settled{Verdict: verdict.Ran}, b.settle(t, booking.ID)); diff != "" {
-		t.Error(diff)
+}
+
+// A caller hangs up in the middle of its stream. The engine would go on generating for nobody; its
+// connection must be cut and the generation cancelled.
+func TestCallerGoneFromStream(t *testing.T) {
+	b, engine := startWeights(t, nil, 2)
+	ctx, hangUp := context.WithCancel(t.Context())
+	q := b.execute(pathFlow)
+	q.Body = []byte(`{"sampleId":"s"}`)
+	b.sendAsync(ctx, q)
+	<-b.server.started
+	hangUp()
+	if cause := <-b.server.ended; cause == nil {
+		t.Error("the stream ended without a cause")
+	}
+	if sample := <-engine.cancelled; sample != "s" {
+		t.Errorf("cancelled sample %q", sample)
 	}
 }
 
--- a/internal/edge/agent/weights.go
+++ b/internal/edge/agent/weights.go
@@ -90,6 +90,12 @@
 	}
 }
 
+// serves says whether the pool serves a model.
+func (w *weights) serves() bool {
+	pool, ok := w.deps.View().Pool(w.config.Pool)
+	return ok && pool.Kind == ticket.KindModel
+}
+
 func (w *weights) target() (ticket.ModelVersion, bool) {
 	view := w.deps.View()
 	pool, ok := view.Pool(w.config.Pool)
@@ -171,7 +177,7 @@
 	defer ticker.Stop()
 	differing := 0
 	for {
-		if _, ok := w.target(); ok {
+		if w.serves() {
 			differing = w.compare(w.pollOnce(ctx), differing)
 		}
 		select {
--- a/internal/edge/agent/weights_test.go
+++ b/internal/edge/agent/weights_test.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
+	"github.com/oleandershelf/oleandershelf/internal/edge/backendserver"
 )
 
 // fakeEngine carries out orders unless it is told to fail.
@@ -18,6 +19,26 @@
 	fail    map[OrderKind]int
 	version int
 	ordered chan struct{}
+	// cancelled receives the samples that were cancelled.
+	cancelled chan string
+	events    []backendserver.CacheEvent
+}
+
+func (e *fakeEngine) Cancel(_ context.Context, sampleID string) error {
+	e.cancelled <- sampleID
+	return nil
+}
+
+func (e *fakeEngine) CacheEvents(_ context.Context, after uint64) ([]backendserver.CacheEvent, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var later []backendserver.CacheEvent
+	for _, event := range e.events {
+		if event.Sequence > after {
+			later = append(later, event)
+		}
+	}
+	return later, nil
 }
 
 func (e *fakeEngine) Load(context.Context) (EngineLoad, error) {
@@ -43,7 +64,7 @@
 
 func startWeights(t *testing.T, fail map[OrderKind]int, count int) (*bench, *fakeEngine) {
 	t.Helper()
-	engine := &fakeEngine{fail: fail, ordered: make(chan struct{}, 100)}
+	engine := &fakeEngine{fail: fail, ordered: make(chan struct{}, 100), cancelled: make(chan string, 10)}
 	b := &bench{config: &configuration{}, engine: engine}
 	b.config.set(t, ticket.KindModel, 0, map[string][]string{"a": {testKey}})
 	startBench(t, b, ticket.KindModel)
