Serve the trainer API and coordinate jobs under their lease

One control goroutine a job drives core/delivery; a storage goroutine writes the job object after a check of the lease right before the write; workers generate, copy to a second host and score.

--- /dev/null
+++ b/internal/edge/trainer/answer.go
@@ -0,0 +1,164 @@
+package trainer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/delivery"
+	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+)
+
+type stepReply struct {
+	Step    int `json:"step"`
+	Samples int `json:"samples"`
+	Batches int `json:"batches"`
+}
+
+// modelVersionBody is the body of modelVersions and its answer.
+type modelVersionBody struct {
+	Version int    `json:"version"`
+	Weights string `json:"weights"`
+}
+
+// batchReply is the body of a batch; its bytes follow from the manifest and the contents alone.
+type batchReply struct {
+	Job          string        `json:"job"`
+	Step         int           `json:"step"`
+	Batch        int           `json:"batch"`
+	ModelVersion int           `json:"modelVersion"`
+	Last         bool          `json:"last"`
+	Samples      []sampleReply `json:"samples"`
+}
+
+type sampleReply struct {
+	delivery.Content
+	Score float64 `json:"score"`
+}
+
+// ask turns a request into an event of the job.
+func (c *Coordinator) ask(request Forwarded) (askMessage, error) {
+	message := askMessage{
+		id:      delivery.AskID(c.asked.Add(1)),
+		answers: make(chan delivery.Result, 1),
+	}
+	cursor, err := c.cursor(request.Cursor)
+	if err != nil {
+		return askMessage{}, err
+	}
+	switch request.Action {
+	case ActionStep:
+		return c.askStep(message, request, cursor)
+	case ActionBatch:
+		message.event = delivery.BatchAsked{ID: message.id, Step: request.Step, Batch: request.Batch, Cursor: cursor}
+		return message, nil
+	case ActionModelVersion:
+		return askVersion(message, request, cursor)
+	}
+	return askMessage{}, refusalBadRequest("action %q is unknown", request.Action)
+}
+
+func (c *Coordinator) cursor(text string) (*delivery.Cursor, error) {
+	if text == "" {
+		return nil, nil
+	}
+	cursor, err := delivery.ParseCursor(c.deps.Secret, text)
+	if err != nil {
+		return nil, refusalBadRequest("%v", err)
+	}
+	return &cursor, nil
+}
+
+func (c *Coordinator) askStep(message askMessage, request Forwarded, cursor *delivery.Cursor) (askMessage, error) {
+	plan, err := delivery.ParsePlan(request.Body)
+	if err != nil {
+		return askMessage{}, refusalBadRequest("%v", err)
+	}
+	body, digest, err := plan.Encode()
+	if err != nil {
+		return askMessage{}, err
+	}
+	job, _ := c.deps.View().TrainerJob(request.Job)
+	message.body = body
+	message.digest = digest
+	message.event = delivery.StepAsked{
+		ID:        message.id,
+		Step:      request.Step,
+		Digest:    digest,
+		Sizes:     plan.Sizes(),
+		BatchSize: max(1, job.BatchSize),
+		Chunks:    chunkCount(body),
+		Cursor:    cursor,
+	}
+	return message, nil
+}
+
+func askVersion(message askMessage, request Forwarded, cursor *delivery.Cursor) (askMessage, error) {
+	var body modelVersionBody
+	if err := decodeStrictly(request.Body, &body); err != nil {
+		return askMessage{}, refusalBadRequest("model version: %v", err)
+	}
+	if body.Version < 1 {
+		return askMessage{}, refusalBadRequest("model version: version %d is not above 0", body.Version)
+	}
+	message.event = delivery.VersionAsked{
+		ID: message.id, Version: body.Version, Weights: body.Weights, Cursor: cursor,
+	}
+	return message, nil
+}
+
+// reply encodes an answer with its cursor.
+func (c *Coordinator) reply(body any, cursor *delivery.Cursor) (Reply, error) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return Reply{}, errors.Wrap(err, "trainer's answer")
+	}
+	reply := Reply{Status: http.StatusOK, Body: raw}
+	if cursor == nil {
+		return reply, nil
+	}
+	reply.Cursor, err = cursor.Sign(c.deps.Secret)
+	return reply, err
+}
+
+// replyVersion publishes the version, which the job object holds already. A publication that
+// fails is made up for when the trainer posts the version again.
+func (c *Coordinator) replyVersion(ctx context.Context, name string, e delivery.VersionAccepted) (Reply, error) {
+	job, _ := c.deps.View().TrainerJob(name)
+	version := ticket.ModelVersion{Model: job.Model, Version: e.Version, Weights: e.Weights}
+	if err := c.deps.PublishModelVersion(ctx, version); err != nil {
+		refusal := *verdict.From(err)
+		refusal.Verdict = verdict.MayHaveRun
+		return Reply{}, &refusal
+	}
+	return c.reply(modelVersionBody{Version: e.Version, Weights: e.Weights}, e.Cursor)
+}
+
+// replyBatch assembles a batch from the contents on this and other hosts.
+func (c *Coordinator) replyBatch(ctx context.Context, r *runner, e delivery.BatchReady) (Reply, error) {
+	contents, err := c.contents(ctx, r.job, e.Step, e.Manifest)
+	if err != nil {
+		r.post(ctx, missingMessage{step: e.Step, batch: e.Manifest.Batch})
+		return Reply{}, verdict.New(verdict.MayHaveRun, http.StatusServiceUnavailable, verdict.ReasonServerLost,
+			retryInterval, "batch %d: %v", e.Manifest.Batch, err)
+	}
+	body := batchReply{
+		Job:          r.job,
+		Step:         e.Step,
+		Batch:        e.Manifest.Batch,
+		ModelVersion: e.Manifest.ModelVersion,
+		Last:         e.Manifest.Last,
+	}
+	for _, ref := range e.Manifest.Refs {
+		sample := sampleReply{Score: ref.Score}
+		if err := json.Unmarshal(contents[ref.Digest].Raw, &sample.Content); err != nil {
+			return Reply{}, errors.Wrapf(err, "content %s", ref.Digest)
+		}
+		body.Samples = append(body.Samples, sample)
+	}
+	c.metrics.batch(r.job)
+	return c.reply(body, &e.Cursor)
+}
--- a/internal/edge/trainer/deps.go
+++ b/internal/edge/trainer/deps.go
@@ -24,6 +24,11 @@
 	MaxTokens int
 	// Resume is the prefix that an earlier call returned before it failed.
 	Resume []Token
+	// Hedge says that the sample is running elsewhere too, on a server that is slow.
+	Hedge bool
+	// Progress is told the number of tokens so far; it never blocks and may be left uncalled, but
+	// then a straggler is known only by its age.
+	Progress func(tokens int)
 }
 
 // Generator generates samples at the backend servers of a model.
@@ -53,13 +58,14 @@
 
 // CopiedSample is the encoded content of a finished sample under its digest.
 type CopiedSample struct {
+	Step   int    `msgpack:"s"`
 	Digest string `msgpack:"d"`
 	Raw    []byte `msgpack:"r"`
 }
 
 // Copier keeps finished samples on a second host.
 type Copier interface {
-	// Copy returns the host that confirmed the copy.
+	// Copy returns the host that confirmed the copy, never this one.
 	Copy(ctx context.Context, job string, sample CopiedSample) (netip.AddrPort, error)
 	// Fetch returns those of the named contents that the host still holds.
 	Fetch(ctx context.Context, from netip.AddrPort, job string, digests []string) ([]CopiedSample, error)
@@ -101,8 +107,10 @@
 	// View returns the configuration in force; it is never nil.
 	View      func() Configuration
 	Generator Generator
-	Scorer    Scorer
-	Copier    Copier
+	// Scorer is asked only for jobs with a scoring pool.
+	Scorer Scorer
+	// Copier is nil in a deployment of one host, where nothing is copied.
+	Copier Copier
 	// Lease returns the lease of trainerJob/{job}; it contends until the context ends.
 	Lease func(ctx context.Context, job string) Lease
 	// Forwarder is nil in a process that never leaves a job to another.
@@ -111,6 +119,8 @@
 	Self netip.AddrPort
 	// Secret signs the cursors; all entries share it.
 	Secret []byte
+	// Fresh says whether the configuration may still be relied on; nil means always.
+	Fresh func(now time.Time) bool
 	// PublishModelVersion makes a model version known to the backend servers, by a change of head.
 	PublishModelVersion func(ctx context.Context, version ticket.ModelVersion) error
 }
--- /dev/null
+++ b/internal/edge/trainer/refusal.go
@@ -0,0 +1,25 @@
+package trainer
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+)
+
+// retryInterval is when a trainer comes back after a refusal that passes by itself.
+const retryInterval = time.Second
+
+func refusalNotHolder(job string) *verdict.Refusal {
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonNotLeader, retryInterval,
+		"no coordinator of trainer job %s is known here", job)
+}
+
+func refusalLeaving(job string) *verdict.Refusal {
+	return verdict.New(verdict.MayHaveRun, http.StatusServiceUnavailable, verdict.ReasonLeaving, retryInterval,
+		"the coordinator of trainer job %s is leaving", job)
+}
+
+func refusalBadRequest(format string, args ...any) *verdict.Refusal {
+	return verdict.New(verdict.NotRun, http.StatusBadRequest, verdict.ReasonBadRequest, 0, format, args...)
+}
--- /dev/null
+++ b/internal/edge/trainer/runner.go
@@ -0,0 +1,311 @@
+package trainer
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/delivery"
+)
+
+const (
+	// tickInterval is how often the lease is looked at and delayed work is taken up. It is well
+	// under the time between two renewals, so that a renewal is told from a new term.
+	tickInterval = 250 * time.Millisecond
+	// probeInterval is how often an unreachable platform is tried again.
+	probeInterval = time.Second
+	// contentGrace is how long a batch's content may be unreachable before the batch is made
+	// anew: longer than a restart of the network between hosts, shorter than a trainer's patience.
+	contentGrace = 10 * time.Second
+	inboxSize    = 256
+	// storageQueue holds more operations than are ever under way: one read, one write and one load
+	// a term of the lease, so that the control goroutine never waits for the platform.
+	storageQueue = 64
+)
+
+// runner coordinates one job. Its control goroutine owns all fields below inbox.
+type runner struct {
+	job     string
+	deps    Deps
+	options options
+	lease   Lease
+	shelf   *shelf
+	metrics *metrics
+	status  atomic.Pointer[runnerStatus]
+	inbox   chan message
+	storage chan storeOperation
+	tasks   chan task
+	done    chan struct{}
+
+	machine    *delivery.Job
+	answers    map[delivery.AskID]chan delivery.Result
+	activation int
+	active     bool
+	held       bool
+	fence      Fence
+	probed     time.Time
+	bodies     map[string][]byte
+	plan       *delivery.Plan
+	planStep   int
+	planDigest string
+	loading    bool
+	schedule   *schedule
+	lostSince  time.Time
+	lostBatch  missingMessage
+	// parent ends all work of the job; taskCtx ends that of one step.
+	parent    context.Context
+	taskCtx   context.Context
+	stopTasks context.CancelFunc
+}
+
+// runnerStatus is what other goroutines see of a runner.
+type runnerStatus struct {
+	delivery.Status
+	Active    bool   `json:"active"`
+	Fencing   uint64 `json:"leaseFencing"`
+	Running   int    `json:"running"`
+	BodyKnown bool   `json:"bodyKnown"`
+}
+
+// newRunner starts the goroutines of a job; they end with the context.
+func newRunner(ctx context.Context, job string, c *Coordinator, work *conc.WaitGroup) *runner {
+	r := &runner{
+		job:     job,
+		deps:    c.deps,
+		options: c.options,
+		lease:   c.deps.Lease(ctx, job),
+		shelf:   c.shelf,
+		metrics: c.metrics,
+		inbox:   make(chan message, inboxSize),
+		storage: make(chan storeOperation, storageQueue),
+		tasks:   make(chan task, c.options.concurrency),
+		done:    make(chan struct{}),
+		answers: map[delivery.AskID]chan delivery.Result{},
+		parent:  ctx,
+	}
+	r.taskCtx, r.stopTasks = context.WithCancel(ctx)
+	r.reset()
+	r.publish()
+	work.Go(func() { r.run(ctx) })
+	work.Go(func() { r.runStorage(ctx) })
+	for range c.options.concurrency {
+		work.Go(func() { r.runWorker(ctx) })
+	}
+	return r
+}
+
+func (r *runner) bound() int {
+	job, _ := r.deps.View().TrainerJob(r.job)
+	return job.StalenessBound
+}
+
+// reset forgets all state of the job; results of earlier work carry an older activation.
+func (r *runner) reset() {
+	r.stopTasks()
+	r.taskCtx, r.stopTasks = context.WithCancel(r.parent)
+	r.activation++
+	r.active = false
+	r.held = false
+	r.fence = Fence{}
+	r.machine = delivery.NewJob(r.job, r.deps.Self, r.bound())
+	r.bodies = map[string][]byte{}
+	r.plan = nil
+	r.planDigest = ""
+	r.loading = false
+	r.schedule = newSchedule(r.options.concurrency)
+}
+
+func (r *runner) run(ctx context.Context) {
+	defer close(r.done)
+	defer func() { r.stopTasks() }()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		changed := r.lease.Changed()
+		r.checkLease(time.Now())
+		r.work(time.Now())
+		r.publish()
+		select {
+		case <-ctx.Done():
+			r.leave()
+			return
+		case m := <-r.inbox:
+			m.apply(r)
+		case <-changed:
+		case now := <-ticker.C:
+			r.tick(now)
+		}
+	}
+}
+
+func (r *runner) tick(now time.Time) {
+	r.handle(delivery.BoundChanged{Bound: r.bound()})
+	if r.active && now.Sub(r.probed) >= probeInterval {
+		r.probed = now
+		r.handle(delivery.Ticked{})
+	}
+}
+
+// checkLease tells the machine of changes. A number that is seen before the deadline of the one
+// before is a renewal: no other host can have held the lease in between.
+func (r *runner) checkLease(now time.Time) {
+	fence, held := r.lease.Held(now)
+	if !held {
+		r.checkLoss()
+		return
+	}
+	if !r.held || fence.Number != r.fence.Number {
+		renewed := r.fence.Number != 0 && now.Before(r.fence.Deadline)
+		r.active = true
+		r.handle(delivery.FenceChanged{Number: uint64(fence.Number), Held: true, Renewed: renewed})
+	}
+	r.held = true
+	r.fence = fence
+}
+
+func (r *runner) checkLoss() {
+	if r.held {
+		r.held = false
+		r.handle(delivery.FenceChanged{})
+	}
+	holder, known := r.lease.Holder()
+	if r.active && known && holder != r.deps.Self {
+		r.handle(delivery.Superseded{})
+		r.reset()
+	}
+}
+
+// handle passes an event to the machine and carries out the effects.
+func (r *runner) handle(event delivery.Event) {
+	for _, effect := range r.machine.Handle(event) {
+		switch e := effect.(type) {
+		case delivery.Read:
+			r.storage <- readOperation{activation: r.activation}
+		case delivery.Write:
+			r.storage <- r.writeOperation(e)
+		case delivery.Answer:
+			r.answer(e)
+		}
+	}
+}
+
+func (r *runner) writeOperation(write delivery.Write) writeOperation {
+	operation := writeOperation{activation: r.activation, write: write}
+	if write.Body {
+		operation.body = r.bodies[write.Record.Step.Digest]
+	}
+	return operation
+}
+
+func (r *runner) answer(e delivery.Answer) {
+	answers, ok := r.answers[e.ID]
+	if !ok {
+		return
+	}
+	delete(r.answers, e.ID)
+	answers <- e.Result
+}
+
+// leave answers what still waits when the process ends.
+func (r *runner) leave() {
+	for id, answers := range r.answers {
+		delete(r.answers, id)
+		answers <- delivery.Refused{Refusal: refusalLeaving(r.job)}
+	}
+}
+
+// work loads the step's body if it is unknown, and starts samples.
+func (r *runner) work(now time.Time) {
+	step := r.machine.Step()
+	if !r.active || step == nil {
+		return
+	}
+	if r.plan == nil || r.planStep != step.Step || r.planDigest != step.Digest {
+		r.findPlan(step)
+		return
+	}
+	r.schedule.fill(now, r)
+}
+
+func (r *runner) findPlan(step *delivery.StepRecord) {
+	if body, ok := r.bodies[step.Digest]; ok {
+		r.setPlan(step.Step, step.Digest, body)
+		return
+	}
+	if r.loading || step.Chunks == 0 {
+		return
+	}
+	r.loading = true
+	r.storage <- loadBodyOperation{
+		activation: r.activation, step: step.Step, digest: step.Digest, chunks: step.Chunks,
+	}
+}
+
+func (r *runner) setPlan(step int, digest string, body []byte) {
+	plan, err := delivery.ParsePlan(body)
+	if err != nil {
+		return
+	}
+	r.plan = &plan
+	r.planStep = step
+	r.planDigest = digest
+	r.bodies = map[string][]byte{digest: body}
+	r.schedule = newSchedule(r.options.concurrency)
+	r.stopTasks()
+	r.taskCtx, r.stopTasks = context.WithCancel(r.parent)
+	r.storage <- cleanOperation{before: step}
+}
+
+func (r *runner) publish() {
+	status := &runnerStatus{
+		Status:    r.machine.Status(),
+		Active:    r.active,
+		Fencing:   uint64(r.fence.Number),
+		Running:   r.schedule.running,
+		BodyKnown: r.plan != nil,
+	}
+	r.status.Store(status)
+	r.metrics.observe(status)
+}
+
+// post hands a message to the control goroutine; it returns false once that has ended.
+func (r *runner) post(ctx context.Context, m message) bool {
+	select {
+	case r.inbox <- m:
+		return true
+	case <-r.done:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *runner) runStorage(ctx context.Context) {
+	s := &storage{job: r.job, store: r.deps.Store, lease: r.lease}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case operation := <-r.storage:
+			if m := operation.run(ctx, s); m != nil {
+				r.post(ctx, m)
+			}
+		}
+	}
+}
+
+// serving says whether this host may answer for the job: it holds the lease, or held it last and
+// has seen no other holder, as in an outage of the platform.
+func (r *runner) serving(now time.Time) (here bool, holder netip.AddrPort, known bool) {
+	if _, held := r.lease.Held(now); held {
+		return true, netip.AddrPort{}, true
+	}
+	holder, known = r.lease.Holder()
+	if known && holder != r.deps.Self {
+		return false, holder, true
+	}
+	return r.status.Load().Active, netip.AddrPort{}, false
+}
--- /dev/null
+++ b/internal/edge/trainer/worker.go
@@ -0,0 +1,146 @@
+package trainer
+
+import (
+	"context"
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/delivery"
+)
+
+const (
+	// copyTimeout and scoreTimeout bound one try; the sample rests and is tried again.
+	copyTimeout  = 5 * time.Second
+	scoreTimeout = 30 * time.Second
+)
+
+var errScore = errors.New("score")
+
+func (r *runner) maxTokens() int {
+	job, _ := r.deps.View().TrainerJob(r.job)
+	switch {
+	case r.plan.MaxTokens == 0:
+		return job.MaxTokens
+	case job.MaxTokens == 0:
+		return r.plan.MaxTokens
+	}
+	return min(r.plan.MaxTokens, job.MaxTokens)
+}
+
+func (r *runner) runWorker(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case t := <-r.tasks:
+			tokens, err := r.process(ctx, &t)
+			r.post(ctx, endedMessage{task: t, failed: err != nil, tokens: tokens})
+		}
+	}
+}
+
+// process takes a sample as far as it goes and returns the number of its tokens so far.
+func (r *runner) process(ctx context.Context, t *task) (int, error) {
+	tokens := 0
+	if t.stage == delivery.StatePending {
+		generated, err := r.generate(ctx, t)
+		if err != nil {
+			return len(generated), err
+		}
+		tokens = len(generated)
+	}
+	if t.stage != delivery.StateCopied {
+		if err := r.copySample(ctx, t); err != nil {
+			t.stage = delivery.StateGenerated
+			return tokens, err
+		}
+	}
+	t.stage = delivery.StateCopied
+	return tokens, r.score(ctx, t)
+}
+
+func (r *runner) generate(ctx context.Context, t *task) ([]Token, error) {
+	tokens, err := r.deps.Generator.Generate(t.ctx, t.request)
+	message := generatedMessage{task: *t, tokens: tokens, err: err}
+	if err == nil {
+		message.err = r.keep(t, tokens)
+		message.digest = t.copied.Digest
+	}
+	if err == nil && message.err != nil {
+		// A whole sample is no prefix: resumed, it would grow past its end.
+		message.tokens = nil
+	}
+	r.post(ctx, message)
+	return message.tokens, message.err
+}
+
+// keep holds the content on this host.
+func (r *runner) keep(t *task, tokens []Token) error {
+	t.content = delivery.Content{
+		SampleID: delivery.SampleID{Job: r.job, Step: t.work.Step, Group: t.group, Index: t.index}.String(),
+		Group:    t.group,
+		Index:    t.index,
+		Prompt:   t.request.Prompt,
+		Text:     delivery.Text(tokens),
+		Spans:    delivery.Spans(tokens),
+	}
+	raw, digest, err := t.content.Encode()
+	if err != nil {
+		return err
+	}
+	t.copied = CopiedSample{Step: t.work.Step, Digest: digest, Raw: raw}
+	return r.shelf.put(r.job, t.copied)
+}
+
+func (r *runner) copySample(ctx context.Context, t *task) error {
+	var host netip.AddrPort
+	if r.deps.Copier != nil {
+		copying, cancel := context.WithTimeout(t.ctx, copyTimeout)
+		defer cancel()
+		confirmed, err := r.deps.Copier.Copy(copying, r.job, t.copied)
+		if err != nil {
+			return errors.Wrap(err, t.name)
+		}
+		host = confirmed
+	}
+	r.post(ctx, eventMessage{t.activation, delivery.SampleCopied{Work: t.work, Host: host}})
+	return nil
+}
+
+func (r *runner) score(ctx context.Context, t *task) error {
+	value := 0.0
+	if t.pool != "" {
+		scored, err := r.askScore(t)
+		if err != nil {
+			r.metrics.scoringFailed(r.job)
+			return err
+		}
+		value = scored
+	}
+	r.post(ctx, eventMessage{t.activation, delivery.SampleScored{Work: t.work, Score: value}})
+	return nil
+}
+
+func (r *runner) askScore(t *task) (float64, error) {
+	ctx, cancel := context.WithTimeout(t.ctx, scoreTimeout)
+	defer cancel()
+	request := ScoreRequest{SampleID: t.name, Prompt: t.content.Prompt, Text: t.content.Text}
+	scores, err := r.deps.Scorer.Score(ctx, t.pool, t.request.Organisation, []ScoreRequest{request})
+	if err != nil {
+		return 0, errors.Wrap(err, t.name)
+	}
+	for _, score := range scores {
+		// Answers of a scorer may come crossed: only the score of this very sample counts.
+		if score.SampleID != t.name {
+			continue
+		}
+		if math.IsNaN(score.Value) || math.IsInf(score.Value, 0) {
+			return 0, errors.Wrapf(errScore, "%s is %v", t.name, score.Value)
+		}
+		return score.Value, nil
+	}
+	return 0, errors.Wrapf(errScore, "%s has none", t.name)
+}
