--- a/internal/edge/configuration/publisher.go
+++ b/internal/edge/configuration/publisher.go
@@ -38,22 +38,23 @@
 	return func(p *Publisher) { p.follower = follower }
 }
 
-func withPublisherWaits(early, settle time.Duration) PublisherOption {
-	return func(p *Publisher) { p.earlyWait, p.settleWait = early, settle }
+// withTime replaces the clock and the pauses.
+func withTime(clock func() time.Time, sleep func(context.Context, time.Duration)) PublisherOption {
+	return func(p *Publisher) { p.clock, p.sleep = clock, sleep }
 }
 
 // Publisher applies tickets. It may be used on any number of hosts at once: the conditional update of
 // the head object decides between them.
 type Publisher struct {
-	store      platform.Store
-	follower   *Follower
-	earlyWait  time.Duration
-	settleWait time.Duration
+	store    platform.Store
+	follower *Follower
+	clock    func() time.Time
+	sleep    func(context.Context, time.Duration)
 }
 
 // NewPublisher returns a publisher that writes to the store.
 func NewPublisher(store platform.Store, opts ...PublisherOption) *Publisher {
-	p := &Publisher{store: store, earlyWait: earlyWait, settleWait: settleWait}
+	p := &Publisher{store: store, clock: time.Now, sleep: pause}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -70,7 +71,7 @@
 	if err != nil {
 		return refuseTicket(number, err)
 	}
-	return p.commit(ctx, &numbered{number: number, ticket: t, digest: digest, early: time.Now().Add(p.earlyWait)})
+	return p.commit(ctx, &numbered{number: number, ticket: t, digest: digest, early: p.clock().Add(earlyWait)})
 }
 
 // PublishModelVersion sets the version that a model's servers are to serve, without a ticket. Versions
@@ -144,10 +145,10 @@
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonPlatformUnavailable,
 			retryLater, "nothing was written: %v", cause)
 	}
-	if time.Now().After(a.giveUp) || ctx.Err() != nil {
+	if a.publisher.clock().After(a.giveUp) || ctx.Err() != nil {
 		return a.proposal.unsettled(cause)
 	}
-	pause(ctx, settlePace)
+	a.publisher.sleep(ctx, settlePace)
 	return nil
 }
 
@@ -174,7 +175,7 @@
 	if a.inDoubt && version != a.doubt {
 		a.inDoubt = false
 	}
-	decided, err := a.proposal.decide(found.view, time.Now(), a.doubted)
+	decided, err := a.proposal.decide(found.view, a.publisher.clock(), a.doubted)
 	switch {
 	case err != nil:
 		return true, err
@@ -218,7 +219,7 @@
 	}
 	if !a.inDoubt {
 		a.inDoubt, a.doubted, a.doubt = true, true, version
-		a.giveUp = time.Now().Add(a.publisher.settleWait)
+		a.giveUp = a.publisher.clock().Add(settleWait)
 	}
 	return false, errors.Wrap(err, "head")
 }
