--- a/internal/edge/agent/tokens.go
+++ b/internal/edge/agent/tokens.go
@@ -6,8 +6,11 @@
 	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
 )
 
-// tokenMark opens each event of an engine's stream that carries a token.
-var tokenMark = []byte("data:")
+// Openings of the events of an engine's stream: each event is a token but for the closing one.
+var (
+	eventMark = []byte(`data: `)
+	doneMark  = []byte(`data: {"done"`)
+)
 
 // tokenCounter counts the tokens of a streamed answer as its bytes pass.
 type tokenCounter struct {
@@ -32,7 +35,7 @@
 			return
 		}
 		t.extend(p[:end])
-		if bytes.HasPrefix(t.line, tokenMark) {
+		if bytes.HasPrefix(t.line, eventMark) && !bytes.HasPrefix(t.line, doneMark) {
 			t.count++
 		}
 		t.line = t.line[:0]
@@ -41,6 +44,6 @@
 }
 
 func (t *tokenCounter) extend(p []byte) {
-	room := len(tokenMark) - len(t.line)
+	room := len(doneMark) - len(t.line)
 	t.line = append(t.line, p[:min(len(p), max(room, 0))]...)
 }
--- /dev/null
+++ b/internal/program/e2e/cluster_test.go
@@ -0,0 +1,197 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
+	"github.com/oleandershelf/oleandershelf/internal/program/scenario"
+	"github.com/oleandershelf/oleandershelf/internal/program/settings"
+)
+
+const (
+	readyLimit = 20 * time.Second
+	endLimit   = 40 * time.Second
+)
+
+// binary is the program under test, built once.
+var binary = sync.OnceValues(func() (string, error) {
+	folder, err := os.MkdirTemp("", "oleandershelf-e2e")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(folder, "oleandershelf")
+	out, err := exec.Command("go", "build", "-o", path, "../../..").CombinedOutput()
+	if err != nil {
+		return "", &buildError{string(out)}
+	}
+	return path, nil
+})
+
+type buildError struct{ out string }
+
+func (e *buildError) Error() string { return "go build: " + e.out }
+
+// cluster is a deployment of separate processes.
+type cluster struct {
+	t        *testing.T
+	folder   string
+	topology scenario.Topology
+	running  map[string]*running
+}
+
+// running is one process and what it logged.
+type running struct {
+	cmd  *exec.Cmd
+	log  *bytes.Buffer
+	done chan struct{}
+}
+
+// newCluster starts all processes of the deployment; they end with the test.
+func newCluster(t *testing.T, deployment scenario.Deployment) *cluster {
+	t.Helper()
+	topology, err := scenario.NewTopology(deployment, freeAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &cluster{t: t, folder: t.TempDir(), topology: topology, running: map[string]*running{}}
+	t.Cleanup(c.kill)
+	hosts := c.write("hosts.json", topology.Hosts())
+	c.start("platform", "standin", "platform", "--listen", topology.Platform.String(), "--hosts", hosts)
+	c.start("weightstore", "standin", "weightstore", "--listen", topology.WeightStore.String())
+	for _, place := range topology.Places {
+		c.startServer(place)
+	}
+	for _, set := range topology.Entries {
+		c.startProcess("entry", set)
+	}
+	for _, place := range topology.Places {
+		c.startProcess("agent", place.Settings)
+	}
+	for _, set := range topology.Entries {
+		c.waitReady(set)
+	}
+	return c
+}
+
+func freeAddress() (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer func() { _ = l.Close() }()
+	return netip.ParseAddrPort(l.Addr().String())
+}
+
+func (c *cluster) write(name string, value any) string {
+	c.t.Helper()
+	body, err := json.Marshal(value)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	path := filepath.Join(c.folder, name)
+	if err := os.WriteFile(path, body, 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return path
+}
+
+func (c *cluster) start(name string, args ...string) {
+	c.t.Helper()
+	path, err := binary()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	p := &running{cmd: exec.Command(path, args...), log: &bytes.Buffer{}, done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	if err := p.cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	c.running[name] = p
+}
+
+func (c *cluster) startServer(place scenario.Place) {
+	kinds := map[ticket.PoolKind]string{ticket.KindModel: "engine", ticket.KindService: "service", ticket.KindScoring: "scorer"}
+	args := []string{"standin", kinds[place.Kind], "--listen", place.Server.String()}
+	if place.Kind == ticket.KindModel {
+		args = append(args, "--slots", "4", "--weight-store", "http://"+c.topology.WeightStore.String())
+	}
+	c.start("server-"+place.Settings.HostID, args...)
+}
+
+func (c *cluster) startProcess(role string, set settings.Settings) {
+	fields := map[string]any{
+		"hostId": set.HostID, "availabilityZone": set.AvailabilityZone, "platformUrl": set.PlatformURL,
+		"peerListen": set.PeerListen, "adminListen": set.AdminListen, "peerSecret": set.PeerSecret, "logLevel": "warn",
+		"usageWindow": set.UsageWindow.String(), "leaveDelay": set.LeaveDelay.String(), "drainTime": set.DrainTime.String(),
+	}
+	if role == "entry" {
+		fields["listen"] = set.Listen
+	} else {
+		fields["pool"], fields["serverUrl"] = set.Pool, set.ServerURL
+	}
+	c.start(set.HostID, role, "--settings", c.write(set.HostID+".json", fields))
+}
+
+func (c *cluster) waitReady(set settings.Settings) {
+	c.t.Helper()
+	url := "http://" + set.AdminListen.String() + "/readyz"
+	for end := time.Now().Add(readyLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		response, err := http.Get(url)
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	c.t.Fatalf("%s is not ready:\n%s", set.HostID, c.running[set.HostID].log)
+}
+
+// signal sends a signal to one process, by its id.
+func (c *cluster) signal(name string, signal syscall.Signal) {
+	c.t.Helper()
+	if err := c.running[name].cmd.Process.Signal(signal); err != nil {
+		c.t.Fatalf("%s: %v", name, err)
+	}
+}
+
+// ended waits for a process and returns its exit code.
+func (c *cluster) ended(name string) int {
+	c.t.Helper()
+	select {
+	case <-c.running[name].done:
+	case <-time.After(endLimit):
+		c.t.Fatalf("%s has not ended", name)
+	}
+	return c.running[name].cmd.ProcessState.ExitCode()
+}
+
+func (c *cluster) kill() {
+	for _, p := range c.running {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+	if c.t.Failed() {
+		for name, p := range c.running {
+			if p.log.Len() > 0 {
+				c.t.Logf("log of %s:\n%s", name, p.log)
+			}
+		}
+	}
+}
--- a/internal/program/process/agent.go
+++ b/internal/program/process/agent.go
@@ -8,6 +8,7 @@
 	"github.com/oleandershelf/oleandershelf/internal/core/usage"
 	"github.com/oleandershelf/oleandershelf/internal/edge/admin"
 	"github.com/oleandershelf/oleandershelf/internal/edge/agent"
+	"github.com/oleandershelf/oleandershelf/internal/edge/billing"
 	"github.com/oleandershelf/oleandershelf/internal/edge/configuration"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 	"github.com/oleandershelf/oleandershelf/internal/program/settings"
@@ -19,6 +20,8 @@
 	cancel   context.CancelFunc
 	follower *configuration.Follower
 	agent    *agent.Agent
+	usage    *billing.Collector
+	counters *usage.Ledger
 	peers    *peer.Server
 	admin    *admin.Server
 }
@@ -52,6 +55,8 @@
 	p := &Agent{runtime: r}
 	p.follower = r.newFollower(ctx)
 	server := newBackendServer(set.ServerURL)
+	p.counters = usage.NewLedger()
+	p.usage = r.newAgentCollector(ctx, p.counters)
 	p.agent, err = agent.New(ctx, agent.Config{
 		HostID:           set.HostID,
 		AvailabilityZone: set.AvailabilityZone,
@@ -65,7 +70,7 @@
 		Fresh:      p.follower.Fresh,
 		Server:     server,
 		Engine:     newEngine(p.follower.View, set.Pool, set.ServerURL),
-		Ledger:     usage.NewLedger(),
+		Ledger:     p.counters,
 		Registerer: r.registry,
 		Logger:     log,
 	})
@@ -79,6 +84,7 @@
 	p.admin, err = r.serveAdmin(ctx, map[string]admin.Dump{
 		"agent":         p.agent.State,
 		"configuration": p.follower.State,
+		"usage":         func() any { return p.usage.State() },
 	})
 	if err != nil {
 		return nil, err
@@ -92,6 +98,11 @@
 	if err := p.agent.Drain(ctx); err != nil {
 		return err
 	}
+	// No relay may ask this host again before it ends, so it writes its counts itself.
+	p.usage.Merge(p.counters.Counts()...)
+	if err := p.usage.Flush(ctx); err != nil {
+		p.runtime.log.Error().Err(err).Msg("usage counts were not stored")
+	}
 	return p.peers.Drain(ctx)
 }
 
--- a/internal/program/process/contender.go
+++ b/internal/program/process/contender.go
@@ -13,12 +13,17 @@
 // isContender says whether the host is among the first few of hosts by rendezvous hashing. A host that
 // isn't on the lagging list yet doesn't contend; with an empty list everybody does.
 func isContender(duty, self string, hosts []string) bool {
-	if len(hosts) <= contenders {
+	return isAmong(contenders, duty, self, hosts)
+}
+
+// isAmong says whether the host is among the first count of hosts by rendezvous hashing for the name.
+func isAmong(count int, name, self string, hosts []string) bool {
+	if len(hosts) <= count {
 		return len(hosts) == 0 || slices.Contains(hosts, self)
 	}
 	ranked := slices.Clone(hosts)
 	slices.SortFunc(ranked, func(a, b string) int {
-		wa, wb := weight(duty, a), weight(duty, b)
+		wa, wb := weight(name, a), weight(name, b)
 		switch {
 		case wa > wb:
 			return -1
@@ -28,7 +33,7 @@
 			return 0
 		}
 	})
-	return slices.Contains(ranked[:contenders], self)
+	return slices.Contains(ranked[:count], self)
 }
 
-func weight(duty, host string) uint64 { return xxhash.Sum64String(duty + "\x00" + host) }
+func weight(name, host string) uint64 { return xxhash.Sum64String(name + "\x00" + host) }
--- a/internal/program/process/duties.go
+++ b/internal/program/process/duties.go
@@ -3,16 +3,12 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/sourcegraph/conc"
 
 	"github.com/oleandershelf/oleandershelf/internal/edge/duty"
 )
 
-// dutyInterval is how often a host looks whether it has become a contender for a duty.
-const dutyInterval = time.Second
-
 // keepers starts and keeps the keepers of the duties for which this host is a contender.
 //
 // A keeper reads its lease object every few seconds. With a keeper for every duty on each of 380 entries the
--- a/internal/program/process/entry.go
+++ b/internal/program/process/entry.go
@@ -103,6 +103,9 @@
 	if err := p.entry.Drain(ctx, p.runtime.set.LeaveDelay); err != nil {
 		return err
 	}
+	if err := p.duties.usage.collector.Flush(ctx); err != nil {
+		p.runtime.log.Error().Err(err).Msg("usage counts were not stored")
+	}
 	p.duties.release(ctx)
 	return p.peers.Drain(ctx)
 }
@@ -116,6 +119,7 @@
 func (p *Entry) close() {
 	p.cancel()
 	p.entry.Wait()
+	p.trainers.Wait()
 	p.duties.wait()
 	p.admin.Wait()
 	p.runtime.client.Wait()
--- a/internal/program/process/entryduties.go
+++ b/internal/program/process/entryduties.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/usage"
+	"github.com/oleandershelf/oleandershelf/internal/edge/billing"
 	"github.com/oleandershelf/oleandershelf/internal/edge/configuration"
 	"github.com/oleandershelf/oleandershelf/internal/edge/fleet"
 )
@@ -18,13 +20,15 @@
 // duties are what an entry does under lease beside serving.
 type duties struct {
 	*keepers
-	fleet  *fleet.Runner
-	ledger *usage.Ledger
+	fleet *fleet.Runner
+	usage *gatherer
+	// closer closes usage windows; one host does it for all organisations.
+	closer *billing.Closer
 }
 
 // newDuties starts the duties of an entry; each acts only while its lease is held.
 func newDuties(ctx context.Context, r *runtime, follower *configuration.Follower) *duties {
-	d := &duties{keepers: newKeepers(r), ledger: usage.NewLedger()}
+	d := &duties{keepers: newKeepers(r), usage: r.newGatherer(ctx)}
 	own := r.set.AvailabilityZone
 	seen := zone{name: own, runtime: r, follower: follower}
 	d.fleet = fleet.New(ctx, own, r.set.HostID, fleet.Deps{
@@ -33,15 +37,25 @@
 		Gather: seen.gather,
 		Drain:  seen.drain,
 	}, fleet.WithLogger(r.log))
+	d.closer = billing.NewCloser(ctx, r.platform, plainKeeper{d.keeper(ctx, dutyUsage, "")},
+		billing.WithCloserWindow(r.set.UsageWindow), billing.WithGrace(usageGrace(r.set.UsageWindow)), billing.WithCloserLog(r.log))
 	return d
 }
 
+// usageGrace is how long after its end a window is closed: counts are gathered every 3 s and flushed every 5 s,
+// so what ran is in the platform within 10 s; later counts are carried over. A window shorter than that waits its own length.
+func usageGrace(window time.Duration) time.Duration { return min(window, maxUsageGrace) }
+
+const maxUsageGrace = 30 * time.Second
+
 // counted takes the usage counter of an answer, so that two hosts hold it before the caller sees the end.
-func (d *duties) counted(count usage.Count) { d.ledger.Merge(count) }
+func (d *duties) counted(count usage.Count) { d.usage.collector.Merge(count) }
 
 func (d *duties) wait() {
 	d.keepers.wait()
 	d.fleet.Wait()
+	d.usage.wait()
+	d.closer.Wait()
 }
 
 // state is the dump of all duties.
@@ -49,6 +63,7 @@
 	return map[string]any{
 		"leases":       d.keepers.state(),
 		"serverOrders": d.fleet.State(),
-		"usageCells":   d.ledger.Len(),
+		"usage":        d.usage.collector.State(),
+		"usageCloser":  d.closer.State(),
 	}
 }
--- /dev/null
+++ b/internal/program/process/usage.go
@@ -0,0 +1,156 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/usage"
+	"github.com/oleandershelf/oleandershelf/internal/edge/billing"
+	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
+	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+)
+
+const (
+	methodGatherUsage peer.Method = "gatherUsage"
+	// gatherInterval is below the flush interval, so that a flush holds what ran a few seconds before.
+	gatherInterval = 3 * time.Second
+	gatherTimeout  = 2 * time.Second
+	gatherParallel = 16
+	// usageRelays is how many entries of an availability zone write usage: two, so that one may fail.
+	usageRelays = 2
+	// agentWindows is how many windows an agent keeps its counters beyond the running one. A request adds
+	// to the window in which it ends, so an older counter is never added to again.
+	agentWindows = 3
+)
+
+// gatherAsk asks a host for the usage counts that the platform is not known to have.
+type gatherAsk struct {
+	// Stored are counts of an earlier answer that the platform has by now.
+	Stored []usage.Count `msgpack:"s"`
+}
+
+// gatherAnswer holds those counts.
+type gatherAnswer struct {
+	Counts []usage.Count `msgpack:"c"`
+}
+
+// handOver lets a relay of the zone take the counts of this host.
+func handOver(r *peer.Registry, collector *billing.Collector, refresh func()) {
+	peer.Handle(r, methodGatherUsage, func(_ context.Context, ask gatherAsk) (gatherAnswer, error) {
+		collector.Stored(ask.Stored)
+		refresh()
+		return gatherAnswer{Counts: collector.Unstored()}, nil
+	})
+}
+
+// newAgentCollector hands an agent's counters over instead of writing them: 44 relays write, not 2,200 agents.
+// The counters are copied into a ledger of their own, since a collector forgets what is stored and the
+// agent's counters must go on from where they are.
+func (r *runtime) newAgentCollector(ctx context.Context, counters *usage.Ledger) *billing.Collector {
+	collector := billing.NewCollector(ctx, r.platform, usage.NewLedger(), r.set.AvailabilityZone,
+		billing.WithFlushInterval(0), billing.WithWindow(r.set.UsageWindow), billing.WithCollectorLog(r.log))
+	handOver(r.peers, collector, func() {
+		collector.Merge(counters.Counts()...)
+		oldest := usage.WindowStart(time.Now(), r.set.UsageWindow) - agentWindows*int64(r.set.UsageWindow/time.Second)
+		counters.Forget(func(count usage.Count) bool { return count.Cell.Window < oldest })
+	})
+	return collector
+}
+
+// gatherer collects the usage counts of an availability zone while this entry is one of its relays.
+type gatherer struct {
+	runtime   *runtime
+	collector *billing.Collector
+	work      conc.WaitGroup
+	// handed are the counts of the last answer of each host. Only the gathering goroutine uses it.
+	handed map[string][]usage.Count
+}
+
+func (r *runtime) newGatherer(ctx context.Context) *gatherer {
+	g := &gatherer{runtime: r, handed: map[string][]usage.Count{}}
+	g.collector = billing.NewCollector(ctx, r.platform, usage.NewLedger(), r.set.AvailabilityZone,
+		billing.WithFlushIf(g.isRelay), billing.WithWindow(r.set.UsageWindow), billing.WithCollectorLog(r.log))
+	handOver(r.peers, g.collector, func() {})
+	g.work.Go(func() {
+		ticker := time.NewTicker(gatherInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				if g.isRelay() {
+					g.round(ctx)
+				}
+			}
+		}
+	})
+	return g
+}
+
+func (g *gatherer) isRelay() bool {
+	own := g.runtime.set.AvailabilityZone
+	return isAmong(usageRelays, "usageRelay/"+own, g.runtime.set.HostID, g.runtime.entriesOf(own))
+}
+
+// round asks each host of the zone once.
+func (g *gatherer) round(ctx context.Context) {
+	unstored := map[usage.Cell]usage.Amount{}
+	for _, count := range g.collector.Unstored() {
+		unstored[count.Cell] = count.Amount
+	}
+	hosts := g.hosts()
+	answers := make([][]usage.Count, len(hosts))
+	asks := pool.New().WithMaxGoroutines(gatherParallel)
+	for i, host := range hosts {
+		stored := storedOf(g.handed[host.ID], unstored)
+		asks.Go(func() { answers[i] = g.ask(ctx, host, stored) })
+	}
+	asks.Wait()
+	g.handed = make(map[string][]usage.Count, len(hosts))
+	for i, host := range hosts {
+		g.collector.Merge(answers[i]...)
+		g.handed[host.ID] = answers[i]
+	}
+}
+
+// storedOf returns the counts that were taken over and that the platform has by now. A host may drop a
+// count only then: a relay that dies between taking over and flushing must not lose it.
+func storedOf(handed []usage.Count, unstored map[usage.Cell]usage.Amount) []usage.Count {
+	stored := []usage.Count{}
+	for _, count := range handed {
+		if _, pending := unstored[count.Cell]; !pending {
+			stored = append(stored, count)
+		}
+	}
+	return stored
+}
+
+func (g *gatherer) hosts() []platform.Host {
+	hosts := []platform.Host{}
+	for _, host := range g.runtime.members.Hosts() {
+		if host.AvailabilityZone == g.runtime.set.AvailabilityZone && host.ID != g.runtime.set.HostID {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+func (g *gatherer) ask(ctx context.Context, host platform.Host, stored []usage.Count) []usage.Count {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	answer, err := peer.Ask[gatherAsk, gatherAnswer](ctx, g.runtime.client, host.PeerAddress, methodGatherUsage, gatherAsk{Stored: stored})
+	if err != nil {
+		g.runtime.log.Debug().Err(err).Str("from", host.ID).Msg("usage not gathered")
+		return nil
+	}
+	return answer.Counts
+}
+
+func (g *gatherer) wait() {
+	g.work.Wait()
+	g.collector.Wait()
+}
