Keep a trainer job's lease at its contenders only

Cause: every entry followed every job's lease, and each renewal woke all watches: 18 jobs x 380 entries / 2 s = 3,420 platform calls a second by arithmetic, of the two thousand allowed. Now three contenders a job keep it, and the other entries ask one of them every 2 s over the connections between entries: 9 small questions a second at a host. Ruled out: asking only while a trainer asks, since the coordinator looks at the holder all the time. Not yet measured.

--- a/internal/program/process/duties.go
+++ b/internal/program/process/duties.go
@@ -17,10 +17,13 @@
 	runtime *runtime
 	mu      sync.Mutex
 	byName  map[string]*duty.Keeper
+	work    conc.WaitGroup
 }
 
 func newKeepers(r *runtime) *keepers {
-	return &keepers{runtime: r, byName: map[string]*duty.Keeper{}}
+	k := &keepers{runtime: r, byName: map[string]*duty.Keeper{}}
+	k.serveHolders(r.peers)
+	return k
 }
 
 // keeper returns the keeper of the duty, started at the first call.
@@ -59,6 +62,7 @@
 }
 
 func (k *keepers) wait() {
+	k.work.Wait()
 	for _, keeper := range k.all() {
 		keeper.Wait()
 	}
--- a/internal/program/process/duty.go
+++ b/internal/program/process/duty.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"github.com/oleandershelf/oleandershelf/internal/edge/duty"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
-	"github.com/oleandershelf/oleandershelf/internal/edge/trainer"
 )
 
 // plainKeeper shows a keeper to parts that need only number and end of the term.
@@ -19,21 +17,6 @@
 	return fence.Number, fence.Deadline, ok
 }
 
-// trainerLease shows a keeper to the trainer coordinator.
-type trainerLease struct{ *duty.Keeper }
-
-// Held says whether the duty is held at now.
-func (l trainerLease) Held(now time.Time) (trainer.Fence, bool) {
-	fence, ok := l.Keeper.Held(now)
-	return trainer.Fence{Number: fence.Number, Deadline: fence.Deadline}, ok
-}
-
-// Holder returns the peer address of the holder last seen.
-func (l trainerLease) Holder() (netip.AddrPort, bool) {
-	holder, ok := l.Keeper.Holder()
-	return holder.Address, ok
-}
-
 // self is this process as the holder of a duty.
 func (r *runtime) self() duty.Holder {
 	return duty.Holder{HostID: r.set.HostID, Address: r.set.PeerListen, Incarnation: r.incarnation}
--- a/internal/program/process/trainers.go
+++ b/internal/program/process/trainers.go
@@ -15,16 +15,14 @@
 // newCoordinator starts the coordinator of trainer jobs at this entry.
 func (r *runtime) newCoordinator(ctx context.Context, keepers *keepers, follower *configuration.Follower, publisher *configuration.Publisher, generator *entry.SampleGenerator) *trainer.Coordinator {
 	coordinator := trainer.New(ctx, trainer.Deps{
-		Store:     r.platform,
-		View:      func() trainer.Configuration { return follower.View() },
-		Generator: generator,
-		Scorer:    generator,
-		Copier:    trainer.NewPeerCopier(r.client, r.copyHosts),
-		Forwarder: trainer.NewPeerForwarder(r.client),
-		Fresh:     follower.Fresh,
-		Lease: func(ctx context.Context, job string) trainer.Lease {
-			return trainerLease{keepers.keeper(ctx, dutyTrainerJob+job, "")}
-		},
+		Store:               r.platform,
+		View:                func() trainer.Configuration { return follower.View() },
+		Generator:           generator,
+		Scorer:              generator,
+		Copier:              trainer.NewPeerCopier(r.client, r.copyHosts),
+		Forwarder:           trainer.NewPeerForwarder(r.client),
+		Fresh:               follower.Fresh,
+		Lease:               keepers.newJobLease,
 		Self:                r.set.PeerListen,
 		Secret:              []byte(r.set.PeerSecret),
 		PublishModelVersion: publisher.PublishModelVersion,
