Refuse frames that waited while the process was frozen

The connection now fails when nothing was read for longer than the heartbeat timeout, also when bytes are there. The test returned '3 bytes, error <nil>' without the check.

--- a/internal/edge/agent/failure_test.go
+++ b/internal/edge/agent/failure_test.go
@@ -267,6 +267,9 @@
 		b.untilQueued(t, 98)
 	}
 	wantRefusal(t, b.send(t.Context(), b.execute(pathOK)).err, verdict.NotRun, verdict.ReasonLeaving)
+	if len(drained) > 0 {
+		t.Error("drained with requests running")
+	}
 	close(b.server.release)
 	for _, done := range accepted {
 		if got := <-done; got.err != nil || got.body != "data: a\n\n" {
--- a/internal/edge/peer/bench_test.go
+++ b/internal/edge/peer/bench_test.go
@@ -83,6 +83,21 @@
 	}
 }
 
+// BenchmarkConnection reports the memory of one idle connection, both sides together, as B/connection.
+func BenchmarkConnection(b *testing.B) {
+	bench := newBench(b)
+	before := memory()
+	count := 0
+	for b.Loop() {
+		client := newTestClient(b, testSecret)
+		if _, err := Ask[text, text](b.Context(), client, bench.address, methodEcho, text{}); err != nil {
+			b.Fatal(err)
+		}
+		count++
+	}
+	b.ReportMetric(float64(memory()-before)/float64(count), "B/connection")
+}
+
 func memory() uint64 {
 	runtime.GC()
 	var stats runtime.MemStats
--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -144,7 +144,7 @@
 ) (*link, error) {
 	timeout := time.AfterFunc(s.dialTimeout, func() { _ = conn.Close() })
 	defer timeout.Stop()
-	progress := &progressConn{Conn: conn, readTimeout: s.heartbeatTimeout, writeTimeout: s.writeTimeout}
+	progress := newProgressConn(conn, s)
 	reader := newFrameReader(bufio.NewReaderSize(progress, bufferSize), maxHandshakeFrame)
 	incarnation, err := shake(progress, reader, secret)
 	if err != nil {
--- a/internal/edge/peer/failure_test.go
+++ b/internal/edge/peer/failure_test.go
@@ -108,6 +108,22 @@
 	}
 }
 
+// An agent's process is stopped and woken long after its entry gave it up. The request that waited in
+// its socket would run then, although its caller was told long ago that it may have run, and may have
+// found out that it did not.
+func TestWokenProcessActsOnNoOldFrame(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = near.Close(); _ = far.Close() }()
+	conn := newProgressConn(near, defaultSettings())
+	var sender conc.WaitGroup
+	sender.Go(func() { _, _ = far.Write([]byte("old")) })
+	conn.received = time.Now().Add(-time.Minute)
+	if n, err := conn.Read(make([]byte, 10)); n != 0 || !errors.Is(err, ErrFrozen) {
+		t.Errorf("%d bytes, error %v", n, err)
+	}
+	sender.Wait()
+}
+
 // An operator starts a host with another secret, or a stranger dials in. No request may pass in
 // either direction, and the asking side must know that nothing was sent.
 func TestWrongSecret(t *testing.T) {
--- a/internal/edge/peer/link.go
+++ b/internal/edge/peer/link.go
@@ -36,13 +36,34 @@
 type progressConn struct {
 	net.Conn
 	readTimeout, writeTimeout time.Duration
+	// received is when bytes came last.
+	received time.Time
 }
 
+func newProgressConn(conn net.Conn, s settings) *progressConn {
+	return &progressConn{
+		Conn:         conn,
+		readTimeout:  s.heartbeatTimeout,
+		writeTimeout: s.writeTimeout,
+		received:     time.Now(),
+	}
+}
+
+// Read fails also when bytes are there, but this process did not look for longer than the timeout: it
+// was frozen. The other side has given the connection up by then and told its callers that their
+// requests may have run; the frames that waited in the socket must not start them now, with a
+// deadline counted from the wake-up.
 func (c *progressConn) Read(p []byte) (int, error) {
 	if err := c.SetReadDeadline(time.Now().Add(c.readTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	now := time.Now()
+	if silence := now.Sub(c.received); silence > c.readTimeout {
+		return 0, errors.Wrapf(ErrFrozen, "nothing was read for %s", silence)
+	}
+	c.received = now
+	return n, err
 }
 
 func (c *progressConn) Write(p []byte) (int, error) {
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -44,6 +44,8 @@
 	ErrHandshake = errors.New("peer did not prove the shared secret")
 	// ErrProtocol: the peer sent a frame that the protocol does not allow.
 	ErrProtocol = errors.New("protocol violation")
+	// ErrFrozen: this process did not look at the connection for longer than the heartbeat timeout.
+	ErrFrozen = errors.New("process was frozen")
 	// ErrTooLarge: a frame is longer than allowed.
 	ErrTooLarge = errors.New("frame is too large")
 	// ErrClosed: the client or the connection was closed on this side.
