--- a/internal/edge/billing/window.go
+++ b/internal/edge/billing/window.go
@@ -113,8 +113,9 @@
 	return ignoreConflict(c.put(ctx, closingName(window), closing, 0))
 }
 
-// dueShares returns what is due for each organisation in the window. It reads what was accounted
-// for before it reads the counts: counts only grow, so that what was accounted for is in them.
+// dueShares returns what is due for each organisation in the window. The reports of earlier windows
+// were final when the progress was read, and counts only grow, so that the counts read now hold
+// everything that those reports account for.
 func (c *Closer) dueShares(ctx context.Context, window int64) (map[string][]usage.Share, error) {
 	accounted, err := c.accounted(ctx, window)
 	if err != nil {
