--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -149,8 +149,8 @@
 	}
 	server.record()
 	app := web.NewApp()
-	app.Post(web.PathFaults, server.setFaults)
-	app.Get(web.PathState, func(c fiber.Ctx) error { return c.JSON(server.State()) })
+	web.HandleFaults(app, server.currentFaults, server.SetFaults, server.crash)
+	web.HandleState(app, server.State)
 	app.Use(server.crashed)
 	app.Post(backendserver.PathGenerate, server.generate)
 	app.Get(backendserver.PathLoad, server.reportLoad)
@@ -203,16 +203,11 @@
 	return s.faults
 }
 
-func (s *Server) setFaults(c fiber.Ctx) error {
-	faults := s.currentFaults()
-	if !web.Decode(c, &faults) {
-		return nil
-	}
-	s.SetFaults(faults)
+// crash cuts all streams when the switch is set; the answer to the switch itself still goes out.
+func (s *Server) crash(c fiber.Ctx, faults Faults) {
 	if faults.Crashed {
 		s.CutOthers(c)
 	}
-	return c.JSON(faults)
 }
 
 // crashed cuts every call while the switch is on.
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -38,8 +38,8 @@
 	app.Put(edge.PathUsageReports+"/*", server.report)
 	app.Get(edge.PathHosts, server.hosts)
 	app.Put(PathLoadHosts, server.loadHosts)
-	app.Post(web.PathFaults, server.setFaults)
-	app.Get(web.PathState, func(c fiber.Ctx) error { return c.JSON(server.State()) })
+	web.HandleFaults(app, server.CurrentFaults, server.SetFaults, nil)
+	web.HandleState(app, server.State)
 	server.Serve(app)
 	return server, nil
 }
@@ -100,16 +100,6 @@
 	return answer(c, struct{}{}, nil)
 }
 
-// setFaults changes only the switches that the body names.
-func (s *Server) setFaults(c fiber.Ctx) error {
-	faults := s.CurrentFaults()
-	if !web.Decode(c, &faults) {
-		return nil
-	}
-	s.SetFaults(faults)
-	return c.JSON(faults)
-}
-
 // answer maps the errors of the platform to statuses; a lost answer closes the connection.
 func answer(c fiber.Ctx, body any, err error) error {
 	switch {
--- a/internal/standin/scorer/server.go
+++ b/internal/standin/scorer/server.go
@@ -59,8 +59,8 @@
 	}
 	app := web.NewApp()
 	app.Post(backendserver.PathScore, server.score)
-	app.Post(web.PathFaults, server.setFaults)
-	app.Get(web.PathState, func(c fiber.Ctx) error { return c.JSON(server.State()) })
+	web.HandleFaults(app, server.currentFaults, server.SetFaults, nil)
+	web.HandleState(app, server.State)
 	server.Serve(app)
 	return server, nil
 }
@@ -78,6 +78,10 @@
 	s.state.Faults = faults
 }
 
+func (s *Server) currentFaults() Faults {
+	return s.State().Faults
+}
+
 // State returns the content of the stand-in.
 func (s *Server) State() State {
 	s.mutex.Lock()
@@ -85,15 +89,6 @@
 	return s.state
 }
 
-func (s *Server) setFaults(c fiber.Ctx) error {
-	faults := s.State().Faults
-	if !web.Decode(c, &faults) {
-		return nil
-	}
-	s.SetFaults(faults)
-	return c.JSON(faults)
-}
-
 func (s *Server) score(c fiber.Ctx) error {
 	var asks []backendserver.ScoreRequest
 	if !web.Decode(c, &asks) {
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -89,8 +89,8 @@
 		opt(server)
 	}
 	app := web.NewApp()
-	app.Post(web.PathFaults, server.setFaults)
-	app.Get(web.PathState, func(c fiber.Ctx) error { return c.JSON(server.State()) })
+	web.HandleFaults(app, server.currentFaults, server.SetFaults, nil)
+	web.HandleState(app, server.State)
 	app.Use(server.enter)
 	app.Post(PathBookings, server.book)
 	app.Use(server.echo)
@@ -105,6 +105,10 @@
 	s.faults = faults
 }
 
+func (s *Server) currentFaults() Faults {
+	return s.State().Faults
+}
+
 // State returns the content of the stand-in.
 func (s *Server) State() State {
 	s.mutex.Lock()
@@ -112,15 +116,6 @@
 	return State{Runs: maps.Clone(s.runs), Received: slices.Clone(s.received), Faults: s.faults}
 }
 
-func (s *Server) setFaults(c fiber.Ctx) error {
-	faults := s.State().Faults
-	if !web.Decode(c, &faults) {
-		return nil
-	}
-	s.SetFaults(faults)
-	return c.JSON(faults)
-}
-
 // enter records the call and applies the switches that come before a run.
 func (s *Server) enter(c fiber.Ctx) error {
 	faults, cut := s.admit(received(c))
--- a/internal/standin/weightstore/server.go
+++ b/internal/standin/weightstore/server.go
@@ -79,8 +79,8 @@
 	}
 	app := web.NewApp()
 	app.Get(backendserver.PathWeights+"/*", server.read)
-	app.Post(web.PathFaults, server.setFaults)
-	app.Get(web.PathState, func(c fiber.Ctx) error { return c.JSON(server.State()) })
+	web.HandleFaults(app, server.currentFaults, server.SetFaults, nil)
+	web.HandleState(app, server.State)
 	server.Serve(app)
 	return server, nil
 }
@@ -92,6 +92,10 @@
 	s.faults = faults
 }
 
+func (s *Server) currentFaults() Faults {
+	return s.State().Faults
+}
+
 // State returns the content of the stand-in.
 func (s *Server) State() State {
 	s.mutex.Lock()
@@ -99,15 +103,6 @@
 	return State{Served: maps.Clone(s.served), Limited: s.limited, Faults: s.faults}
 }
 
-func (s *Server) setFaults(c fiber.Ctx) error {
-	faults := s.State().Faults
-	if !web.Decode(c, &faults) {
-		return nil
-	}
-	s.SetFaults(faults)
-	return c.JSON(faults)
-}
-
 func (s *Server) read(c fiber.Ctx) error {
 	name, err := url.PathUnescape(c.Params("*"))
 	if err != nil {
