Let only relays that know enough witness an outage

Cause: a random schedule had a host serve by a revision 5.1 s after a newer one was accepted: "host 0 serves by revision 0, 1 was accepted 5.1s ago", found after 452 schedules. Relays that knew the newest ticket restarted in an outage, forgot it, took an older view from one neighbour and then counted among the more than half that establish the outage. Change: a host is a voter only after a read of the platform, or after it asked more than half of the relays, of those that are voters. A ticket that half of the relays knew at the start of an outage is then known to one of any majority. Ruled out: counting relays whose view was fresh once since their start, which the schedule above defeats. Two limits stay, as the design has them: a ticket that less than half of the relays know when an outage begins, and more than half of the relays cut off together.

--- a/internal/core/ticket/freshness.go
+++ b/internal/core/ticket/freshness.go
@@ -42,8 +42,8 @@
 }
 
 // OutageEstablished judges one round of questions to all relays: relays is their number, asked the
-// moment before the round, and confirmed the confirmation times of those that answered, this host
-// included if it is a relay. More than half have to answer, since a minority could be cut off together
+// moment before the round, and confirmed the confirmation times of those that answered and are
+// voters, this host included if it is one. More than half have to answer, since a minority could be cut off together
 // with this host, and none may hold a confirmation from OutageAfter before asked or later.
 func OutageEstablished(asked time.Time, relays int, confirmed []time.Time) bool {
 	if 2*len(confirmed) <= relays {
--- a/internal/edge/configuration/exchange.go
+++ b/internal/edge/configuration/exchange.go
@@ -38,6 +38,8 @@
 	Age time.Duration `msgpack:"a"`
 	// OutageAge is the time since an outage of the platform was last established; noAge for never.
 	OutageAge time.Duration `msgpack:"o"`
+	// Voter says that the relay counts as a witness of an outage; see snapshot.
+	Voter bool `msgpack:"v"`
 }
 
 // PartsAsk asks for parts by content hash.
--- a/internal/edge/configuration/follower.go
+++ b/internal/edge/configuration/follower.go
@@ -89,10 +89,6 @@
 	return func(f *Follower) { f.log = log }
 }
 
-func withWaits(times waits) FollowerOption {
-	return func(f *Follower) { f.waits = times }
-}
-
 // Follower keeps the newest view that this host knows. It never goes back to an older one.
 type Follower struct {
 	store     platform.Store
--- a/internal/edge/configuration/publisher_test.go
+++ b/internal/edge/configuration/publisher_test.go
@@ -40,7 +40,8 @@
 )
 
 func (d *disturbed) Get(ctx context.Context, name string) (platform.Object, error) {
-	if d.hook("get", name) != "" {
+	// Parts are read by several goroutines at once; a schedule has one.
+	if name == ticket.HeadObject && d.hook("get", name) != "" {
 		return platform.Object{}, platform.ErrUnavailable
 	}
 	return d.Store.Get(ctx, name)
--- a/internal/edge/configuration/relay.go
+++ b/internal/edge/configuration/relay.go
@@ -42,6 +42,7 @@
 		Held:      now.Sub(came),
 		Age:       age(now, s.freshness.Confirmed),
 		OutageAge: age(now, s.freshness.Outage),
+		Voter:     s.voter,
 	}
 	if answer.Revision > ask.Revision {
 		answer.Head = s.head
--- a/internal/edge/configuration/snapshot.go
+++ b/internal/edge/configuration/snapshot.go
@@ -22,6 +22,11 @@
 	parts     map[string][]byte
 	freshness ticket.Freshness
 	synced    bool
+	// voter says that this host counts as a witness of an outage. A host that just started has forgotten
+	// which ticket it knew, and becomes one by reading the platform or by asking more than half of the
+	// relays, of those that are voters. So a ticket that half of the relays knew when an outage began is
+	// known to one of any more than half that establish it, whichever of them restart.
+	voter bool
 	// changed is closed when a snapshot with another view is published.
 	changed chan struct{}
 	// alarmed is closed when an outage is first established after normal running.
@@ -40,7 +45,9 @@
 	// parts holds the content that was not at hand yet.
 	parts     map[string][]byte
 	freshness ticket.Freshness
-	done      chan error
+	// voter makes the host a voter.
+	voter bool
+	done  chan error
 }
 
 // take returns the snapshot after the arrival. Freshness counts for a view of any revision: it says
@@ -53,6 +60,7 @@
 		}
 	}
 	next.freshness = s.freshness.Later(a.freshness)
+	next.voter = s.voter || a.voter
 	next.synced = s.synced || next.freshness.Fresh(now)
 	return &next, nil
 }
--- a/internal/edge/configuration/source.go
+++ b/internal/edge/configuration/source.go
@@ -67,8 +67,8 @@
 		s.relay = netip.AddrPort{}
 	}
 	if s.relay.IsValid() {
-		err := f.askRelay(ctx, s.relay, f.waits.relay)
-		if err == nil && f.settled() {
+		answer := f.ask(ctx, s.relay, f.waits.relay)
+		if answer.err == nil && f.settled() {
 			return nil
 		}
 	}
@@ -125,6 +125,7 @@
 // answered is one relay's part in a round of questions.
 type answered struct {
 	freshness ticket.Freshness
+	voter     bool
 	err       error
 }
 
@@ -133,19 +134,14 @@
 	answers := make([]answered, len(relays))
 	var wg conc.WaitGroup
 	for i, relay := range relays {
-		wg.Go(func() { answers[i].freshness, answers[i].err = f.ask(ctx, relay, 0) })
+		wg.Go(func() { answers[i] = f.ask(ctx, relay, 0) })
 	}
 	wg.Wait()
 	return answers
 }
 
-func (f *Follower) askRelay(ctx context.Context, relay netip.AddrPort, wait time.Duration) error {
-	_, err := f.ask(ctx, relay, wait)
-	return err
-}
-
 // ask puts one question to a relay and takes in the answer.
-func (f *Follower) ask(ctx context.Context, relay netip.AddrPort, wait time.Duration) (ticket.Freshness, error) {
+func (f *Follower) ask(ctx context.Context, relay netip.AddrPort, wait time.Duration) answered {
 	ctx, cancel := context.WithTimeout(ctx, wait+f.waits.relaySlack)
 	defer cancel()
 	view := f.View()
@@ -154,14 +150,14 @@
 		HostID: f.self.HostID, Revision: view.Revision(), Ticket: view.LastTicket(), Wait: wait,
 	})
 	if err != nil {
-		return ticket.Freshness{}, errors.Wrapf(err, "relay %s", relay)
+		return answered{err: errors.Wrapf(err, "relay %s", relay)}
 	}
 	freshness := answer.freshness(asked)
 	a := arrival{revision: answer.Revision, head: answer.Head, freshness: freshness}
 	err = f.takeHead(ctx, a, func(ctx context.Context, hashes []string) (map[string][]byte, error) {
 		return f.relayParts(ctx, relay, hashes)
 	})
-	return freshness, errors.Wrapf(err, "relay %s", relay)
+	return answered{freshness: freshness, voter: answer.Voter, err: errors.Wrapf(err, "relay %s", relay)}
 }
 
 // watchPlatform asks the platform for a newer head. The time before the question is what counts as
@@ -174,7 +170,7 @@
 	object, err := f.store.Watch(ctx, ticket.HeadObject, platform.Version(revision), wait)
 	confirmed := ticket.Freshness{Confirmed: asked}
 	if errors.Is(err, platform.ErrNotFound) && revision == 0 {
-		return f.deliver(ctx, arrival{freshness: confirmed})
+		return f.deliver(ctx, arrival{freshness: confirmed, voter: true})
 	}
 	if err != nil {
 		return errors.Wrap(err, "platform")
@@ -183,7 +179,7 @@
 	if found < revision {
 		return errors.Wrapf(ErrReverted, "version %d after %d", found, revision)
 	}
-	a := arrival{revision: found, head: object.Value, freshness: confirmed}
+	a := arrival{revision: found, head: object.Value, freshness: confirmed, voter: true}
 	return f.takeHead(ctx, a, f.platformParts)
 }
 
--- a/internal/edge/configuration/survey.go
+++ b/internal/edge/configuration/survey.go
@@ -33,17 +33,24 @@
 	return f.waits.survey
 }
 
+// surveyOnce asks all relays and counts the voters among them. Without that rule a host that restarts in
+// an outage would take part in establishing it by an empty or old view, and accept a withdrawn key or
+// refuse a valid one by it.
 func (f *Follower) surveyOnce(ctx context.Context, route route) {
 	asked := time.Now()
-	confirmed := []time.Time{f.current.Load().freshness.Confirmed}
+	var confirmed []time.Time
 	for _, answer := range f.round(ctx, route.all) {
-		if answer.err == nil {
+		if answer.err == nil && answer.voter {
 			confirmed = append(confirmed, answer.freshness.Confirmed)
 		}
 	}
-	if !ticket.OutageEstablished(asked, route.count(), confirmed) {
-		return
+	learnt := arrival{voter: 2*len(confirmed) > route.count()}
+	own := f.current.Load()
+	if own.voter {
+		confirmed = append(confirmed, own.freshness.Confirmed)
 	}
-	outage := ticket.Freshness{Outage: asked}
-	f.note(f.deliver(ctx, arrival{freshness: outage}))
+	if ticket.OutageEstablished(asked, route.count(), confirmed) {
+		learnt.freshness.Outage = asked
+	}
+	f.note(f.deliver(ctx, learnt))
 }
