Cut the streams of an agent that is isolated

An agent that is cut off does not learn that a key was withdrawn, and refused only new requests: a running stream of that key went on for as long as the cut lasted. Without the check the test of an isolated agent times out.

--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -179,6 +179,7 @@
 		case step := <-a.steps:
 			step(time.Now())
 		case now := <-tick:
+			a.control.checkIsolation(now)
 			a.control.expireQueue(now)
 		case now := <-expire:
 			a.control.expireRecords(now)
--- a/internal/edge/agent/agent_test.go
+++ b/internal/edge/agent/agent_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -180,6 +181,8 @@
 	client  *peer.Client
 	address netip.AddrPort
 	counter uint64
+	// stale makes the agent's configuration unconfirmed.
+	stale atomic.Bool
 }
 
 func newBench(t testing.TB, kind ticket.PoolKind) *bench {
@@ -201,6 +204,7 @@
 	a, err := New(ctx, Config{HostID: "h", AvailabilityZone: "z", Pool: "p", Incarnation: 9}, Dependencies{
 		View:       b.config.View,
 		Changed:    b.config.Changed,
+		Fresh:      func(time.Time) bool { return !b.stale.Load() },
 		Server:     b.server,
 		Engine:     b.engine,
 		Ledger:     usage.NewLedger(),
--- a/internal/edge/agent/check.go
+++ b/internal/edge/agent/check.go
@@ -57,8 +57,10 @@
 	return verdict.New(v, http.StatusUnauthorized, verdict.ReasonKeyWithdrawn, 0, "the key was withdrawn")
 }
 
-func isolated() *verdict.Refusal {
-	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonIsolated, retrySoon,
+func isolated() *verdict.Refusal { return isolatedWith(verdict.NotRun) }
+
+func isolatedWith(v verdict.Verdict) *verdict.Refusal {
+	return verdict.New(v, http.StatusServiceUnavailable, verdict.ReasonIsolated, retrySoon,
 		"the agent's configuration was not confirmed lately")
 }
 
--- a/internal/edge/agent/control.go
+++ b/internal/edge/agent/control.go
@@ -19,7 +19,7 @@
 	view        func() *ticket.View
 	pool        string
 	concurrency int
-	fresh       func(now time.Time) bool
+	isolation   isolation
 	queue       *queue.Queue[*job]
 	limiter     *queue.Limiter
 	record      *execution.Record
@@ -35,7 +35,7 @@
 	c := &control{
 		view:        deps.View,
 		pool:        config.Pool,
-		fresh:       deps.Fresh,
+		isolation:   isolation{fresh: deps.Fresh},
 		concurrency: defaultConcurrency,
 		limiter:     queue.NewLimiter(defaultConcurrency),
 		record:      execution.NewRecord(),
@@ -143,7 +143,7 @@
 }
 
 func (c *control) startable(now time.Time, j *job) error {
-	if !c.fresh(now) {
+	if !c.isolation.fresh(now) {
 		return isolated()
 	}
 	if !c.view().KeyValid(j.q.Organisation, j.q.KeyHash) {
--- a/internal/edge/agent/execute.go
+++ b/internal/edge/agent/execute.go
@@ -88,6 +88,8 @@
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errKeyWithdrawn):
 		return keyWithdrawn(v)
+	case errors.Is(cause, errIsolated):
+		return isolatedWith(v)
 	case errors.Is(cause, context.DeadlineExceeded):
 		return verdict.New(v, http.StatusGatewayTimeout, verdict.ReasonDeadlinePassed, retrySoon,
 			"the deadline passed")
--- a/internal/edge/agent/failure_test.go
+++ b/internal/edge/agent/failure_test.go
@@ -186,6 +186,34 @@
 	close(s.released)
 }
 
+// The agent is cut off from the rest of the system while streams run, and one of their keys is
+// withdrawn elsewhere. The agent never hears of it; the streams must end all the same, and what is
+// queued must be refused as not run. A booking that runs must finish.
+func TestIsolatedAgent(t *testing.T) {
+	b := &bench{config: &configuration{}}
+	startBench(t, b, ticket.KindService)
+	stream := b.execute(pathFlow)
+	stream.Idempotent = true
+	running := b.sendAsync(t.Context(), stream)
+	<-b.server.started
+	booking := b.sendAsync(t.Context(), b.execute(pathHold))
+	<-b.server.started
+	queued := b.sendAsync(t.Context(), b.execute(pathOK))
+	b.untilQueued(t, 1)
+	b.stale.Store(true)
+	wantRefusal(t, (<-queued).err, verdict.NotRun, verdict.ReasonIsolated)
+	wantRefusal(t, (<-running).err, verdict.MayHaveRun, verdict.ReasonIsolated)
+	wantRefusal(t, b.send(t.Context(), b.execute(pathOK)).err, verdict.NotRun, verdict.ReasonIsolated)
+	close(b.server.release)
+	if got := <-booking; got.err != nil {
+		t.Error(got.err)
+	}
+	b.stale.Store(false)
+	if got := b.send(t.Context(), b.execute(pathOK)); got.err != nil {
+		t.Error(got.err)
+	}
+}
+
 // A caller hangs up. Its queued request must leave the queue and never run, and its bookings must run to
 // the end, so that their outcome is known.
 func TestCallerGone(t *testing.T) {
