Go on with one copy of a sample when no second host takes it

With every other entry gone no sample could be copied and the trainer waited for ever (status 503, deadlinePassed, in a test with one host). After four tries a sample goes on; a batch whose content is lost is made anew before the trainer has it.

--- a/internal/edge/trainer/coordinator.go
+++ b/internal/edge/trainer/coordinator.go
@@ -26,6 +26,8 @@
 	metrics *metrics
 	asked   atomic.Uint64
 	work    conc.WaitGroup
+	// leaving is closed when the context ends.
+	leaving <-chan struct{}
 	// runners is replaced as a whole by the control goroutine.
 	runners atomic.Pointer[map[string]*runner]
 }
@@ -63,7 +65,8 @@
 // New returns a coordinator that runs until the context ends.
 func New(ctx context.Context, deps Deps, opts ...Option) *Coordinator {
 	c := &Coordinator{
-		deps: deps,
+		deps:    deps,
+		leaving: ctx.Done(),
 		options: options{
 			concurrency:  defaultConcurrency,
 			shelfBytes:   defaultShelfBytes,
--- a/internal/edge/trainer/metrics.go
+++ b/internal/edge/trainer/metrics.go
@@ -21,6 +21,7 @@
 	batches      *prometheus.CounterVec
 	generateErrs *prometheus.CounterVec
 	scoreErrs    *prometheus.CounterVec
+	uncopied     *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -43,9 +44,10 @@
 		batches:      counter("oleandershelf_trainer_batches_total", "Batches answered, repeats included."),
 		generateErrs: counter("oleandershelf_trainer_generation_failures_total", "Generations that ended early."),
 		scoreErrs:    counter("oleandershelf_trainer_scoring_failures_total", "Scores that could not be had."),
+		uncopied:     counter("oleandershelf_trainer_samples_uncopied_total", "Samples held by one host only."),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.samples, m.discarded, m.waits, m.batches, m.generateErrs, m.scoreErrs)
+		registerer.MustRegister(m.samples, m.discarded, m.waits, m.batches, m.generateErrs, m.scoreErrs, m.uncopied)
 	}
 	return m
 }
@@ -66,4 +68,5 @@
 
 func (m *metrics) batch(job string)            { m.batches.WithLabelValues(job).Inc() }
 func (m *metrics) generationFailed(job string) { m.generateErrs.WithLabelValues(job).Inc() }
+func (m *metrics) notCopied(job string)        { m.uncopied.WithLabelValues(job).Inc() }
 func (m *metrics) scoringFailed(job string)    { m.scoreErrs.WithLabelValues(job).Inc() }
--- a/internal/edge/trainer/route.go
+++ b/internal/edge/trainer/route.go
@@ -23,7 +23,7 @@
 			return reply, unsureError(err, unsure)
 		}
 		unsure = unsure || verdict.From(err).Verdict != verdict.NotRun
-		if !pause(ctx, routeInterval) {
+		if !c.pause(ctx, routeInterval) {
 			return Reply{}, unsureError(err, unsure)
 		}
 	}
@@ -47,15 +47,17 @@
 	return !ok || refusal.Reason == verdict.ReasonNotLeader || refusal.Reason == verdict.ReasonLeaving
 }
 
-func pause(ctx context.Context, length time.Duration) bool {
+// pause returns false if the request or the process ends first.
+func (c *Coordinator) pause(ctx context.Context, length time.Duration) bool {
 	timer := time.NewTimer(length)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 		return true
 	case <-ctx.Done():
-		return false
+	case <-c.leaving:
 	}
+	return false
 }
 
 func (c *Coordinator) route(ctx context.Context, request Forwarded) (Reply, error) {
--- a/internal/edge/trainer/schedule.go
+++ b/internal/edge/trainer/schedule.go
@@ -15,6 +15,12 @@
 // once would else be asked by every worker without a break.
 const retryDelay = 250 * time.Millisecond
 
+// copyPatience is how often copying a sample is tried before it goes on with one copy. A host that
+// has no other to copy to would else hold up the trainer for as long as that lasts. What is lost
+// with a single copy is only time: a batch whose content is gone is made anew before the trainer
+// has it, see delivery.ContentLost.
+const copyPatience = 4
+
 // task is one piece of work for a worker.
 type task struct {
 	schedule   *schedule
@@ -30,9 +36,11 @@
 	index   int
 	content delivery.Content
 	copied  CopiedSample
-	ctx     context.Context
-	cancel  context.CancelFunc
-	tokens  *atomic.Int64
+	// alone says that the sample goes on without a second copy.
+	alone  bool
+	ctx    context.Context
+	cancel context.CancelFunc
+	tokens *atomic.Int64
 }
 
 // rest is a sample that waits after a failure.
@@ -56,7 +64,9 @@
 	// calls are the tasks under way, by name of the sample.
 	calls map[string][]task
 	rests []rest
-	hedge time.Time
+	// copyFailures counts the failed tries of samples not copied yet, by name.
+	copyFailures map[string]int
+	hedge        time.Time
 }
 
 func newSchedule(slots int) *schedule {
@@ -65,6 +75,8 @@
 		slots:     slots,
 		positions: map[string]int{},
 		calls:     map[string][]task{},
+
+		copyFailures: map[string]int{},
 	}
 }
 
@@ -207,6 +219,7 @@
 	}
 	t.stage = stage
 	t.copied = held
+	t.alone = s.copyFailures[t.name] >= copyPatience
 	s.start(r, t)
 }
 
@@ -262,6 +275,9 @@
 	if len(calls) == 0 {
 		delete(s.calls, m.task.name)
 	}
+	if m.failed && m.task.stage == delivery.StateGenerated {
+		s.copyFailures[m.task.name]++
+	}
 	if m.failed {
 		s.rests = append(s.rests, rest{
 			position: m.task.work.Position,
--- a/internal/edge/trainer/worker.go
+++ b/internal/edge/trainer/worker.go
@@ -101,9 +101,12 @@
 		copying, cancel := context.WithTimeout(t.ctx, copyTimeout)
 		defer cancel()
 		confirmed, err := r.deps.Copier.Copy(copying, r.job, t.copied)
-		if err != nil {
+		if err != nil && !t.alone {
 			return errors.Wrap(err, t.name)
 		}
+		if err != nil {
+			r.metrics.notCopied(r.job)
+		}
 		host = confirmed
 	}
 	r.post(ctx, eventMessage{t.activation, delivery.SampleCopied{Work: t.work, Host: host}})
