Drop old counts that another host stored

Counts left a collector's memory only in its own flush; a collector that hands its counts over never flushes, and kept all of them. Test without the drop: "2 cells, 0 of them unstored, want 1".

--- a/internal/edge/billing/collector.go
+++ b/internal/edge/billing/collector.go
@@ -146,8 +146,14 @@
 	return unstored
 }
 
-// Stored notes that the platform has the counts, or that a host that flushes took them over.
+// Stored notes that the platform has the counts, which another host may have flushed, and drops
+// those of old windows: a collector that never flushes by itself must not keep them for ever.
 func (c *Collector) Stored(counts []usage.Count) {
+	c.markStored(counts)
+	c.forget()
+}
+
+func (c *Collector) markStored(counts []usage.Count) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, count := range counts {
--- a/internal/edge/billing/collector_test.go
+++ b/internal/edge/billing/collector_test.go
@@ -185,6 +185,17 @@
 	}
 }
 
+// An agent runs out of memory after some weeks: it hands its counts to another host instead of
+// flushing, and kept what that host had stored long ago.
+func TestHandedOverCountsOfOldWindowsLeaveMemory(t *testing.T) {
+	collector := newCollector(standin.NewMemory())
+	collector.Merge(count(1, "sahil", start.Add(-10*time.Hour), 3), count(1, "sahil", start, 2))
+	collector.Stored(collector.Unstored())
+	if state := collector.State(); state.Cells != 1 || state.Unstored != 0 {
+		t.Errorf("%d cells, %d of them unstored, want 1 and 0", state.Cells, state.Unstored)
+	}
+}
+
 func TestCountsObjectShape(t *testing.T) {
 	raw, err := json.Marshal(Counts{Counts: []usage.Count{count(2, "sahil", start, 1)}})
 	if err != nil {
--- a/internal/edge/billing/flush.go
+++ b/internal/edge/billing/flush.go
@@ -80,7 +80,7 @@
 	for range maxConflicts {
 		err := c.mergeInto(ctx, name, counts)
 		if err == nil {
-			c.Stored(counts)
+			c.markStored(counts)
 			return nil
 		}
 		if !errors.Is(err, platform.ErrConflict) {
