Never read a surplus answer as the next call's

A server that sent two answers to one request left the second in the connection's buffer, which the look into the socket does not see. Test before: "got the surplus answer, status 500".

--- a/internal/edge/exchange/client_test.go
+++ b/internal/edge/exchange/client_test.go
@@ -250,3 +250,33 @@
 		})
 	}
 }
+
+// A caller reads another caller's answer: a faulty server sent two answers to one request, and
+// the second one waited in the connection's buffer for whoever used the connection next.
+func TestSurplusAnswerIsNotGivenToTheNextCall(t *testing.T) {
+	var connections atomic.Int32
+	address := peer(t, func(conn net.Conn, reader *bufio.Reader) {
+		number := connections.Add(1)
+		for readRequest(reader) {
+			if number == 1 {
+				write(t, conn, okAnswer+"HTTP/1.1 500 Crossed\r\nContent-Length: 0\r\n\r\n")
+				continue
+			}
+			write(t, conn, okAnswer)
+		}
+	})
+	client := exchange.NewClient()
+	defer client.Close()
+	for range 2 {
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		req.SetRequestURI("http://" + address + "/call")
+		if err := client.Do(t.Context(), req, resp); err != nil {
+			t.Fatal(err)
+		}
+		if got := resp.StatusCode(); got != 200 {
+			t.Errorf("got the surplus answer, status %d", got)
+		}
+		fasthttp.ReleaseRequest(req)
+		fasthttp.ReleaseResponse(resp)
+	}
+}
--- a/internal/edge/exchange/connection.go
+++ b/internal/edge/exchange/connection.go
@@ -48,9 +48,10 @@
 // A server closes idle connections at any time. A request written to such a connection is
 // answered by a reset, and whether it ran is then unknown; a call that may not be repeated would
 // fail for nothing. Looking for a pending end of file first leaves only the moment between the
-// look and the write. An idle connection has nothing to read, so pending data is an error too.
+// look and the write. An idle connection has nothing to read: what is pending or buffered is an
+// answer to no request, which the next call would take for its own.
 func (c *connection) usable(idleTimeout time.Duration) bool {
-	if time.Since(c.since) > idleTimeout {
+	if time.Since(c.since) > idleTimeout || c.reader.Buffered() > 0 {
 		return false
 	}
 	socket, ok := c.raw.(syscall.Conn)
