--- a/internal/core/rollout/hedge.go
+++ b/internal/core/rollout/hedge.go
@@ -14,7 +14,7 @@
 
 // Hedge returns the samples to start a second copy of, the greatest gain first. It guards against
 // one slow or stalled engine deciding the length of a step: such a sample's tokens come slower than
-// others' while its group waits for nothing else. Each sample is copied once at most, and all copies of
+// others' while its group waits for nothing else. Each sample is copied twice at most, and all copies of
 // a job together stay within the share of its work, so copies can't become a load of their own.
 func (p *Planner) Hedge(now time.Time) []Work {
 	var out []Work
@@ -24,7 +24,7 @@
 			continue
 		}
 		job.copies += s.sample.rest()
-		s.sample.copied = true
+		s.sample.copies++
 		out = append(out, s.sample.work(true))
 	}
 	return out
@@ -33,7 +33,7 @@
 func (p *Planner) stragglers(now time.Time) []straggler {
 	var found []straggler
 	for _, sample := range p.samples {
-		if sample.done || sample.copied || sample.running != 1 || !sample.group.nearlyWhole() {
+		if sample.done || sample.running == 0 || sample.copies >= maxCopies || !sample.group.nearlyWhole() {
 			continue
 		}
 		if gain := sample.group.step.job.gain(now, sample); gain > 0 {
--- a/internal/core/rollout/job.go
+++ b/internal/core/rollout/job.go
@@ -56,10 +56,11 @@
 	return sorted[len(sorted)/2]
 }
 
-// gain is the time that a copy of the sample would save; 0 if it isn't a straggler.
+// gain is the time that a copy of the sample would save; 0 if it isn't a straggler, or hasn't run for the
+// usual time of a whole sample yet: the first tokens wait for the prompt.
 func (j *jobState) gain(now time.Time, sample *sampleState) time.Duration {
 	typical := j.typicalSpeed()
-	if typical == 0 || now.Sub(sample.started) < grace {
+	if typical == 0 || now.Sub(sample.started).Seconds() < sample.cost/typical {
 		return 0
 	}
 	speed := max(sample.speed(now), typical*leastSpeedPart)
--- a/internal/core/rollout/planner.go
+++ b/internal/core/rollout/planner.go
@@ -13,8 +13,8 @@
 	stragglerFactor  = 2
 	// nearlyWholePart: a group is nearly whole when at most a quarter of it is left.
 	nearlyWholePart = 4
-	// grace is how long a sample runs before its speed is judged: the first tokens wait for the prompt.
-	grace = 500 * time.Millisecond
+	// maxCopies is how many copies of a sample are started: the first may be slow too.
+	maxCopies = 2
 	// leastSpeeds is how many finished samples are needed to judge others.
 	leastSpeeds = 4
 	// leastSpeedPart keeps the gain of a stalled sample finite.
@@ -107,6 +107,7 @@
 	state.left = state.size
 	step.waiting += state.size
 	step.left += state.size
+	step.size += state.size
 	return state
 }
 
@@ -162,14 +163,11 @@
 		return
 	}
 	sample.running++
-	if work.Copy {
-		return
-	}
-	if !sample.take() {
-		return
-	}
 	sample.started = now
 	sample.startedTokens = sample.tokens
+	if work.Copy || !sample.take() {
+		return
+	}
 	job := sample.group.step.job
 	p.clock = max(p.clock, job.tag)
 	job.tag += sample.rest() / job.weight
@@ -202,7 +200,7 @@
 		return -1
 	}
 	sample.done = true
-	if !sample.copied {
+	if sample.copies == 0 {
 		sample.tokens = max(sample.tokens, tokens)
 		sample.group.step.job.learn(sample.speed(now))
 	}
--- a/internal/core/rollout/sample.go
+++ b/internal/core/rollout/sample.go
@@ -13,9 +13,9 @@
 	tokens  int
 	group   *groupState
 	running int
-	copied  bool
+	copies  int
 	done    bool
-	// started, and the tokens at that time, give the sample's speed.
+	// started is when the sample or its last copy started; with the tokens at that time it gives the speed.
 	started       time.Time
 	startedTokens int
 }
--- a/internal/core/rollout/step.go
+++ b/internal/core/rollout/step.go
@@ -47,6 +47,7 @@
 	untouched int
 	waiting   int
 	left      int
+	size      int
 }
 
 // groupState is the progress of a group.
@@ -90,7 +91,10 @@
 	return best
 }
 
-// nearlyWhole says that the group, or the step round it, only waits for what is running.
+// nearlyWhole says that the group, or the step round it, only waits for its last quarter, which runs.
 func (g *groupState) nearlyWhole() bool {
-	return g.step.waiting == 0 || len(g.waiting) == 0 && g.left*nearlyWholePart <= g.size
+	if len(g.waiting) > 0 {
+		return false
+	}
+	return g.left*nearlyWholePart <= g.size || g.step.left*nearlyWholePart <= g.step.size
 }
--- a/internal/core/scenario/server_test.go
+++ b/internal/core/scenario/server_test.go
@@ -19,6 +19,8 @@
 type run struct {
 	left float64
 	cost float64
+	// pace is its speed next to the others; 1 but for a straggler.
+	pace float64
 	done func(ok bool)
 }
 
@@ -49,7 +51,7 @@
 func (s *server) advance() {
 	work := s.rate() * s.clock.now.Sub(s.last).Seconds()
 	for _, r := range s.running {
-		r.left -= work
+		r.left -= work * r.pace
 	}
 	s.last = s.clock.now
 }
@@ -70,7 +72,7 @@
 	}
 	least := math.Inf(1)
 	for _, r := range s.running {
-		least = min(least, r.left)
+		least = min(least, r.left/r.pace)
 	}
 	wait := time.Duration(math.Ceil(max(0, least) / rate * float64(time.Second)))
 	s.clock.after(wait, func() {
@@ -98,7 +100,7 @@
 
 // start runs a request; a prefix that isn't cached costs prefill tokens more.
 func (s *server) start(cost float64, prefix uint64, prefill float64, done func(ok bool)) *run {
-	r := &run{left: cost, cost: cost, done: done}
+	r := &run{left: cost, cost: cost, pace: 1, done: done}
 	if prefix != 0 && !s.holds(prefix) {
 		r.left += prefill
 	}
@@ -120,6 +122,24 @@
 	return false
 }
 
+// startAt runs a request at a pace of its own.
+func (s *server) startAt(pace, cost float64, prefix uint64, prefill float64, done func(ok bool)) *run {
+	r := s.start(cost, prefix, prefill, done)
+	r.pace = pace
+	s.schedule()
+	return r
+}
+
+// tokens is how many tokens of a run exist.
+func (s *server) tokens(r *run) int {
+	s.advance()
+	return int(max(0, r.cost-r.left))
+}
+
+func (s *server) cancel(r *run) {
+	s.change(func() { s.running = slices.DeleteFunc(s.running, func(o *run) bool { return o == r }) })
+}
+
 // fail ends all runs without an answer.
 func (s *server) fail() {
 	var lost []*run
