--- a/internal/edge/billing/clean.go
+++ b/internal/edge/billing/clean.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/usage"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
 )
 
@@ -13,19 +14,68 @@
 // retention is far longer than any write can be on its way, so that no closer finds an object
 // absent that it is to find.
 func (c *Closer) clean(ctx context.Context, oldest int64) error {
-	for _, prefix := range []string{CountsPrefix, ClosingPrefix, FrozenPrefix} {
-		objects, err := c.store.List(ctx, prefix)
+	old, err := c.listOld(ctx, CountsPrefix, oldest)
+	if err != nil {
+		return err
+	}
+	if err := c.noteExpired(ctx, old, oldest); err != nil {
+		return err
+	}
+	for _, prefix := range []string{ClosingPrefix, FrozenPrefix} {
+		more, err := c.listOld(ctx, prefix, oldest)
 		if err != nil {
 			return err
 		}
-		for _, object := range objects {
-			if windowPart(object.Name) > windowName(oldest) {
-				continue
-			}
-			if err := c.remove(ctx, object); err != nil {
-				return err
-			}
+		old = append(old, more...)
+	}
+	for _, object := range old {
+		if err := c.remove(ctx, object); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// listOld returns the objects under the prefix whose window is oldest or before.
+func (c *Closer) listOld(ctx context.Context, prefix string, oldest int64) ([]platform.Object, error) {
+	objects, err := c.store.List(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	var old []platform.Object
+	for _, object := range objects {
+		if windowPart(object.Name) <= windowName(oldest) {
+			old = append(old, object)
+		}
+	}
+	return old, nil
+}
+
+// noteExpired logs and counts the usage that came too late for every report, so that it is not
+// lost in silence.
+func (c *Closer) noteExpired(ctx context.Context, counts []platform.Object, oldest int64) error {
+	if len(counts) == 0 {
+		return nil
+	}
+	ledger, err := mergeObjects(counts)
+	if err != nil {
+		return err
+	}
+	accounted, err := c.accounted(ctx, maxWindow)
+	if err != nil {
+		return err
+	}
+	for organisation, used := range ledger.Sums() {
+		expired := usage.Due(used, accounted[organisation], minWindow, oldest)
+		amount, _ := usage.Total(expired, minWindow)
+		if amount.IsZero() {
+			continue
 		}
+		c.mutex.Lock()
+		c.state.Expired = c.state.Expired.Plus(amount)
+		c.mutex.Unlock()
+		c.log.Error().Str("organisation", organisation).Interface("amount", amount).
+			Msg("usage arrived after the retention and is not reported")
 	}
 	return nil
 }
--- a/internal/edge/billing/closer.go
+++ b/internal/edge/billing/closer.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/usage"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
 )
 
@@ -57,7 +58,9 @@
 	Through time.Time `json:"through"`
 	Windows int       `json:"closedWindows"`
 	Reports int       `json:"acknowledgedReports"`
-	Error   string    `json:"lastError,omitempty"`
+	// Expired is usage that arrived after the retention and was not reported.
+	Expired usage.Amount `json:"expired"`
+	Error   string       `json:"lastError,omitempty"`
 }
 
 // CloserOption changes a closer under construction.
--- a/internal/edge/billing/closer_test.go
+++ b/internal/edge/billing/closer_test.go
@@ -186,3 +186,25 @@
 		}
 	}
 }
+
+// A host comes back after weeks with counts of windows that are long closed and forgotten. They
+// can't be reported any more, and nobody would know that the invoices were too small.
+func TestUsageAfterTheRetentionIsNotLostInSilence(t *testing.T) {
+	memory := standin.NewMemory()
+	flush(t, memory, count(1, "sahil", start, 5))
+	closing := func(now time.Time) *Closer {
+		closer := newCloser(memory, always{}, now)
+		closer.retention = 2
+		if err := closer.CloseDue(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		return closer
+	}
+	closing(start.Add(5*DefaultWindow + DefaultGrace))
+	flush(t, memory, count(2, "sahil", start, 3))
+	late := closing(start.Add(6*DefaultWindow + DefaultGrace))
+	if got := late.State().Expired.Requests; got != 3 {
+		t.Errorf("%d requests expired, want 3", got)
+	}
+	checkReports(t, memory, "20260301T060000Z/sahil 5")
+}
--- a/internal/edge/billing/object.go
+++ b/internal/edge/billing/object.go
@@ -32,6 +32,12 @@
 // DefaultWindow is the length of a usage window.
 const DefaultWindow = time.Hour
 
+// Bounds of all windows: the year 1 and the year 9999, the last whose name sorts by time.
+const (
+	minWindow = -62135596800
+	maxWindow = 253402300799
+)
+
 // windowLayout sorts by time and needs no escaping.
 const windowLayout = "20060102T150405Z"
 
--- a/internal/edge/billing/window.go
+++ b/internal/edge/billing/window.go
@@ -58,6 +58,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return mergeObjects(objects)
+}
+
+func mergeObjects(objects []platform.Object) (*usage.Ledger, error) {
 	ledger := usage.NewLedger()
 	for _, object := range objects {
 		stored, err := decode[Counts](object)
