--- a/internal/program/demo/demo.go
+++ b/internal/program/demo/demo.go
@@ -53,7 +53,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	topology, err := scenario.NewTopology(deployment, freeAddress)
+	topology, err := scenario.NewTopology(deployment, scenario.Addresses())
 	if err != nil {
 		return err
 	}
@@ -89,16 +89,6 @@
 	return nil
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a probe for a free port never blocks
-	if err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "free port")
-	}
-	defer func() { _ = l.Close() }()
-	return netip.ParseAddrPort(l.Addr().String())
-}
-
 // part is a started process.
 type part interface {
 	Drain(ctx context.Context) error
--- a/internal/program/e2e/cluster_test.go
+++ b/internal/program/e2e/cluster_test.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -60,7 +58,7 @@
 // newCluster starts all processes of the deployment; they end with the test.
 func newCluster(t *testing.T, deployment scenario.Deployment) *cluster {
 	t.Helper()
-	topology, err := scenario.NewTopology(deployment, freeAddress)
+	topology, err := scenario.NewTopology(deployment, scenario.Addresses())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -84,15 +82,6 @@
 	return c
 }
 
-func freeAddress() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer func() { _ = l.Close() }()
-	return netip.ParseAddrPort(l.Addr().String())
-}
-
 func (c *cluster) write(name string, value any) string {
 	c.t.Helper()
 	body, err := json.Marshal(value)
