--- /dev/null
+++ b/internal/core/usage/benchmark_test.go
@@ -0,0 +1,45 @@
+package usage_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/usage"
+)
+
+// filled returns a ledger of one window with a cell for each agent and organisation.
+func filled(agents, organisations int) *usage.Ledger {
+	ledger := usage.NewLedger()
+	for agent := range agents {
+		for organisation := range organisations {
+			cell := usage.Cell{Agent: uint64(agent), Organisation: fmt.Sprintf("organisation-%d", organisation)}
+			ledger.Merge(usage.Count{Cell: cell, Amount: amount(1)})
+		}
+	}
+	return ledger
+}
+
+func BenchmarkMerge(b *testing.B) {
+	for _, agents := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("cells=%d", agents*8), func(b *testing.B) {
+			counts := filled(agents, 8).Counts()
+			ledger := usage.NewLedger()
+			i := 0
+			for b.Loop() {
+				ledger.Merge(counts[i%len(counts)])
+				i++
+			}
+		})
+	}
+}
+
+func BenchmarkSums(b *testing.B) {
+	for _, agents := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("cells=%d", agents*8), func(b *testing.B) {
+			ledger := filled(agents, 8)
+			for b.Loop() {
+				ledger.Sums()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/edge/backendserver/enginefault_test.go
@@ -0,0 +1,94 @@
+package backendserver_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/backendserver"
+	"github.com/oleandershelf/oleandershelf/internal/standin/engine"
+)
+
+// An engine crashes under running streams. Each caller has to learn that its answer is not whole,
+// and calls to the dead engine must fail rather than wait.
+func TestCrashCutsStreamsAndCalls(t *testing.T) {
+	server, client := startEngine(t)
+	server.SetFaults(engine.Faults{Stalled: true})
+	var group conc.WaitGroup
+	for range 3 {
+		group.Go(func() {
+			if _, err := collect(t.Context(), client, ask); !errors.Is(err, backendserver.ErrLost) {
+				t.Errorf("running stream: got %v", err)
+			}
+		})
+	}
+	waitFor(t, func() bool { return server.State().Running == 3 })
+	server.SetFaults(engine.Faults{Crashed: true})
+	server.CutConnections()
+	group.Wait()
+	if _, err := client.Load(t.Context()); !errors.Is(err, backendserver.ErrLost) {
+		t.Errorf("call to the crashed engine: got %v", err)
+	}
+}
+
+func TestLoadReportLags(t *testing.T) {
+	server, client := startEngine(t, engine.WithLoadLag(time.Hour))
+	server.SetFaults(engine.Faults{Stalled: true})
+	var group conc.WaitGroup
+	group.Go(func() {
+		if _, err := collect(t.Context(), client, ask); !errors.Is(err, backendserver.ErrLost) {
+			t.Errorf("got %v", err)
+		}
+	})
+	waitFor(t, func() bool { return server.State().Running == 1 })
+	load, err := client.Load(t.Context())
+	if err != nil || load.Running != 0 || load.Version != engine.DefaultVersion {
+		t.Errorf("got %+v, %v", load, err)
+	}
+	if err := client.Cancel(t.Context(), ask.SampleID); err != nil {
+		t.Error(err)
+	}
+	group.Wait()
+}
+
+// A bulk request that waited longest must not start before an interactive one. The engine's cache
+// events tell the order in which the requests were started.
+func TestWaitingRequestsStartByPriority(t *testing.T) {
+	server, client := startEngine(t, engine.WithSlots(1, 8), engine.WithCache(8, 0))
+	server.SetFaults(engine.Faults{Stalled: true})
+	generate := func(prompt string, priority int) func() {
+		return func() {
+			request := backendserver.GenerateRequest{Prompt: prompt, MaxTokens: 1, Priority: priority}
+			if _, err := collect(t.Context(), client, request); err != nil {
+				t.Errorf("%s: %v", prompt, err)
+			}
+		}
+	}
+	var group conc.WaitGroup
+	group.Go(generate("running", 0))
+	waitFor(t, func() bool { return server.State().Running == 1 })
+	group.Go(generate("bulk", 2))
+	waitFor(t, func() bool { return server.State().Queued == 1 })
+	group.Go(generate("interactive", 0))
+	waitFor(t, func() bool { return server.State().Queued == 2 })
+	server.SetFaults(engine.Faults{})
+	group.Wait()
+	events, err := client.CacheEvents(t.Context(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []uint64
+	for _, event := range events {
+		got = append(got, event.Prefix)
+	}
+	var want []uint64
+	for _, prompt := range []string{"running", "interactive", "bulk"} {
+		want = append(want, backendserver.PrefixHash(prompt))
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
