--- a/internal/core/usage/ledger.go
+++ b/internal/core/usage/ledger.go
@@ -48,11 +48,15 @@
 	return ledger
 }
 
+// WindowSeconds returns the length of a window in whole seconds, at least one.
+func WindowSeconds(length time.Duration) int64 {
+	return max(int64(length/time.Second), 1)
+}
+
 // WindowStart returns the start in Unix seconds of the window that holds at; windows are cut from
 // the Unix epoch in UTC.
 func WindowStart(at time.Time, length time.Duration) int64 {
-	seconds := int64(length / time.Second)
-	return at.Unix() - at.Unix()%seconds
+	return at.Unix() - at.Unix()%WindowSeconds(length)
 }
 
 // Add grows the cell by the amount and returns its new total. Only the cell's single writer may call it.
--- a/internal/core/usage/ledger_test.go
+++ b/internal/core/usage/ledger_test.go
@@ -74,8 +74,19 @@
 
 func TestWindowStart(t *testing.T) {
 	at := time.Date(2026, 3, 1, 10, 59, 59, 0, time.FixedZone("GST", 4*3600+1800))
-	want := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC).Unix()
-	if got := usage.WindowStart(at, time.Hour); got != want {
-		t.Errorf("got %d, want %d", got, want)
+	cases := []struct {
+		name   string
+		length time.Duration
+		want   time.Time
+	}{
+		{name: "hour in UTC", length: time.Hour, want: time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)},
+		{name: "shorter than a second", length: time.Millisecond, want: at},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := usage.WindowStart(at, c.length); got != c.want.Unix() {
+				t.Errorf("got %d, want %d", got, c.want.Unix())
+			}
+		})
 	}
 }
--- a/internal/edge/billing/closer.go
+++ b/internal/edge/billing/closer.go
@@ -189,7 +189,7 @@
 }
 
 func (c *Closer) seconds() int64 {
-	return int64(c.window / time.Second)
+	return usage.WindowSeconds(c.window)
 }
 
 // due reports whether the window has ended and its grace time is over.
--- a/internal/edge/billing/collector.go
+++ b/internal/edge/billing/collector.go
@@ -193,7 +193,7 @@
 
 // forget drops counts of old windows that the platform has.
 func (c *Collector) forget() {
-	oldest := usage.WindowStart(c.clock(), c.window) - keptWindows*int64(c.window/time.Second)
+	oldest := usage.WindowStart(c.clock(), c.window) - keptWindows*usage.WindowSeconds(c.window)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.ledger.Forget(func(count usage.Count) bool {
