--- a/internal/core/fleet/decide.go
+++ b/internal/core/fleet/decide.go
@@ -7,7 +7,9 @@
 
 // Figures of the policy; the package comment gives the grounds.
 const (
-	targetUse    = 0.9
+	// queuedPart of the waiting requests counts: a queue is work left over, not work that keeps coming.
+	queuedPart   = 0.25
+	targetUse    = 0.95
 	maxViewAge   = 5 * time.Second
 	maxReportAge = 10 * time.Second
 	missingPart  = 4
@@ -15,11 +17,11 @@
 	// stopTime is how long the platform may take to stop a server.
 	stopTime     = 5 * time.Minute
 	leastHold    = time.Minute
-	holdStartups = 2
+	holdStartups = 1
 	raisePart    = 2
 	lowerPart    = 10
-	smoothTime   = 10 * time.Second
-	slopeTime    = 30 * time.Second
+	smoothTime   = 30 * time.Second
+	slopeTime    = 300 * time.Second
 	rateGapMax   = time.Minute
 )
 
@@ -86,7 +88,7 @@
 	total := 0.0
 	for _, server := range state.Servers {
 		if server.fresh() {
-			total += float64(server.Running + server.Queued)
+			total += float64(server.Running) + float64(server.Queued)*queuedPart
 		}
 	}
 	if reported > 0 {
@@ -117,7 +119,6 @@
 // need is the number of servers for the work at the time when a server ordered now would serve.
 func (m *Memory) need(state State) int {
 	forecast := m.Level + max(0, m.Slope)*state.StartupTime.Seconds()
-	servers := int(math.Ceil(forecast / (limit(state.Servers) * targetUse)))
 	return bounded(servers, state)
 }
 
--- a/internal/core/fleet/doc.go
+++ b/internal/core/fleet/doc.go
@@ -12,10 +12,12 @@
 // offered load in units of a server's slots, whatever the requests cost. The need is the work forecast
 // for the time at which a server ordered now would serve.
 //
-// Grounds for the figures. A server is planned to be nine tenths full: with ten servers of eight slots
-// the random spread of arrivals is about a tenth, and each tenth kept free costs a tenth. Up goes at once, by at
-// most half of what runs, so that one wrong figure can't order a zone full. Down waits until the need
-// was lower for two start-up times, at least a minute: a server stopped and wanted again within that time
+// Grounds for the figures. A server is planned to be 95 % full: each tenth kept free costs a tenth, and the
+// need is rounded up. A quarter of the queue counts as work: with all of it a burst of three minutes ordered
+// half as many servers again as it needed. The work is smoothed over 30 s and its growth over five minutes, since
+// the growth is multiplied by the start-up time. Up goes at once, by at most half of what is ordered, so
+// that one wrong figure can't order a zone full. Down waits until the need was lower for one start-up
+// time, at least a minute: a server stopped and wanted again within that time
 // costs more than one kept. Down goes by a tenth at a time, after draining. The order is left alone while the
 // host list is older than 5 s (twice the lag of its refresh), while more than a quarter of the reports
 // is missing or older than 10 s, or while the number of live servers has just halved.
--- a/internal/core/scenario/step_test.go
+++ b/internal/core/scenario/step_test.go
@@ -63,7 +63,6 @@
 	began    map[string]time.Time
 	attempts map[string][]*attempt
 	times    []time.Duration
-	idle     time.Duration
 	useful   float64
 	work     float64
 	prefills int
