--- a/internal/core/fleet/decide.go
+++ b/internal/core/fleet/decide.go
@@ -119,6 +119,7 @@
 // need is the number of servers for the work at the time when a server ordered now would serve.
 func (m *Memory) need(state State) int {
 	forecast := m.Level + max(0, m.Slope)*state.StartupTime.Seconds()
+	servers := int(math.Ceil(forecast / (limit(state.Servers) * targetUse)))
 	return bounded(servers, state)
 }
 
