--- a/internal/program/scenario/player.go
+++ b/internal/program/scenario/player.go
@@ -84,6 +84,14 @@
 	return p.seen, nil
 }
 
+// Prepare applies the tickets and waits until every pool answers, for tests that go on by themselves.
+func (p *Player) Prepare(ctx context.Context) error {
+	if err := p.applyTickets(ctx); err != nil {
+		return err
+	}
+	return p.waitForServers(ctx)
+}
+
 func (p *Player) bearer(organisation string) []string {
 	return []string{"Authorization", "Bearer " + p.deployment.Key(organisation)}
 }
