--- a/internal/core/queue/leave.go
+++ b/internal/core/queue/leave.go
@@ -38,7 +38,7 @@
 }
 
 // Wait estimates how long a new item of the organisation would wait, from the work that goes before
-// it and the pace of the last seconds; 0 while nothing waits or no pace is known.
+// it and the pace of the last seconds, one item's turn at least; 0 while nothing waits or no pace is known.
 func (q *Queue[T]) Wait(_ time.Time, organisation string, weight float64) time.Duration {
 	if q.length == 0 {
 		return 0
@@ -49,7 +49,7 @@
 		start = max(found.start, q.clock) + found.cost/positive(weight)
 		own = found.cost
 	}
-	return q.pace.duration(own + q.ahead(start, found))
+	return q.pace.duration(max(own+q.ahead(start, found), q.pace.typicalCost()))
 }
 
 // ahead is the work of the lanes other than own that goes before a virtual start time.
--- a/internal/core/queue/limiter.go
+++ b/internal/core/queue/limiter.go
@@ -20,8 +20,9 @@
 	// roundSamples is how many requests at least make a step.
 	roundSamples = 4
 	// baseDrift is how much a base rises with each request above it, so that a server that has become
-	// slower for good, as with larger weights, isn't held at the floor for ever.
-	baseDrift = 0.002
+	// slower for good, as with larger weights, isn't held at the floor for ever. Ten times as much let
+	// the base follow the latency that the limit itself caused, and the limit ran away under long load.
+	baseDrift = 0.0002
 	// recentShare is the part of a new time in the usual one.
 	recentShare = 0.125
 	classes     = 32
--- a/internal/core/queue/pace.go
+++ b/internal/core/queue/pace.go
@@ -69,7 +69,8 @@
 	p.logCost += (math.Log(cost) - p.logCost) / p.seen
 }
 
-// longCost is the cost from which an item is long: the geometric mean isn't carried away by few long ones.
-func (p *pace) longCost() float64 {
-	return longFactor * math.Exp(p.logCost)
-}
+// typicalCost is the geometric mean, which few long items don't carry away.
+func (p *pace) typicalCost() float64 { return math.Exp(p.logCost) }
+
+// longCost is the cost from which an item is long.
+func (p *pace) longCost() float64 { return longFactor * p.typicalCost() }
--- a/internal/core/scenario/step_test.go
+++ b/internal/core/scenario/step_test.go
@@ -34,7 +34,6 @@
 	copyShare float64
 	// together gives the samples of a group one prefix to be placed by.
 	together bool
-	resume   bool
 }
 
 // attempt is one running generation.
