Settle requests that were started but not sent as not run

When a connection broke, its queued requests were started as places became free and ended unsent, since their caller had gone; a question that came in between was answered with 'may have run'.

--- a/internal/edge/agent/control.go
+++ b/internal/edge/agent/control.go
@@ -166,7 +166,11 @@
 
 // finish ends a running request and starts the next.
 func (c *control) finish(now time.Time, j *job, v verdict.Verdict, result outcome) {
-	c.queue.Finished(c.running[j])
+	item, ok := c.running[j]
+	if !ok {
+		return // it was withdrawn
+	}
+	c.queue.Finished(item)
 	delete(c.running, j)
 	_ = c.record.Finish(now, j.q.ID, v) // it is running: only this method ends it
 	if j.keyed() {
@@ -181,6 +185,7 @@
 
 // settle says what became of a request; one that is queued is taken out first.
 func (c *control) settle(now time.Time, id request.ID) request.Settled {
+	c.withdrawUnsent(now, id)
 	settled := c.record.Settle(now, id)
 	removed := c.queue.Remove(func(item queue.Item[*job]) bool { return item.Value.q.ID == id })
 	for _, item := range removed {
@@ -189,6 +194,16 @@
 	return settled
 }
 
+// withdrawUnsent ends a request that was started but not sent to the backend server yet.
+func (c *control) withdrawUnsent(now time.Time, id request.ID) {
+	for j := range c.running {
+		if j.q.ID == id && j.decide(withdrawn) {
+			c.finish(now, j, verdict.NotRun, outcome{})
+			return
+		}
+	}
+}
+
 // viewChanged acts on a new configuration: requests of withdrawn keys are refused while queued, and
 // cut short while running where that can be done.
 func (c *control) viewChanged(now time.Time) {
--- a/internal/edge/agent/execute.go
+++ b/internal/edge/agent/execute.go
@@ -109,8 +109,8 @@
 func (a *Agent) runJob(
 	ctx context.Context, j *job, pool ticket.Pool, out peer.Sink,
 ) (request.AnswerEnd, error) {
-	if ctx.Err() != nil {
-		refusal := gone(ctx, verdict.NotRun) // nothing was sent yet
+	if ctx.Err() != nil || !j.decide(sent) {
+		refusal := gone(ctx, verdict.NotRun) // nothing was sent, nor will be
 		a.do(func(now time.Time) { a.control.finish(now, j, verdict.NotRun, outcome{}) })
 		return request.AnswerEnd{}, refusal
 	}
--- a/internal/edge/agent/job.go
+++ b/internal/edge/agent/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,6 +14,13 @@
 // errKeyWithdrawn is the cause of the end of a run whose key was withdrawn.
 var errKeyWithdrawn = errors.New("key was withdrawn")
 
+// decided says whether a started job is sent to the backend server or withdrawn before that.
+const (
+	undecided int32 = iota
+	sent
+	withdrawn
+)
+
 // job is a request from its arrival to its end. The control goroutine owns all of it but q.
 type job struct {
 	q        request.Execute
@@ -29,6 +37,15 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	since  time.Time
+	// decision is taken once, by the goroutine that is about to send the call or by a question what
+	// became of it. Without it a question that comes between start and sending had to answer "may
+	// have run" for calls that were then not sent, since their caller had gone.
+	decision atomic.Int32
+}
+
+// decide takes the decision, or returns false if another was taken before.
+func (j *job) decide(decision int32) bool {
+	return j.decision.CompareAndSwap(undecided, decision)
 }
 
 func newJob(ctx context.Context, q request.Execute, now time.Time, cancellable bool) *job {
