--- a/internal/edge/entry/recordkeeper.go
+++ b/internal/edge/entry/recordkeeper.go
@@ -40,6 +40,9 @@
 
 // recordKeeper maps a caller's idempotency key to one run over all entries.
 //
+// A record whose entry died stays without an outcome: its repeats are told that the call is running, and once
+// no request can be running any more, that it may have run.
+//
 // Guard: the caller repeats a call that may not run twice, at another entry, while or after the first ran.
 // The record is created in the platform before the run, and creation has one winner. Where the platform
 // can't be reached the call is refused as not run.
@@ -74,7 +77,7 @@
 
 func recordName(c call, key string) string {
 	sum := sha256.Sum256([]byte(c.pool.Name + "\x00" + key))
-	return "idempotency/" + c.organisation + "/" + hex.EncodeToString(sum[:])
+	return recordPrefix(int(sum[0])) + c.organisation + "/" + hex.EncodeToString(sum[:])
 }
 
 func messageDigest(pool string, message request.Execute) string {
@@ -131,7 +134,7 @@
 			"the idempotency key was used for another call")
 	case found.Answer != nil:
 		return *found.Answer, nil
-	case found.InDoubt:
+	case found.InDoubt || time.Since(found.Created) > MaxRequestTimeout:
 		return wholeAnswer{}, verdict.New(verdict.MayHaveRun, http.StatusConflict, verdict.ReasonServerLost, 0,
 			"the first call with this idempotency key may have run; its answer was lost")
 	default:
--- a/internal/edge/entry/recordkeeper_test.go
+++ b/internal/edge/entry/recordkeeper_test.go
@@ -5,10 +5,12 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/request"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
+	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
 )
 
 const bookingPath = "/v1/services/billdesk/bookings"
@@ -96,3 +98,43 @@
 		})
 	}
 }
+
+// heldDuty is a duty that this host always or never holds.
+type heldDuty bool
+
+func (h heldDuty) Held(now time.Time) (platform.Version, time.Time, bool) {
+	return 1, now.Add(time.Second), bool(h)
+}
+
+// Records of idempotency keys would fill the platform for ever. Those older than a day go; younger ones,
+// and all of them while another host holds the duty, stay: a repeat would else run a second time.
+func TestSweeperKeepsYoungRecords(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		held  bool
+		after time.Duration
+		want  int
+	}{
+		{"young", true, RecordLife - time.Minute, 1},
+		{"old", true, RecordLife + time.Minute, 0},
+		{"old, duty held elsewhere", false, RecordLife + time.Minute, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ready := &fakeAgent{}
+			f := newFixture(t, ready)
+			if have := f.send(http.MethodPost, bookingPath, "x", "Idempotency-Key", "k"); have.status != http.StatusOK {
+				t.Fatalf("have %+v", have)
+			}
+			sweeper := &RecordSweeper{store: f.memory, duty: heldDuty(test.held)}
+			for range recordShards {
+				if err := sweeper.sweep(context.Background(), time.Now().Add(test.after)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			kept, err := f.memory.List(context.Background(), "idempotency/")
+			if err != nil || len(kept) != test.want {
+				t.Errorf("%d records kept, want %d (%v)", len(kept), test.want, err)
+			}
+		})
+	}
+}
--- a/internal/program/process/entryduties.go
+++ b/internal/program/process/entryduties.go
@@ -7,6 +7,7 @@
 	"github.com/oleandershelf/oleandershelf/internal/core/usage"
 	"github.com/oleandershelf/oleandershelf/internal/edge/billing"
 	"github.com/oleandershelf/oleandershelf/internal/edge/configuration"
+	"github.com/oleandershelf/oleandershelf/internal/edge/entry"
 	"github.com/oleandershelf/oleandershelf/internal/edge/fleet"
 )
 
@@ -15,6 +16,7 @@
 	dutyServerOrders = "serverOrders/"
 	dutyUsage        = "usage/0"
 	dutyTrainerJob   = "trainerJob/"
+	dutyRecords      = "idempotencyRecords"
 )
 
 // duties are what an entry does under lease beside serving.
@@ -23,7 +25,8 @@
 	fleet *fleet.Runner
 	usage *gatherer
 	// closer closes usage windows; one host does it for all organisations.
-	closer *billing.Closer
+	closer  *billing.Closer
+	records *entry.RecordSweeper
 }
 
 // newDuties starts the duties of an entry; each acts only while its lease is held.
@@ -39,6 +42,7 @@
 	}, fleet.WithLogger(r.log))
 	d.closer = billing.NewCloser(ctx, r.platform, plainKeeper{d.keeper(ctx, dutyUsage, "")},
 		billing.WithCloserWindow(r.set.UsageWindow), billing.WithGrace(usageGrace(r.set.UsageWindow)), billing.WithCloserLog(r.log))
+	d.records = entry.NewRecordSweeper(ctx, r.platform, plainKeeper{d.keeper(ctx, dutyRecords, "")}, r.log)
 	return d
 }
 
@@ -56,6 +60,7 @@
 	d.fleet.Wait()
 	d.usage.wait()
 	d.closer.Wait()
+	d.records.Wait()
 }
 
 // state is the dump of all duties.
