--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -145,7 +145,7 @@
 	timeout := time.AfterFunc(s.dialTimeout, func() { _ = conn.Close() })
 	defer timeout.Stop()
 	progress := newProgressConn(conn, s)
-	reader := newFrameReader(bufio.NewReaderSize(progress, bufferSize), maxHandshakeFrame)
+	reader := newFrameReader(bufio.NewReaderSize(progress, readBufferSize), maxHandshakeFrame)
 	incarnation, err := shake(progress, reader, secret)
 	if err != nil {
 		return nil, err
--- a/internal/edge/peer/failure_test.go
+++ b/internal/edge/peer/failure_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -399,6 +400,29 @@
 	}
 }
 
+// FuzzHandshake feeds a stranger's bytes to the serving side of a handshake: it must fail, without
+// reading more than small frames.
+func FuzzHandshake(f *testing.F) {
+	var buf bytes.Buffer
+	payload, _ := msgpack.Marshal(hello{Version: protocolVersion, Nonce: newNonce()})
+	_ = appendFrame(&buf, msgpack.NewEncoder(nil), frame{Kind: kindHello, Payload: payload})
+	payload, _ = msgpack.Marshal(proof{Proof: newNonce()})
+	_ = appendFrame(&buf, msgpack.NewEncoder(nil), frame{Kind: kindProof, Payload: payload})
+	f.Add(buf.Bytes())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		near, far := net.Pipe()
+		var peer conc.WaitGroup
+		peer.Go(func() { _, _ = io.Copy(io.Discard, far) })
+		_, err := accept(near, newFrameReader(bytes.NewReader(data), maxHandshakeFrame), testSecret)
+		_ = near.Close()
+		_ = far.Close()
+		peer.Wait()
+		if err == nil {
+			t.Error("a stranger was let in")
+		}
+	})
+}
+
 func FuzzFrame(f *testing.F) {
 	var buf bytes.Buffer
 	_ = appendFrame(&buf, msgpack.NewEncoder(nil), frame{Kind: kindData, Incarnation: 1 << 60, Stream: 7, Payload: []byte("abc")})
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -72,4 +72,6 @@
 	// queueLength is the number of frames that wait for the writer of a connection.
 	queueLength = 64
 	bufferSize  = 32 << 10
+	// readBufferSize holds many small frames; the rest of a large one is read past the buffer.
+	readBufferSize = 8 << 10
 )
