--- a/internal/edge/configuration/follower_test.go
+++ b/internal/edge/configuration/follower_test.go
@@ -158,13 +158,37 @@
 	memory := newMemory(t)
 	n := newNetwork(t, memory, 3)
 	eventually(t, "all are fresh", every(n.all(), fresh))
-	for _, m := range n.all()[1:] {
+	for _, m := range n.all() {
 		m.store.setCut(true)
 	}
 	apply(t, memory, 2, 2, WithFollower(n.members(false)[0].follower))
 	eventually(t, "all have the ticket", every(n.all(), hasTicket(2)))
 }
 
+// TestAgesOfAnswer is an answer that comes late.
+//
+// What an operator would see: a withdrawn key served by a host that was paused, since it took an old
+// answer for a new one. The ages count from when the relay answered at the earliest, not from the arrival.
+func TestAgesOfAnswer(t *testing.T) {
+	asked := time.Unix(1000, 0)
+	tests := []struct {
+		name   string
+		answer FollowAnswer
+		want   ticket.Freshness
+	}{
+		{"never", FollowAnswer{Age: noAge, OutageAge: noAge}, ticket.Freshness{}},
+		{"at once", FollowAnswer{Age: time.Second, OutageAge: noAge}, ticket.Freshness{Confirmed: asked.Add(-time.Second)}},
+		{"held", FollowAnswer{Held: time.Second, Age: noAge, OutageAge: 3 * time.Second}, ticket.Freshness{Outage: asked.Add(-2 * time.Second)}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if diff := cmp.Diff(test.want, test.answer.freshness(asked)); diff != "" {
+				t.Errorf("freshness (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestRevertedHead is a head object that was put back by hand, or a new platform under the old address.
 //
 // What an operator would see: withdrawn keys that are valid again.
--- a/internal/edge/configuration/schedule_test.go
+++ b/internal/edge/configuration/schedule_test.go
@@ -90,25 +90,15 @@
 
 // survey asks all relays, as survey.go does.
 func (e *estate) survey(n *node) {
-	asked := e.now
-	var confirmed []time.Time
+	var answers []answered
 	for _, other := range e.nodes[:e.relays] {
 		if other == n || other.apart || n.apart {
 			continue
 		}
 		e.askRelay(n, other, 0, 0, 0)
-		if other.known.voter {
-			confirmed = append(confirmed, other.known.freshness.Confirmed)
-		}
-	}
-	learnt := arrival{voter: 2*len(confirmed) > e.relays}
-	if n.known.voter {
-		confirmed = append(confirmed, n.known.freshness.Confirmed)
-	}
-	if ticket.OutageEstablished(asked, e.relays, confirmed) {
-		learnt.freshness.Outage = asked
+		answers = append(answers, answered{freshness: other.known.freshness, voter: other.known.voter})
 	}
-	e.take(n, learnt)
+	e.take(n, n.known.witness(e.now, e.relays, answers))
 }
 
 // tick lets every host do what is due: relays that the platform serves ask it every half second, or two
--- a/internal/edge/configuration/survey.go
+++ b/internal/edge/configuration/survey.go
@@ -33,24 +33,28 @@
 	return f.waits.survey
 }
 
-// surveyOnce asks all relays and counts the voters among them. Without that rule a host that restarts in
-// an outage would take part in establishing it by an empty or old view, and accept a withdrawn key or
-// refuse a valid one by it.
 func (f *Follower) surveyOnce(ctx context.Context, route route) {
 	asked := time.Now()
+	answers := f.round(ctx, route.all)
+	f.note(f.deliver(ctx, f.current.Load().witness(asked, route.count(), answers)))
+}
+
+// witness judges one round of questions by the voters among those that answered. Without that rule a host
+// that restarts in an outage would take part in establishing it by an empty or old view, and accept a
+// withdrawn key or refuse a valid one by it.
+func (s *snapshot) witness(asked time.Time, relays int, answers []answered) arrival {
 	var confirmed []time.Time
-	for _, answer := range f.round(ctx, route.all) {
+	for _, answer := range answers {
 		if answer.err == nil && answer.voter {
 			confirmed = append(confirmed, answer.freshness.Confirmed)
 		}
 	}
-	learnt := arrival{voter: 2*len(confirmed) > route.count()}
-	own := f.current.Load()
-	if own.voter {
-		confirmed = append(confirmed, own.freshness.Confirmed)
+	learnt := arrival{voter: 2*len(confirmed) > relays}
+	if s.voter {
+		confirmed = append(confirmed, s.freshness.Confirmed)
 	}
-	if ticket.OutageEstablished(asked, route.count(), confirmed) {
+	if ticket.OutageEstablished(asked, relays, confirmed) {
 		learnt.freshness.Outage = asked
 	}
-	f.note(f.deliver(ctx, learnt))
+	return learnt
 }
--- /dev/null
+++ b/internal/edge/membership/handover.go
@@ -0,0 +1,58 @@
+package membership
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
+	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+)
+
+// MethodHosts asks a host for the list that it holds.
+const MethodHosts peer.Method = "membership.hosts"
+
+// ErrNoList is returned if no known peer holds a list.
+var ErrNoList = errors.New("no peer holds a host list")
+
+// HostsAsk asks for the host list.
+type HostsAsk struct{}
+
+// HostsAnswer is the host list as last read from the platform.
+type HostsAnswer struct {
+	Hosts []platform.Host `msgpack:"h"`
+}
+
+// Register serves the list to hosts that start in an outage of the platform.
+func (l *List) Register(registry *peer.Registry) {
+	peer.Handle(registry, MethodHosts, func(context.Context, HostsAsk) (HostsAnswer, error) {
+		return HostsAnswer{Hosts: l.Hosts()}, nil
+	})
+}
+
+// NewPeerSource returns a host list that asks hosts known from the settings, one after the other, for use
+// with WithFallback.
+func NewPeerSource(client *peer.Client, known []netip.AddrPort) platform.HostList {
+	return peerSource{client: client, known: known}
+}
+
+type peerSource struct {
+	client *peer.Client
+	known  []netip.AddrPort
+}
+
+// Hosts implements platform.HostList.
+func (s peerSource) Hosts(ctx context.Context) ([]platform.Host, error) {
+	failure := ErrNoList
+	for _, address := range s.known {
+		answer, err := peer.Ask[HostsAsk, HostsAnswer](ctx, s.client, address, MethodHosts, HostsAsk{})
+		if err == nil && len(answer.Hosts) > 0 {
+			return answer.Hosts, nil
+		}
+		if err != nil {
+			failure = errors.Wrapf(ErrNoList, "%s: %v", address, err)
+		}
+	}
+	return nil, failure
+}
