Let a restarted agent not deny a run of its predecessor

An agent's process that died while a booking ran and came back at the same address had an empty record, and answered the question what became of the booking with 'not run'; the asker would have booked again. The handshake now carries the incarnation of the serving process, under the proof; an ErrLost names the process to which the request was sent, and an agent of another incarnation answers 'may have run'. Comparing times was ruled out, since it needs a margin for the transit. Without the check the test says 'sent to the dead process: want mayHaveRun, got notRun'.

--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -91,6 +91,8 @@
 	steps   chan func(now time.Time)
 	control *control
 	load    atomic.Pointer[request.Load]
+	// process is the incarnation that the peer server of this process announces.
+	process atomic.Uint64
 	weights *weights
 	// prefixes is nil unless the engine publishes its prefix cache.
 	prefixes *prefixes
@@ -147,6 +149,7 @@
 
 // Register makes the agent's methods known to the process's peer server.
 func (a *Agent) Register(r *peer.Registry) {
+	a.process.Store(r.Process())
 	peer.HandleStream(r, MethodExecute, a.Execute)
 	peer.Handle(r, MethodSettle, a.settle)
 	peer.Handle(r, MethodProbe, a.probe)
@@ -204,14 +207,6 @@
 	}
 }
 
-func (a *Agent) settle(_ context.Context, q request.Settle) (request.Settled, error) {
-	var settled request.Settled
-	if !a.do(func(now time.Time) { settled = a.control.settle(now, q.ID) }) {
-		return settled, ErrEnded
-	}
-	return settled, nil
-}
-
 func (a *Agent) probe(_ context.Context, q request.Probe) (request.Load, error) {
 	load := a.Load()
 	ok := a.do(func(now time.Time) { load.Wait = a.control.wait(now, q.Organisation) })
--- a/internal/edge/agent/agent_test.go
+++ b/internal/edge/agent/agent_test.go
@@ -181,6 +181,8 @@
 	client  *peer.Client
 	address netip.AddrPort
 	counter uint64
+	// kill ends the agent at once.
+	kill func()
 	// stale makes the agent's configuration unconfirmed.
 	stale atomic.Bool
 }
@@ -215,22 +217,40 @@
 	}
 	registry := peer.NewRegistry()
 	a.Register(registry)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	at := "127.0.0.1:0"
+	if b.address.IsValid() {
+		at = b.address.String()
+	}
+	l, err := net.Listen("tcp", at)
 	if err != nil {
 		t.Fatal(err)
 	}
 	b.agent, b.address = a, l.Addr().(*net.TCPAddr).AddrPort()
 	peers := peer.NewServer(ctx, l, registry, testSecret)
 	b.client = peer.NewClient(ctx, testSecret)
-	t.Cleanup(func() {
+	client := b.client
+	b.kill = func() {
 		cancel()
 		_ = peers.Close()
 		a.Wait()
-		b.client.Wait()
-	})
+		client.Wait()
+	}
+	t.Cleanup(b.kill)
 	return b
 }
 
+// newClient returns a client that outlives the agent's process.
+func newClient(t *testing.T) *peer.Client {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	client := peer.NewClient(ctx, testSecret)
+	t.Cleanup(func() {
+		cancel()
+		client.Wait()
+	})
+	return client
+}
+
 func (b *bench) execute(path string) request.Execute {
 	b.counter++
 	return request.Execute{
--- a/internal/edge/agent/failure_test.go
+++ b/internal/edge/agent/failure_test.go
@@ -86,6 +86,44 @@
 	}
 }
 
+// An agent's process dies while a booking runs, and is started anew with an empty record. The entry
+// asks at the same address what became of the booking. "Not run" would make it book a second time.
+func TestRestartedAgentDoesNotDenyARun(t *testing.T) {
+	b := newBench(t, ticket.KindService)
+	q := b.execute(pathHold)
+	entry := newClient(t)
+	lost := make(chan error, 1)
+	go func() {
+		_, err := peer.Open[request.Execute, request.AnswerEnd](t.Context(), entry, b.address, MethodExecute, q)
+		lost <- err
+	}()
+	<-b.server.started
+	b.kill()
+	err := <-lost
+	process := peer.LostProcess(err)
+	if process == 0 {
+		t.Fatalf("no process in %v", err)
+	}
+	again := startBench(t, &bench{config: b.config, address: b.address}, ticket.KindService)
+	for _, tc := range []struct {
+		name    string
+		process uint64
+		want    verdict.Verdict
+	}{
+		{name: "sent to the dead process", process: process, want: verdict.MayHaveRun},
+		{name: "sent to this process", process: again.agent.process.Load(), want: verdict.NotRun},
+	} {
+		settled, err := peer.Ask[Settle, request.Settled](t.Context(), entry, again.address, MethodSettle,
+			Settle{ID: q.ID, Process: tc.process})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(request.Settled{Verdict: tc.want}, settled); diff != "" {
+			t.Errorf("%s: %s", tc.name, diff)
+		}
+	}
+}
+
 // A frame comes twice, over two connections. The second must not run, and must not be called "not run".
 func TestDoubledExecuteRunsOnce(t *testing.T) {
 	b := newBench(t, ticket.KindService)
--- a/internal/edge/peer/answer.go
+++ b/internal/edge/peer/answer.go
@@ -29,7 +29,7 @@
 		return a, err
 	}
 	if err := msgpack.Unmarshal(out.end.Body, &a); err != nil {
-		return a, errors.Wrapf(ErrLost, "decode the answer of method %s: %v", m, err)
+		return a, out.lost("decode the answer of method %s: %v", m, err)
 	}
 	return a, nil
 }
@@ -49,7 +49,7 @@
 	a := &Answer[E]{out: out}
 	if err := msgpack.Unmarshal(payload, &a.head); err != nil {
 		out.finish()
-		return nil, errors.Wrapf(ErrLost, "decode the head of method %s: %v", m, err)
+		return nil, out.lost("decode the head of method %s: %v", m, err)
 	}
 	a.stop = context.AfterFunc(ctx, func() { out.finish() })
 	return a, nil
@@ -102,6 +102,9 @@
 // End returns the closing message; it is set once Next has returned io.EOF.
 func (a *Answer[E]) End() E { return a.end }
 
+// Process returns the incarnation of the process that answers.
+func (a *Answer[E]) Process() uint64 { return a.out.channel.process }
+
 // Next returns the next bytes, which belong to the caller. It returns io.EOF only when the answer
 // is whole: its length and checksum agree with the closing frame.
 func (a *Answer[E]) Next() ([]byte, error) {
@@ -125,7 +128,7 @@
 		return err
 	}
 	if err := msgpack.Unmarshal(a.out.end.Body, &a.end); err != nil {
-		return errors.Wrapf(ErrLost, "decode the end of an answer: %v", err)
+		return a.out.lost("decode the end of an answer: %v", err)
 	}
 	return io.EOF
 }
--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -130,7 +130,9 @@
 	if c.settings.tls != nil {
 		conn = tls.Client(conn, c.settings.tls)
 	}
-	l, err := establish(c.ctx, conn, c.settings, c.secret, greet)
+	l, err := establish(c.ctx, conn, c.settings, func(conn net.Conn, reader *frameReader) (identity, error) {
+		return greet(conn, reader, c.secret)
+	})
 	if err != nil {
 		_ = conn.Close()
 	}
@@ -139,16 +141,15 @@
 
 // establish runs the handshake within the dial timeout.
 func establish(
-	ctx context.Context, conn net.Conn, s settings, secret []byte,
-	shake func(net.Conn, *frameReader, []byte) (uint64, error),
+	ctx context.Context, conn net.Conn, s settings, shake func(net.Conn, *frameReader) (identity, error),
 ) (*link, error) {
 	timeout := time.AfterFunc(s.dialTimeout, func() { _ = conn.Close() })
 	defer timeout.Stop()
 	progress := newProgressConn(conn, s)
 	reader := newFrameReader(bufio.NewReaderSize(progress, readBufferSize), maxHandshakeFrame)
-	incarnation, err := shake(progress, reader, secret)
+	id, err := shake(progress, reader)
 	if err != nil {
 		return nil, err
 	}
-	return newLink(ctx, progress, reader, incarnation, s), nil
+	return newLink(ctx, progress, reader, id, s), nil
 }
--- a/internal/edge/peer/failure_test.go
+++ b/internal/edge/peer/failure_test.go
@@ -194,7 +194,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	reader := newFrameReader(conn, defaultMaxFrame)
-	incarnation, err := greet(conn, reader, testSecret)
+	id, err := greet(conn, reader, testSecret)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -203,9 +203,9 @@
 	echo, _ := msgpack.Marshal(call{Method: methodEcho, Body: body})
 	var buf bytes.Buffer
 	for _, f := range []frame{
-		{Kind: kindRequest, Incarnation: incarnation, Stream: 1, Payload: payload},
-		{Kind: kindRequest, Incarnation: incarnation, Stream: 1, Payload: payload},
-		{Kind: kindRequest, Incarnation: incarnation, Stream: 2, Payload: echo},
+		{Kind: kindRequest, Incarnation: id.incarnation, Stream: 1, Payload: payload},
+		{Kind: kindRequest, Incarnation: id.incarnation, Stream: 1, Payload: payload},
+		{Kind: kindRequest, Incarnation: id.incarnation, Stream: 2, Payload: echo},
 	} {
 		_ = appendFrame(&buf, msgpack.NewEncoder(nil), f)
 	}
@@ -413,7 +413,7 @@
 		near, far := net.Pipe()
 		var peer conc.WaitGroup
 		peer.Go(func() { _, _ = io.Copy(io.Discard, far) })
-		_, err := accept(near, newFrameReader(bytes.NewReader(data), maxHandshakeFrame), testSecret)
+		_, err := accept(near, newFrameReader(bytes.NewReader(data), maxHandshakeFrame), testSecret, 1)
 		_ = near.Close()
 		_ = far.Close()
 		peer.Wait()
--- a/internal/edge/peer/handshake.go
+++ b/internal/edge/peer/handshake.go
@@ -32,6 +32,7 @@
 type challenge struct {
 	Version int    `msgpack:"v"`
 	Nonce   []byte `msgpack:"n"`
+	Process uint64 `msgpack:"i"`
 	Proof   []byte `msgpack:"p"`
 }
 
@@ -39,9 +40,19 @@
 	Proof []byte `msgpack:"p"`
 }
 
-// transcript is what both sides sign: both nonces, so that a recorded proof is of no use again.
+// transcript is what both sides sign: both nonces, so that a recorded proof is of no use again, and
+// the incarnation of the serving process.
 type transcript struct {
 	secret, clientNonce, serverNonce []byte
+	process                          uint64
+}
+
+// identity is what a handshake settles about a connection.
+type identity struct {
+	// incarnation is that of the connection.
+	incarnation uint64
+	// process is the incarnation of the serving process.
+	process uint64
 }
 
 func (t transcript) sum(label string) []byte {
@@ -49,52 +60,54 @@
 	mac.Write([]byte(label))
 	mac.Write(t.clientNonce)
 	mac.Write(t.serverNonce)
+	mac.Write(binary.BigEndian.AppendUint64(nil, t.process))
 	return mac.Sum(nil)
 }
 
-func (t transcript) incarnation() uint64 {
-	return binary.BigEndian.Uint64(t.sum(labelConnection))
+func (t transcript) identity() identity {
+	return identity{incarnation: binary.BigEndian.Uint64(t.sum(labelConnection)), process: t.process}
 }
 
-// greet proves the secret as the side that dialled and returns the connection's incarnation.
-func greet(conn net.Conn, reader *frameReader, secret []byte) (uint64, error) {
+// greet proves the secret as the side that dialled.
+func greet(conn net.Conn, reader *frameReader, secret []byte) (identity, error) {
 	t := transcript{secret: secret, clientNonce: newNonce()}
 	if err := sendPayload(conn, kindHello, hello{Version: protocolVersion, Nonce: t.clientNonce}); err != nil {
-		return 0, err
+		return identity{}, err
 	}
 	var answer challenge
 	if err := receivePayload(reader, kindChallenge, &answer); err != nil {
-		return 0, err
+		return identity{}, err
 	}
 	t.serverNonce = answer.Nonce
+	t.process = answer.Process
 	if err := t.check(answer.Version, answer.Nonce, answer.Proof, labelServer); err != nil {
-		return 0, err
+		return identity{}, err
 	}
 	if err := sendPayload(conn, kindProof, proof{Proof: t.sum(labelClient)}); err != nil {
-		return 0, err
+		return identity{}, err
 	}
-	return t.incarnation(), receivePayload(reader, kindReady, &proof{})
+	return t.identity(), receivePayload(reader, kindReady, &proof{})
 }
 
-// accept proves the secret as the side that was dialled and returns the connection's incarnation.
-func accept(conn net.Conn, reader *frameReader, secret []byte) (uint64, error) {
+// accept proves the secret as the side that was dialled, a process of the given incarnation.
+func accept(conn net.Conn, reader *frameReader, secret []byte, process uint64) (identity, error) {
 	var opening hello
 	if err := receivePayload(reader, kindHello, &opening); err != nil {
-		return 0, err
+		return identity{}, err
 	}
-	t := transcript{secret: secret, clientNonce: opening.Nonce, serverNonce: newNonce()}
-	answer := challenge{Version: protocolVersion, Nonce: t.serverNonce, Proof: t.sum(labelServer)}
+	t := transcript{secret: secret, clientNonce: opening.Nonce, serverNonce: newNonce(), process: process}
+	answer := challenge{Version: protocolVersion, Nonce: t.serverNonce, Process: process, Proof: t.sum(labelServer)}
 	if err := sendPayload(conn, kindChallenge, answer); err != nil {
-		return 0, err
+		return identity{}, err
 	}
 	var reply proof
 	if err := receivePayload(reader, kindProof, &reply); err != nil {
-		return 0, err
+		return identity{}, err
 	}
 	if err := t.check(opening.Version, opening.Nonce, reply.Proof, labelClient); err != nil {
-		return 0, err
+		return identity{}, err
 	}
-	return t.incarnation(), sendPayload(conn, kindReady, proof{})
+	return t.identity(), sendPayload(conn, kindReady, proof{})
 }
 
 func (t transcript) check(version int, nonce, given []byte, label string) error {
--- a/internal/edge/peer/link.go
+++ b/internal/edge/peer/link.go
@@ -22,13 +22,13 @@
 // link is one authenticated connection: a writer with heartbeats and a reader.
 // The reader never waits for a stream, so that a slow reader of one answer holds up no other.
 type link struct {
-	conn        net.Conn
-	reader      *frameReader
-	incarnation uint64
-	settings    settings
-	out         chan outgoing
-	ctx         context.Context
-	end         context.CancelCauseFunc
+	identity
+	conn     net.Conn
+	reader   *frameReader
+	settings settings
+	out      chan outgoing
+	ctx      context.Context
+	end      context.CancelCauseFunc
 }
 
 // progressConn sets a new deadline for each read and each bounded write, so that a long frame may
@@ -81,17 +81,17 @@
 	return written, nil
 }
 
-func newLink(ctx context.Context, conn net.Conn, reader *frameReader, incarnation uint64, s settings) *link {
+func newLink(ctx context.Context, conn net.Conn, reader *frameReader, id identity, s settings) *link {
 	ctx, end := context.WithCancelCause(ctx)
 	reader.limit = s.maxFrame
 	return &link{
-		conn:        conn,
-		reader:      reader,
-		incarnation: incarnation,
-		settings:    s,
-		out:         make(chan outgoing, queueLength),
-		ctx:         ctx,
-		end:         end,
+		identity: id,
+		conn:     conn,
+		reader:   reader,
+		settings: s,
+		out:      make(chan outgoing, queueLength),
+		ctx:      ctx,
+		end:      end,
 	}
 }
 
--- a/internal/edge/peer/outbound.go
+++ b/internal/edge/peer/outbound.go
@@ -89,16 +89,16 @@
 		}
 		o.end = &end
 	default:
-		o.failure = decodeRefusal(f.Payload)
+		o.failure = o.decodeRefusal(f.Payload)
 	}
 	return nil
 }
 
 // decodeRefusal reads a refusal; one without a verdict may have run.
-func decodeRefusal(payload []byte) error {
+func (o *outbound) decodeRefusal(payload []byte) error {
 	var refusal verdict.Refusal
 	if err := msgpack.Unmarshal(payload, &refusal); err != nil {
-		return errors.Wrapf(ErrLost, "decode refusal: %v", err)
+		return o.lost("decode refusal: %v", err)
 	}
 	if refusal.Verdict != verdict.NotRun {
 		refusal.Verdict = max(refusal.Verdict, verdict.MayHaveRun)
@@ -136,7 +136,7 @@
 		return true, o.failure
 	}
 	if o.end != nil {
-		return true, errors.Wrapf(ErrLost, "stream %d ended out of order", o.stream)
+		return true, o.lost("stream %d ended out of order", o.stream)
 	}
 	return false, nil
 }
@@ -146,7 +146,7 @@
 	if o.finish() == 0 {
 		return errors.Wrapf(ErrUnsent, "%v", cause)
 	}
-	return errors.Wrapf(ErrLost, "%v", cause)
+	return o.lost("%v", cause)
 }
 
 // finish releases the stream, once; it returns 0 if the request was never sent.
@@ -181,7 +181,7 @@
 func (o *outbound) whole() error {
 	o.cover(o.end.Body)
 	if o.length != o.end.Length || o.sum.Sum64() != o.end.Sum {
-		return errors.Wrapf(ErrLost, "answer of %d bytes has a closing frame for %d, or another checksum",
+		return o.lost("answer of %d bytes has a closing frame for %d, or another checksum",
 			o.length, o.end.Length)
 	}
 	return nil
--- a/internal/edge/peer/registry.go
+++ b/internal/edge/peer/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -16,13 +17,18 @@
 // Registry holds the methods that a process serves. It is filled before its server starts.
 type Registry struct {
 	handlers map[Method]handler
+	process  uint64
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{handlers: make(map[Method]handler)}
+	return &Registry{handlers: make(map[Method]handler), process: binary.BigEndian.Uint64(newNonce())}
 }
 
+// Process is the random incarnation of the process that serves these methods. Its server announces it,
+// so that the other side can tell a process from one that was started anew at the same address.
+func (r *Registry) Process() uint64 { return r.process }
+
 // Handle serves a method whose answer is one message.
 func Handle[Q, A any](r *Registry, m Method, h func(ctx context.Context, q Q) (A, error)) {
 	HandleStream(r, m, func(ctx context.Context, q Q, _ Sink) (A, error) { return h(ctx, q) })
--- a/internal/edge/peer/server.go
+++ b/internal/edge/peer/server.go
@@ -80,7 +80,9 @@
 	if s.settings.tls != nil {
 		inner = tls.Server(conn, s.settings.tls)
 	}
-	l, err := establish(s.ctx, inner, s.settings, s.secret, accept)
+	l, err := establish(s.ctx, inner, s.settings, func(conn net.Conn, reader *frameReader) (identity, error) {
+		return accept(conn, reader, s.secret, s.registry.process)
+	})
 	if err != nil {
 		return
 	}
