--- a/internal/program/e2e/cluster_test.go
+++ b/internal/program/e2e/cluster_test.go
@@ -20,6 +20,7 @@
 const (
 	readyLimit = 20 * time.Second
 	endLimit   = 40 * time.Second
+	shownLog   = 3000
 )
 
 // binary is the program under test, built once.
@@ -51,10 +52,28 @@
 // running is one process and what it logged.
 type running struct {
 	cmd  *exec.Cmd
-	log  *bytes.Buffer
+	log  *logBuffer
 	done chan struct{}
 }
 
+// logBuffer is a log that may be read while its process writes.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // newCluster starts all processes of the deployment; they end with the test.
 func newCluster(t *testing.T, deployment scenario.Deployment) *cluster {
 	t.Helper()
@@ -101,7 +120,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	p := &running{cmd: exec.Command(path, args...), log: &bytes.Buffer{}, done: make(chan struct{})}
+	p := &running{cmd: exec.Command(path, args...), log: &logBuffer{}, done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	if err := p.cmd.Start(); err != nil {
 		c.t.Fatal(err)
@@ -125,7 +144,7 @@
 func (c *cluster) startProcess(role string, set settings.Settings) {
 	fields := map[string]any{
 		"hostId": set.HostID, "availabilityZone": set.AvailabilityZone, "platformUrl": set.PlatformURL,
-		"peerListen": set.PeerListen, "adminListen": set.AdminListen, "peerSecret": set.PeerSecret, "logLevel": "warn",
+		"peerListen": set.PeerListen, "adminListen": set.AdminListen, "peerSecret": set.PeerSecret, "logLevel": "debug",
 		"usageWindow": set.UsageWindow.String(), "leaveDelay": set.LeaveDelay.String(), "drainTime": set.DrainTime.String(),
 	}
 	if role == "entry" {
@@ -178,8 +197,8 @@
 	}
 	if c.t.Failed() {
 		for name, p := range c.running {
-			if p.log.Len() > 0 {
-				c.t.Logf("log of %s:\n%s", name, p.log)
+			if log := p.log.String(); log != "" {
+				c.t.Logf("end of the log of %s:\n%s", name, log[max(0, len(log)-shownLog):])
 			}
 		}
 	}
--- a/internal/program/e2e/path_test.go
+++ b/internal/program/e2e/path_test.go
@@ -4,7 +4,11 @@
 	"context"
 	"encoding/json"
 	"flag"
+	"io"
+	"net/http"
 	"os"
+	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -33,6 +37,7 @@
 		t.Errorf("broken promises: %v", broken)
 	}
 	compareGolden(t, "testdata/path.golden.json", seen)
+	c.checkShownState(deployment)
 	for _, set := range c.topology.Entries {
 		c.signal(set.HostID, syscall.SIGTERM)
 	}
@@ -51,6 +56,35 @@
 	}
 }
 
+// checkShownState asks every process for its dump and metrics, and looks for keys and the peer secret there and in the logs.
+func (c *cluster) checkShownState(d scenario.Deployment) {
+	c.t.Helper()
+	sets := slices.Clone(c.topology.Entries)
+	for _, place := range c.topology.Places {
+		sets = append(sets, place.Settings)
+	}
+	for _, set := range sets {
+		shown := c.running[set.HostID].log.String()
+		for path, want := range map[string]string{"/debug/state": `"configuration"`, "/metrics": "oleandershelf_configuration_ticket 3"} {
+			response, err := http.Get("http://" + set.AdminListen.String() + path)
+			if err != nil {
+				c.t.Fatal(err)
+			}
+			body, err := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			if err != nil || response.StatusCode != http.StatusOK || !strings.Contains(string(body), want) {
+				c.t.Errorf("%s%s: status %d, %v, without %q:\n%.2000s", set.HostID, path, response.StatusCode, err, want, body)
+			}
+			shown += string(body)
+		}
+		for _, secret := range []string{d.Key(d.Caller), d.Key(d.Trainer), d.Key(d.Leaver), set.PeerSecret} {
+			if strings.Contains(shown, secret) {
+				c.t.Errorf("%s shows %q", set.HostID, secret)
+			}
+		}
+	}
+}
+
 func compareGolden(t *testing.T, path string, value any) {
 	t.Helper()
 	have, err := json.MarshalIndent(value, "", "  ")
--- a/internal/program/process/agent.go
+++ b/internal/program/process/agent.go
@@ -78,6 +78,7 @@
 		return nil, err
 	}
 	p.agent.Register(r.peers)
+	r.registerState(p.follower, p.usage)
 	if p.peers, err = r.servePeers(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/program/process/entry.go
+++ b/internal/program/process/entry.go
@@ -58,6 +58,8 @@
 	p.publisher = configuration.NewPublisher(r.platform, configuration.WithFollower(p.follower))
 	metrics := entry.NewMetrics(r.registry)
 	p.duties = newDuties(ctx, r, p.follower)
+	r.registerState(p.follower, p.duties.usage.collector)
+	p.duties.registerDuties()
 	dispatcher := entry.NewDispatcher(entry.DispatcherConfig{
 		HostID:           set.HostID,
 		AvailabilityZone: set.AvailabilityZone,
--- /dev/null
+++ b/internal/program/process/metrics.go
@@ -0,0 +1,51 @@
+package process
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/billing"
+	"github.com/oleandershelf/oleandershelf/internal/edge/configuration"
+)
+
+// gauge registers a value that is read when metrics are asked for.
+func (r *runtime) gauge(name, help string, value func() float64) {
+	r.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "oleandershelf_" + name, Help: help}, value))
+}
+
+// registerState registers what every process shows of its configuration, host list and usage counts.
+func (r *runtime) registerState(follower *configuration.Follower, collector *billing.Collector) {
+	r.gauge("configuration_ticket", "Last ticket in force at this host.", func() float64 {
+		return float64(follower.View().LastTicket())
+	})
+	r.gauge("configuration_fresh", "1 if keys can be confirmed to be valid, 0 if the host refuses requests.", func() float64 {
+		return boolean(follower.Fresh(time.Now()))
+	})
+	r.gauge("host_list_age_seconds", "Age of the list of hosts.", func() float64 {
+		return r.members.Age(time.Now()).Seconds()
+	})
+	r.gauge("usage_unstored_cells", "Usage counts that the platform is not known to have.", func() float64 {
+		return float64(collector.State().Unstored)
+	})
+}
+
+// registerDuties registers how many duties this entry holds.
+func (k *keepers) registerDuties() {
+	k.runtime.gauge("duties_held", "Duties that this host holds under lease.", func() float64 {
+		held := 0
+		for _, keeper := range k.all() {
+			if _, ok := keeper.Held(time.Now()); ok {
+				held++
+			}
+		}
+		return float64(held)
+	})
+}
+
+func boolean(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
