--- a/internal/core/queue/doc.go
+++ b/internal/core/queue/doc.go
@@ -25,7 +25,7 @@
 //
 // Grounds for the figures. 256 items a lane and 1,024 in total: a server of some ten requests a second
 // then holds at most minutes of work, beyond what callers wait for, at some 10 KB each. A priority counts as
-// 5 s of waiting: callers of interactive calls give up after some 10 s. Length counts eight times the work's time
-// at the server: at four, short calls still waited behind long ones of the same organisation. An item is
+// 5 s of waiting: callers of interactive calls give up after some 10 s. Length counts twice the work's time
+// at the server, the best of 0, 2, 4 and 8 by a little. An item is
 // long from four times the typical cost, two steps of the cost classes. docs/DECISIONS.md has the measurements.
 package queue
--- a/internal/core/queue/options.go
+++ b/internal/core/queue/options.go
@@ -7,7 +7,7 @@
 	defaultLaneBound  = 256
 	defaultTotalBound = 1024
 	priorityStep      = 5 * time.Second
-	lengthStretch     = 8
+	lengthStretch     = 2
 	longFactor        = 4
 	shortReserve      = 4
 	shortMemory       = 10 * time.Second
--- a/internal/core/scenario/scenario_test.go
+++ b/internal/core/scenario/scenario_test.go
@@ -89,6 +89,10 @@
 	for i := range long {
 		long[i].longShare = 0.08
 	}
+	longOver := sources(1.2)
+	for i := range longOver {
+		longOver[i].longShare = 0.08
+	}
 	flood := with(sources(0.6), 1, func(src *source) { src.load, src.longShare = steady(1.2), 1 })
 	return []scenario{
 		{name: "at capacity", sources: sources(1)},
@@ -97,6 +101,7 @@
 		{name: "hot key", sources: with(sources(0.7), 2, func(src *source) { src.load, src.keys, src.hotKey, src.limit = steady(0.5), 5, 0.9, 4 })},
 		{name: "slow server", sources: sources(0.7), available: steady(0.92), prepare: func(s *sim) { s.agents[0].server.setSpeed(0.2) }},
 		{name: "long among short", sources: long},
+		{name: "long among short 1.2", sources: longOver},
 		{name: "flood of long", sources: flood},
 		{name: "overload 1.5", sources: sources(1.5)},
 		{name: "overload 3", sources: sources(3)},
