Doubt the job object after a failed read

A write of a new version whose answer was lost can land after a read that did not find it. A failed read now leaves the state in doubt, so the lost version counts. The schedules start with a job under way and check who may move alone; single tests cover what random ones did not reach.

--- a/internal/core/delivery/job.go
+++ b/internal/core/delivery/job.go
@@ -110,6 +110,8 @@
 	case ReadFailed:
 		j.reading = false
 		j.down = true
+		// A write whose answer was lost may have landed since the last read.
+		j.loaded = false
 	case Written, WriteConflicted, WriteUnavailable, WriteUnsettled, WriteFenced:
 		j.finishWrite(event)
 	case FenceChanged:
--- a/internal/core/delivery/job_rapid_test.go
+++ b/internal/core/delivery/job_rapid_test.go
@@ -24,6 +24,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
 				w := newWorld(t, c.useCursor)
+				for range rapid.IntRange(0, 2).Draw(t, "rounds before") {
+					w.round(0)
+					w.workAll(0, 0)
+				}
 				t.Repeat(w.actions(c.outages))
 				w.heal()
 			})
@@ -40,7 +44,12 @@
 			w.ask(0)
 			w.ask(1)
 		},
-		"read": func(t *rapid.T) { w.runRead(coord(t)) },
+		"round1":   func(t *rapid.T) { w.round(coord(t)) },
+		"round2":   func(t *rapid.T) { w.round(coord(t)) },
+		"round3":   func(t *rapid.T) { w.round(coord(t)) },
+		"workAll1": func(t *rapid.T) { w.workAll(coord(t), w.record.ModelVersion) },
+		"workAll2": func(t *rapid.T) { w.workAll(coord(t), w.record.ModelVersion) },
+		"read":     func(t *rapid.T) { w.runRead(coord(t)) },
 		"write": func(t *rapid.T) {
 			how := rapid.SampledFrom([]fate{fateDone, fateDone, fateDone, fateLostApplied, fateLostLate}).Draw(t, "fate")
 			w.runWrite(coord(t), how)
@@ -61,7 +70,7 @@
 		"kill": func(t *rapid.T) {
 			at := coord(t)
 			if write := w.coords[at].write; write != nil && rapid.Bool().Draw(t, "sent") {
-				w.late = append(w.late, lateWrite{write.Record, write.IfVersion})
+				w.late = append(w.late, lateWrite{w.coords[at], write.Record, write.IfVersion})
 			}
 			w.coords[at] = w.newCoordinator()
 		},
--- /dev/null
+++ b/internal/core/delivery/job_test.go
@@ -0,0 +1,226 @@
+package delivery
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+)
+
+// script feeds a job by hand.
+type script struct {
+	t   *testing.T
+	job *Job
+	// version is that of the object after the last write.
+	version uint64
+}
+
+// newScript returns a job under its first lease, number 10, that has read an absent object.
+func newScript(t *testing.T, bound int) *script {
+	s := &script{t: t, job: NewJob("fees", netip.MustParseAddrPort("127.0.0.1:7001"), bound)}
+	s.job.Handle(FenceChanged{Number: 10, Held: true})
+	s.job.Handle(Loaded{Record: Record{Job: "fees"}})
+	return s
+}
+
+// the returns the only effect of a kind.
+func the[E Effect](s *script, effects []Effect) E {
+	s.t.Helper()
+	var found []E
+	for _, effect := range effects {
+		if e, ok := effect.(E); ok {
+			found = append(found, e)
+		}
+	}
+	if len(found) != 1 {
+		s.t.Fatalf("%d effects of the kind in %+v", len(found), effects)
+	}
+	return found[0]
+}
+
+// commit feeds an event whose write takes effect, and returns the answer.
+func (s *script) commit(event Event) Answer {
+	s.t.Helper()
+	the[Write](s, s.job.Handle(event))
+	s.version++
+	return the[Answer](s, s.job.Handle(Written{Version: s.version}))
+}
+
+func (s *script) postStep() Cursor {
+	s.t.Helper()
+	answer := s.commit(StepAsked{ID: 1, Step: 1, Digest: "body", Sizes: []int{4, 2}, BatchSize: 2, Chunks: 1})
+	return answer.Result.(StepAccepted).Cursor
+}
+
+// ready makes samples of one weight version ready for a batch.
+func (s *script) ready(version int, positions ...int) {
+	for _, position := range positions {
+		_, work := s.job.Sample(position)
+		s.job.Handle(SampleStarted{Work: work})
+		s.job.Handle(SampleGenerated{Work: work, Tokens: []Token{{Text: "x", Version: version}}, Digest: "d"})
+		s.job.Handle(SampleCopied{Work: work})
+		s.job.Handle(SampleScored{Work: work, Score: 1})
+	}
+}
+
+func (s *script) refusal(effects []Effect) verdict.Refusal {
+	s.t.Helper()
+	refused, ok := the[Answer](s, effects).Result.(Refused)
+	if !ok {
+		s.t.Fatalf("not refused: %+v", effects)
+	}
+	return *refused.Refusal
+}
+
+// A trainer would wait for ever: samples that a new version makes stale are neither delivered nor
+// generated again. All samples are ready when version 2 comes.
+func TestStaleSamplesAreGeneratedAgain(t *testing.T) {
+	s := newScript(t, 0)
+	s.postStep()
+	s.ready(1, 0, 1, 2)
+	s.commit(VersionAsked{ID: 2, Version: 2})
+	sample, _ := s.job.Sample(0)
+	if status := s.job.Status(); status.Discarded != 3 || status.Samples["pending"] != 6 || sample.Attempt != 1 {
+		t.Errorf("%+v %+v", status, sample)
+	}
+}
+
+// A trainer would get samples that are too old by its own new version. The answer to the write of
+// version 2 is lost, the platform goes down, and the trainer asks for a batch with its cursor.
+func TestUnsettledVersionHoldsUpMovesAlone(t *testing.T) {
+	s := newScript(t, 0)
+	s.commit(VersionAsked{ID: 2, Version: 1})
+	cursor := s.postStep()
+	s.ready(1, 0, 1, 2)
+	the[Write](s, s.job.Handle(VersionAsked{ID: 3, Version: 2}))
+	the[Read](s, s.job.Handle(WriteUnsettled{}))
+	s.job.Handle(ReadFailed{})
+	if effects := s.job.Handle(BatchAsked{ID: 4, Step: 1, Batch: 1, Cursor: &cursor}); len(effects) != 0 {
+		t.Errorf("%+v", effects)
+	}
+}
+
+// The same, but the lost write lands after it was looked for and not found.
+func TestLateVersionHoldsUpMovesAlone(t *testing.T) {
+	s := newScript(t, 0)
+	s.commit(VersionAsked{ID: 2, Version: 1})
+	cursor := s.postStep()
+	s.ready(1, 0, 1, 2)
+	before := s.job.record
+	the[Write](s, s.job.Handle(VersionAsked{ID: 3, Version: 2}))
+	s.job.Handle(AskExpired{ID: 3})
+	the[Read](s, s.job.Handle(WriteUnsettled{}))
+	s.job.Handle(Loaded{Record: before, Version: s.version})
+	s.job.Handle(FenceChanged{})
+	the[Read](s, s.job.Handle(Ticked{}))
+	s.job.Handle(ReadFailed{})
+	if effects := s.job.Handle(BatchAsked{ID: 4, Step: 1, Batch: 1, Cursor: &cursor}); len(effects) != 0 {
+		t.Errorf("%+v", effects)
+	}
+}
+
+// A trainer would see two versions of batch 1. The write of its manifest has an unknown fate, the
+// platform goes down, and meanwhile other samples are ready that would go first.
+func TestUnsettledBatchIsHandedOutUnchanged(t *testing.T) {
+	s := newScript(t, 1)
+	s.commit(VersionAsked{ID: 2, Version: 2})
+	cursor := s.postStep()
+	s.ready(2, 4, 5)
+	write := the[Write](s, s.job.Handle(BatchAsked{ID: 3, Step: 1, Batch: 1, Cursor: &cursor}))
+	the[Read](s, s.job.Handle(WriteUnsettled{}))
+	s.ready(1, 0, 1)
+	answer := the[Answer](s, s.job.Handle(ReadFailed{}))
+	got := answer.Result.(BatchReady).Manifest
+	if diff := cmp.Diff(*write.Record.Step.Manifest, got, cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
+		t.Errorf("(-written +handed out):\n%s", diff)
+	}
+}
+
+// A trainer would be sent back in time: it was served by a later coordinator, and the balancer
+// brings it to the one before, which has slept through the change.
+func TestCursorOfLaterCoordinatorIsObeyed(t *testing.T) {
+	s := newScript(t, 0)
+	cursor := s.postStep()
+	cursor.Fencing = 11
+	got := s.refusal(s.job.Handle(BatchAsked{ID: 2, Step: 1, Batch: 1, Cursor: &cursor}))
+	if got.Reason != verdict.ReasonNotLeader || got.Verdict != verdict.NotRun {
+		t.Errorf("%+v", got)
+	}
+}
+
+// Requests would hang at a coordinator that lost its lease while paused: it reads in the job object
+// that a later one has written.
+func TestRecordOfLaterCoordinatorEndsService(t *testing.T) {
+	s := newScript(t, 0)
+	s.postStep()
+	s.job.Handle(BatchAsked{ID: 2, Step: 1, Batch: 1})
+	s.job.Handle(FenceChanged{})
+	the[Read](s, s.job.Handle(Ticked{}))
+	got := s.refusal(s.job.Handle(Loaded{Record: Record{Job: "fees", Fencing: 20}, Version: 9}))
+	if got.Reason != verdict.ReasonNotLeader {
+		t.Errorf("%+v", got)
+	}
+}
+
+// A coordinator would move alone past what another has delivered. It loses the lease while a read
+// is under way, another serves the job and writes, and it takes the lease again; then the old
+// read's answer comes.
+func TestReadOfOlderTermIsRepeated(t *testing.T) {
+	s := newScript(t, 0)
+	cursor := s.postStep()
+	s.ready(0, 0, 1)
+	s.job.Handle(FenceChanged{})
+	old := s.job.record
+	the[Read](s, s.job.Handle(Ticked{}))
+	s.job.Handle(FenceChanged{Number: 30, Held: true})
+	the[Read](s, s.job.Handle(Loaded{Record: old, Version: s.version}))
+	s.job.Handle(ReadFailed{})
+	if effects := s.job.Handle(BatchAsked{ID: 4, Step: 1, Batch: 1, Cursor: &cursor}); len(effects) != 0 {
+		t.Errorf("%+v", effects)
+	}
+}
+
+// A trainer would get the samples of batch 1 again. A step was begun and batch 1 delivered in an
+// outage; the coordinator dies with it; the successor knows nothing of the step.
+func TestStepLearntFromCursor(t *testing.T) {
+	s := newScript(t, 0)
+	cursor := Cursor{Job: "fees", Step: 5, Digest: "body", Batch: 1, Delivered: Bitmap{0b101}, Fencing: 9}
+	got := s.refusal(s.job.Handle(BatchAsked{ID: 1, Step: 5, Batch: 2, Cursor: &cursor}))
+	if got.Status != 404 {
+		t.Errorf("%+v", got)
+	}
+	write := the[Write](s, s.job.Handle(StepAsked{
+		ID: 2, Step: 5, Digest: "body", Sizes: []int{4, 2}, BatchSize: 2, Chunks: 1, Cursor: &cursor,
+	}))
+	if step := write.Record.Step; !write.Body || step.Batch != 1 || !step.Delivered.Equal(cursor.Delivered) {
+		t.Errorf("%+v", step)
+	}
+}
+
+// An operator would be told "not run" of a version that is in force. Its write was sent, its answer
+// was lost, and the trainer's time is over.
+func TestExpiredAfterLostWriteMayHaveRun(t *testing.T) {
+	s := newScript(t, 0)
+	the[Write](s, s.job.Handle(VersionAsked{ID: 1, Version: 1}))
+	s.job.Handle(WriteUnsettled{})
+	if got := s.refusal(s.job.Handle(AskExpired{ID: 1})); got.Verdict != verdict.MayHaveRun {
+		t.Errorf("%+v", got)
+	}
+}
+
+// A trainer would learn from a sample whose first half was made by weights that are too old. The
+// engine crashed at version 1 and the sample waits with its prefix; version 2 comes.
+func TestStalePrefixIsNotResumed(t *testing.T) {
+	s := newScript(t, 0)
+	s.postStep()
+	_, work := s.job.Sample(0)
+	s.job.Handle(SampleStarted{Work: work})
+	s.job.Handle(SampleFailed{Work: work, Tokens: []Token{{Text: "x", Version: 1}}})
+	s.commit(VersionAsked{ID: 2, Version: 2})
+	if sample, _ := s.job.Sample(0); len(sample.Prefix) != 0 || sample.Attempt != 1 {
+		t.Errorf("%+v", sample)
+	}
+}
--- a/internal/core/delivery/world_test.go
+++ b/internal/core/delivery/world_test.go
@@ -20,15 +20,20 @@
 
 // lateWrite is a write whose answer was lost and which takes effect later.
 type lateWrite struct {
+	from      *coordinator
 	record    Record
 	ifVersion uint64
 }
 
 // coordinator is one process: a Job and its operations under way.
 type coordinator struct {
+	// id is never used again, unlike the place in the world.
+	id    int
 	job   *Job
 	reads int
 	write *Write
+	// landed is the newest model version that a write of this process put into the object.
+	landed int
 }
 
 // reply is an answer on its way to the trainer.
@@ -57,6 +62,15 @@
 	cursor    *Cursor
 	accepted  map[string]bool
 	manifests map[string]string
+	processes int
+	// issuers are the processes that held the lease, by fencing number.
+	issuers map[uint64]int
+	// cursors are those of the requests.
+	cursors map[AskID]*Cursor
+	// stored are the manifests that were in the object at some time.
+	stored map[string]bool
+	// alone counts the batches handed out without being written.
+	alone int
 }
 
 const (
@@ -71,6 +85,7 @@
 	w := &world{
 		t: t, bound: rapid.IntRange(0, 1).Draw(t, "bound"), useCursor: useCursor, up: true, step: 1,
 		accepted: map[string]bool{}, manifests: map[string]string{}, record: Record{Job: "fees"},
+		issuers: map[uint64]int{}, cursors: map[AskID]*Cursor{}, stored: map[string]bool{},
 	}
 	for range 2 {
 		w.coords = append(w.coords, w.newCoordinator())
@@ -81,11 +96,13 @@
 
 func (w *world) newCoordinator() *coordinator {
 	self := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 9000)
-	return &coordinator{job: NewJob("fees", self, w.bound)}
+	w.processes++
+	return &coordinator{id: w.processes, job: NewJob("fees", self, w.bound)}
 }
 
 func (w *world) lease(at int) {
 	w.fence++
+	w.issuers[w.fence] = w.coords[at].id
 	w.feed(at, FenceChanged{Number: w.fence, Held: true})
 }
 
@@ -95,6 +112,7 @@
 		return
 	}
 	w.fence++
+	w.issuers[w.fence] = w.coords[at].id
 	w.feed(at, FenceChanged{Number: w.fence, Held: true, Renewed: true})
 }
 
@@ -111,17 +129,20 @@
 			}
 			c.write = &e
 		case Answer:
-			w.note(e.Result)
+			w.note(c, e)
 		}
 	}
 }
 
 // note checks an answer when it leaves the coordinator.
-func (w *world) note(result Result) {
-	r := reply{result: result}
-	if ready, ok := result.(BatchReady); ok {
+func (w *world) note(c *coordinator, answer Answer) {
+	r := reply{result: answer.Result}
+	if ready, ok := answer.Result.(BatchReady); ok {
 		w.checkBound(ready.Manifest)
 		r.digest = fmt.Sprint(ready.Manifest)
+		if !w.stored[r.digest] {
+			w.checkAlone(c, ready, w.cursors[answer.ID])
+		}
 		key := fmt.Sprintf("%d/%d", ready.Step, ready.Manifest.Batch)
 		known, seen := w.manifests[key]
 		if seen && known != r.digest && (!w.useCursor || w.outages == 0) {
@@ -132,6 +153,19 @@
 	w.replies = append(w.replies, r)
 }
 
+// checkAlone checks a batch that was handed out without being written.
+func (w *world) checkAlone(c *coordinator, ready BatchReady, cursor *Cursor) {
+	w.alone++
+	if cursor == nil || w.issuers[cursor.Fencing] != c.id {
+		w.t.Fatalf("process %d moved alone past a cursor that is not its own: %+v", c.id, cursor)
+	}
+	for _, ref := range ready.Manifest.Refs {
+		if ref.Oldest < c.landed-w.bound {
+			w.t.Fatalf("moved alone with a sample of version %d, though it wrote version %d, bound %d", ref.Oldest, c.landed, w.bound)
+		}
+	}
+}
+
 func (w *world) checkBound(manifest Manifest) {
 	for _, ref := range manifest.Refs {
 		if ref.Oldest < manifest.ModelVersion-w.bound {
@@ -141,10 +175,11 @@
 }
 
 // put applies a conditional write to the job object.
-func (w *world) put(record Record, ifVersion uint64) bool {
+func (w *world) put(from *coordinator, record Record, ifVersion uint64) bool {
 	if w.version != ifVersion {
 		return false
 	}
+	from.landed = max(from.landed, record.ModelVersion)
 	old := w.record
 	w.record = record
 	w.version++
@@ -152,6 +187,9 @@
 		w.t.Fatalf("the model version went back from %d to %d", old.ModelVersion, record.ModelVersion)
 	}
 	step := record.Step
+	if step != nil && step.Manifest != nil {
+		w.stored[fmt.Sprint(*step.Manifest)] = true
+	}
 	if step == nil || step.Manifest == nil || (old.Step != nil && fmt.Sprint(old.Step.Manifest) == fmt.Sprint(step.Manifest)) {
 		return true
 	}
@@ -191,12 +229,12 @@
 	case !w.up || how == fateLostDropped:
 		w.feed(at, WriteUnsettled{})
 	case how == fateLostApplied:
-		w.put(write.Record, write.IfVersion)
+		w.put(c, write.Record, write.IfVersion)
 		w.feed(at, WriteUnsettled{})
 	case how == fateLostLate:
-		w.late = append(w.late, lateWrite{write.Record, write.IfVersion})
+		w.late = append(w.late, lateWrite{c, write.Record, write.IfVersion})
 		w.feed(at, WriteUnsettled{})
-	case w.put(write.Record, write.IfVersion):
+	case w.put(c, write.Record, write.IfVersion):
 		w.feed(at, Written{Version: w.version})
 	default:
 		w.feed(at, WriteConflicted{})
@@ -207,7 +245,7 @@
 	if len(w.late) == 0 || !w.up {
 		return
 	}
-	w.put(w.late[0].record, w.late[0].ifVersion)
+	w.put(w.late[0].from, w.late[0].record, w.late[0].ifVersion)
 	w.late = w.late[1:]
 }
 
@@ -218,6 +256,7 @@
 		cursor = w.cursor
 	}
 	w.asked++
+	w.cursors[w.asked] = cursor
 	if !w.posted {
 		w.feed(at, StepAsked{
 			ID: w.asked, Step: w.step, Digest: fmt.Sprint("body", w.step), Sizes: worldSizes,
@@ -288,6 +327,27 @@
 	}
 }
 
+// round is one request of the trainer that is served without a fault of its own.
+func (w *world) round(at int) {
+	w.feed(at, Ticked{})
+	w.runRead(at)
+	w.ask(at)
+	for range 3 {
+		w.runWrite(at, fateDone)
+		w.runRead(at)
+	}
+	if len(w.replies) > 0 {
+		w.receive(len(w.replies) - 1)
+	}
+}
+
+// workAll makes the samples of a coordinator ready.
+func (w *world) workAll(at, version int) {
+	for range 4 * worldSamples {
+		w.progress(at, 1, version)
+	}
+}
+
 func (w *world) finished() bool {
 	return w.step == worldSteps && w.posted && w.batch == worldSamples/worldBatch
 }
