Test admission and rollout order; learn sample lengths; remember keys that ask

A trainer gives the most tokens a sample may have as its cost; the planner now corrects it by what the job's samples had. A burst that is set is taken as it is.

--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -57,7 +57,10 @@
 		if org.Weight > 0 {
 			l.weight = org.Weight
 		}
-		l.burst = max(float64(org.Burst)/parts, l.rate*rateBurst, leastBurst)
+		l.burst = max(float64(org.Burst)/parts, leastBurst)
+		if org.Burst == 0 {
+			l.burst = max(l.rate*rateBurst, leastBurst)
+		}
 		configured[org.Name] = l
 	}
 	c.mu.Lock()
@@ -89,7 +92,7 @@
 	p := c.pool(now, ask.Pool)
 	m := c.member(p, ask.Organisation)
 	m.offered += cost
-	m.keys.ask(ask.KeyHash, 0)
+	m.keys.ask(now, ask.KeyHash, 0)
 	if err := m.checkDeadline(now, ask, cost); err != nil {
 		return err
 	}
@@ -97,7 +100,7 @@
 	if err := m.check(now, ask, cost, limited); err != nil {
 		return err
 	}
-	m.keys.ask(ask.KeyHash, cost)
+	m.keys.ask(now, ask.KeyHash, cost)
 	return nil
 }
 
--- a/internal/core/admission/keys.go
+++ b/internal/core/admission/keys.go
@@ -6,20 +6,25 @@
 )
 
 const (
-	// keyTime is how long the use of a key counts.
+	// keyTime is how long the use of a key counts, and how long a key that asks is remembered.
 	keyTime = 10 * time.Second
-	// leastUse is the use below which a key is forgotten.
-	leastUse = 0.01
 	// keysKept bounds the keys of an organisation that are told apart.
 	keysKept = 256
 	// keyReserve is the part of a bucket that a key above its equal part leaves to the others.
 	keyReserve = 0.5
 )
 
+// use is what a key used of late and when it asked last.
+type use struct {
+	amount float64
+	asked  time.Time
+}
+
 // keyUse is how much the keys of an organisation used of late. It guards against one key that uses up
 // its organisation's limit: the other keys' callers would be refused without having done anything.
+// A key counts by asking, so that one that gets nothing isn't forgotten for it.
 type keyUse struct {
-	used  map[string]float64
+	used  map[string]*use
 	total float64
 	at    time.Time
 }
@@ -33,34 +38,40 @@
 	k.at = now
 	factor := math.Exp(-elapsed.Seconds() / keyTime.Seconds())
 	k.total = 0
-	for key, used := range k.used {
-		if used*factor < leastUse {
+	for key, u := range k.used {
+		if now.Sub(u.asked) > keyTime {
 			delete(k.used, key)
 			continue
 		}
-		k.used[key] = used * factor
-		k.total += used * factor
+		u.amount *= factor
+		k.total += u.amount
 	}
 }
 
 // reserve is how much of a bucket the key leaves to the others.
 func (k *keyUse) reserve(now time.Time, key string, burst float64) float64 {
 	k.fade(now)
-	if len(k.used) < 2 || k.used[key]*float64(len(k.used)) <= k.total {
+	own := k.used[key]
+	if len(k.used) < 2 || own == nil || own.amount*float64(len(k.used)) <= k.total {
 		return 0
 	}
 	return burst * keyReserve
 }
 
-// ask counts a request that was admitted, or the asking of one refused with cost 0, so that a
-// key that is refused counts as one that shares.
-func (k *keyUse) ask(key string, cost float64) {
+// ask counts a key that asks, and the cost that was admitted for it.
+func (k *keyUse) ask(now time.Time, key string, cost float64) {
 	if k.used == nil {
-		k.used = map[string]float64{}
+		k.used = map[string]*use{}
 	}
-	if _, known := k.used[key]; !known && len(k.used) >= keysKept {
-		return
+	own, known := k.used[key]
+	if !known {
+		if len(k.used) >= keysKept {
+			return
+		}
+		own = &use{}
+		k.used[key] = own
 	}
-	k.used[key] += cost
+	own.asked = now
+	own.amount += cost
 	k.total += cost
 }
--- a/internal/core/rollout/job.go
+++ b/internal/core/rollout/job.go
@@ -22,6 +22,9 @@
 	copies float64
 	speeds []float64
 	at     int
+	// part is the average length of finished samples over their cost, of lengths samples.
+	part    float64
+	lengths float64
 }
 
 // next returns the first step with samples to start, or nil.
@@ -47,6 +50,23 @@
 	j.at = (j.at + 1) % speedHistory
 }
 
+// learnLength takes in the length of a finished sample over its cost.
+func (j *jobState) learnLength(part float64) {
+	if part <= 0 {
+		return
+	}
+	j.lengths = min(j.lengths+1, speedHistory)
+	j.part += (part - j.part) / j.lengths
+}
+
+// lengthPart is the usual length of a sample over its cost; 1 if too few are known.
+func (j *jobState) lengthPart() float64 {
+	if j.lengths < leastSpeeds {
+		return 1
+	}
+	return j.part
+}
+
 // typicalSpeed is the median speed of the samples finished last; 0 if too few are known.
 func (j *jobState) typicalSpeed() float64 {
 	if len(j.speeds) < leastSpeeds {
@@ -60,7 +80,7 @@
 // usual time of a whole sample yet: the first tokens wait for the prompt.
 func (j *jobState) gain(now time.Time, sample *sampleState) time.Duration {
 	typical := j.typicalSpeed()
-	if typical == 0 || now.Sub(sample.started).Seconds() < sample.cost/typical {
+	if typical == 0 || now.Sub(sample.started).Seconds() < sample.expected()/typical {
 		return 0
 	}
 	speed := max(sample.speed(now), typical*leastSpeedPart)
--- a/internal/core/rollout/planner.go
+++ b/internal/core/rollout/planner.go
@@ -192,7 +192,7 @@
 	}
 }
 
-// Finished says that a sample is whole, with its length in tokens. It returns how many copies
+// Finished says that a sample is whole, with its length in tokens, 0 if it is given up. It returns how many copies
 // still run, which the caller cancels; -1 if the sample was whole before.
 func (p *Planner) Finished(now time.Time, sampleID string, tokens int) int {
 	sample, ok := p.samples[sampleID]
@@ -200,9 +200,11 @@
 		return -1
 	}
 	sample.done = true
+	job := sample.group.step.job
+	job.learnLength(float64(tokens) / sample.cost)
 	if sample.copies == 0 {
 		sample.tokens = max(sample.tokens, tokens)
-		sample.group.step.job.learn(sample.speed(now))
+		job.learn(sample.speed(now))
 	}
 	sample.take()
 	sample.group.left--
--- a/internal/core/rollout/sample.go
+++ b/internal/core/rollout/sample.go
@@ -20,9 +20,16 @@
 	startedTokens int
 }
 
+// expected is the expected length: the caller's cost is often the most that a sample may have, so
+// it is corrected by what the job's samples had of theirs.
+func (s *sampleState) expected() float64 {
+	return s.cost * s.group.step.job.lengthPart()
+}
+
 // rest is the expected work left.
 func (s *sampleState) rest() float64 {
-	return max(s.cost-float64(s.tokens), s.cost*leastRest)
+	expected := s.expected()
+	return max(expected-float64(s.tokens), expected*leastRest)
 }
 
 // speed is the tokens a second of the running generation.
--- a/internal/core/scenario/step_test.go
+++ b/internal/core/scenario/step_test.go
@@ -103,7 +103,7 @@
 		for i := range groupSize {
 			id := fmt.Sprintf("%s/%d/%d/%d", job, number, g, i)
 			s.lengths[id] = min(4, 0.2+random.ExpFloat64()) * sampleTokens
-			group.Samples = append(group.Samples, rollout.Sample{ID: id, Cost: sampleTokens})
+			group.Samples = append(group.Samples, rollout.Sample{ID: id, Cost: 4 * sampleTokens})
 			s.waiting = append(s.waiting, rollout.Work{Job: job, Step: number, Group: g, SampleID: id})
 		}
 		step.Groups = append(step.Groups, group)
