Send followers what changed in the head, and test the follower over TCP

Cause: a head of 1,000 organisations is 100 KB (BenchmarkNewView), and a relay sent it to each of its followers at every ticket: with 58 followers 5.8 MB a ticket. Relays keep the step from the last revision and send that to hosts that have it; others still get the whole head. The offer to the relays right after a commit is still a whole head. The random schedules also bring late offers of old revisions; with the guard of the higher revision taken out: "arrival: ticket 1 after 2: head went back to an older ticket".

--- /dev/null
+++ b/internal/core/ticket/bench_test.go
@@ -0,0 +1,57 @@
+package ticket
+
+import (
+	"fmt"
+	"testing"
+)
+
+// largeView has five keys an organisation.
+func largeView(b *testing.B, organisations int) (*View, store) {
+	b.Helper()
+	t := Ticket{}
+	for i := range organisations {
+		organisation := Organisation{Name: fmt.Sprintf("organisation-%04d", i), Weight: 1}
+		for k := range 5 {
+			organisation.KeyHashes = append(organisation.KeyHashes, KeyHash(fmt.Sprintf("key-%d-%d", i, k)))
+		}
+		t.Organisations = append(t.Organisations, organisation)
+	}
+	kept := store{}
+	view, err := kept.accept(Empty(), t)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return view, kept
+}
+
+func BenchmarkAuthenticate(b *testing.B) {
+	for _, organisations := range []int{8, 100, 1000} {
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) {
+			view, _ := largeView(b, organisations)
+			for b.Loop() {
+				if _, _, ok := view.Authenticate("key-7-3"); !ok {
+					b.Fatal("key is not valid")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkNewView(b *testing.B) {
+	for _, organisations := range []int{8, 100, 1000} {
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) {
+			view, kept := largeView(b, organisations)
+			head := view.Head()
+			value, err := head.Value()
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				if _, err := NewView(2, head, kept); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(value)), "headBytes")
+		})
+	}
+}
--- a/internal/core/ticket/duration.go
+++ b/internal/core/ticket/duration.go
@@ -1,5 +1,11 @@
 // Package ticket holds the configuration that operators change by numbered tickets:
 // its parts, the order of tickets, and the immutable view that traffic reads.
+//
+// Load pattern: a few tickets a minute from operators that race one another, read on thousands of hosts at
+// each request, with cuts and outages between. Head.Order decides which ticket gets a number: without it two
+// operators could both be told that theirs was accepted. Freshness decides whether a host may serve by its
+// view: without it a host that is cut off would serve a withdrawn key for as long as the cut lasts, or an
+// outage of the platform would stop all traffic. The grounds of the figures stand at the constants.
 package ticket
 
 import (
--- a/internal/edge/configuration/exchange.go
+++ b/internal/edge/configuration/exchange.go
@@ -32,6 +32,8 @@
 	Revision uint64 `msgpack:"r"`
 	// Head is the head object's value, where the revision is above the one asked with.
 	Head []byte `msgpack:"h"`
+	// Delta is sent in place of Head to a host that has the revision before: a ticket.Delta in JSON.
+	Delta []byte `msgpack:"d"`
 	// Held is how long the relay kept the question; the ages count back from the same moment.
 	Held time.Duration `msgpack:"w"`
 	// Age is the time since the relay's view was confirmed by the platform; noAge for never.
--- /dev/null
+++ b/internal/edge/configuration/peer_test.go
@@ -0,0 +1,55 @@
+package configuration
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
+	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+)
+
+// directory is a fixed host list.
+type directory []platform.Host
+
+func (d directory) Entries() []platform.Host { return d[:1] }
+func (d directory) Hosts() []platform.Host   { return d }
+
+// TestOverConnections: an agent that never reaches the platform follows an entry over TCP.
+func TestOverConnections(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	memory := newMemory(t)
+	secret := []byte("secret of the test")
+	client := peer.NewClient(ctx, secret)
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	hosts := directory{
+		{ID: "entry-1", Role: platform.RoleEntry, State: platform.HostLive, AvailabilityZone: "begnas", PeerAddress: address},
+		{ID: "agent-1", Role: platform.RoleAgent, State: platform.HostLive, AvailabilityZone: "begnas", PeerAddress: netip.MustParseAddrPort("127.0.0.1:1")},
+	}
+	join := func(id string, store platform.Store) *Follower {
+		return NewFollower(ctx, store, WithExchange(NewPeerExchange(client), hosts, Self{HostID: id, AvailabilityZone: "begnas"}))
+	}
+	entry := join("entry-1", memory)
+	registry := peer.NewRegistry()
+	entry.Register(registry)
+	peer.NewServer(ctx, listener, registry, secret)
+	agent := join("agent-1", &cuttable{Store: memory, cut: true})
+	eventually(t, "the agent is synced", func() bool { return agent.Synced() && fresh(agent) })
+	publisher := NewPublisher(memory, WithFollower(entry))
+	for number := 2; number <= 4; number++ {
+		if err := publisher.Apply(ctx, number, weightTicket("sahil", number)); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "the agent has the ticket", func() bool { return hasTicket(number)(agent) })
+	}
+	eventually(t, "both report the ticket", func() bool {
+		status, err := publisher.Status(ctx, 4)
+		return err == nil && status.Hosts == 2 && status.InForce == 2
+	})
+}
--- a/internal/edge/configuration/relay.go
+++ b/internal/edge/configuration/relay.go
@@ -44,7 +44,11 @@
 		OutageAge: age(now, s.freshness.Outage),
 		Voter:     s.voter,
 	}
-	if answer.Revision > ask.Revision {
+	switch {
+	case answer.Revision <= ask.Revision:
+	case len(s.delta) > 0 && ask.Revision == s.deltaFrom:
+		answer.Delta = s.delta
+	default:
 		answer.Head = s.head
 	}
 	return answer
--- a/internal/edge/configuration/schedule_test.go
+++ b/internal/edge/configuration/schedule_test.go
@@ -46,9 +46,9 @@
 	return e
 }
 
-func (e *estate) head() []byte {
-	return fmt.Appendf(nil, `{"lastTicket":%d}`, len(e.accepted))
-}
+func headOf(revision int) []byte { return fmt.Appendf(nil, `{"lastTicket":%d}`, revision) }
+
+func (e *estate) head() []byte { return headOf(len(e.accepted)) }
 
 // take delivers what a host learnt; a view that goes back fails the schedule.
 func (e *estate) take(n *node, a arrival) {
@@ -85,7 +85,11 @@
 	answered := e.now.Add(-back)
 	answer := known.answer(ask, answered.Add(-held), answered)
 	asked := answered.Add(-held - there)
-	e.take(n, arrival{revision: answer.Revision, head: answer.Head, freshness: answer.freshness(asked)})
+	head, err := n.known.headOf(answer)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	e.take(n, arrival{revision: answer.Revision, head: head, freshness: answer.freshness(asked)})
 }
 
 // survey asks all relays, as survey.go does.
@@ -170,6 +174,14 @@
 	}
 }
 
+// offerLate brings a host an offer of some accepted revision, perhaps long after newer ones.
+func (e *estate) offerLate(n *node) {
+	if len(e.accepted) > 0 && !n.apart {
+		revision := rapid.IntRange(1, len(e.accepted)).Draw(e.t, "revision")
+		e.take(n, arrival{revision: uint64(revision), head: headOf(revision)})
+	}
+}
+
 // switchOutage begins or ends an outage. A ticket that less than half of the relays know when the outage
 // begins can be missing in the view of the others for as long as it lasts; the design says so.
 func (e *estate) switchOutage() {
@@ -204,6 +216,7 @@
 					n.cut = false
 				}
 			},
+			"offer":   func(*rapid.T) { e.offerLate(one()) },
 			"apart":   func(*rapid.T) { n := one(); n.apart = !n.apart },
 			"restart": func(*rapid.T) { n := one(); n.known, n.highest, n.due = newSnapshot(), 0, 0 },
 			"pass": func(t *rapid.T) {
--- a/internal/edge/configuration/snapshot.go
+++ b/internal/edge/configuration/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,6 +19,9 @@
 	view *ticket.View
 	// head is the value of the head object as it was read.
 	head []byte
+	// delta leads from the head of revision deltaFrom to this one; empty if there was none before.
+	delta     []byte
+	deltaFrom uint64
 	// parts holds the content of the parts that the head names, by hash.
 	parts     map[string][]byte
 	freshness ticket.Freshness
@@ -87,10 +91,35 @@
 	if err != nil {
 		return err
 	}
+	if err := s.keepDelta(view); err != nil {
+		return err
+	}
 	s.view, s.head, s.parts = view, a.head, parts
 	return nil
 }
 
+func (s *snapshot) keepDelta(next *ticket.View) error {
+	s.delta, s.deltaFrom = nil, s.view.Revision()
+	if s.deltaFrom == 0 {
+		return nil
+	}
+	delta, err := json.Marshal(s.view.Head().DeltaTo(next.Head()))
+	s.delta = delta
+	return errors.Wrap(err, "delta")
+}
+
+// headOf returns the head that an answer to this snapshot's question carries or leads to.
+func (s *snapshot) headOf(answer FollowAnswer) ([]byte, error) {
+	if len(answer.Delta) == 0 {
+		return answer.Head, nil
+	}
+	var delta ticket.Delta
+	if err := json.Unmarshal(answer.Delta, &delta); err != nil {
+		return nil, errors.Wrap(err, "delta")
+	}
+	return s.view.Head().Patch(delta).Value()
+}
+
 // missing returns the hashes of the head's parts that are not at hand.
 func (s *snapshot) missing(head ticket.Head) []string {
 	var hashes []string
--- a/internal/edge/configuration/source.go
+++ b/internal/edge/configuration/source.go
@@ -144,7 +144,8 @@
 func (f *Follower) ask(ctx context.Context, relay netip.AddrPort, wait time.Duration) answered {
 	ctx, cancel := context.WithTimeout(ctx, wait+f.waits.relaySlack)
 	defer cancel()
-	view := f.View()
+	known := f.current.Load()
+	view := known.view
 	asked := time.Now()
 	answer, err := f.exchange.Follow(ctx, relay, FollowAsk{
 		HostID: f.self.HostID, Revision: view.Revision(), Ticket: view.LastTicket(), Wait: wait,
@@ -152,8 +153,12 @@
 	if err != nil {
 		return answered{err: errors.Wrapf(err, "relay %s", relay)}
 	}
+	head, err := known.headOf(answer)
+	if err != nil {
+		return answered{err: errors.Wrapf(err, "relay %s", relay)}
+	}
 	freshness := answer.freshness(asked)
-	a := arrival{revision: answer.Revision, head: answer.Head, freshness: freshness}
+	a := arrival{revision: answer.Revision, head: head, freshness: freshness}
 	err = f.takeHead(ctx, a, func(ctx context.Context, hashes []string) (map[string][]byte, error) {
 		return f.relayParts(ctx, relay, hashes)
 	})
--- a/internal/edge/configuration/status.go
+++ b/internal/edge/configuration/status.go
@@ -125,8 +125,9 @@
 func (f *Follower) announce(ctx context.Context, offer Offer) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), spreadTimeout)
 	defer cancel()
-	_, err := f.HandleOffer(ctx, offer)
-	f.note(err)
+	if _, err := f.HandleOffer(ctx, offer); err != nil {
+		f.note(err)
+	}
 	var wg conc.WaitGroup
 	for _, relay := range f.route().all {
 		wg.Go(func() {
--- a/internal/edge/configuration/survey.go
+++ b/internal/edge/configuration/survey.go
@@ -36,7 +36,9 @@
 func (f *Follower) surveyOnce(ctx context.Context, route route) {
 	asked := time.Now()
 	answers := f.round(ctx, route.all)
-	f.note(f.deliver(ctx, f.current.Load().witness(asked, route.count(), answers)))
+	if err := f.deliver(ctx, f.current.Load().witness(asked, route.count(), answers)); err != nil {
+		f.note(err)
+	}
 }
 
 // witness judges one round of questions by the voters among those that answered. Without that rule a host
--- a/internal/edge/duty/keeper.go
+++ b/internal/edge/duty/keeper.go
@@ -52,7 +52,7 @@
 }
 
 // WithContendIf makes a keeper take the duty over only while may returns true, such as while the host
-// is among the first few by rendezvous hashing. A holder keeps the duty all the same.
+// is among the first few by rendezvous hashing (membership.Among). A holder keeps the duty all the same.
 func WithContendIf(may func() bool) Option {
 	return func(k *Keeper) { k.may = may }
 }
