Measure how the cost of each part grows with its size

The page of capacities is to be worked out from slopes that anybody can measure again. The hidden command capacity drives real parts over loopback against the in-process stand-ins at four sizes or more, fits a line by least squares and writes a table and plots.

--- /dev/null
+++ b/internal/program/capacity/report.go
@@ -0,0 +1,54 @@
+package capacity
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+const significantDigits = 4
+
+// Markdown writes the tables sorted by name, one section each.
+func Markdown(tables []Table) string {
+	sorted := slices.Clone(tables)
+	slices.SortFunc(sorted, func(a, b Table) int { return cmp.Compare(a.Name, b.Name) })
+	var out strings.Builder
+	out.WriteString("# Measured slopes\n\nWritten by `oleandershelf capacity --out docs/capacity`; see [CAPACITY.md](../CAPACITY.md).\n")
+	out.WriteString("A line is slope x size + intercept by least squares; the residual is the root mean square of what it misses.\n")
+	for _, table := range sorted {
+		table.write(&out)
+	}
+	return out.String()
+}
+
+func (t Table) write(out *strings.Builder) {
+	fmt.Fprintf(out, "\n## %s\n\n%s\n\n| figure | unit |", t.Name, t.Notes)
+	for _, size := range t.Sizes {
+		fmt.Fprintf(out, " at %s |", number(size))
+	}
+	fmt.Fprintf(out, " slope a %s | intercept | residual |\n|---|---|%s---|---|---|\n", t.Axis, strings.Repeat("---|", len(t.Sizes)))
+	for _, series := range t.Series {
+		fmt.Fprintf(out, "| %s | %s |", series.Name, series.Unit)
+		for _, value := range series.Values {
+			fmt.Fprintf(out, " %s |", number(value))
+		}
+		fmt.Fprintf(out, " %s | %s | %s |\n", number(series.Line.Slope), number(series.Line.Intercept), number(series.Line.Residual))
+	}
+	fmt.Fprintf(out, "\n![%s](%s.svg)\n", t.Name, t.Name)
+}
+
+// number writes four significant digits, without an exponent.
+func number(value float64) string {
+	if value == 0 || math.IsNaN(value) || math.IsInf(value, 0) {
+		return "0"
+	}
+	decimals := significantDigits - 1 - int(math.Floor(math.Log10(math.Abs(value))))
+	if decimals <= 0 {
+		return strconv.FormatFloat(math.Round(value), 'f', 0, 64)
+	}
+	text := strconv.FormatFloat(value, 'f', min(decimals, 8), 64)
+	return strings.TrimRight(strings.TrimRight(text, "0"), ".")
+}
--- /dev/null
+++ b/internal/program/capacity/world.go
@@ -0,0 +1,60 @@
+package capacity
+
+import (
+	"context"
+	"net"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
+	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+	standin "github.com/oleandershelf/oleandershelf/internal/standin/platform"
+)
+
+// newPlatform serves a stand-in of the platform on which all hosts of the list run.
+func newPlatform(ctx context.Context, l net.Listener, hosts []platform.Host) (*standin.Server, error) {
+	server, err := standin.New(ctx, l, standin.WithHosts(hosts))
+	if err != nil {
+		return nil, err
+	}
+	for _, order := range ordersOf(hosts) {
+		if err := server.Order(ctx, order); err != nil {
+			return nil, err
+		}
+	}
+	return server, nil
+}
+
+// ordersOf returns the orders that start all agents of the list.
+func ordersOf(hosts []platform.Host) []platform.ServerOrder {
+	var orders []platform.ServerOrder
+	at := map[[2]string]int{}
+	for _, host := range hosts {
+		if host.Role != platform.RoleAgent {
+			continue
+		}
+		group := [2]string{host.AvailabilityZone, host.Pool}
+		i, ok := at[group]
+		if !ok {
+			i = len(orders)
+			at[group] = i
+			orders = append(orders, platform.ServerOrder{AvailabilityZone: host.AvailabilityZone, Pool: host.Pool})
+		}
+		orders[i].Count++
+	}
+	return orders
+}
+
+// modelTicket creates an organisation, a pool of engines in the zone and so many trainer jobs.
+func modelTicket(servers, jobs int) ticket.Ticket {
+	t := ticketOf(8, 1)
+	t.Pools = []ticket.Pool{{
+		Name: modelPool, Kind: ticket.KindModel, Model: modelPool, AvailabilityZones: []string{measuredZone},
+		MinServers: servers, MaxServers: servers, Concurrency: maxStreams,
+	}}
+	for i := range jobs {
+		t.TrainerJobs = append(t.TrainerJobs, ticket.TrainerJob{
+			Name: jobName(i), Organisation: t.Organisations[0].Name, Model: modelPool,
+			BatchSize: batchSize, StalenessBound: 1, MaxTokens: sampleTokens,
+		})
+	}
+	return t
+}
--- a/internal/program/cmd/root.go
+++ b/internal/program/cmd/root.go
@@ -85,6 +85,7 @@
 			settingsCommand(),
 			demoCommand(),
 			standinCommand(),
+			capacityCommand(),
 			versionCommand(),
 		},
 	}
