--- a/internal/core/fleet/memory.go
+++ b/internal/core/fleet/memory.go
@@ -140,9 +140,13 @@
 			live = append(live, server)
 		}
 	}
+	chosen := map[string]bool{}
+	for _, id := range before {
+		chosen[id] = true
+	}
 	slices.SortFunc(live, func(a, b Server) int {
 		return cmp.Or(
-			chosenFirst(before, a.HostID, b.HostID),
+			trueFirst(chosen[a.HostID], chosen[b.HostID]),
 			cmp.Compare(a.Running+a.Queued, b.Running+b.Queued),
 			cmp.Compare(a.HostID, b.HostID),
 		)
@@ -155,13 +159,12 @@
 	return ids
 }
 
-func chosenFirst(before []string, a, b string) int {
-	return cmp.Compare(rank(before, a), rank(before, b))
-}
-
-func rank(before []string, id string) int {
-	if slices.Contains(before, id) {
+func trueFirst(a, b bool) int {
+	switch {
+	case a == b:
 		return 0
+	case a:
+		return -1
 	}
 	return 1
 }
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -55,6 +55,7 @@
 // weigh estimates the start at one server.
 func (t *Tracker) weigh(now time.Time, p Probed, _ float64) option {
 	host := t.host(now, p.Server.HostID)
+	host.pool = p.Server.Pool
 	if p.Err == nil {
 		host.load = p.Load
 		host.reported = now
--- a/internal/core/placement/host.go
+++ b/internal/core/placement/host.go
@@ -25,6 +25,8 @@
 
 // hostState is what is known about a server.
 type hostState struct {
+	// pool is where the server's peers are.
+	pool     string
 	load     request.Load
 	reported time.Time
 	// logTime is the average logarithm of the time that requests took; few long ones weigh little in it.
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -187,6 +187,28 @@
 	}
 }
 
+// An entry serves a pool of lookups of a millisecond and one of generations of seconds. Compared with
+// each other, all model servers would count as slow and be spared; peers are those of the same pool.
+func TestPoolsAreJudgedApart(t *testing.T) {
+	tr := NewTracker(WithSeed(1))
+	for i, s := range servers(10) {
+		s.Pool = "lookups"
+		took := time.Millisecond
+		if i >= 6 {
+			s.Pool = "generations"
+			took = 5 * time.Second
+		}
+		tr.Choose(start, []Probed{{Server: s}}, 1)
+		for range 10 {
+			tr.Finished(start, s.HostID, took, false)
+		}
+	}
+	tr.Finished(start.Add(time.Second), "s0000", time.Millisecond, false)
+	if got := tr.Spared(); len(got) != 0 {
+		t.Errorf("spared %v", got)
+	}
+}
+
 func TestAllSparedAreUsed(t *testing.T) {
 	tr := NewTracker(WithSeed(1))
 	list := servers(3)
--- a/internal/core/placement/subset.go
+++ b/internal/core/placement/subset.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // otherZonesPart is the share of a subset that lies outside the own availability zone if possible, so
@@ -15,7 +13,7 @@
 // choice is stable when servers come and go and all entries together load all servers alike; the
 // own availability zone first, and a third spread over the others. It is sorted by preference.
 func Subset(entryID, zone string, servers []Server, size int) []Server {
-	byZone := rankByZone(entryID, servers)
+	byZone := rankByZone(entryID, servers, size)
 	own := byZone[zone]
 	delete(byZone, zone)
 	others := interleave(byZone)
@@ -25,41 +23,32 @@
 	return append(slices.Clip(own[:fromOwn]), others[:fromOthers]...)
 }
 
-// weighed is a server with its rendezvous weight.
+// weighed is the index of a server with its rendezvous weight.
 type weighed struct {
-	server Server
+	index  int
 	weight uint64
 }
 
-func compareWeighed(a, b weighed) int {
-	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.server.HostID, b.server.HostID))
-}
-
-// rankByZone returns the servers of each availability zone, the highest weight first.
-func rankByZone(entryID string, servers []Server) map[string][]Server {
-	ranked := make([]weighed, 0, len(servers))
-	for _, server := range servers {
-		ranked = append(ranked, weighed{server: server, weight: rendezvous(entryID, server.HostID)})
+// rankByZone returns up to most servers of each availability zone, the highest weight first.
+func rankByZone(entryID string, servers []Server, most int) map[string][]Server {
+	entry := hostHash(entryID)
+	ranked := make([]weighed, len(servers))
+	for i := range servers {
+		ranked[i] = weighed{index: i, weight: mix(entry ^ mix(hostHash(servers[i].HostID)))}
 	}
-	slices.SortFunc(ranked, compareWeighed)
+	slices.SortFunc(ranked, func(a, b weighed) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(servers[a.index].HostID, servers[b.index].HostID))
+	})
 	byZone := map[string][]Server{}
 	for _, r := range ranked {
-		zone := r.server.AvailabilityZone
-		byZone[zone] = append(byZone[zone], r.server)
+		zone := servers[r.index].AvailabilityZone
+		if len(byZone[zone]) < most {
+			byZone[zone] = append(byZone[zone], servers[r.index])
+		}
 	}
 	return byZone
 }
 
-// rendezvous is the weight of a host for a key.
-func rendezvous(key, hostID string) uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.WriteString(key)
-	_, _ = digest.WriteString("\x00")
-	_, _ = digest.WriteString(hostID)
-	return digest.Sum64()
-}
-
 // interleave takes one server of each zone in turn.
 func interleave(byZone map[string][]Server) []Server {
 	zones := make([]string, 0, len(byZone))
--- a/internal/core/placement/tracker.go
+++ b/internal/core/placement/tracker.go
@@ -216,26 +216,28 @@
 	return host
 }
 
-// judge compares all servers with the median, and forgets those that are long gone.
+// judge compares the servers of each pool with their median, and forgets those that are long gone.
 func (t *Tracker) judge(now time.Time) {
 	t.judged = now
-	times := make([]float64, 0, len(t.hosts))
+	times := map[string][]float64{}
 	for id, host := range t.hosts {
 		if now.Sub(host.seen) > forgetTime {
 			delete(t.hosts, id)
 			continue
 		}
 		if host.samples >= leastSamples {
-			times = append(times, host.logTime)
+			times[host.pool] = append(times[host.pool], host.logTime)
 		}
 	}
-	slices.Sort(times)
-	known := len(times) >= leastPeers
-	median := 0.0
-	if known {
-		median = times[(len(times)-1)/2]
+	for _, known := range times {
+		slices.Sort(known)
 	}
 	for _, host := range t.hosts {
-		host.judge(now, median, known)
+		known := times[host.pool]
+		if len(known) < leastPeers {
+			host.judge(now, 0, false)
+			continue
+		}
+		host.judge(now, known[(len(known)-1)/2], true)
 	}
 }
--- a/internal/core/scenario/scenario_test.go
+++ b/internal/core/scenario/scenario_test.go
@@ -4,11 +4,13 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/sourcegraph/conc/pool"
 )
 
 var update = flag.Bool("update", false, "write the golden tables")
@@ -153,15 +155,22 @@
 func TestScenarios(t *testing.T) {
 	var table strings.Builder
 	table.WriteString(header)
-	for _, sc := range scenarios() {
-		for _, p := range []policy{roundRobin, leastOutstanding, modules} {
+	all := scenarios()
+	policies := []policy{roundRobin, leastOutstanding, modules}
+	rows := make([]string, len(all)*len(policies))
+	workers := pool.New().WithMaxGoroutines(runtime.GOMAXPROCS(0))
+	for i := range rows {
+		workers.Go(func() {
+			sc, p := all[i/len(policies)], policies[i%len(policies)]
 			var results []result
 			for _, seed := range seeds {
 				results = append(results, sc.run(p, seed))
 			}
-			table.WriteString(mean(results).row(sc.name, p))
-		}
+			rows[i] = mean(results).row(sc.name, p)
+		})
 	}
+	workers.Wait()
+	table.WriteString(strings.Join(rows, ""))
 	golden(t, "scenarios.md", table.String())
 }
 
