Forget the bodies of refused steps, and prove hedging at the coordinator

Bodies of refused posts were kept until the next step: '6 bodies are kept' in the new test. Guards taken out on a scratch copy: without hedges TestStragglerIsHedged ends in 503 deadlinePassed; with a conflict taken for a write TestVersionRacesDelivery says 'A handed out a batch after version 2'.

--- a/internal/edge/trainer/failure_test.go
+++ b/internal/edge/trainer/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -320,3 +321,40 @@
 		w.collect(seen, w.getBatch(hostA, 1, n, nil))
 	}
 }
+
+// A step would last as long as its slowest engine. One call of sixty never ends; the others are done.
+func TestStragglerIsHedged(t *testing.T) {
+	w := newWorld(t)
+	w.engines.stuck = testJob + "/1/0/7"
+	w.lease.take(hostA, false)
+	content := `{"groups":[{"prompt":"log","samples":60}]}`
+	if got := w.call(hostA, http.MethodPost, "/steps/1", content, nil); got.status != http.StatusOK {
+		t.Fatalf("%d %s", got.status, got.body)
+	}
+	seen := map[string]bool{}
+	for n := 1; n <= 30; n++ {
+		w.collect(seen, w.getBatch(hostA, 1, n, nil))
+	}
+	if len(seen) != 60 || w.engines.hedged == 0 {
+		t.Errorf("%d samples, %d hedged", len(seen), w.engines.hedged)
+	}
+}
+
+// A trainer that posts wrong bodies again and again would fill the coordinator's memory.
+func TestRefusedBodiesAreForgotten(t *testing.T) {
+	w := newWorld(t)
+	w.lease.take(hostA, false)
+	w.postStep(hostA, 1)
+	for i := range 5 {
+		content := fmt.Sprintf(`{"groups":[{"prompt":"other %d","samples":1}]}`, i)
+		if got := w.call(hostA, http.MethodPost, "/steps/1", content, nil); got.status != http.StatusConflict {
+			t.Fatalf("%d %s", got.status, got.body)
+		}
+	}
+	c, _ := w.peers.at(hostA)
+	r, _ := c.runner(testJob)
+	w.kill(hostA)
+	if len(r.bodies) != 1 {
+		t.Errorf("%d bodies are kept", len(r.bodies))
+	}
+}
--- a/internal/edge/trainer/fakes_test.go
+++ b/internal/edge/trainer/fakes_test.go
@@ -91,12 +91,21 @@
 	crash   int
 	crashTo int
 	resumed int
-	gate    chan struct{}
+	// stuck names a sample whose first call never ends.
+	stuck  string
+	hedged int
+	gate   chan struct{}
 }
 
 func (e *fakeEngines) Generate(ctx context.Context, request GenerateRequest) ([]Token, error) {
 	e.mu.Lock()
 	gate := e.gate
+	if request.SampleID == e.stuck && !request.Hedge {
+		gate = make(chan struct{})
+	}
+	if request.Hedge {
+		e.hedged++
+	}
 	e.mu.Unlock()
 	if gate != nil {
 		select {
--- a/internal/edge/trainer/message.go
+++ b/internal/edge/trainer/message.go
@@ -59,6 +59,7 @@
 	r.answers[m.id] = m.answers
 	if m.body != nil {
 		r.bodies[m.digest] = m.body
+		r.posted[m.id] = m.digest
 	}
 	r.handle(m.event)
 }
--- a/internal/edge/trainer/runner.go
+++ b/internal/edge/trainer/runner.go
@@ -47,7 +47,9 @@
 	held       bool
 	fence      Fence
 	probed     time.Time
+	// bodies are those of posted steps by digest; posted names them by request.
 	bodies     map[string][]byte
+	posted     map[delivery.AskID]string
 	plan       *delivery.Plan
 	planStep   int
 	planDigest string
@@ -112,6 +114,7 @@
 	r.fence = Fence{}
 	r.machine = delivery.NewJob(r.job, r.deps.Self, r.bound())
 	r.bodies = map[string][]byte{}
+	r.posted = map[delivery.AskID]string{}
 	r.plan = nil
 	r.planDigest = ""
 	r.loading = false
@@ -201,6 +204,7 @@
 }
 
 func (r *runner) answer(e delivery.Answer) {
+	r.forgetBody(e.ID)
 	answers, ok := r.answers[e.ID]
 	if !ok {
 		return
@@ -209,6 +213,19 @@
 	answers <- e.Result
 }
 
+// forgetBody drops the body of a post that did not become the current step, so that refused posts
+// take no memory.
+func (r *runner) forgetBody(id delivery.AskID) {
+	digest, posted := r.posted[id]
+	if !posted {
+		return
+	}
+	delete(r.posted, id)
+	if step := r.machine.Step(); step == nil || step.Digest != digest {
+		delete(r.bodies, digest)
+	}
+}
+
 // leave answers what still waits when the process ends.
 func (r *runner) leave() {
 	for id, answers := range r.answers {
