Ask the process that a lost call was sent to; let an agent's pause end and be fenced

Cause 1: an agent started anew at the same address has an empty record and answered 'not run' for a charge that its predecessor had sent to the server; the entry would have sent it again. The entry now names the process, and any other answers that the call may have run. Cause 2: a settled 'ran' without an answer was shown to callers as the verdict 'ran', which the interface doesn't have. Cause 3: a duty holder that died after it told an agent to take no new work left the agent refusing for ever. Generations are cancelled at the engine by sample id, and probes answer from its prefix cache.

--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -77,6 +77,9 @@
 // seen the id records it as never to be run, so that NotRun stays true if the request arrives later.
 type Settle struct {
 	ID ID `msgpack:"id"`
+	// Process is the incarnation of the agent's process to which the request was sent, from peer.LostProcess or
+	// Answer.Process. Another process at the same address has an empty record and can't say "not run".
+	Process uint64 `msgpack:"pr"`
 }
 
 // Settled answers Settle.
@@ -114,4 +117,6 @@
 // The agent answers with its load.
 type Leave struct {
 	Leave bool `msgpack:"l"`
+	// Fencing is the fencing number of the zone's duty; an order with a lower one than seen is refused.
+	Fencing uint64 `msgpack:"f"`
 }
--- a/internal/edge/agent/control.go
+++ b/internal/edge/agent/control.go
@@ -26,8 +26,8 @@
 	keys        *execution.Keys[outcome]
 	running     map[*job]queue.Item[*job]
 	leaving     bool
-	// paused is set while the server is being drained on the order of the zone; unlike leaving it can be undone.
-	paused  bool
+	// pause is set while the server is being drained on the order of the zone; unlike leaving it ends.
+	pause   pause
 	drained chan struct{}
 }
 
@@ -52,7 +52,7 @@
 
 // submit takes a request in; a refusal is handed to the job like a start.
 func (c *control) submit(now time.Time, j *job) {
-	if c.leaving || c.paused {
+	if c.leaving || c.pause.holds(now) {
 		j.started <- verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonLeaving, retrySoon,
 			"the backend server is leaving")
 		return
@@ -299,6 +299,6 @@
 		Running: len(c.running),
 		Limit:   c.limiter.Limit(),
 		Wait:    c.wait(now, ""),
-		Leaving: c.leaving || c.paused,
+		Leaving: c.leaving || c.pause.holds(now),
 	}
 }
--- a/internal/edge/agent/settle.go
+++ b/internal/edge/agent/settle.go
@@ -8,25 +8,18 @@
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 )
 
-// Settle is request.Settle with the process to which the request was sent.
-type Settle struct {
-	ID request.ID `msgpack:"id"`
-	// Process is from peer.LostProcess or Answer.Process. 0 is for an asker that doesn't know it.
-	Process uint64 `msgpack:"pr"`
-}
-
 // settle says what became of a request whose connection was lost.
 //
 // Guard: an agent's process dies while a call runs and is started anew at the same address, with an
 // empty record. It has not seen the request, and "not run" would be false: the asker would send a
 // booking again that the backend server has made. The asker names the process to which it sent the
 // request; any other process answers that it may have run.
-func (a *Agent) settle(_ context.Context, q Settle) (request.Settled, error) {
+func (a *Agent) settle(_ context.Context, q request.Settle) (request.Settled, error) {
 	var settled request.Settled
 	if !a.do(func(now time.Time) { settled = a.control.settle(now, q.ID) }) {
 		return settled, ErrEnded
 	}
-	if q.Process != 0 && q.Process != a.process.Load() {
+	if q.Process != a.process.Load() {
 		return request.Settled{Verdict: verdict.MayHaveRun}, nil
 	}
 	return settled, nil
--- a/internal/edge/entry/dispatcher.go
+++ b/internal/edge/entry/dispatcher.go
@@ -218,10 +218,12 @@
 		d.tracker.Finished(time.Now(), server.HostID, time.Since(started), false)
 		return nil
 	}
+	ask := request.Settle{ID: message.ID, Process: peer.LostProcess(err)}
 	if answer != nil {
+		ask.Process = answer.Process()
 		answer.Cancel()
 	}
-	err = d.explain(ctx, err, server, message.ID)
+	err = d.explain(ctx, err, server, ask)
 	d.tracker.Finished(time.Now(), server.HostID, time.Since(started), isServerFault(err))
 	return err
 }
@@ -252,14 +254,14 @@
 var errReceiver = errors.New("the receiver of the answer is gone")
 
 // explain turns a failed try into a refusal with a true verdict.
-func (d *Dispatcher) explain(ctx context.Context, err error, server placement.Server, id request.ID) *verdict.Refusal {
+func (d *Dispatcher) explain(ctx context.Context, err error, server placement.Server, ask request.Settle) *verdict.Refusal {
 	if refusal, ok := verdict.As(err); ok {
 		return refusal
 	}
 	if errors.Is(err, peer.ErrUnsent) {
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonServerLost, noServerRetry, "agent %s can't be reached", server.HostID)
 	}
-	v := d.settle(ctx, server, id)
+	v := d.settle(ctx, server, ask)
 	if errors.Is(err, errReceiver) {
 		return verdict.New(v, statusClientClosed, verdict.ReasonCancelled, 0, "the caller hung up")
 	}
--- a/internal/edge/entry/settle.go
+++ b/internal/edge/entry/settle.go
@@ -23,8 +23,8 @@
 //
 // Guard: the frame of a lost connection may still arrive and run after the caller was told "not run".
 // The agent records an id that it has not seen as never to be run before it answers NotRun, so the late
-// frame is refused. An agent that can't be asked leaves MayHaveRun.
-func (d *Dispatcher) settle(ctx context.Context, server placement.Server, id request.ID) verdict.Verdict {
+// frame is refused. A process that was started anew at the agent's address can't know, and says so. An agent that can't be asked leaves MayHaveRun.
+func (d *Dispatcher) settle(ctx context.Context, server placement.Server, ask request.Settle) verdict.Verdict {
 	bound := settleTime
 	if ctx.Err() != nil {
 		bound = settleTimeAfterDeadline
@@ -33,9 +33,13 @@
 	defer cancel()
 	result := verdict.MayHaveRun
 	for {
-		settled, err := peer.Ask[request.Settle, request.Settled](ctx, d.client, server.Address, agent.MethodSettle, request.Settle{ID: id})
+		settled, err := peer.Ask[request.Settle, request.Settled](ctx, d.client, server.Address, agent.MethodSettle, ask)
 		if err == nil {
 			result = settled.Verdict
+			if result == verdict.Ran {
+				// It ran, and its answer is lost: to the caller that is in doubt like any other.
+				result = verdict.MayHaveRun
+			}
 			break
 		}
 		if !wait(ctx, settlePause) {
--- a/internal/edge/fleet/runner.go
+++ b/internal/edge/fleet/runner.go
@@ -32,8 +32,15 @@
 	Orders platform.ServerOrders
 	// Gather returns the state of each pool of the zone, without Memory.
 	Gather func(ctx context.Context, now time.Time) ([]fleet.State, error)
-	// Drain tells the agent of a host to take no new work, or to take work again.
-	Drain func(ctx context.Context, hostID string, drain bool) error
+	// Drain tells an agent to take no new work, or to take work again.
+	Drain func(ctx context.Context, pause Pause) error
+}
+
+// Pause is the order to one agent to take no new work, or to take work again.
+type Pause struct {
+	HostID  string
+	Drain   bool
+	Fencing platform.Version
 }
 
 // Option changes a Runner.
@@ -175,15 +182,16 @@
 			delete(pool.drained, id)
 		}
 	}
+	// An agent's pause ends by itself, so it is told in each round.
 	for id := range wanted {
-		if !pool.drained[id] && r.tell(ctx, id, true) {
+		if r.tell(ctx, id, true) {
 			pool.drained[id] = true
 		}
 	}
 }
 
 func (r *Runner) tell(ctx context.Context, id string, drain bool) bool {
-	if err := r.deps.Drain(ctx, id, drain); err != nil {
+	if err := r.deps.Drain(ctx, Pause{HostID: id, Drain: drain, Fencing: r.number}); err != nil {
 		r.log.Warn().Err(err).Str("hostId", id).Bool("drain", drain).Msg("tell agent")
 		return false
 	}
--- a/internal/program/process/backendserver.go
+++ b/internal/program/process/backendserver.go
@@ -57,6 +57,16 @@
 	return agent.EngineLoad{Running: load.Running, Waiting: load.Queued, Version: load.Version}, nil
 }
 
+// Cancel ends the generation of a sample.
+func (e agentEngine) Cancel(ctx context.Context, sampleID string) error {
+	return e.engine.Cancel(ctx, sampleID)
+}
+
+// CacheEvents returns what the engine published about its prefix cache after the sequence number.
+func (e agentEngine) CacheEvents(ctx context.Context, after uint64) ([]backendserver.CacheEvent, error) {
+	return e.engine.CacheEvents(ctx, after)
+}
+
 // Order gives one weight order.
 func (e agentEngine) Order(ctx context.Context, order agent.WeightOrder) error {
 	return e.engine.Order(ctx, backendserver.WeightOrder{
--- a/internal/program/process/gather.go
+++ b/internal/program/process/gather.go
@@ -8,11 +8,12 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc/pool"
 
-	"github.com/oleandershelf/oleandershelf/internal/core/fleet"
+	corefleet "github.com/oleandershelf/oleandershelf/internal/core/fleet"
 	"github.com/oleandershelf/oleandershelf/internal/core/request"
 	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
 	"github.com/oleandershelf/oleandershelf/internal/edge/agent"
 	"github.com/oleandershelf/oleandershelf/internal/edge/configuration"
+	"github.com/oleandershelf/oleandershelf/internal/edge/fleet"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
 )
@@ -36,13 +37,13 @@
 }
 
 // gather returns the state of each pool that has servers ordered in the zone.
-func (z zone) gather(ctx context.Context, now time.Time) ([]fleet.State, error) {
-	states := []fleet.State{}
+func (z zone) gather(ctx context.Context, now time.Time) ([]corefleet.State, error) {
+	states := []corefleet.State{}
 	for _, configured := range z.follower.View().Pools() {
 		if !slices.Contains(configured.AvailabilityZones, z.name) {
 			continue
 		}
-		states = append(states, fleet.State{
+		states = append(states, corefleet.State{
 			AvailabilityZone: z.name,
 			Pool:             configured.Name,
 			MinServers:       configured.MinServers,
@@ -56,14 +57,14 @@
 }
 
 // servers asks every agent of the pool in this zone for its load.
-func (z zone) servers(ctx context.Context, configured ticket.Pool) []fleet.Server {
+func (z zone) servers(ctx context.Context, configured ticket.Pool) []corefleet.Server {
 	hosts := []platform.Host{}
 	for _, host := range z.runtime.members.Servers(configured.Name) {
 		if host.AvailabilityZone == z.name {
 			hosts = append(hosts, host)
 		}
 	}
-	servers := make([]fleet.Server, len(hosts))
+	servers := make([]corefleet.Server, len(hosts))
 	probes := pool.New().WithMaxGoroutines(probeParallel)
 	for i, host := range hosts {
 		probes.Go(func() { servers[i] = z.server(ctx, host) })
@@ -72,10 +73,10 @@
 	return servers
 }
 
-func (z zone) server(ctx context.Context, host platform.Host) fleet.Server {
+func (z zone) server(ctx context.Context, host platform.Host) corefleet.Server {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	server := fleet.Server{HostID: host.ID, Leaving: host.State == platform.HostLeaving, ReportAge: noReport}
+	server := corefleet.Server{HostID: host.ID, Leaving: host.State == platform.HostLeaving, ReportAge: noReport}
 	load, err := peer.Ask[request.Probe, request.Load](ctx, z.runtime.client, host.PeerAddress, agent.MethodProbe, request.Probe{})
 	if err != nil {
 		return server
@@ -89,15 +90,15 @@
 }
 
 // drain tells an agent to take no new work, or to take work again.
-func (z zone) drain(ctx context.Context, hostID string, drain bool) error {
-	host, ok := z.host(hostID)
+func (z zone) drain(ctx context.Context, order fleet.Pause) error {
+	host, ok := z.host(order.HostID)
 	if !ok {
-		return errors.Wrap(errUnknownHost, hostID)
+		return errors.Wrap(errUnknownHost, order.HostID)
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, err := peer.Ask[request.Leave, request.Load](ctx, z.runtime.client, host.PeerAddress, agent.MethodLeave, request.Leave{Leave: drain})
-	return errors.Wrap(err, hostID)
+	_, err := peer.Ask[request.Leave, request.Load](ctx, z.runtime.client, host.PeerAddress, agent.MethodLeave, request.Leave{Leave: order.Drain, Fencing: uint64(order.Fencing)})
+	return errors.Wrap(err, order.HostID)
 }
 
 func (z zone) host(id string) (platform.Host, bool) {
