--- a/internal/program/e2e/cluster_test.go
+++ b/internal/program/e2e/cluster_test.go
@@ -43,7 +43,7 @@
 
 // cluster is a deployment of separate processes.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	folder   string
 	topology scenario.Topology
 	running  map[string]*running
@@ -75,7 +75,7 @@
 }
 
 // newCluster starts all processes of the deployment; they end with the test.
-func newCluster(t *testing.T, deployment scenario.Deployment) *cluster {
+func newCluster(t testing.TB, deployment scenario.Deployment) *cluster {
 	t.Helper()
 	topology, err := scenario.NewTopology(deployment, scenario.Addresses())
 	if err != nil {
