Count only what goes before an item in its lane when its wait is estimated

A short call was refused for the long jobs of its organisation that it overtakes ("a wait of ... would miss the deadline" in the new test without the guard).

--- a/internal/core/queue/leave.go
+++ b/internal/core/queue/leave.go
@@ -37,21 +37,50 @@
 	return items
 }
 
-// Wait estimates how long a new item of the organisation would wait, from the work that goes before
-// it and the pace of the last seconds, one item's turn at least; 0 while nothing waits or no pace is known.
-func (q *Queue[T]) Wait(_ time.Time, organisation string, weight float64) time.Duration {
+// Wait estimates how long a new item of the organisation, of typical cost, would wait, from the work that
+// goes before it and the pace of the last seconds, one item's turn at least; 0 while nothing waits or
+// no pace is known.
+func (q *Queue[T]) Wait(now time.Time, organisation string, weight float64) time.Duration {
+	return q.wait(now, Item[T]{
+		Organisation: organisation,
+		Weight:       positive(weight),
+		Cost:         q.pace.typicalCost(),
+		Enqueued:     now,
+	})
+}
+
+func (q *Queue[T]) wait(now time.Time, item Item[T]) time.Duration {
 	if q.length == 0 {
 		return 0
 	}
 	start, own := q.clock, 0.0
-	found := q.lanes[organisation]
+	found := q.lanes[item.Organisation]
 	if found != nil {
-		start = max(found.start, q.clock) + found.cost/positive(weight)
-		own = found.cost
+		own = q.ownAhead(now, found, item)
+		start = max(found.start, q.clock) + own/item.Weight
 	}
 	return q.pace.duration(max(own+q.ahead(start, found), q.pace.typicalCost()))
 }
 
+// ownAhead is the work of the item's lane that goes before it. Long items that may not start now don't: a
+// short call would else be refused for the long jobs of its organisation that it overtakes.
+func (q *Queue[T]) ownAhead(now time.Time, lane *lane[T], item Item[T]) float64 {
+	long := q.pace.longCost()
+	overtakes := item.Cost < long && q.longFull(now)
+	rank := q.rank(item)
+	work := 0.0
+	for i := range lane.items {
+		ahead := &lane.items[i]
+		if ahead.rank.After(rank) {
+			break
+		}
+		if !overtakes || ahead.item.Cost < long {
+			work += ahead.item.Cost
+		}
+	}
+	return work
+}
+
 // ahead is the work of the lanes other than own that goes before a virtual start time.
 func (q *Queue[T]) ahead(start float64, own *lane[T]) float64 {
 	work := 0.0
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -70,7 +70,7 @@
 	if item.Deadline.IsZero() {
 		return nil
 	}
-	wait := q.Wait(now, item.Organisation, item.Weight)
+	wait := q.wait(now, item)
 	remaining := item.Deadline.Sub(now)
 	if late := wait + q.service(item.Cost) - remaining; late > 0 {
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonDeadlineUnreachable, late,
@@ -128,8 +128,7 @@
 		q.shortSeen = now
 	}
 	q.sequence++
-	allowance := time.Duration(item.Priority)*priorityStep + lengthStretch*q.pace.duration(item.Cost)
-	target.insert(ranked[T]{item: item, rank: item.Enqueued.Add(allowance), sequence: q.sequence})
+	target.insert(ranked[T]{item: item, rank: q.rank(item), sequence: q.sequence})
 	q.length++
 	if target.place < 0 {
 		target.start = max(target.start, q.clock)
@@ -137,6 +136,11 @@
 	}
 }
 
+// rank is the item's place in its lane: its arrival with an allowance for priority and length.
+func (q *Queue[T]) rank(item Item[T]) time.Time {
+	return item.Enqueued.Add(time.Duration(item.Priority)*priorityStep + lengthStretch*q.pace.duration(item.Cost))
+}
+
 // Pop takes the item to run next. It returns false if none waits, or if only long items wait and
 // the slots left are kept for short ones.
 func (q *Queue[T]) Pop(now time.Time) (Item[T], bool) {
--- a/internal/core/queue/queue_test.go
+++ b/internal/core/queue/queue_test.go
@@ -163,6 +163,31 @@
 	}
 }
 
+// An organisation has jobs of minutes in the queue and asks for a short call. The call would overtake
+// the jobs, yet counted behind them it can't make its deadline, and is refused though a slot is free.
+func TestLongItemsDontRefuseShortOnes(t *testing.T) {
+	q := New[string](WithSlots(func() int { return 4 }))
+	now := start
+	for range 20 {
+		if err := q.Push(now, item("a", "short")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		q.Pop(now)
+	}
+	for range 10 {
+		if err := q.Push(now, Item[string]{Organisation: "a", Cost: 600, Value: "long"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	drain(q, now)
+	if err := q.Push(now, Item[string]{Organisation: "a", Cost: 1, Deadline: now.Add(10 * time.Second)}); err != nil {
+		t.Errorf("refused: %v", err)
+	}
+}
+
 func TestWaitFollowsPace(t *testing.T) {
 	q := New[string]()
 	now := start
