Look at a job's samples once for many messages

The control goroutine of a job made the name of each pending sample after each message. The planner's knowledge is now kept by position, and queued messages are taken together.

--- a/internal/core/delivery/progress.go
+++ b/internal/core/delivery/progress.go
@@ -237,8 +237,14 @@
 		Down:         j.down,
 		Superseded:   j.superseded,
 	}
+	var counts [StateDelivered + 1]int
 	for i := range j.samples {
-		status.Samples[j.samples[i].State.String()]++
+		counts[j.samples[i].State]++
+	}
+	for state, count := range counts {
+		if count > 0 {
+			status.Samples[SampleState(state).String()] = count
+		}
 	}
 	if step := j.record.Step; step != nil {
 		status.Step = step.Step
--- a/internal/edge/trainer/coordinator_test.go
+++ b/internal/edge/trainer/coordinator_test.go
@@ -1,12 +1,15 @@
 package trainer
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
+
+	standin "github.com/oleandershelf/oleandershelf/internal/standin/platform"
 )
 
 // TestMain allows one goroutine: fasthttp's clock for the Date header runs until the process ends.
@@ -103,3 +106,38 @@
 		t.Errorf("published (-want +got):\n%s", diff)
 	}
 }
+
+// The platform would be read once a renewal by each coordinator: a renewed lease has a new number,
+// but nobody else can have written the job object meanwhile.
+func TestRenewalReadsNothing(t *testing.T) {
+	w := newWorld(t)
+	w.lease.take(hostA, false)
+	w.postStep(hostA, 1)
+	before := w.store.Calls()[standin.KindGet]
+	for range 3 {
+		w.lease.renew()
+		number := w.lease.number
+		w.eventually(hostA, "the renewal is seen", func(s *runnerStatus) bool { return s.Status.Fencing == number })
+	}
+	if after := w.store.Calls()[standin.KindGet]; after != before {
+		t.Errorf("%d reads, then %d", before, after)
+	}
+}
+
+// BenchmarkLargestStep is a step of the most samples allowed, with engines that take no time.
+func BenchmarkLargestStep(b *testing.B) {
+	w := newWorld(b)
+	w.view.setBatchSize(512)
+	w.lease.take(hostA, false)
+	content := `{"groups":[{"prompt":"log","samples":8192}]}`
+	step := 0
+	for b.Loop() {
+		step++
+		if got := w.call(hostA, http.MethodPost, fmt.Sprintf("/steps/%d", step), content, nil); got.status != http.StatusOK {
+			b.Fatalf("%d %s", got.status, got.body)
+		}
+		for n := 1; n <= 16; n++ {
+			w.batch(w.getBatch(hostA, step, n, nil))
+		}
+	}
+}
--- a/internal/edge/trainer/fakes_test.go
+++ b/internal/edge/trainer/fakes_test.go
@@ -83,6 +83,12 @@
 	v.job.StalenessBound = bound
 }
 
+func (v *fakeView) setBatchSize(samples int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.job.BatchSize = samples
+}
+
 // fakeEngines answer with two tokens of the version they serve.
 type fakeEngines struct {
 	mu      sync.Mutex
@@ -190,6 +196,16 @@
 	l.changed = make(chan struct{})
 }
 
+// renew raises the holder's number without a gap.
+func (l *fakeLease) renew() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.number++
+	l.believers[l.holder] = l.number
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
 // lapse ends the lease while the holder last seen stays the same, as in an outage.
 func (l *fakeLease) lapse() {
 	l.mu.Lock()
@@ -272,7 +288,7 @@
 
 // world is two entries with one platform.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	store   *standin.Memory
 	view    *fakeView
 	engines *fakeEngines
@@ -287,7 +303,7 @@
 	cursor    string
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	w := &world{
 		t: t, store: standin.NewMemory(), view: newView(), engines: &fakeEngines{version: 1}, scorer: &fakeScorer{},
 		lease: newLease(), peers: &fakePeers{hosts: map[netip.AddrPort]*Coordinator{}},
--- a/internal/edge/trainer/runner.go
+++ b/internal/edge/trainer/runner.go
@@ -137,6 +137,7 @@
 			return
 		case m := <-r.inbox:
 			m.apply(r)
+			r.drain()
 		case <-changed:
 		case now := <-ticker.C:
 			r.tick(now)
@@ -144,6 +145,19 @@
 	}
 }
 
+// drain takes what else is in the inbox, so that under load the looks at all samples that follow
+// are shared by many messages.
+func (r *runner) drain() {
+	for range inboxSize {
+		select {
+		case m := <-r.inbox:
+			m.apply(r)
+		default:
+			return
+		}
+	}
+}
+
 func (r *runner) tick(now time.Time) {
 	r.handle(delivery.BoundChanged{Bound: r.bound()})
 	if r.active && now.Sub(r.probed) >= probeInterval {
--- a/internal/edge/trainer/schedule.go
+++ b/internal/edge/trainer/schedule.go
@@ -59,8 +59,10 @@
 	planner *rollout.Planner
 	slots   int
 	running int
-	// positions are the samples that the planner knows, by name.
+	// positions are the samples that the planner knows, by name; attempts says how many attempts
+	// at each it was told of, so that a look at all samples makes no names.
 	positions map[string]int
+	attempts  []int
 	// calls are the tasks under way, by name of the sample.
 	calls map[string][]task
 	rests []rest
@@ -117,13 +119,17 @@
 func (s *schedule) learn(r *runner) {
 	groups := map[int][]rollout.Sample{}
 	step := r.machine.Step()
+	if len(s.attempts) == 0 {
+		s.attempts = make([]int, step.Samples())
+	}
 	for _, position := range r.machine.Positions(delivery.StatePending) {
 		sample, _ := r.machine.Sample(position)
-		group, index := step.Locate(position)
-		name := delivery.SampleID{Job: r.job, Step: step.Step, Group: group, Index: index}.Attempt(sample.Attempt)
-		if _, known := s.positions[name]; known {
+		if s.attempts[position] > sample.Attempt {
 			continue
 		}
+		s.attempts[position] = sample.Attempt + 1
+		group, index := step.Locate(position)
+		name := delivery.SampleID{Job: r.job, Step: step.Step, Group: group, Index: index}.Attempt(sample.Attempt)
 		s.positions[name] = position
 		groups[group] = append(groups[group], rollout.Sample{
 			ID: name, Cost: float64(r.maxTokens()), Tokens: len(sample.Prefix),
