--- a/internal/core/scenario/policy_test.go
+++ b/internal/core/scenario/policy_test.go
@@ -19,12 +19,15 @@
 const (
 	roundRobin       policy = "fcfs round robin"
 	leastOutstanding policy = "least outstanding"
-	modules          policy = "modules"
+	// leastShort is a stronger baseline: queues of a quarter of the callers' patience.
+	leastShort policy = "least, short queues"
+	modules    policy = "modules"
 )
 
 const (
 	hop           = 500 * time.Microsecond
 	baselineBound = 100
+	shortBound    = 20
 	baselineBack  = time.Second
 	listLag       = 5 * time.Second
 )
@@ -214,13 +217,13 @@
 	})
 }
 
-// dispatchPlain is both baselines: a server by turn, or the one with the fewest calls of this entry.
+// dispatchPlain is the baselines: a server by turn, or the one with the fewest calls of this entry.
 func (s *sim) dispatchPlain(c *call) {
 	servers := s.reach()
 	e := c.entry
 	at := e.next % len(servers)
 	e.next++
-	if s.policy == leastOutstanding {
+	if s.policy != roundRobin {
 		for i := range servers {
 			candidate := (at + i) % len(servers)
 			if e.outstanding[servers[candidate].HostID] < e.outstanding[servers[at].HostID] {
@@ -240,7 +243,7 @@
 		s.dispatchPlain(c)
 	case !a.server.up:
 		s.fail(c)
-	case len(a.plain) >= baselineBound:
+	case len(a.plain) >= baselineBound || s.policy == leastShort && len(a.plain) >= shortBound:
 		s.refuse(c, baselineBack)
 	default:
 		c.entry.outstanding[a.server.name]++
--- a/internal/core/scenario/scenario_test.go
+++ b/internal/core/scenario/scenario_test.go
@@ -156,7 +156,7 @@
 	var table strings.Builder
 	table.WriteString(header)
 	all := scenarios()
-	policies := []policy{roundRobin, leastOutstanding, modules}
+	policies := []policy{roundRobin, leastOutstanding, leastShort, modules}
 	rows := make([]string, len(all)*len(policies))
 	workers := pool.New().WithMaxGoroutines(runtime.GOMAXPROCS(0))
 	for i := range rows {
