Keep an isolated coordinator from moving a job alone

A holder that is cut off from the platform and the relays took that for an outage and answered requests that another entry forwarded to it. Without the check TestIsolatedCoordinatorDoesNotMoveAlone gets status 200 from such a host. The package comment names what remains open.

--- a/internal/core/delivery/job.go
+++ b/internal/core/delivery/job.go
@@ -23,6 +23,11 @@
 // Such moves are written when the platform is back. If another coordinator has moved the object
 // meanwhile they are dropped, and the trainer's next cursor tells what it had received: the
 // trainer is the one consumer, so its cursor decides between two branches.
+//
+// What remains open: a coordinator that can't reach the platform while others can may move alone
+// with a version that a successor has just replaced, until it learns that it is cut off; and a
+// batch that was handed out alone is not repeated byte for byte after its coordinator's death, but
+// made anew under its number for a trainer whose cursor shows that it never had it.
 type Job struct {
 	name  string
 	self  netip.AddrPort
--- a/internal/edge/trainer/failure_test.go
+++ b/internal/edge/trainer/failure_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -358,3 +359,24 @@
 		t.Errorf("%d bodies are kept", len(r.bodies))
 	}
 }
+
+// A trainer would be given a batch by a coordinator that others have replaced. The holder of the
+// lease is cut off from the platform and the relays, and takes that for an outage; another entry
+// still reaches it and forwards a request with a cursor.
+func TestIsolatedCoordinatorDoesNotMoveAlone(t *testing.T) {
+	w := newWorld(t)
+	w.lease.take(hostA, false)
+	w.postStep(hostA, 1)
+	w.getBatch(hostA, 1, 1, nil)
+	w.store.Outage(true)
+	w.lease.lapse()
+	cut := hostA
+	w.isolated.Store(&cut)
+	header := w.withCursor()
+	header["Request-Timeout"] = "2"
+	for _, host := range []netip.AddrPort{hostA, hostB} {
+		if got := w.getBatch(host, 1, 2, header); got.status != http.StatusServiceUnavailable {
+			t.Errorf("%v: %d %s", host, got.status, got.body)
+		}
+	}
+}
--- a/internal/edge/trainer/fakes_test.go
+++ b/internal/edge/trainer/fakes_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/delivery"
+	"github.com/oleandershelf/oleandershelf/internal/core/request"
 	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
 	standin "github.com/oleandershelf/oleandershelf/internal/standin/platform"
@@ -298,6 +300,8 @@
 	stops   map[netip.AddrPort]func()
 	apps    map[netip.AddrPort]*fiber.App
 
+	// isolated is a host that is cut off.
+	isolated  atomic.Pointer[netip.AddrPort]
 	mu        sync.Mutex
 	published []int
 	cursor    string
@@ -331,6 +335,7 @@
 		Forwarder: forwarderOf{w.peers},
 		Self:      self,
 		Secret:    testToken,
+		Fresh:     func(time.Time) bool { cut := w.isolated.Load(); return cut == nil || *cut != self },
 		PublishModelVersion: func(_ context.Context, version ticket.ModelVersion) error {
 			w.mu.Lock()
 			defer w.mu.Unlock()
@@ -357,16 +362,30 @@
 
 type forwarderOf struct{ *fakePeers }
 
-func (p forwarderOf) Forward(ctx context.Context, to netip.AddrPort, request Forwarded) (Reply, error) {
+func (p forwarderOf) Forward(ctx context.Context, to netip.AddrPort, forwarded Forwarded) (Reply, error) {
 	other, ok := p.at(to)
 	if !ok {
-		return Reply{}, refusalNotHolder(request.Job)
+		return Reply{}, refusalNotHolder(forwarded.Job)
 	}
-	r, ok := other.runner(request.Job)
-	if !ok {
-		return Reply{}, refusalNotHolder(request.Job)
-	}
-	return other.serveHere(ctx, r, request)
+	sink := &fakeSink{}
+	end, err := other.serveForward(ctx, forwarded, sink)
+	return Reply{Status: sink.status, Body: sink.body, Cursor: end.Cursor}, err
+}
+
+// fakeSink gathers a forwarded answer.
+type fakeSink struct {
+	status int
+	body   []byte
+}
+
+func (s *fakeSink) Head(head request.AnswerHead) error {
+	s.status = head.Status
+	return nil
+}
+
+func (s *fakeSink) Write(p []byte) (int, error) {
+	s.body = append(s.body, p...)
+	return len(p), nil
 }
 
 // answer is what the trainer receives.
--- a/internal/edge/trainer/http.go
+++ b/internal/edge/trainer/http.go
@@ -92,9 +92,14 @@
 	return c.serveWhileValid(ctx, cancel, key, request)
 }
 
+// fresh says whether this host's configuration may be relied on: it is not cut off from the others.
+func (c *Coordinator) fresh(now time.Time) bool {
+	return c.deps.Fresh == nil || c.deps.Fresh(now)
+}
+
 // authorise lets only the job's organisation through.
 func (c *Coordinator) authorise(key, job string) error {
-	if c.deps.Fresh != nil && !c.deps.Fresh(time.Now()) {
+	if !c.fresh(time.Now()) {
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonIsolated, retryInterval,
 			"this host can't confirm that keys are still valid")
 	}
--- a/internal/edge/trainer/peer.go
+++ b/internal/edge/trainer/peer.go
@@ -64,7 +64,9 @@
 }
 
 // serveForward answers as the coordinator, and never forwards on: two hosts that take each other
-// for the holder would send a request round for ever.
+// for the holder would send a request round for ever. A host that is cut off from the platform and
+// the relays does not answer: what looks to it like an outage may be its own isolation, and it
+// would move a job alone which a successor already serves.
 func (c *Coordinator) serveForward(ctx context.Context, forwarded Forwarded, out peer.Sink) (forwardEnd, error) {
 	ctx, cancel := context.WithTimeout(ctx, min(forwarded.Remaining, maxTimeout)-forwardMargin(forwarded.Remaining))
 	defer cancel()
@@ -72,7 +74,8 @@
 	if !ok {
 		return forwardEnd{}, refusalNotHolder(forwarded.Job)
 	}
-	if here, _, _ := r.serving(time.Now()); !here {
+	now := time.Now()
+	if here, _, _ := r.serving(now); !here || !c.fresh(now) {
 		return forwardEnd{}, refusalNotHolder(forwarded.Job)
 	}
 	reply, err := c.serveHere(ctx, r, forwarded)
