--- a/internal/core/placement/tracker.go
+++ b/internal/core/placement/tracker.go
@@ -181,7 +181,8 @@
 
 // Finished takes in a request that ended at a server: whether the server failed, and the time it took.
 // Where costs are known the time is that of a unit of cost (the time divided by Ask.Cost), so
-// that a server with long jobs isn't taken for a slow one.
+// that a server with long jobs isn't taken for a slow one. It isn't called for a refusal: that comes at
+// once and would make a full server look fast.
 func (t *Tracker) Finished(now time.Time, hostID string, took time.Duration, failed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
