Close the gap at the start of an outage in which hosts refused

The relays established the outage only 2.5 s after its start: a round of questions waited 0.5 s for the silent relay, came before all confirmations were 1.5 s old, and was repeated. The oldest views had passed their 3 s by then, and a host that had found no relay up to date paused through the answer that its relay sends when the outage is established. Change: relays ask the platform every 0.3 s in place of 0.5 s, an outage needs confirmations older than 1 s in place of 1.5 s, a round waits 0.25 s, the pause between the first rounds is 0.3 s; and the change of the hosts. Cuts in the tests are silent now.

--- a/internal/core/ticket/freshness.go
+++ b/internal/core/ticket/freshness.go
@@ -4,15 +4,16 @@
 
 // FreshFor is how long a view may be served by after the platform last confirmed that it is the
 // newest. A key is to be refused everywhere within 5 s of its withdrawal's acceptance: 3 s leave 2 s
-// for cancelling streams and for the clocks' rounding. It is twice the age that a host sees in normal
-// running (half a second at a relay, one second more at the hosts that follow it).
+// for cancelling streams and for the clocks' rounding. It is nearly twice the age that a host sees
+// in normal running (up to 0.6 s at a relay, one second more at the hosts that follow it).
 const FreshFor = 3 * time.Second
 
 // OutageAfter is how old the confirmations of all relays that answer must be for an outage of the
-// platform. A relay asks every half second, so that its confirmation is at most about a second old in
-// normal running. Half a second later the outage is established and known to all hosts before the
-// first view of them is older than FreshFor: nobody refuses at the start of an outage.
-const OutageAfter = 1500 * time.Millisecond
+// platform. A relay asks every 0.3 s, so that its confirmation is at most about 0.6 s old in normal
+// running. The outage is established up to 0.8 s after that age is reached (a round that came too early and
+// the next one: 0.25 s each for relays that don't answer, 0.3 s between), before the first view is older than
+// FreshFor, so that nobody refuses at its start.
+const OutageAfter = time.Second
 
 // Freshness is what a host knows about how new its view is. Both times are safe bounds: the moment
 // before the question was asked whose answer they come from.
--- a/internal/core/ticket/view_test.go
+++ b/internal/core/ticket/view_test.go
@@ -189,7 +189,7 @@
 
 func TestOutageEstablished(t *testing.T) {
 	now := time.Unix(1000, 0)
-	old, fresh := now.Add(-2*time.Second), now.Add(-time.Second)
+	old, fresh := now.Add(-OutageAfter-1), now.Add(-OutageAfter)
 	tests := []struct {
 		name      string
 		relays    int
--- a/internal/edge/configuration/follower.go
+++ b/internal/edge/configuration/follower.go
@@ -3,8 +3,8 @@
 // Load pattern: a ticket every quarter of a minute, thousands of hosts that have to act on it within
 // seconds, and a platform that counts each waiting watch. Without relays 2,580 watches would take
 // more reads than the platform has. So two entries an availability zone watch the head object and
-// all other hosts of the zone follow these relays by long poll: 44 relays that ask every half second
-// make 88 reads a second of about two thousand. A relay with 58 followers that ask every second sends
+// all other hosts of the zone follow these relays by long poll: 44 relays that ask every 0.3 s make
+// 150 reads a second of about two thousand. A relay with 58 followers that ask every second sends
 // and receives about 10 KB/s.
 //
 // A host serves by its view only while that is known to be the newest or the platform is known to be
@@ -47,6 +47,8 @@
 	// has slow stretches, and a late answer still brings a ticket.
 	relaySlack    time.Duration
 	platformSlack time.Duration
+	// round is how long a round of questions waits for relays that don't answer.
+	round time.Duration
 	// retry is the mean pause after a first failure; it doubles up to maxBackoff times.
 	retry time.Duration
 	// direct is the mean time between direct reads of a host that reaches no relay: 2,580 hosts at
@@ -60,13 +62,14 @@
 
 func defaultWaits() waits {
 	return waits{
-		platform:      500 * time.Millisecond,
+		platform:      300 * time.Millisecond,
 		relay:         time.Second,
 		relaySlack:    500 * time.Millisecond,
+		round:         250 * time.Millisecond,
 		platformSlack: 2 * time.Second,
 		retry:         300 * time.Millisecond,
 		direct:        2 * time.Second,
-		survey:        500 * time.Millisecond,
+		survey:        300 * time.Millisecond,
 		longSurvey:    1500 * time.Millisecond,
 	}
 }
--- a/internal/edge/configuration/follower_test.go
+++ b/internal/edge/configuration/follower_test.go
@@ -40,11 +40,12 @@
 // TestOutageKeepsServing is an outage of the platform.
 //
 // What a caller would see: every request refused although nothing changed. No ticket can be accepted
-// while the platform is down, so all hosts go on without a gap, however long it lasts.
+// while the platform is down, so all hosts go on without a gap, however long it lasts. The many followers
+// are in all phases of their polls when it begins.
 func TestOutageKeepsServing(t *testing.T) {
 	t.Parallel()
 	memory := newMemory(t)
-	n := newNetwork(t, memory, 3)
+	n := newNetwork(t, memory, 8)
 	eventually(t, "all are fresh", every(n.all(), fresh))
 	memory.Outage(true)
 	always(t, "all are fresh in the outage", 3*ticket.FreshFor, every(n.all(), fresh))
--- a/internal/edge/configuration/network_test.go
+++ b/internal/edge/configuration/network_test.go
@@ -21,7 +21,6 @@
 	mutex sync.Mutex
 	hosts map[netip.AddrPort]*member
 	list  []platform.Host
-	asked map[netip.AddrPort]int
 }
 
 // member is one host of the network.
@@ -79,19 +78,27 @@
 	from    netip.AddrPort
 }
 
-func (e exchange) peer(to netip.AddrPort) (*Follower, error) {
+// peer returns the host at the address. A cut is silent: the question ends with its timeout.
+func (e exchange) peer(ctx context.Context, to netip.AddrPort) (*Follower, error) {
+	if f := e.reached(to); f != nil {
+		return f, nil
+	}
+	<-ctx.Done()
+	return nil, errCut
+}
+
+func (e exchange) reached(to netip.AddrPort) *Follower {
 	e.network.mutex.Lock()
 	defer e.network.mutex.Unlock()
-	e.network.asked[to]++
 	from, target := e.network.hosts[e.from], e.network.hosts[to]
 	if target == nil || target.cut || from != nil && from.cut {
-		return nil, errCut
+		return nil
 	}
-	return target.follower, nil
+	return target.follower
 }
 
 func (e exchange) Follow(ctx context.Context, to netip.AddrPort, ask FollowAsk) (FollowAnswer, error) {
-	f, err := e.peer(to)
+	f, err := e.peer(ctx, to)
 	if err != nil {
 		return FollowAnswer{}, err
 	}
@@ -99,12 +106,12 @@
 	if err != nil {
 		return FollowAnswer{}, err
 	}
-	_, err = e.peer(to)
+	_, err = e.peer(ctx, to)
 	return answer, err
 }
 
 func (e exchange) Parts(ctx context.Context, to netip.AddrPort, ask PartsAsk) (PartsAnswer, error) {
-	f, err := e.peer(to)
+	f, err := e.peer(ctx, to)
 	if err != nil {
 		return PartsAnswer{}, err
 	}
@@ -112,7 +119,7 @@
 }
 
 func (e exchange) Offer(ctx context.Context, to netip.AddrPort, offer Offer) (OfferAnswer, error) {
-	f, err := e.peer(to)
+	f, err := e.peer(ctx, to)
 	if err != nil {
 		return OfferAnswer{}, err
 	}
@@ -120,7 +127,7 @@
 }
 
 func (e exchange) InForce(ctx context.Context, to netip.AddrPort, ask InForceAsk) (InForceAnswer, error) {
-	f, err := e.peer(to)
+	f, err := e.peer(ctx, to)
 	if err != nil {
 		return InForceAnswer{}, err
 	}
@@ -132,7 +139,7 @@
 // newNetwork starts entries in three availability zones.
 func newNetwork(t *testing.T, store platform.Store, perZone int) *network {
 	t.Helper()
-	n := &network{hosts: map[netip.AddrPort]*member{}, asked: map[netip.AddrPort]int{}}
+	n := &network{hosts: map[netip.AddrPort]*member{}}
 	for i := range perZone * len(zones) {
 		n.list = append(n.list, platform.Host{
 			ID: fmt.Sprintf("entry-%02d", i), Role: platform.RoleEntry, State: platform.HostLive,
--- a/internal/edge/configuration/source.go
+++ b/internal/edge/configuration/source.go
@@ -63,8 +63,10 @@
 type search struct {
 	// relay is the one being followed; invalid while a search is due.
 	relay netip.AddrPort
-	// direct is when the platform may next be read directly.
+	// direct is when the platform may next be read directly, look when a relay that answers but isn't up
+	// to date is next compared with others.
 	direct time.Time
+	look   time.Time
 }
 
 func (f *Follower) followOnce(ctx context.Context, s *search) error {
@@ -77,7 +79,7 @@
 	}
 	if s.relay.IsValid() {
 		answer := f.ask(ctx, s.relay, f.waits.relay)
-		if answer.err == nil && f.settled() {
+		if answer.err == nil && (f.settled() || time.Now().Before(s.look)) {
 			return nil
 		}
 	}
@@ -94,16 +96,36 @@
 // lookAround asks all relays near by at once and takes in every answer, so that a host which starts
 // or was cut off gets the highest revision of them and not that of the first to answer. Where none is
 // up to date the platform is read directly, at jittered times.
+//
+// A relay that answers is followed even if its confirmation is old. It guards against a gap at the start of
+// an outage: the relays' confirmations grow old first, and a host that paused then would miss the answer by
+// which its relay tells it of the outage, and refuse.
 func (f *Follower) lookAround(ctx context.Context, s *search, route route) error {
 	s.relay = f.askAll(ctx, route.near)
+	s.look = time.Now().Add(jitter(f.waits.direct))
 	if s.relay.IsValid() && f.settled() {
 		return nil
 	}
+	err := f.readDirectly(ctx, s)
+	if s.relay.IsValid() {
+		return nil
+	}
+	return err
+}
+
+// readDirectly reads the platform if that is due; only briefly where there is a relay to go back to.
+func (f *Follower) readDirectly(ctx context.Context, s *search) error {
 	now := time.Now()
 	if now.Before(s.direct) {
 		return errStale
 	}
 	s.direct = now.Add(jitter(f.waits.direct))
+	limit := f.waits.platformSlack
+	if s.relay.IsValid() {
+		limit = f.waits.relaySlack
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	return f.watchPlatform(ctx, 0)
 }
 
@@ -140,6 +162,8 @@
 
 // round asks all relays at once without a wait, and takes in what they know.
 func (f *Follower) round(ctx context.Context, relays []netip.AddrPort) []answered {
+	ctx, cancel := context.WithTimeout(ctx, f.waits.round)
+	defer cancel()
 	answers := make([]answered, len(relays))
 	var wg conc.WaitGroup
 	for i, relay := range relays {
--- a/internal/edge/configuration/survey.go
+++ b/internal/edge/configuration/survey.go
@@ -8,7 +8,7 @@
 )
 
 // longOutage is when the rounds of questions get rarer.
-const longOutage = 10 * time.Second
+const longOutage = 4 * time.Second
 
 // survey is the goroutine that finds out, on a relay, whether the platform is down or this host is cut
 // off. It asks all other relays while the own confirmation is old. All relays take in what the others
