Order servers for refused work too, and no slower than servers start

The work is now smoothed over half of the start-up time (5 s at least, 30 s at most), and the zone's holder asks its entries for what they turned away.

--- a/internal/core/fleet/decide.go
+++ b/internal/core/fleet/decide.go
@@ -20,9 +20,13 @@
 	holdStartups = 1
 	raisePart    = 2
 	lowerPart    = 10
-	smoothTime   = 30 * time.Second
-	slopeTime    = 300 * time.Second
-	rateGapMax   = time.Minute
+	// The work is smoothed over half of the start-up time, within these bounds: a burst shorter than that is
+	// over before a server ordered for it serves, and a pool whose servers start at once may follow at once.
+	smoothPart    = 2
+	leastSmooth   = 5 * time.Second
+	longestSmooth = 30 * time.Second
+	slopeTime     = 300 * time.Second
+	rateGapMax    = time.Minute
 )
 
 // Decide returns how many servers the zone is to have. It is a pure function of its arguments.
@@ -31,7 +35,7 @@
 	if hold := distrust(now, state, &memory); hold != HoldNone {
 		return Decision{Hold: hold, Count: memory.Ordered, Drain: memory.Drain, Need: memory.Ordered, Memory: memory}
 	}
-	memory.learn(now, work(state))
+	memory.learn(now, work(state), smoothTime(state))
 	need := memory.need(state)
 	memory.remember(now, need, holdTime(state))
 	return memory.decide(now, state, need)
@@ -112,6 +116,10 @@
 	return float64(sum) / float64(n)
 }
 
+func smoothTime(state State) time.Duration {
+	return min(max(state.StartupTime/smoothPart, leastSmooth), longestSmooth)
+}
+
 func holdTime(state State) time.Duration {
 	return max(leastHold, holdStartups*state.StartupTime)
 }
--- a/internal/core/fleet/memory.go
+++ b/internal/core/fleet/memory.go
@@ -41,7 +41,7 @@
 }
 
 // learn smooths the work and its growth, so that one burst is not taken for a trend.
-func (m *Memory) learn(now time.Time, work float64) {
+func (m *Memory) learn(now time.Time, work float64, smooth time.Duration) {
 	if m.At.IsZero() || now.Sub(m.At) > rateGapMax {
 		m.Level, m.Slope, m.At = work, 0, now
 		return
@@ -51,7 +51,7 @@
 		return
 	}
 	before := m.Level
-	m.Level += (work - m.Level) * part(elapsed, smoothTime)
+	m.Level += (work - m.Level) * part(elapsed, smooth)
 	m.Slope += ((m.Level-before)/elapsed - m.Slope) * part(elapsed, slopeTime)
 	m.At = now
 }
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -53,6 +53,7 @@
 	Views      Views
 	Tickets    Tickets
 	Admission  *admission.Controller
+	TurnedAway *admission.TurnedAway
 	Dispatcher *Dispatcher
 	Store      platform.Store
 	Trainers   Routes
--- a/internal/edge/entry/harness_test.go
+++ b/internal/edge/entry/harness_test.go
@@ -141,7 +141,7 @@
 	l := listenLoopback(t)
 	f.url = "http://" + l.Addr().String()
 	f.entry = New(ctx, l, Config{HostID: "entry-1", BodyLimitBytes: 1 << 20, Incarnation: 7}, Deps{
-		Views: f.views, Tickets: noTickets{}, Admission: admission.New(), Dispatcher: dispatcher, Store: f.memory, Log: zerolog.Nop(),
+		Views: f.views, Tickets: noTickets{}, Admission: admission.New(), TurnedAway: admission.NewTurnedAway(), Dispatcher: dispatcher, Store: f.memory, Log: zerolog.Nop(),
 	}, metrics)
 	t.Cleanup(func() {
 		cancel()
--- a/internal/edge/entry/service.go
+++ b/internal/edge/entry/service.go
@@ -139,17 +139,27 @@
 	}
 	started := time.Now()
 	if err := e.deps.Admission.Admit(started, ask); err != nil {
+		e.tellTurnedAway(c.pool.Name, err)
 		return err
 	}
 	err := work()
+	e.tellTurnedAway(c.pool.Name, err)
 	took := time.Since(started)
 	e.deps.Admission.Done(time.Now(), ask, took, isCapacityRefusal(err))
 	if err == nil {
+		e.deps.TurnedAway.Served(c.pool.Name, took)
 		e.metrics.answered(c.pool.Name, c.organisation, took)
 	}
 	return err
 }
 
+// tellTurnedAway counts a refusal for want of capacity, for the zone's decision on servers.
+func (e *Entry) tellTurnedAway(pool string, err error) {
+	if isCapacityRefusal(err) {
+		e.deps.TurnedAway.Refused(time.Now(), pool)
+	}
+}
+
 func isCapacityRefusal(err error) bool {
 	refusal, ok := verdict.As(err)
 	return ok && (refusal.Reason == verdict.ReasonOverloaded || refusal.Reason == verdict.ReasonDeadlineUnreachable)
--- a/internal/program/process/gather.go
+++ b/internal/program/process/gather.go
@@ -39,6 +39,7 @@
 // gather returns the state of each pool that has servers ordered in the zone.
 func (z zone) gather(ctx context.Context, now time.Time) ([]corefleet.State, error) {
 	states := []corefleet.State{}
+	refused := z.turnedAway(ctx)
 	for _, configured := range z.follower.View().Pools() {
 		if !slices.Contains(configured.AvailabilityZones, z.name) {
 			continue
@@ -51,6 +52,7 @@
 			StartupTime:      time.Duration(configured.StartupTime),
 			ViewAge:          z.runtime.members.Age(now),
 			Servers:          z.servers(ctx, configured),
+			Refused:          refused[configured.Name],
 		})
 	}
 	return states, nil
