Keep what is known of a pool over renewals, and end an order with its term

The fencing number grows with each renewal, every 2 s, and the runner took each new number for a new lease: it forgot the smoothed load, the drains and the time of the first decision at nearly every round. Servers were therefore never ordered down, since that needs a minute of memory. The earlier tests used one number for all rounds. A number seen before the end of the last known term is now a renewal; a later one starts anew.

The write's deadline was a timeout worked out from a clock reading, which begins to run after a pause between the two; it is a point in time now.

TestPendingOrderEndsWithItsLease now lets the term end between its two rounds: a new number within the term is a renewal. The tests count from the present, as a deadline in the past ends a write.

--- a/internal/edge/fleet/runner.go
+++ b/internal/edge/fleet/runner.go
@@ -72,12 +72,14 @@
 	workers  conc.WaitGroup
 	status   atomic.Pointer[Status]
 
-	// number is the fencing number under which the pools' state was gathered.
-	number platform.Version
-	pools  map[string]*poolState
+	// number is the newest fencing number seen and deadline the end of its term. Both are kept over
+	// renewals, the pools' state with them.
+	number   platform.Version
+	deadline time.Time
+	pools    map[string]*poolState
 }
 
-// poolState is what is known about a pool during one lease.
+// poolState is what is known about a pool while the lease is held without a gap.
 type poolState struct {
 	memory fleet.Memory
 	// drained are the hosts that were told to drain.
@@ -120,14 +122,36 @@
 // Wait returns when the runner has ended.
 func (r *Runner) Wait() { r.workers.Wait() }
 
+// renewed reports whether the lease is held and was held without a gap since the last look, and
+// takes in the newest fencing number.
+//
+// Each renewal has a higher number. A number that is seen before the end of the last known term is a
+// renewal, since a taker waits for longer than that; a later one may follow another holder's term.
+// The clock is read after the lease, so that a pause between both counts as a gap.
+func (r *Runner) renewed() bool {
+	number, deadline, held := r.deps.Keeper.Held(r.clock())
+	now := r.clock()
+	if !held || !now.Before(deadline) {
+		return false
+	}
+	if number != r.number && !now.Before(r.deadline) {
+		return false
+	}
+	r.number, r.deadline = number, deadline
+	return true
+}
+
+// begin forgets what was known under a lease that ended, and reports whether the lease is held anew.
+func (r *Runner) begin() bool {
+	number, deadline, held := r.deps.Keeper.Held(r.clock())
+	r.number, r.deadline = number, deadline
+	r.pools = map[string]*poolState{}
+	return held
+}
+
 // round takes one decision for each pool.
 func (r *Runner) round(ctx context.Context) {
-	number, _, held := r.deps.Keeper.Held(r.clock())
-	if !held || number != r.number {
-		r.number = number
-		r.pools = map[string]*poolState{}
-	}
-	if !held {
+	if !r.renewed() && !r.begin() {
 		r.publish(false)
 		return
 	}
@@ -200,20 +224,19 @@
 
 // order writes the pending order. It guards against two holders: a process paused between decision
 // and write may wake after its term, when another one already orders. The term is checked right
-// before the write, the fencing number must be the one under which the decision was taken, and the
-// write's deadline is the end of the term, so nothing is written after it.
+// before the write, the lease must have been held without a gap since the decision, and the write's
+// deadline is the end of the term, so nothing is written after it. The deadline is a point in time: a
+// timeout worked out before a pause would begin to run after it.
 func (r *Runner) order(ctx context.Context, pool *poolState) error {
 	if pool.pending == nil {
 		return nil
 	}
 	order := *pool.pending
-	now := r.clock()
-	number, deadline, held := r.deps.Keeper.Held(now)
-	if !held || number != r.number || !now.Before(deadline) {
+	if !r.renewed() {
 		return errors.Wrapf(ErrNotHeld, "pool %s", order.Pool)
 	}
-	order.Fencing = number
-	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(now))
+	order.Fencing = r.number
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	if err := r.deps.Orders.Order(ctx, order); err != nil {
 		return errors.Wrapf(err, "order %d servers of pool %s", order.Count, order.Pool)
--- a/internal/edge/fleet/runner_test.go
+++ b/internal/edge/fleet/runner_test.go
@@ -58,7 +58,7 @@
 }
 
 func newFake() *fake {
-	now := time.Unix(1000, 0)
+	now := time.Now()
 	f := &fake{now: now, number: 7, held: true, deadline: now.Add(4 * time.Second)}
 	full := fleet.State{Pool: "p", MinServers: 1, MaxServers: 10, StartupTime: time.Minute, Refused: 100}
 	full.Servers = []fleet.Server{{HostID: "s1", Running: 8, Limit: 8}, {HostID: "s2", Running: 8, Limit: 8}}
@@ -115,6 +115,8 @@
 	f.err = errors.WithStack(platform.ErrUnsettled)
 	r := f.runner()
 	r.round(t.Context())
+	f.now = f.deadline.Add(time.Second)
+	f.deadline = f.now.Add(4 * time.Second)
 	f.states[0].Refused, f.number = 0, 9
 	f.states[0].Servers[0].Running = 7
 	r.round(t.Context())
