Measure jobs that share the engines; leave urgency out of the planner

Each trainer job has a planner of its own, so the planner's lead for a job near its staleness bound had no effect between jobs, and SetSlack was never called.

One planner would need one entry for all jobs; 18 jobs are spread over 380.

go test ./internal/core/scenario -run TestJobs

--- a/internal/core/rollout/doc.go
+++ b/internal/core/rollout/doc.go
@@ -6,14 +6,17 @@
 // their engine is slow, busy or gone; new weights arrive every few minutes and age what is unfinished.
 //
 // Without it: first come first served lets one job's large step block the others' for minutes, all
-// groups end at the same late moment, one slow engine decides the length of every step, and samples
-// that were near the staleness bound are thrown away after the work was done.
+// groups end at the same late moment, and one slow engine decides the length of every step.
 //
 // Order: jobs share by weight (start-time fair queueing on the expected tokens). Within a job steps go
 // first come first served, coarsely: a step is started as a whole before the next one, but within it
 // groups already begun are ended first, those with the fewest samples left before others, and the
-// sample expected to be longest first. A job whose samples go stale with the next version goes ahead
-// of its turn by a bounded amount of work and pays for it later.
+// sample expected to be longest first.
+//
+// A planner orders what its caller knows of: at an entry that is one job, since 18 jobs are spread over
+// hundreds of entries. Between jobs of different entries the agents' queues decide, by organisation
+// (core/queue). A job near its staleness bound doesn't go ahead there: measured, its trainer gained what
+// another one of its organisation lost, and no fewer samples were thrown away (docs/DECISIONS.md).
 //
 // The order by steps and groups is the plain one; against starting all groups at once it made no
 // difference beyond the noise (docs/DECISIONS.md). What shortens steps are the copies.
--- a/internal/core/rollout/job.go
+++ b/internal/core/rollout/job.go
@@ -15,7 +15,6 @@
 	weight float64
 	// tag is the virtual time at which the job's next sample may start.
 	tag   float64
-	slack int
 	steps []*stepState
 	// work and copies sum up the expected tokens started first and as copies.
 	work   float64
--- a/internal/core/rollout/planner.go
+++ b/internal/core/rollout/planner.go
@@ -21,8 +21,6 @@
 	leastSpeedPart = 0.01
 	// leastRest is the share of its cost that a sample is taken to need still, however long it is.
 	leastRest = 0.1
-	// urgentLead is how far a job near its staleness bound goes ahead of its turn, in samples.
-	urgentLead = 16
 )
 
 // Option changes a Planner.
@@ -59,14 +57,6 @@
 // SetSlots sets how many generations may run at a time; 0 leaves it to the caller.
 func (p *Planner) SetSlots(slots int) { p.slots = slots }
 
-// SetSlack sets how many more versions the job's samples stand before they are too stale.
-// At 0 the next version makes them void.
-func (p *Planner) SetSlack(job string, slack int) {
-	if state, ok := p.jobs[job]; ok {
-		state.slack = slack
-	}
-}
-
 // Add takes in a step. Samples that are known already are left as they are.
 func (p *Planner) Add(step Step) {
 	job := p.job(step)
@@ -82,7 +72,7 @@
 func (p *Planner) job(step Step) *jobState {
 	job, ok := p.jobs[step.Job]
 	if !ok {
-		job = &jobState{name: step.Job, slack: 1}
+		job = &jobState{name: step.Job}
 		p.jobs[step.Job] = job
 	}
 	job.weight = cmp.Or(step.Weight, 1)
@@ -128,7 +118,7 @@
 	return group.waiting[0].work(false), true
 }
 
-// nextJob returns the job with the earliest tag; an urgent job's tag counts as earlier.
+// nextJob returns the job with the earliest tag.
 func (p *Planner) nextJob() *jobState {
 	var best *jobState
 	for _, name := range slices.Sorted(maps.Keys(p.jobs)) {
@@ -136,26 +126,13 @@
 		if job.next() == nil {
 			continue
 		}
-		if best == nil || job.rank() < best.rank() {
+		if best == nil || job.tag < best.tag {
 			best = job
 		}
 	}
 	return best
 }
 
-// rank is the job's tag, less the lead of an urgent job.
-func (j *jobState) rank() float64 {
-	if j.slack > 0 {
-		return j.tag
-	}
-	step := j.next()
-	cost := 1.0
-	if group := step.next(); group != nil {
-		cost = group.waiting[0].cost
-	}
-	return j.tag - urgentLead*cost/j.weight
-}
-
 // Started says that the sample returned by Next or Hedge is running. Calls for others are ignored.
 func (p *Planner) Started(now time.Time, work Work) {
 	sample, ok := p.samples[work.SampleID]
