--- /dev/null
+++ b/internal/program/faults/table_control_test.go
@@ -0,0 +1,55 @@
+package faults
+
+// controlRules are those of tickets, samples, leases, server orders and usage.
+var controlRules = []rule{
+	// Tickets.
+	{steps: one(ticketApplied), faults: one(killed, answerLost, platformDown, lostAndDead), tests: one("edge/configuration.TestApplyUnderFaults")},
+	{steps: one(ticketApplied), faults: one(platformSlow), tests: one("edge/configuration.TestSlowPlatform")},
+	{steps: one(ticketApplied), faults: one(race), tests: one("edge/configuration.TestRacingOperators", "program/e2e.TestRacingOperatorsGetOneWinner")},
+	{steps: one(ticketApplied), faults: one(downForLong), tests: one("edge/configuration.TestOutageKeepsServing")},
+	{steps: one(ticketApplied), faults: one(withdrawn), tests: one("edge/configuration.TestWithdrawnKeyStops", "program/e2e.TestWithdrawnKeyStopsEverywhere")},
+	{steps: one(ticketApplied), faults: one(cutBothWays, wokenInDown), tests: one("edge/configuration.TestIsolatedHostRefuses", "edge/configuration.TestIsolatedHostInOutage")},
+	{steps: one(ticketApplied), faults: one(killedInDown), tests: one("edge/configuration.TestRestartDuringOutage")},
+	{steps: one(ticketApplied), faults: one(doubled), tests: one("edge/configuration.TestApplyOrder")},
+	{steps: one(ticketApplied), faults: one(swapFails), because: "a ticket only names the version; whether engines can load it shows later"},
+
+	// Samples.
+	{steps: one(sampleGenerated), faults: one(killed, short), tests: one("edge/trainer.TestEngineCrashMidSample", "core/delivery.TestEverySampleIsDeliveredOnce")},
+	{steps: one(sampleCopied), faults: one(killed), tests: one("edge/trainer.TestBothCopiesLost", "core/delivery.TestEverySampleIsDeliveredOnce")},
+	{steps: one(sampleScored), faults: one(killed), tests: one("edge/trainer.TestScoringFails", "core/delivery.TestEverySampleIsDeliveredOnce")},
+	{steps: one(sampleScored), faults: one(answerLost), tests: one("edge/trainer.TestScoringFails")},
+	{steps: one(sampleBatched), faults: one(killed, answerLost, lostAndDead), tests: one("edge/trainer.TestCoordinatorKilledAfterWrite", "core/delivery.TestEverySampleIsDeliveredOnce")},
+	{steps: one(sampleBatched, sampleDelivered), faults: one(frozen), tests: one("edge/trainer.TestTwoBelievers", "edge/trainer.TestLeaseEndsBeforeWrite")},
+	{steps: one(sampleDelivered), faults: one(killed, answerLost, doubled, crossed), tests: one("core/delivery.TestEverySampleIsDeliveredOnce")},
+	{steps: one(sampleBatched, sampleDelivered), faults: one(platformDown, downForLong), tests: one("edge/trainer.TestOutageWithCursor", "edge/trainer.TestOutageWithoutCursor")},
+	{steps: one(sampleDelivered), faults: one(killedInDown, wokenInDown), tests: one("core/delivery.TestEverySampleIsDeliveredOnce")},
+	{steps: samples, faults: one(withdrawn), tests: one("edge/trainer.TestKeyWithdrawnWhileWaiting")},
+	{steps: samples, faults: one(race), because: "a race of operators has one winner before any sample sees it"},
+	{steps: one(sampleCopied, sampleScored, sampleBatched, sampleDelivered), faults: one(swapFails), because: "the tokens are made; spans name the versions that made them"},
+
+	// Leases.
+	{steps: one(leaseTaken, leaseRenewed), faults: one(answerLost), tests: one("edge/duty.TestLostAnswers", "core/lease.TestLostRenewalAnswer", "core/lease.TestOlderOfTwoLostRenewals")},
+	{steps: one(leaseUsed, leaseLost, leaseRenewed), faults: one(frozen), tests: one("core/lease.TestPausedHolderWakes", "edge/duty.TestPausedHolderKnowsWithoutCalls", "program/e2e.TestWokenHolderDoesNoHarm")},
+	{steps: one(leaseTaken), faults: one(frozen), tests: one("core/lease.TestTwoHoldersNever")},
+	{steps: leases, faults: one(killed), tests: one("edge/duty.TestTakeoverAfterDeath")},
+	{steps: leases, faults: one(platformDown, downForLong), tests: one("edge/duty.TestOutage")},
+	{steps: one(leaseLost), faults: one(killedInDown), tests: one("edge/duty.TestReleaseInOutage")},
+	{steps: one(leaseTaken, leaseRenewed), faults: one(lostAndDead), tests: one("core/lease.TestTwoHoldersNever")},
+	{steps: leases, faults: one(race, withdrawn, swapFails), because: "leases depend on neither tickets, keys nor weights"},
+
+	// Server orders.
+	{steps: one(orderSent), faults: one(frozen), tests: one("program/e2e.TestWokenHolderDoesNoHarm")},
+	{steps: orders, faults: one(race, withdrawn, swapFails), because: "orders follow load and one accepted configuration; no key or weight is part of them"},
+
+	// Usage.
+	{steps: one(usageFlushed), faults: one(answerLost), tests: one("edge/billing.TestFlushAfterALostAnswerCountsOnce")},
+	{steps: one(usageCounted, usageFlushed), faults: one(platformDown, downForLong), tests: one("edge/billing.TestOutageOnlyDelaysCounts")},
+	{steps: one(usageFlushed), faults: one(doubled), tests: one("edge/billing.TestFlushOfTwoWritersKeepsBoth", "edge/billing.TestFlushWritesNothingTwice")},
+	{steps: closing, faults: one(killed, answerLost, lostAndDead), tests: one("edge/billing.TestSecondClosingAtEveryCallOfTheFirst", "edge/billing.TestReportAfterALostAnswerHasTheSameBytes")},
+	{steps: closing, faults: one(frozen), tests: one("edge/billing.TestTwoClosersThatOvertakeEachOther", "edge/billing.TestHolderThatLostItsDutyStopsBeforeItsNextWrite")},
+	{steps: closing, faults: one(platformDown, downForLong), tests: one("edge/billing.TestWindowsOfAnOutageAreClosedInTheirOrder")},
+	{steps: closing, faults: one(doubled, answerLate), tests: one("edge/billing.TestEveryUnitIsReportedOnceInAllInterleavings")},
+	{steps: one(usageCounted), faults: one(doubled, crossed, answerLate), tests: one("core/usage.TestMergeIsTheSameForAllOrdersAndRepeats")},
+	{steps: join(one(usageCounted, usageFlushed), closing), faults: one(race), because: "usage is counted by organisation, whatever the configuration"},
+	{steps: join(one(usageCounted, usageFlushed), closing), faults: one(withdrawn, swapFails), because: "usage is counted by organisation, whatever its keys and the weights are"},
+}
