--- a/internal/core/scenario/job_test.go
+++ b/internal/core/scenario/job_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"runtime"
 	"slices"
@@ -145,8 +146,8 @@
 func (s *jobSim) publish() {
 	s.version++
 	for _, j := range s.jobs {
-		for id, oldest := range j.whole {
-			if oldest < s.version-j.bound {
+		for _, id := range slices.Sorted(maps.Keys(j.whole)) {
+			if j.whole[id] < s.version-j.bound {
 				delete(j.whole, id)
 				s.again(j, id)
 			}
