Keep a test's silent agent silent past the caller's deadline

The fake agent ended with the error of its own context at the caller's deadline, and its refusal without a reason raced with the entry's own deadline: 'have {status:502 verdict:2 reason:internal ... context deadline exceeded}' in one of three runs. It now says nothing until the test has its answer.

--- a/internal/edge/entry/settle_test.go
+++ b/internal/edge/entry/settle_test.go
@@ -25,14 +25,16 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var asked request.Settle
+			silent := make(chan struct{})
+			defer close(silent)
 			agent := &fakeAgent{}
-			agent.execute = func(ctx context.Context, _ request.Execute, out peer.Sink) (request.AnswerEnd, error) {
-				// The head alone; then the caller's deadline passes.
+			agent.execute = func(_ context.Context, _ request.Execute, out peer.Sink) (request.AnswerEnd, error) {
+				// The head alone, and nothing more even after the caller's deadline: an end of this handler would race with it.
 				if err := out.Head(request.AnswerHead{Status: http.StatusOK}); err != nil {
 					return request.AnswerEnd{}, err
 				}
-				<-ctx.Done()
-				return request.AnswerEnd{}, ctx.Err()
+				<-silent
+				return request.AnswerEnd{}, errLostAnswer
 			}
 			agent.settle = func(q request.Settle) request.Settled {
 				asked = q
