Read an idempotency record back until the platform answers

A connection that lost the answer to the record's write often loses the read after it as well. The call was then refused as not run while its record stayed, and every repeat was told for half an hour that the call is running. Found by the cell 'request admitted x cut both ways' of the fault matrix, which failed before with: first 503 notRun platformUnavailable, again 409 inProgress 'a call with this idempotency key is running', 'neither was answered'.

--- a/internal/edge/entry/recordkeeper.go
+++ b/internal/edge/entry/recordkeeper.go
@@ -100,7 +100,7 @@
 	if err == nil || errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable) {
 		return version, err
 	}
-	object, readErr := k.store.Get(ctx, name)
+	object, readErr := k.readBack(ctx, name)
 	if readErr != nil {
 		return 0, err
 	}
@@ -111,6 +111,21 @@
 	return 0, platform.ErrConflict
 }
 
+// readBack reads a record after a lost answer, again and again for recordTime.
+//
+// Guard: the connection that lost the answer to the write often loses the read as well. The call would be refused
+// as not run and its record left behind, and every repeat of the caller told for half an hour that the call is running.
+func (k *recordKeeper) readBack(ctx context.Context, name string) (platform.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, recordTime)
+	defer cancel()
+	for {
+		object, err := k.store.Get(ctx, name)
+		if err == nil || errors.Is(err, platform.ErrNotFound) || !wait(ctx, recordPause) {
+			return object, err
+		}
+	}
+}
+
 func platformRefusal(err error) error {
 	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonPlatformUnavailable, noServerRetry,
 		"the record for the idempotency key can't be written: %v", err)
