--- a/internal/program/faults/rules_test.go
+++ b/internal/program/faults/rules_test.go
@@ -79,12 +79,14 @@
 // Groups of steps that share a mechanism.
 var (
 	requests = []string{requestAdmitted, requestQueued, requestPlaced, requestSent, requestStarted, requestAnswered}
-	samples  = []string{sampleGenerated, sampleCopied, sampleScored, sampleBatched, sampleDelivered}
-	leases   = []string{leaseTaken, leaseRenewed, leaseUsed, leaseLost}
-	orders   = []string{orderPrepared, orderSent, orderAnswered}
-	closing  = []string{usageFrozen, usageReported}
-	weights  = []string{weightsPrefetched, weightsSwitched}
-	hosts    = []string{hostJoining, hostLeaving}
+	// atEachStep are the steps at which an agent has the request.
+	atEachStep = []string{requestQueued, requestPlaced, requestSent, requestStarted, requestAnswered}
+	samples    = []string{sampleGenerated, sampleCopied, sampleScored, sampleBatched, sampleDelivered}
+	leases     = []string{leaseTaken, leaseRenewed, leaseUsed, leaseLost}
+	orders     = []string{orderPrepared, orderSent, orderAnswered}
+	closing    = []string{usageFrozen, usageReported}
+	weights    = []string{weightsPrefetched, weightsSwitched}
+	hosts      = []string{hostJoining, hostLeaving}
 )
 
 func join(groups ...[]string) []string { return slices.Concat(groups...) }
