End a stream whose caller stopped reading at its deadline

A caller that stopped reading without hanging up held its stream until the connection's write timeout, half an hour later, and the drain of the entry to its bound: 'entry entry-1: 2 requests still running at the end of the drain' with a deadline of 1 s and 5 s to drain. Writes now end a second after the request's own deadline.

With a watch that takes the byte which it looks at, the second request was answered 'Not Implemented'.

--- a/internal/edge/entry/generate.go
+++ b/internal/edge/entry/generate.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"time"
 
@@ -127,9 +128,11 @@
 	c.Set(fiber.HeaderContentType, "text/event-stream")
 	c.Set(fiber.HeaderCacheControl, "no-cache")
 	e.running.Add(1)
+	stopLimit := limitWrites(c.RequestCtx().Conn(), end)
 	return c.SendStreamWriter(func(w *bufio.Writer) {
 		defer e.running.Add(-1)
 		defer stopWatch()
+		defer stopLimit()
 		if refusal := events.copyTo(w); refusal != nil {
 			e.metrics.refused(refusal)
 		}
@@ -137,6 +140,18 @@
 	})
 }
 
+// lastEventTime is how long after its deadline a stream may take to write what explains its end.
+const lastEventTime = time.Second
+
+// limitWrites ends writes to the connection soon after end, and returns the function that takes the limit back.
+//
+// Guard: a caller that stops reading without hanging up would hold its stream, and the drain of the host, until the
+// write timeout of the connection, half an hour later. The deadline is its own, so nothing is cut off before it.
+func limitWrites(conn net.Conn, end time.Time) (stop func()) {
+	limit := time.AfterFunc(time.Until(end), func() { _ = conn.SetWriteDeadline(time.Now().Add(lastEventTime)) })
+	return func() { limit.Stop() }
+}
+
 // enginePost builds the engine's call from a JSON body.
 func enginePost(body []byte) request.Execute {
 	return request.Execute{
