Stop generations that a new version has made void

Cause: a generation that began with weights older than the bound allows ran to its end, kept its engine's slot, and only then was thrown away and begun anew.

A generator tells the version of the first token (GenerateRequest.Began); without that nothing changes. Generations are stopped once one has begun with weights that are allowed: between the new version and the engines' switch the next one would be void too, and stopping at once would start each sample anew four times a second.

--- a/internal/edge/trainer/deps.go
+++ b/internal/edge/trainer/deps.go
@@ -29,6 +29,9 @@
 	// Progress is told the number of tokens so far; it never blocks and may be left uncalled, but
 	// then a straggler is known only by its age.
 	Progress func(tokens int)
+	// Began is told the weight version of the first token that this call generates; it never blocks and may
+	// be left uncalled, but then a sample that a new version made void runs to its end.
+	Began func(version int)
 }
 
 // Generator generates samples at the backend servers of a model.
--- a/internal/edge/trainer/fakes_test.go
+++ b/internal/edge/trainer/fakes_test.go
@@ -103,9 +103,14 @@
 	stuck  string
 	hedged int
 	gate   chan struct{}
+	// instead answers all calls, if set before the first.
+	instead Generator
 }
 
 func (e *fakeEngines) Generate(ctx context.Context, request GenerateRequest) ([]Token, error) {
+	if e.instead != nil {
+		return e.instead.Generate(ctx, request)
+	}
 	e.mu.Lock()
 	gate := e.gate
 	if request.SampleID == e.stuck && !request.Hedge {
--- a/internal/edge/trainer/schedule.go
+++ b/internal/edge/trainer/schedule.go
@@ -41,6 +41,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	tokens *atomic.Int64
+	// began is the weight version of the first token of this call, 0 while there is none.
+	began *atomic.Int64
 }
 
 // rest is a sample that waits after a failure.
@@ -69,6 +71,8 @@
 	// copyFailures counts the failed tries of samples not copied yet, by name.
 	copyFailures map[string]int
 	hedge        time.Time
+	// newest is the newest weight version that a generation is known to have begun with.
+	newest int
 }
 
 func newSchedule(slots int) *schedule {
@@ -170,6 +174,7 @@
 		Resume:       sample.Prefix,
 		Hedge:        next.Copy,
 		Progress:     func(tokens int) { t.tokens.Store(int64(tokens)) },
+		Began:        func(version int) { t.began.Store(int64(version)) },
 	}
 	r.handle(delivery.SampleStarted{Work: work})
 	s.start(r, t)
@@ -188,6 +193,7 @@
 		tokens:     &atomic.Int64{},
 	}
 	t.request.Organisation = job.Organisation
+	t.began = &atomic.Int64{}
 	t.name = delivery.SampleID{Job: r.job, Step: work.Step, Group: group, Index: index}.Attempt(work.Attempt)
 	t.ctx, t.cancel = context.WithCancel(r.taskCtx)
 	return t
@@ -230,10 +236,12 @@
 }
 
 func (s *schedule) startHedges(now time.Time, r *runner) {
+	oldestAllowed := r.machine.Status().ModelVersion - r.bound()
 	for name, calls := range s.calls {
 		for _, t := range calls {
 			s.planner.Progress(name, int(t.tokens.Load()))
-			s.cancelUnwanted(r, t)
+			s.newest = max(s.newest, int(t.began.Load()))
+			s.cancelUnwanted(r, t, oldestAllowed)
 		}
 	}
 	if s.running >= s.slots {
@@ -248,14 +256,24 @@
 	}
 }
 
-// cancelUnwanted ends the work on a sample that was thrown away or delivered by another coordinator.
-func (s *schedule) cancelUnwanted(r *runner, t task) {
+// cancelUnwanted ends the work on a sample that was thrown away or delivered by another coordinator, and
+// a generation that a new version has made void: run to its end, it would keep an engine's slot for a sample
+// that is thrown away then, while the sample that replaces it has not begun. That is done once some generation has
+// begun with weights that are allowed: before the engines switch, the next one would be void as well.
+func (s *schedule) cancelUnwanted(r *runner, t task, oldestAllowed int) {
 	sample, work := r.machine.Sample(t.work.Position)
-	if work != t.work || sample.State >= delivery.StateBatched {
+	if work != t.work || sample.State >= delivery.StateBatched || s.void(t, oldestAllowed) {
 		t.cancel()
 	}
 }
 
+// void says that the generation began with weights older than the bound allows. Versions only rise while
+// it runs, so its first token is its oldest.
+func (s *schedule) void(t task, oldestAllowed int) bool {
+	began := int(t.began.Load())
+	return began > 0 && began < oldestAllowed && s.newest >= oldestAllowed
+}
+
 // finished ends the other calls for a sample that is whole.
 func (s *schedule) finished(now time.Time, t task, tokens int) {
 	s.planner.Finished(now, t.name, tokens)
@@ -269,6 +287,7 @@
 // ended takes a worker's slot back.
 func (s *schedule) ended(now time.Time, m endedMessage) {
 	m.task.cancel()
+	s.newest = max(s.newest, int(m.task.began.Load()))
 	s.running--
 	calls := s.calls[m.task.name]
 	for i, call := range calls {
