--- a/internal/edge/fleet/fault_test.go
+++ b/internal/edge/fleet/fault_test.go
@@ -197,8 +197,8 @@
 
 // Two hosts order for one zone, or nobody does any more. The holder's calls are disturbed from the
 // preparation of an order on, or from its sending on, in each way, for longer than its term; its
-// lease lapses or not, it is killed or goes on, the platform is down meanwhile or not, and honours
-// the fencing number or ignores it; another host stands by. The platform must take no order of a
+// lease lapses or not, it is killed or goes on, the platform is down until after that or not, and
+// honours the fencing number or ignores it; another host stands by. The platform must take no order of a
 // host after one of its successor, and the servers needed must be ordered in the end.
 func TestOrdersUnderFaults(t *testing.T) {
 	for _, c := range orderCases() {
@@ -209,6 +209,25 @@
 	}
 }
 
+// Orders come late or from two hosts: each call of the platform takes a good part of the term, or
+// longer than the term, so that leases lapse while renewals and orders are under way.
+func TestOrdersWhileThePlatformIsSlow(t *testing.T) {
+	for _, delay := range []time.Duration{zoneTiming().Renew, zoneTiming().Term / 2, zoneTiming().Term} {
+		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
+			memory := standin.NewMemory(standin.WithHosts(zoneHosts()))
+			memory.Delay(delay)
+			for i := range uint64(2) {
+				defer startEntry(memory, fmt.Sprintf("entry-%d", i), i).stop()
+			}
+			<-time.After(4 * zoneTiming().Term)
+			memory.Delay(0)
+			eventually(t, "four servers are ordered", func() bool { return enough(memory) })
+			checkOneInCharge(t, memory.Orders())
+		})
+	}
+}
+
 // leaseFault is one under which the lease lapses: doubled calls renew it.
 func (c ordersCase) leaseFault() standin.Disturbance {
 	if c.with == standin.Doubled {
@@ -231,9 +250,7 @@
 	defer func() { second.stop() }()
 	if c.down {
 		<-time.After(zoneTiming().Term)
-	}
-	memory.Outage(false)
-	if c.lapses {
+	} else if c.lapses {
 		eventually(t, "the other host orders", func() bool { return orderedBy(memory, "entry-2") || enough(memory) })
 	}
 	if c.dies {
@@ -241,6 +258,7 @@
 	}
 	first.lease.Heal()
 	first.way.Heal()
+	memory.Outage(false)
 	eventually(t, "four servers are ordered", func() bool { return enough(memory) })
 	checkOneInCharge(t, memory.Orders())
 }
