--- a/internal/program/faults/table_control_test.go
+++ b/internal/program/faults/table_control_test.go
@@ -1,5 +1,11 @@
 package faults
 
+// oneCallAConnection says why answers of the platform don't cross; edge/exchange tests the surplus answer.
+const oneCallAConnection = "a connection to the platform carries one call at a time, and one with a surplus answer is closed, as edge/exchange.TestSurplusAnswerIsNotGivenToTheNextCall shows"
+
+// disturbed are the faults that a sweep over the calls of a step brings about, alone and in pairs.
+var disturbed = []string{killed, frozen, cutOneWay, cutBothWays, answerLost, answerLate, doubled, killedInDown, wokenInDown, lostAndDead}
+
 // controlRules are those of tickets, samples, leases, server orders and usage.
 var controlRules = []rule{
 	// Tickets.
@@ -28,17 +34,33 @@
 	{steps: one(sampleCopied, sampleScored, sampleBatched, sampleDelivered), faults: one(swapFails), because: "the tokens are made; spans name the versions that made them"},
 
 	// Leases.
+	{steps: one(leaseTaken, leaseRenewed), faults: disturbed, tests: one("edge/duty.TestLeaseUnderFaults")},
+	{steps: one(leaseTaken, leaseRenewed), faults: one(platformSlow), tests: one("edge/duty.TestLeaseWhileThePlatformIsSlow")},
+	{steps: one(leaseTaken, leaseRenewed), faults: one(short), tests: one("edge/platform.TestShortAnswerIsNoAnswer", "edge/duty.TestLeaseUnderFaults")},
 	{steps: one(leaseTaken, leaseRenewed), faults: one(answerLost), tests: one("edge/duty.TestLostAnswers", "core/lease.TestLostRenewalAnswer", "core/lease.TestOlderOfTwoLostRenewals")},
-	{steps: one(leaseUsed, leaseLost, leaseRenewed), faults: one(frozen), tests: one("core/lease.TestPausedHolderWakes", "edge/duty.TestPausedHolderKnowsWithoutCalls", "program/e2e.TestWokenHolderDoesNoHarm")},
+	{steps: one(leaseRenewed), faults: one(frozen), tests: one("core/lease.TestPausedHolderWakes", "edge/duty.TestPausedHolderKnowsWithoutCalls", "program/e2e.TestWokenHolderDoesNoHarm")},
 	{steps: one(leaseTaken), faults: one(frozen), tests: one("core/lease.TestTwoHoldersNever")},
-	{steps: leases, faults: one(killed), tests: one("edge/duty.TestTakeoverAfterDeath")},
-	{steps: leases, faults: one(platformDown, downForLong), tests: one("edge/duty.TestOutage")},
+	{steps: one(leaseUsed), faults: disturbed, tests: one("edge/fleet.TestOrdersUnderFaults")},
+	{steps: one(leaseUsed), faults: one(frozen), tests: one("edge/fleet.TestPauseAfterTheCheckEndsTheWrite", "program/e2e.TestWokenHolderDoesNoHarm")},
+	{steps: one(leaseUsed), faults: one(platformSlow), tests: one("edge/fleet.TestOrdersWhileThePlatformIsSlow")},
+	{steps: one(leaseUsed), faults: one(short), tests: one("edge/platform.TestShortAnswerIsNoAnswer", "edge/fleet.TestOrdersUnderFaults")},
+	{steps: one(leaseLost), faults: disturbed, tests: one("edge/duty.TestLeaseUnderFaults", "edge/duty.TestReleaseUnderFaults")},
+	{steps: one(leaseLost), faults: one(frozen), tests: one("edge/duty.TestPausedHolderKnowsWithoutCalls", "program/e2e.TestWokenHolderDoesNoHarm")},
+	{steps: one(leaseLost), faults: one(killed), tests: one("edge/duty.TestTakeoverAfterDeath")},
 	{steps: one(leaseLost), faults: one(killedInDown), tests: one("edge/duty.TestReleaseInOutage")},
-	{steps: one(leaseTaken, leaseRenewed), faults: one(lostAndDead), tests: one("core/lease.TestTwoHoldersNever")},
+	{steps: one(leaseLost), faults: one(platformSlow), tests: one("edge/duty.TestLeaseWhileThePlatformIsSlow")},
+	{steps: one(leaseLost), faults: one(short), tests: one("edge/platform.TestShortAnswerIsNoAnswer", "edge/duty.TestReleaseUnderFaults")},
+	{steps: leases, faults: one(platformDown, downForLong), tests: one("edge/duty.TestOutage")},
+	{steps: leases, faults: one(crossed), because: oneCallAConnection},
 	{steps: leases, faults: one(race, withdrawn, swapFails), because: "leases depend on neither tickets, keys nor weights"},
 
 	// Server orders.
-	{steps: one(orderSent), faults: one(frozen), tests: one("program/e2e.TestWokenHolderDoesNoHarm")},
+	{steps: orders, faults: disturbed, tests: one("edge/fleet.TestOrdersUnderFaults")},
+	{steps: one(orderSent), faults: one(frozen), tests: one("edge/fleet.TestPauseAfterTheCheckEndsTheWrite", "program/e2e.TestWokenHolderDoesNoHarm")},
+	{steps: orders, faults: one(platformDown, downForLong), tests: one("edge/fleet.TestOrdersUnderFaults")},
+	{steps: orders, faults: one(platformSlow), tests: one("edge/fleet.TestOrdersWhileThePlatformIsSlow")},
+	{steps: one(orderSent, orderAnswered), faults: one(short), tests: one("edge/platform.TestShortAnswerIsNoAnswer", "edge/fleet.TestOrdersUnderFaults")},
+	{steps: orders, faults: one(crossed), because: oneCallAConnection},
 	{steps: orders, faults: one(race, withdrawn, swapFails), because: "orders follow load and one accepted configuration; no key or weight is part of them"},
 
 	// Usage.
