Choose the relays of the host list apart from those of the configuration, and measure their followers

A host that served both to 58 followers sent and received about 20 KB/s: 189 B/s a follower for the configuration, 70 for its tickets and 84 for the list, against 15 KB/s. The slope listFollowers measures the list's part; the windows of observation are three seconds, so that all slopes still end in about three minutes.

--- a/internal/edge/membership/relay.go
+++ b/internal/edge/membership/relay.go
@@ -16,8 +16,9 @@
 	relaysPerZone = 2
 	// neighbourZones is how many other zones' relays are the second choice.
 	neighbourZones = 2
-	// relayPurpose is that of the configuration's relays: the same hosts serve both over one connection.
-	relayPurpose = "relay/"
+	// relayPurpose is another than that of the configuration's relays: a host that serves both to 58 others
+	// would send and receive about 20 KB/s, with 15 KB/s allowed.
+	relayPurpose = "hostList/"
 	// maxWait bounds how long a relay keeps a question, and with it how long its drain may wait for one.
 	maxWait = time.Second
 )
--- a/internal/program/capacity/capacity.go
+++ b/internal/program/capacity/capacity.go
@@ -19,7 +19,7 @@
 const (
 	// window is how long a running part is observed: several times the longest period of its timers but
 	// the host list's, and short, so that all slopes end within three minutes.
-	window = 4 * time.Second
+	window = 3 * time.Second
 	// settle is how long a part runs before it is observed, so that starting it isn't counted.
 	settle = 1500 * time.Millisecond
 
@@ -36,6 +36,7 @@
 		slope(keys{}),
 		slope(organisations{}),
 		slope(hostList{}),
+		slope(listFollowers{}),
 		slope(duties{}),
 		slope(zone{}),
 		slope(entryAtRest{}),
--- a/internal/program/capacity/zone.go
+++ b/internal/program/capacity/zone.go
@@ -177,12 +177,12 @@
 
 // atRest measures a deployment to which nothing is sent.
 func (d *deployment) atRest(ctx context.Context, before float64) ([]Figure, error) {
-	if err := pause(ctx, 2*settle); err != nil {
+	if err := pause(ctx, 4*settle/3); err != nil {
 		return nil, err
 	}
 	memory := usedMemory() - before
 	calls, sent, engines := d.platform.Calls(), sentBytes(), d.engines.bytes.Load()
-	seen, err := observe(ctx, &d.platforms, 3*window/2)
+	seen, err := observe(ctx, &d.platforms, 2*window)
 	all := float64(sentBytes()-sent) / seen.seconds
 	toEngines := float64(d.engines.bytes.Load()-engines) / seen.seconds
 	figures := []Figure{
