--- a/internal/edge/billing/closer.go
+++ b/internal/edge/billing/closer.go
@@ -219,14 +219,15 @@
 //
 // A process may be paused between two steps and wake after another has taken the duty over; it
 // would go on writing. Looking at the term right before each write, and ending the write with the
-// term, leaves at most what is already on its way; the objects' conditions stop that.
+// term, leaves at most what is already on its way; the objects' conditions stop that. The end is a
+// point in time: a timeout worked out before a pause would begin to run after it.
 func (c *Closer) held(ctx context.Context, write func(context.Context) error) error {
 	now := c.clock()
 	_, deadline, ok := c.duty.Held(now)
 	if !ok || !now.Before(deadline) {
 		return ErrNotHeld
 	}
-	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(now))
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	return write(ctx)
 }
