Hand usage counts to another entry when a host leaves in an outage of the platform

Cause: a host that ended while the platform was down waited for its last flush and for the release of its leases until drainTime was over (seen: 2 minutes), and then dropped its counts. Both waits are bounded now (5 s and 3 s), and the counts go to another entry, which holds them until the platform is back.

--- a/internal/program/process/agent.go
+++ b/internal/program/process/agent.go
@@ -101,9 +101,7 @@
 	}
 	// No relay may ask this host again before it ends, so it writes its counts itself.
 	p.usage.Merge(p.counters.Counts()...)
-	if err := p.usage.Flush(ctx); err != nil {
-		p.runtime.log.Error().Err(err).Msg("usage counts were not stored")
-	}
+	p.runtime.leaveUsage(ctx, p.usage)
 	return p.peers.Drain(ctx)
 }
 
--- a/internal/program/process/duties.go
+++ b/internal/program/process/duties.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/sourcegraph/conc"
 
 	"github.com/oleandershelf/oleandershelf/internal/edge/duty"
 )
 
+// releaseTime bounds the release of all duties, which takes a write each.
+const releaseTime = 3 * time.Second
+
 // keepers starts and keeps the keepers of the duties for which this host is a contender.
 //
 // A keeper reads its lease object every few seconds. With a keeper for every duty on each of 380 entries the
@@ -40,6 +44,9 @@
 
 // release gives up all duties, so that a successor need not wait for the terms to pass.
 func (k *keepers) release(ctx context.Context) {
+	// Without the platform a lease can't be given up; its term then runs out by itself.
+	ctx, cancel := context.WithTimeout(ctx, releaseTime)
+	defer cancel()
 	var releases conc.WaitGroup
 	for _, keeper := range k.all() {
 		releases.Go(func() {
--- a/internal/program/process/entry.go
+++ b/internal/program/process/entry.go
@@ -108,9 +108,7 @@
 	if err := p.entry.Drain(ctx, p.runtime.set.LeaveDelay); err != nil {
 		return err
 	}
-	if err := p.duties.usage.collector.Flush(ctx); err != nil {
-		p.runtime.log.Error().Err(err).Msg("usage counts were not stored")
-	}
+	p.runtime.leaveUsage(ctx, p.duties.usage.collector)
 	p.duties.release(ctx)
 	return p.peers.Drain(ctx)
 }
--- a/internal/program/process/usage.go
+++ b/internal/program/process/usage.go
@@ -15,6 +15,11 @@
 
 const (
 	methodGatherUsage peer.Method = "gatherUsage"
+	methodTakeUsage   peer.Method = "takeUsage"
+	// leaveFlushTime bounds the last flush of a leaving host, before it hands its counts over instead.
+	leaveFlushTime = 5 * time.Second
+	// handOverTries is how many entries are asked to take the counts of a leaving host.
+	handOverTries = 5
 	// gatherInterval is below the flush interval, so that a flush holds what ran a few seconds before.
 	gatherInterval = 3 * time.Second
 	gatherTimeout  = 2 * time.Second
@@ -37,8 +42,8 @@
 	Counts []usage.Count `msgpack:"c"`
 }
 
-// handOver lets a relay of the zone take the counts of this host.
-func handOver(r *peer.Registry, collector *billing.Collector, refresh func()) {
+// serveGather lets a relay of the zone take the counts of this host.
+func serveGather(r *peer.Registry, collector *billing.Collector, refresh func()) {
 	peer.Handle(r, methodGatherUsage, func(_ context.Context, ask gatherAsk) (gatherAnswer, error) {
 		collector.Stored(ask.Stored)
 		refresh()
@@ -46,13 +51,54 @@
 	})
 }
 
+// takeUsage are the counts of a host that leaves while the platform can't be written.
+type takeUsage struct {
+	Counts []usage.Count `msgpack:"c"`
+}
+
+// took confirms that the counts were taken over.
+type took struct{}
+
+// leaveUsage stores the counts of a host that is about to end, or hands them to another entry.
+//
+// Guard: a host is replaced during an outage of the platform. What ran there since the last flush would be missing
+// in the reports. Another entry holds the counts until the platform is back.
+func (r *runtime) leaveUsage(ctx context.Context, collector *billing.Collector) {
+	flush, cancel := context.WithTimeout(ctx, leaveFlushTime)
+	defer cancel()
+	err := collector.Flush(flush)
+	if err == nil {
+		return
+	}
+	counts := collector.Unstored()
+	tries := 0
+	for _, host := range r.members.Entries() {
+		if host.ID == r.set.HostID || tries == handOverTries {
+			continue
+		}
+		tries++
+		if r.handOver(ctx, host, counts) {
+			r.log.Info().Str("to", host.ID).Int("cells", len(counts)).Msg("usage counts handed over")
+			return
+		}
+	}
+	r.log.Error().Err(err).Int("cells", len(counts)).Msg("usage counts were neither stored nor handed over")
+}
+
+func (r *runtime) handOver(ctx context.Context, host platform.Host, counts []usage.Count) bool {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	_, err := peer.Ask[takeUsage, took](ctx, r.client, host.PeerAddress, methodTakeUsage, takeUsage{Counts: counts})
+	return err == nil
+}
+
 // newAgentCollector hands an agent's counters over instead of writing them: 44 relays write, not 2,200 agents.
 // The counters are copied into a ledger of their own, since a collector forgets what is stored and the
 // agent's counters must go on from where they are.
 func (r *runtime) newAgentCollector(ctx context.Context, counters *usage.Ledger) *billing.Collector {
 	collector := billing.NewCollector(ctx, r.platform, usage.NewLedger(), r.set.AvailabilityZone,
 		billing.WithFlushInterval(0), billing.WithWindow(r.set.UsageWindow), billing.WithCollectorLog(r.log))
-	handOver(r.peers, collector, func() {
+	serveGather(r.peers, collector, func() {
 		collector.Merge(counters.Counts()...)
 		oldest := usage.WindowStart(time.Now(), r.set.UsageWindow) - agentWindows*int64(r.set.UsageWindow/time.Second)
 		counters.Forget(func(count usage.Count) bool { return count.Cell.Window < oldest })
@@ -73,7 +119,11 @@
 	g := &gatherer{runtime: r, handed: map[string][]usage.Count{}}
 	g.collector = billing.NewCollector(ctx, r.platform, usage.NewLedger(), r.set.AvailabilityZone,
 		billing.WithFlushIf(g.isRelay), billing.WithWindow(r.set.UsageWindow), billing.WithCollectorLog(r.log))
-	handOver(r.peers, g.collector, func() {})
+	serveGather(r.peers, g.collector, func() {})
+	peer.Handle(r.peers, methodTakeUsage, func(_ context.Context, taken takeUsage) (took, error) {
+		g.collector.Merge(taken.Counts...)
+		return took{}, nil
+	})
 	g.work.Go(func() {
 		ticker := time.NewTicker(gatherInterval)
 		defer ticker.Stop()
