--- a/internal/program/capacity/capacity.go
+++ b/internal/program/capacity/capacity.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// window is how long a running part is observed: several times the longest period of its timers but
-	// the host list's, and short, so that all slopes end within three minutes.
+	// window is how long a running part is observed. Parts whose timers run every 2 or 3 seconds are observed for
+	// two windows, a multiple of both, since all of them start at once and a part of a period would count whole.
 	window = 3 * time.Second
 	// settle is how long a part runs before it is observed, so that starting it isn't counted.
 	settle = 1500 * time.Millisecond
--- a/internal/program/capacity/duties.go
+++ b/internal/program/capacity/duties.go
@@ -60,7 +60,7 @@
 	}
 	memory := usedMemory() - before
 	calls := server.Calls()
-	seen, err := observe(ctx, w, window)
+	seen, err := observe(ctx, w, 2*window)
 	rate := func(kind standin.Kind) Figure {
 		return Figure{Name: "calls " + string(kind), Unit: unitCalls, Value: float64(server.Calls()[kind]-calls[kind]) / seen.seconds}
 	}
--- a/internal/program/capacity/listfollowers.go
+++ b/internal/program/capacity/listfollowers.go
@@ -40,7 +40,8 @@
 	if err := f.start(ctx, count); err != nil {
 		return nil, err
 	}
-	if err := pause(ctx, settle); err != nil {
+	// The first questions come before the relay's next read and are repeated after it.
+	if err := pause(ctx, window+settle); err != nil {
 		return nil, err
 	}
 	memory := usedMemory() - before
