--- a/internal/edge/trainer/failure_test.go
+++ b/internal/edge/trainer/failure_test.go
@@ -257,6 +257,8 @@
 	gate := w.engines.hold()
 	w.lease.take(hostA, false)
 	w.postStep(hostA, 1)
+	// The status may still show the step's own request, which would be taken for the batch's.
+	w.eventually(hostA, "the step is answered", func(s *runnerStatus) bool { return s.Waiting == 0 })
 	waiting := make(chan answer, 1)
 	go func() { waiting <- w.getBatch(hostA, 1, 1, nil) }()
 	w.eventually(hostA, "the request waits", func(s *runnerStatus) bool { return s.Waiting == 1 })
