Copy stalled samples beyond the share of extra work

The samples at the two engines need more copies than 5 % of a step's work, no error tells that a stalled stream is lost, and the share doesn't grow once all samples have started.

A sample that got no token for the usual time of a whole one is copied free of charge: its engine makes nothing, so the copy, resumed from the known tokens, is the only work. Two copies a sample remain the bound.

Ruled out: a greater share, which would only move the number of samples that hangs a step.

--- a/internal/core/rollout/doc.go
+++ b/internal/core/rollout/doc.go
@@ -24,6 +24,7 @@
 // Grounds for the figures: a sample counts as a straggler when its copy would be done in half the time
 // that it still needs itself. Below a factor of two the spread of normal engines sets off copies
 // that win nothing. Copies may add 5 % to the work of a job, the bound that the users set; a copy
-// starts from the tokens that are known, so it is charged for the rest only. A sample is judged after the usual
+// starts from the tokens that are known, so it is charged for the rest only. A stalled sample's copy is free:
+// its first generation makes nothing. A sample is judged after the usual
 // time of a whole one: earlier, samples whose prompt is still computed looked stalled.
 package rollout
--- a/internal/core/rollout/hedge.go
+++ b/internal/core/rollout/hedge.go
@@ -16,14 +16,23 @@
 // one slow or stalled engine deciding the length of a step: such a sample's tokens come slower than
 // others' while its group waits for nothing else. Each sample is copied twice at most, and all copies of
 // a job together stay within the share of its work, so copies can't become a load of their own.
+//
+// A stalled sample isn't charged to that share: its engine makes no tokens, so the copy, which resumes from those
+// that are known, is the only work. Charged, the samples of one stalled engine would use the share up, and the
+// step would wait for the rest of them for ever.
 func (p *Planner) Hedge(now time.Time) []Work {
+	if p.copyShare <= 0 {
+		return nil
+	}
 	var out []Work
 	for _, s := range p.stragglers(now) {
 		job := s.sample.group.step.job
-		if job.copies+s.sample.rest() > p.copyShare*job.work {
-			continue
+		if !job.stalled(now, s.sample) {
+			if job.copies+s.sample.rest() > p.copyShare*job.work {
+				continue
+			}
+			job.copies += s.sample.rest()
 		}
-		job.copies += s.sample.rest()
 		s.sample.copies++
 		out = append(out, s.sample.work(true))
 	}
--- a/internal/core/rollout/job.go
+++ b/internal/core/rollout/job.go
@@ -90,3 +90,8 @@
 	}
 	return time.Duration((own - fresh) * float64(time.Second))
 }
+
+// stalled says that no token has come for the usual time of a whole sample.
+func (j *jobState) stalled(now time.Time, sample *sampleState) bool {
+	return now.Sub(sample.moved).Seconds()*j.typicalSpeed() >= sample.expected()
+}
--- a/internal/core/rollout/planner.go
+++ b/internal/core/rollout/planner.go
@@ -141,6 +141,7 @@
 	}
 	sample.running++
 	sample.started = now
+	sample.moved = now
 	sample.startedTokens = sample.tokens
 	if work.Copy || !sample.take() {
 		return
@@ -163,10 +164,13 @@
 }
 
 // Progress takes in how many tokens of a running sample exist.
-func (p *Planner) Progress(sampleID string, tokens int) {
-	if sample, ok := p.samples[sampleID]; ok {
-		sample.tokens = max(sample.tokens, tokens)
+func (p *Planner) Progress(now time.Time, sampleID string, tokens int) {
+	sample, ok := p.samples[sampleID]
+	if !ok || tokens <= sample.tokens {
+		return
 	}
+	sample.tokens = tokens
+	sample.moved = now
 }
 
 // Finished says that a sample is whole, with its length in tokens, 0 if it is given up. It returns how many copies
--- a/internal/core/rollout/sample.go
+++ b/internal/core/rollout/sample.go
@@ -18,6 +18,8 @@
 	// started is when the sample or its last copy started; with the tokens at that time it gives the speed.
 	started       time.Time
 	startedTokens int
+	// moved is when the sample's last token came, or its last generation started.
+	moved time.Time
 }
 
 // expected is the expected length: the caller's cost is often the most that a sample may have, so
