--- a/internal/edge/trainer/fakes_test.go
+++ b/internal/edge/trainer/fakes_test.go
@@ -305,6 +305,9 @@
 	stops   map[netip.AddrPort]func()
 	apps    map[netip.AddrPort]*fiber.App
 
+	// calls disturbs calls to other hosts; keep replaces the lease.
+	calls callFault
+	keep  func(ctx context.Context, self netip.AddrPort) Lease
 	// isolated is a host that is cut off.
 	isolated  atomic.Pointer[netip.AddrPort]
 	mu        sync.Mutex
@@ -333,10 +336,10 @@
 	c := New(ctx, Deps{
 		Store:     store,
 		View:      func() Configuration { return w.view },
-		Generator: w.engines,
-		Scorer:    w.scorer,
-		Copier:    copierOf{w.peers, other},
-		Lease:     func(context.Context, string) Lease { return leaseOf{w.lease, self} },
+		Generator: disturbedGenerator{w.engines, &w.calls},
+		Scorer:    disturbedScorer{w.scorer, &w.calls},
+		Copier:    disturbedCopier{copierOf{w.peers, other}, &w.calls},
+		Lease:     func(ctx context.Context, _ string) Lease { return w.leaseFor(ctx, self) },
 		Forwarder: forwarderOf{w.peers},
 		Self:      self,
 		Secret:    testToken,
