Find the first hosts for a purpose without ranking all of them

Each entry looks several times a second whether it is among the contenders of 18 jobs. The callers are still to be moved to it.

--- a/internal/edge/membership/list_test.go
+++ b/internal/edge/membership/list_test.go
@@ -145,3 +145,28 @@
 		t.Error("not the first three")
 	}
 }
+
+// TestFirst: the first ids are those of the whole order.
+func TestFirst(t *testing.T) {
+	for _, count := range []int{0, 1, 3, 39, 40, 41} {
+		hosts := entries(40)
+		want := names(Rank("usage/0", hosts))
+		if diff := cmp.Diff(want[:min(count, len(want))], First("usage/0", names(hosts), count)); diff != "" {
+			t.Errorf("first %d (-want +got):\n%s", count, diff)
+		}
+	}
+}
+
+func BenchmarkRank(b *testing.B) {
+	hosts := entries(380)
+	for b.Loop() {
+		Rank("trainerJob/fees", hosts)
+	}
+}
+
+func BenchmarkFirst(b *testing.B) {
+	ids := names(entries(380))
+	for b.Loop() {
+		First("trainerJob/fees", ids, 3)
+	}
+}
--- a/internal/edge/membership/rank.go
+++ b/internal/edge/membership/rank.go
@@ -37,3 +37,28 @@
 	first := ranked[:min(count, len(ranked))]
 	return slices.ContainsFunc(first, func(h platform.Host) bool { return h.ID == hostID })
 }
+
+// First returns the first count ids for the purpose, in the order of Rank. It hashes each id once and sorts
+// none but the first, for callers that look again and again: 18 trainer jobs at each entry rank 380 entries
+// several times a second.
+func First(purpose string, ids []string, count int) []string {
+	type weighted struct {
+		id     string
+		weight uint64
+	}
+	heavier := func(a, b weighted) int { return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.id, b.id)) }
+	first := make([]weighted, 0, count+1)
+	for _, id := range ids {
+		candidate := weighted{id: id, weight: xxhash.Sum64String(purpose + "\x00" + id)}
+		at, _ := slices.BinarySearchFunc(first, candidate, heavier)
+		if at < count {
+			first = slices.Insert(first, at, candidate)
+			first = first[:min(count, len(first))]
+		}
+	}
+	found := make([]string, len(first))
+	for i, entry := range first {
+		found[i] = entry.id
+	}
+	return found
+}
