--- a/internal/edge/entry/hangup_test.go
+++ b/internal/edge/entry/hangup_test.go
@@ -96,7 +96,7 @@
 	f.write(conn, raw("/v1/services/billdesk/charge", "x", "Request-Timeout: 600\r\n"))
 	receive(t, "request at the agent", began)
 	_ = conn.Close()
-	receive(t, "cancellation", ended)
+	_ = receive(t, "cancellation", ended)
 }
 
 // A rider closes the connection in the middle of a stream of tokens.
@@ -110,7 +110,7 @@
 		t.Fatal(err)
 	}
 	_ = conn.Close()
-	receive(t, "cancellation", ended)
+	_ = receive(t, "cancellation", ended)
 }
 
 // A caller sends its next request on the same connection before the first is answered, as HTTP allows.
@@ -151,7 +151,7 @@
 	conn := f.connect()
 	_ = conn.SetReadBuffer(4 << 10)
 	f.write(conn, raw(modelPath, streamBody, "Request-Timeout: 1\r\n"))
-	receive(t, "end at the engine", ended)
+	_ = receive(t, "end at the engine", ended)
 	ctx, cancel := context.WithTimeout(context.Background(), soon)
 	defer cancel()
 	if err := f.entry.Drain(ctx, 0); err != nil {
--- a/internal/program/faults/bench_test.go
+++ b/internal/program/faults/bench_test.go
@@ -66,6 +66,8 @@
 	urls    []string
 	calls   int
 	tickets int
+	version int
+	hosts   []edge.Host
 	client  *http.Client
 }
 
@@ -186,6 +188,7 @@
 		}
 		b.links[host.ID] = l
 	}
+	b.hosts = hosts
 	b.platform.SetHosts(hosts)
 }
 
--- a/internal/program/faults/requests_test.go
+++ b/internal/program/faults/requests_test.go
@@ -187,10 +187,11 @@
 
 // agentState is what the cells need of an agent's dump.
 type agentState struct {
-	Queued  int               `json:"queued"`
-	Limit   int               `json:"limit"`
-	Running []json.RawMessage `json:"running"`
-	Leaving bool              `json:"leaving"`
+	Revision uint64            `json:"revision"`
+	Queued   int               `json:"queued"`
+	Limit    int               `json:"limit"`
+	Running  []json.RawMessage `json:"running"`
+	Leaving  bool              `json:"leaving"`
 }
 
 func (b *bench) agentState(admin string) agentState {
--- a/internal/program/faults/rules_test.go
+++ b/internal/program/faults/rules_test.go
@@ -89,6 +89,9 @@
 	hosts      = []string{hostJoining, hostLeaving}
 )
 
+// hostFaultNames are the faults that come to a host as it joins or leaves.
+var hostFaultNames = []string{killed, frozen, cutOneWay, cutBothWays, answerLost, answerLate, short, platformSlow, downForLong, killedInDown, wokenInDown, lostAndDead}
+
 func join(groups ...[]string) []string { return slices.Concat(groups...) }
 
 func one(names ...string) []string { return names }
--- a/internal/program/faults/streams_test.go
+++ b/internal/program/faults/streams_test.go
@@ -159,6 +159,13 @@
 		{name: short, bring: func(b *bench, host string) { b.links[host].peer.set(conduct{cutAfter: 500}) }},
 		{name: "engine killed", bring: func(b *bench, host string) { b.engineAt(host).SetFaults(engine.Faults{CutAfterTokens: 100}) }},
 	}, agentFaults...)
+	// The last, since the engines serve the same version once the swap has come through.
+	streamFaults = append(streamFaults, fault{name: swapFails, bring: func(b *bench, _ string) {
+		b.slowEngines(engine.Faults{FailSwaps: true})
+		b.version = len(b.engines)
+		b.publish()
+		waitFor(b.t, "a swap is tried", stepLimit, func() bool { return b.ordered(`"kind":"switch"`) > 0 })
+	}})
 	for part := range 2 {
 		t.Run(fmt.Sprintf("part %d", part+1), func(t *testing.T) {
 			t.Parallel()
