Let a successor accept a step after steps that it never saw

Found on separate processes with the platform down for 30 s: the trainer was refused for good after the outage, POST /steps/5: 409 inProgress "step 2 has 6 batches and the newest is 2". The coordinator had delivered the rest of step 2 and steps 3 and 4 without the platform; the other entry took the lease afterwards, knew of the beginning of step 2 only, and waited for its rest.

The cursor, which the trainer sends, now says whether its batch was the last of its step. A successor whose record is behind the cursor's step goes by that; a step whose cursor shows that it isn't complete is refused as before, also where the record alone would have let it pass.

The random schedules had two steps, which can't show it.

--- a/internal/core/delivery/ask.go
+++ b/internal/core/delivery/ask.go
@@ -164,6 +164,7 @@
 		Digest:       step.Digest,
 		Batch:        step.Batch,
 		Delivered:    step.Delivered.Clone(),
+		Complete:     step.Complete(),
 		ModelVersion: j.current(),
 		Fencing:      j.fence(),
 	}
--- a/internal/core/delivery/cursor.go
+++ b/internal/core/delivery/cursor.go
@@ -24,6 +24,8 @@
 	Batch int `json:"batch"`
 	// Delivered holds the samples of the batches up to Batch.
 	Delivered Bitmap `json:"delivered"`
+	// Complete says that Batch is the last one of the step.
+	Complete bool `json:"complete,omitempty"`
 	// ModelVersion is the newest that the coordinator knew of.
 	ModelVersion int `json:"modelVersion"`
 	// Fencing is the fencing number of the coordinator's lease.
--- /dev/null
+++ b/internal/core/delivery/outage_test.go
@@ -0,0 +1,39 @@
+package delivery
+
+import (
+	"testing"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+)
+
+// A trainer stands idle for good after an outage of the platform. In it one coordinator delivered the
+// rest of step 1 and all of step 2 without the platform; another one holds the lease afterwards, and
+// the trainer posts step 3. Cause: the successor knows of the beginning of step 1 only and waits for
+// the rest of it.
+func TestSuccessorLearnsOfStepsThatItNeverSaw(t *testing.T) {
+	cases := []struct {
+		name   string
+		cursor *Cursor
+		refuse bool
+	}{
+		{name: "step 2 is complete", cursor: &Cursor{Job: "fees", Step: 2, Digest: "other", Batch: 3, Complete: true, Fencing: 10}},
+		{name: "step 2 is not complete", cursor: &Cursor{Job: "fees", Step: 2, Digest: "other", Batch: 2, Fencing: 10}, refuse: true},
+		{name: "step 1 is not complete", refuse: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScript(t, 0)
+			s.postStep()
+			effects := s.job.Handle(StepAsked{ID: 9, Step: 3, Digest: "third", Sizes: []int{2}, BatchSize: 2, Chunks: 1, Cursor: c.cursor})
+			if c.refuse {
+				if got := s.refusal(effects); got.Reason != verdict.ReasonInProgress {
+					t.Errorf("refused with %+v", got)
+				}
+				return
+			}
+			if write := the[Write](s, effects); write.Record.Step.Step != 3 {
+				t.Errorf("wrote step %+v", write.Record.Step)
+			}
+		})
+	}
+}
--- a/internal/core/delivery/step.go
+++ b/internal/core/delivery/step.go
@@ -23,13 +23,36 @@
 		return outcome{result: StepAccepted{Samples: step.Samples(), Batches: step.Batches(), Cursor: j.cursor()}}
 	}
 	learnt := e.Cursor != nil && e.Cursor.Step == e.Step
-	if step != nil && !step.Complete() && !learnt {
-		return refused(http.StatusConflict, verdict.ReasonInProgress, 0,
-			"step %d has %d batches and the newest is %d", step.Step, step.Batches(), step.Batch)
+	if open := j.openBefore(e); open != nil && !learnt {
+		return *open
 	}
 	return j.openStep(e, learnt)
 }
 
+// openBefore returns the refusal of a step whose predecessor isn't wholly delivered, or nil.
+//
+// Failure: in an outage a coordinator delivers the rest of a step and the next ones without the
+// platform; its successor knows of the first one's beginning only and would refuse every later step
+// for good, so that the trainer stands idle. The trainer's cursor names the step that it has reached,
+// and whether that is complete.
+func (j *Job) openBefore(e StepAsked) *outcome {
+	step, cursor := j.record.Step, e.Cursor
+	if cursor != nil && (step == nil || cursor.Step > step.Step) {
+		if cursor.Complete || cursor.Step >= e.Step {
+			return nil
+		}
+		open := refused(http.StatusConflict, verdict.ReasonInProgress, 0,
+			"batch %d is not the last one of step %d", cursor.Batch, cursor.Step)
+		return &open
+	}
+	if step == nil || step.Complete() {
+		return nil
+	}
+	open := refused(http.StatusConflict, verdict.ReasonInProgress, 0,
+		"step %d has %d batches and the newest is %d", step.Step, step.Batches(), step.Batch)
+	return &open
+}
+
 func (j *Job) tryPastStep(e StepAsked) outcome {
 	for _, past := range j.record.Past {
 		if past.Step == e.Step && past.Digest == e.Digest {
--- a/internal/core/delivery/world_test.go
+++ b/internal/core/delivery/world_test.go
@@ -74,7 +74,7 @@
 }
 
 const (
-	worldSteps   = 2
+	worldSteps   = 3
 	worldSamples = 6
 	worldBatch   = 2
 )
