Never take a trainer's cursor back with the answer to a model version

Second cause of the refusal after an outage of 30 s, which stayed after the first was mended: the trainer published a model version to the successor, whose record was behind, and the answer carried the cursor of that record. The trainer took it over and stood at step 2, batch 2 again.

A version now merges the trainer's cursor as steps and batches do, and an answer carries no cursor where the trainer's is of a later step.

--- a/internal/core/delivery/ask.go
+++ b/internal/core/delivery/ask.go
@@ -132,13 +132,16 @@
 	if !j.loaded || j.unwritten {
 		return waiting()
 	}
+	if refusal, ok := j.merge(e.Cursor); !ok {
+		return refusal
+	}
 	switch known := j.record; {
 	case e.Version < known.ModelVersion:
 		return refused(http.StatusConflict, verdict.ReasonBadRequest, 0, "version %d is older than %d", e.Version, known.ModelVersion)
 	case e.Version == known.ModelVersion && e.Weights != known.Weights:
 		return refused(http.StatusConflict, verdict.ReasonBadRequest, 0, "version %d has other weights", e.Version)
 	case e.Version == known.ModelVersion:
-		return outcome{result: VersionAccepted{Version: e.Version, Weights: e.Weights, Cursor: j.cursorOfStep()}}
+		return outcome{result: VersionAccepted{Version: e.Version, Weights: e.Weights, Cursor: j.cursorAfter(e.Cursor)}}
 	}
 	next := j.record
 	next.Step = j.record.Step.clone()
@@ -147,8 +150,12 @@
 	return outcome{next: &next}
 }
 
-func (j *Job) cursorOfStep() *Cursor {
-	if j.record.Step == nil {
+// cursorAfter returns the cursor of the record's step, or nil if there is none or the trainer's is of a
+// later step. A trainer takes over the cursor of each answer: one of a successor that never saw that
+// step would take it back to batches that it has.
+func (j *Job) cursorAfter(sent *Cursor) *Cursor {
+	step := j.record.Step
+	if step == nil || sent != nil && sent.Step > step.Step {
 		return nil
 	}
 	cursor := j.cursor()
--- a/internal/core/delivery/outage_test.go
+++ b/internal/core/delivery/outage_test.go
@@ -37,3 +37,32 @@
 		})
 	}
 }
+
+// A trainer's cursor goes back after an outage of the platform, and its next step is refused or its
+// samples come again. It publishes a model version to a successor that knows less of the deliveries
+// than the trainer's cursor, and takes over the cursor of the answer.
+func TestVersionNeverTakesTheCursorBack(t *testing.T) {
+	behind := NewBitmap(6)
+	for position := range 4 {
+		behind.Set(position)
+	}
+	cases := []struct {
+		name string
+		sent Cursor
+	}{
+		{name: "later step", sent: Cursor{Job: "fees", Step: 2, Digest: "other", Batch: 3, Complete: true, Fencing: 10}},
+		{name: "later batch", sent: Cursor{Job: "fees", Step: 1, Digest: "body", Batch: 2, Delivered: behind, Fencing: 10}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScript(t, 0)
+			s.postStep()
+			answer := s.commit(VersionAsked{ID: 9, Version: 4, Weights: "w4", Cursor: &c.sent})
+			given := answer.Result.(VersionAccepted).Cursor
+			if given != nil && (given.Step < c.sent.Step || given.Batch < c.sent.Batch) {
+				t.Errorf("the trainer at step %d, batch %d is given the cursor of step %d, batch %d",
+					c.sent.Step, c.sent.Batch, given.Step, given.Batch)
+			}
+		})
+	}
+}
--- a/internal/core/delivery/world_test.go
+++ b/internal/core/delivery/world_test.go
@@ -150,9 +150,20 @@
 		}
 		w.manifests[key] = r.digest
 	}
+	if accepted, ok := answer.Result.(VersionAccepted); ok && accepted.Cursor != nil {
+		w.checkForward(w.cursors[answer.ID], *accepted.Cursor)
+	}
 	w.replies = append(w.replies, r)
 }
 
+// checkForward fails if the trainer would be given a cursor behind the one that it sent.
+func (w *world) checkForward(sent *Cursor, given Cursor) {
+	if sent != nil && (given.Step < sent.Step || given.Step == sent.Step && given.Batch < sent.Batch) {
+		w.t.Fatalf("a version was answered with the cursor of step %d, batch %d after step %d, batch %d",
+			given.Step, given.Batch, sent.Step, sent.Batch)
+	}
+}
+
 // checkAlone checks a batch that was handed out without being written.
 func (w *world) checkAlone(c *coordinator, ready BatchReady, cursor *Cursor) {
 	w.alone++
@@ -269,8 +280,13 @@
 
 // postVersion sends the model version that the trainer made last, or the next one.
 func (w *world) postVersion(at int, version int) {
+	var cursor *Cursor
+	if w.useCursor {
+		cursor = w.cursor
+	}
 	w.asked++
-	w.feed(at, VersionAsked{ID: w.asked, Version: version, Weights: fmt.Sprint("weights", version)})
+	w.cursors[w.asked] = cursor
+	w.feed(at, VersionAsked{ID: w.asked, Version: version, Weights: fmt.Sprint("weights", version), Cursor: cursor})
 }
 
 // receive hands the trainer one answer; answers that it no longer waits for are ignored.
