Bring late frames, doubled and crossed answers about in the fault matrix

Frames that arrive after the connection that carried them was given up: without the agent's fence of unseen ids a booking ran twice, 'call-1-5 ran 2 times'. Answers that come twice on one connection, so that the surplus waits for the next call: orders of weights and the list of hosts. One run of the whole package failed before, 'status 200, 20 tokens, end ... serverLost': the bench had dropped bytes of a connection and let it go on, so that an entry waited 2 s for a handshake that could not end while the only other agent failed. Such connections are now cut.

--- a/internal/program/faults/forwarder_test.go
+++ b/internal/program/faults/forwarder_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,9 @@
 	"github.com/sourcegraph/conc"
 )
 
+// lingering is how long the far side of a connection whose near side was hung up stays open after its last bytes.
+const lingering = time.Second
+
 // way is the direction of bytes: up to the part behind a forwarder, or down from it.
 type way int
 
@@ -31,14 +35,30 @@
 	return &trap{way: w, marker: []byte(marker), caught: make(chan struct{})}
 }
 
+// wait waits until the trap has caught something.
+func (t *trap) wait(test *testing.T) bool {
+	test.Helper()
+	select {
+	case <-t.caught:
+		return true
+	case <-time.After(stepLimit):
+		test.Errorf("%q did not pass within %v", t.marker, stepLimit)
+		return false
+	}
+}
+
 // conduct is what a forwarder does with connections and bytes; the zero value passes everything on.
 type conduct struct {
 	// refuse closes all connections, those that come too.
 	refuse bool
 	// hold keeps the bytes of a direction; they are passed on once it ends.
 	hold [2]bool
+	// holdUpTo, if above 0, leaves connections alone that came after that number of them.
+	holdUpTo int
 	// drop takes the bytes of a direction for nothing; the connections stay open.
 	drop [2]bool
+	// twice passes bytes down twice, so that a surplus answer waits for the next call on the connection.
+	twice bool
 	// cutAfter, if above 0, passes so many bytes down and then cuts the connection.
 	cutAfter int
 }
@@ -53,8 +73,11 @@
 	conduct conduct
 	changed chan struct{}
 	trap    *trap
-	conns   map[net.Conn]struct{}
-	closed  bool
+	// conns are open, near ones true; count is how many pairs there were.
+	conns    map[net.Conn]bool
+	count    int
+	hungUpTo int
+	closed   bool
 }
 
 func newForwarder(t *testing.T, at, to netip.AddrPort) *forwarder {
@@ -63,7 +86,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &forwarder{to: to, listener: l, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	f := &forwarder{to: to, listener: l, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
 	f.group.Go(f.accept)
 	return f
 }
@@ -88,35 +111,57 @@
 			_ = near.Close()
 			continue
 		}
-		if !f.keep(near, far) {
+		number, ok := f.keep(near, far)
+		if !ok {
 			continue
 		}
-		f.group.Go(func() { f.pass(far, near, up) })
-		f.group.Go(func() { f.pass(near, far, down) })
+		f.group.Go(func() { f.pass(far, near, up, number) })
+		f.group.Go(func() { f.pass(near, far, down, number) })
+	}
+}
+
+// keep numbers a pair of connections; false if they were refused.
+func (f *forwarder) keep(near, far net.Conn) (int, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.conduct.refuse {
+		_ = near.Close()
+		_ = far.Close()
+		return 0, false
 	}
+	f.conns[near], f.conns[far] = true, false
+	f.count++
+	return f.count, true
 }
 
-func (f *forwarder) keep(conns ...net.Conn) bool {
+// hangUp closes the near side of all connections and keeps what was held of them for the far side.
+func (f *forwarder) hangUp() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, conn := range conns {
-		if f.conduct.refuse {
+	f.conduct.holdUpTo, f.hungUpTo = f.count, f.count
+	for conn, near := range f.conns {
+		if near {
 			_ = conn.Close()
-			continue
 		}
-		f.conns[conn] = struct{}{}
 	}
-	return !f.conduct.refuse
 }
 
-// set changes the conduct; connections are cut if it refuses them.
+func (f *forwarder) wasHungUp(number int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return number <= f.hungUpTo && !f.closed
+}
+
+// set changes the conduct; connections are cut if it refuses them, or if bytes of them were dropped before: no
+// connection goes on without them.
 func (f *forwarder) set(c conduct) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	incomplete := f.conduct.drop != [2]bool{} && f.conduct.drop != c.drop
 	f.conduct = c
 	close(f.changed)
 	f.changed = make(chan struct{})
-	if c.refuse {
+	if c.refuse || incomplete {
 		f.cutLocked()
 	}
 }
@@ -141,12 +186,17 @@
 	f.trap = t
 }
 
-func (f *forwarder) pass(to, from net.Conn, w way) {
-	defer func() { _ = to.Close() }()
+func (f *forwarder) pass(to, from net.Conn, w way, number int) {
+	defer func() {
+		if w == up && f.wasHungUp(number) {
+			time.Sleep(lingering)
+		}
+		_ = to.Close()
+	}()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && !f.deliver(to, buffer[:n], w) {
+		if n > 0 && !f.deliver(to, buffer[:n], w, number) {
 			return
 		}
 		if err != nil {
@@ -156,38 +206,40 @@
 }
 
 // deliver passes bytes on as the conduct allows; false ends the connection.
-func (f *forwarder) deliver(to net.Conn, data []byte, w way) bool {
-	drop, left := f.gate(data, w)
-	if drop {
+func (f *forwarder) deliver(to net.Conn, data []byte, w way, number int) bool {
+	now := f.gate(data, w, number)
+	if now.drop[w] {
 		return true
 	}
-	if w == down && left > 0 && left <= len(data) {
+	if left := now.cutAfter; w == down && left > 0 && left <= len(data) {
 		_, _ = to.Write(data[:left])
 		return false
 	}
+	if w == down && now.twice {
+		data = slices.Concat(data, data)
+	}
 	_, err := to.Write(data)
 	return err == nil
 }
 
-// gate springs the trap, waits while the direction is held, and says whether the bytes are dropped and how
-// many bytes are left before a cut.
-func (f *forwarder) gate(data []byte, w way) (drop bool, left int) {
+// gate springs the trap, waits while the direction is held, and returns the conduct for the bytes.
+func (f *forwarder) gate(data []byte, w way, number int) conduct {
 	f.mu.Lock()
 	if f.trap != nil && f.trap.way == w && bytes.Contains(data, f.trap.marker) {
 		f.spring()
 	}
-	for f.conduct.hold[w] && !f.closed {
+	for f.conduct.hold[w] && (f.conduct.holdUpTo == 0 || number <= f.conduct.holdUpTo) && !f.closed {
 		changed := f.changed
 		f.mu.Unlock()
 		<-changed
 		f.mu.Lock()
 	}
 	defer f.mu.Unlock()
-	left = f.conduct.cutAfter
-	if w == down && left > 0 {
-		f.conduct.cutAfter = max(1, left-len(data))
+	now := f.conduct
+	if w == down && now.cutAfter > 0 {
+		f.conduct.cutAfter = max(1, now.cutAfter-len(data))
 	}
-	return f.conduct.drop[w], left
+	return now
 }
 
 // spring holds the direction of the trap and tells who waits for it, unless another forwarder with the same
--- a/internal/program/faults/hosts_test.go
+++ b/internal/program/faults/hosts_test.go
@@ -24,6 +24,7 @@
 	return append([]fault{
 		{name: "list " + answerLate, bring: func(b *bench, _ string) { b.lists(conduct{hold: [2]bool{down: true}}, lateBy) }},
 		{name: "list " + short, bring: func(b *bench, _ string) { b.lists(conduct{cutAfter: 200}, lateBy) }},
+		{name: "list answers doubled and crossed", bring: func(b *bench, _ string) { b.lists(conduct{twice: true}, listRead) }},
 		{name: "list " + downForLong, bring: func(b *bench, _ string) {
 			b.platform.SetFaults(platform.Faults{Outage: true})
 			time.Sleep(heldFor)
--- a/internal/program/faults/requests_test.go
+++ b/internal/program/faults/requests_test.go
@@ -52,6 +52,11 @@
 		time.Sleep(time.Second)
 		b.thaw(host)
 	}},
+	{name: "frames after their connection", bring: func(b *bench, host string) {
+		b.links[host].peer.hangUp()
+		time.Sleep(lateBy)
+		b.thaw(host)
+	}},
 	{name: answerLost, bring: func(b *bench, host string) {
 		b.loseAnswers(host)
 		b.links[host].peer.set(conduct{})
@@ -138,10 +143,7 @@
 		b.links[place.Settings.HostID].peer.arm(caught)
 	}
 	return func() string {
-		select {
-		case <-caught.caught:
-		case <-time.After(stepLimit):
-			b.t.Error("the step was not reached")
+		if !caught.wait(b.t) {
 			return ""
 		}
 		for _, place := range b.topology.Places {
@@ -351,8 +353,9 @@
 			b.links[host].platform.arm(caught)
 			first := make(chan seen, 1)
 			go func() { first <- b.book(0, b.admittedID(), b.admittedID()) }()
-			<-caught.caught
-			fault.bring(b, host)
+			if caught.wait(t) {
+				fault.bring(b, host)
+			}
 			before := <-first
 			b.heal()
 			again := b.book(1, b.admittedID(), b.admittedID())
--- a/internal/program/faults/rules_test.go
+++ b/internal/program/faults/rules_test.go
@@ -90,7 +90,7 @@
 )
 
 // hostFaultNames are the faults that come to a host as it joins or leaves.
-var hostFaultNames = []string{killed, frozen, cutOneWay, cutBothWays, answerLost, answerLate, short, platformSlow, downForLong, killedInDown, wokenInDown, lostAndDead}
+var hostFaultNames = []string{killed, frozen, cutOneWay, cutBothWays, answerLost, answerLate, crossed, doubled, short, platformSlow, downForLong, killedInDown, wokenInDown, lostAndDead}
 
 func join(groups ...[]string) []string { return slices.Concat(groups...) }
 
--- a/internal/program/faults/table_test.go
+++ b/internal/program/faults/table_test.go
@@ -38,7 +38,7 @@
 	{steps: one(streamRunning), faults: one(race), because: "a race of operators has one winner before any request sees it"},
 
 	// Weights.
-	{steps: weights, faults: one(killed, frozen, cutOneWay, cutBothWays, answerLost, answerLate, doubled, short, platformDown, platformSlow, downForLong, killedInDown, wokenInDown, lostAndDead), tests: one("program/faults.TestWeightsChange")},
+	{steps: weights, faults: one(killed, frozen, cutOneWay, cutBothWays, answerLost, answerLate, crossed, doubled, short, platformDown, platformSlow, downForLong, killedInDown, wokenInDown, lostAndDead), tests: one("program/faults.TestWeightsChange")},
 	{steps: weights, faults: one(swapFails), tests: one("edge/agent.TestWeightOrders")},
 	{steps: one(weightsSwitched), faults: one(killed), tests: one("edge/agent.TestEngineRestartsWithOldWeights")},
 	{steps: weights, faults: one(race, withdrawn), because: "a version becomes known by one change of head; no key is part of it"},
--- a/internal/program/faults/weights_test.go
+++ b/internal/program/faults/weights_test.go
@@ -33,6 +33,10 @@
 	}},
 	{name: answerLate, bring: func(b *bench, host string) { b.holdAnswers(host, lateBy) }},
 	{name: short, bring: func(b *bench, host string) { b.links[host].server.set(conduct{cutAfter: 10}) }},
+	{name: crossed, bring: func(b *bench, host string) {
+		b.links[host].server.set(conduct{twice: true})
+		time.Sleep(time.Second)
+	}},
 	{name: platformDown, bring: func(b *bench, _ string) { b.platform.Outage(true) }},
 	{name: downForLong, bring: func(b *bench, host string) {
 		b.platform.Outage(true)
@@ -105,7 +109,9 @@
 		b.links[place.Settings.HostID].server.arm(caught)
 	}
 	b.publish()
-	<-caught.caught
+	if !caught.wait(b.t) {
+		return
+	}
 	host := b.holder(caught)
 	var group sync.WaitGroup
 	answers := make([]seen, callsPerCell)
