Lose each relay in turn in the tests of the host list

Since the relays of the host list are chosen apart, both followers of the test follow the second relay, and the loss of the first showed nothing: the tests passed with the other relays left out. They now lose each relay; without the other relays TestRelayGone and TestStaleRelay end with "never: the follower learns the change".

--- a/internal/edge/membership/relay_test.go
+++ b/internal/edge/membership/relay_test.go
@@ -192,10 +192,19 @@
 // What a caller would see: a third of a zone's hosts go on sending to a server that was stopped. The
 // followers of the dead relay turn to the other one.
 func TestRelayGone(t *testing.T) {
+	for _, which := range []int{0, 1} {
+		t.Run(fmt.Sprint("relay ", which), func(t *testing.T) { relayGone(t, which) })
+	}
+}
+
+func relayGone(t *testing.T, which int) {
 	n := newNetwork(t)
 	n.start()
 	_, others, addresses := n.split()
-	n.set(n.cut, addresses[0], true)
+	for _, l := range others {
+		eventually(t, "the list is handed on", func() bool { return l.State().(State).HandedOn })
+	}
+	n.set(n.cut, addresses[which], true)
 	n.stop("entry-00")
 	for _, l := range others {
 		eventually(t, "the follower learns the change", func() bool { return !lists(l, "entry-00") })
@@ -224,25 +233,31 @@
 // What a caller would see: a server that was stopped is live again and gets requests. The relay's list stays
 // behind; its followers turn away from it as it ages, and never take the old list for a newer one.
 func TestStaleRelay(t *testing.T) {
+	for _, which := range []int{0, 1} {
+		t.Run(fmt.Sprint("relay ", which), func(t *testing.T) { staleRelay(t, which) })
+	}
+}
+
+func staleRelay(t *testing.T, which int) {
 	n := newNetwork(t)
 	n.start()
 	relays, others, addresses := n.split()
-	n.set(n.apart, addresses[0], true)
-	n.set(n.mute, addresses[0], true)
-	stale := relays[0]
+	n.set(n.apart, addresses[which], true)
+	n.set(n.mute, addresses[which], true)
+	stale := relays[which]
 	old := stale.current.Load()
 	n.stop("entry-00")
 	for _, l := range others {
 		eventually(t, "the follower learns the change", func() bool { return !lists(l, "entry-00") })
 	}
-	reads := n.readsBy(addresses[1])
+	reads := n.readsBy(addresses[1-which])
 	eventually(t, "the other relay reads on", func() bool {
 		for _, l := range others {
 			if lists(l, "entry-00") {
 				t.Fatal("the stopped host came back")
 			}
 		}
-		return n.readsBy(addresses[1]) > reads+8
+		return n.readsBy(addresses[1-which]) > reads+8
 	})
 	if old.digest != stale.current.Load().digest {
 		t.Error("the stale relay learnt the change; the test shows nothing")
