--- a/internal/program/e2e/cluster_test.go
+++ b/internal/program/e2e/cluster_test.go
@@ -73,13 +73,17 @@
 	return b.text.String()
 }
 
-// newCluster starts all processes of the deployment; they end with the test.
-func newCluster(t testing.TB, deployment scenario.Deployment) *cluster {
+// newCluster starts all processes of the deployment; they end with the test. Changes are made to the
+// settings before the start.
+func newCluster(t testing.TB, deployment scenario.Deployment, changes ...func(*scenario.Topology)) *cluster {
 	t.Helper()
 	topology, err := scenario.NewTopology(deployment, scenario.Addresses())
 	if err != nil {
 		t.Fatal(err)
 	}
+	for _, change := range changes {
+		change(&topology)
+	}
 	c := &cluster{t: t, folder: t.TempDir(), topology: topology, running: map[string]*running{}}
 	t.Cleanup(c.kill)
 	hosts := c.write("hosts.json", topology.Hosts())
--- a/internal/program/e2e/control_test.go
+++ b/internal/program/e2e/control_test.go
@@ -22,9 +22,9 @@
 const withdrawnWithin = 5 * time.Second
 
 // prepared starts a deployment and applies its tickets.
-func prepared(t *testing.T, d scenario.Deployment) *cluster {
+func prepared(t *testing.T, d scenario.Deployment, changes ...func(*scenario.Topology)) *cluster {
 	t.Helper()
-	c := newCluster(t, d)
+	c := newCluster(t, d, changes...)
 	ctx, cancel := context.WithTimeout(context.Background(), playLimit)
 	t.Cleanup(cancel)
 	if err := scenario.NewPlayer(d, c.topology.Targets(), t.Logf).Prepare(ctx); err != nil {
