Run the virtual-time tests side by side

With the table of several jobs go test -race ./internal/core/scenario took 44.7 s of the 45 s that it may take; three of the four tests use one core at a time.

--- a/internal/core/scenario/fleet_test.go
+++ b/internal/core/scenario/fleet_test.go
@@ -206,6 +206,7 @@
 
 // TestServers compares the cost of the servers and the waits of the calls.
 func TestServers(t *testing.T) {
+	t.Parallel()
 	var table strings.Builder
 	table.WriteString("| rule | paid over least | p50 wait | p99 wait | orders an hour | turns an hour |\n|---|---|---|---|---|---|\n")
 	all := rules()
--- a/internal/core/scenario/job_test.go
+++ b/internal/core/scenario/job_test.go
@@ -267,6 +267,7 @@
 
 // TestJobs compares how jobs that are coordinated apart share the engines, one of them near its staleness bound.
 func TestJobs(t *testing.T) {
+	t.Parallel()
 	var table strings.Builder
 	table.WriteString("| sharing | job | steps | mean step | p90 step | trainer idle | mean staleness | discarded a step |\n|---|---|---|---|---|---|---|---|\n")
 	for _, how := range []sharing{arrivalOrder, onePlanner, fairLanes, voidStopped} {
--- a/internal/core/scenario/scenario_test.go
+++ b/internal/core/scenario/scenario_test.go
@@ -153,6 +153,7 @@
 
 // TestScenarios compares what callers receive with the golden table, whose rows docs/DECISIONS.md shows.
 func TestScenarios(t *testing.T) {
+	t.Parallel()
 	var table strings.Builder
 	table.WriteString(header)
 	all := scenarios()
--- a/internal/core/scenario/step_test.go
+++ b/internal/core/scenario/step_test.go
@@ -307,6 +307,7 @@
 
 // TestSteps compares the time of trainers' steps with stragglers, a slow server and a lost one.
 func TestSteps(t *testing.T) {
+	t.Parallel()
 	var table strings.Builder
 	table.WriteString("| policy | mean step | p90 step | mean group | trainer idle | extra work | prompts computed | steps |\n|---|---|---|---|---|---|---|---|\n")
 	for _, v := range variants() {
