Load announced weights first, and switch all servers by one change of the configuration

Cause: agents loaded new weights when they were to serve, each as fast as the weight store's rate let it, so that servers changed version over the time that loading takes. A switch that fails loads again, and an engine that restarted has lost what it had loaded. Not measured at more than eight engines.

--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -109,6 +109,8 @@
 	PrefixCached bool `msgpack:"pc"`
 	// Version is the weight version served; 0 for plain services.
 	Version int `msgpack:"v"`
+	// Prefetched is the newest weight version that the server can switch to at once.
+	Prefetched int `msgpack:"pf"`
 	// Revision is the agent's configuration revision.
 	Revision uint64 `msgpack:"rev"`
 }
--- a/internal/core/ticket/change.go
+++ b/internal/core/ticket/change.go
@@ -51,6 +51,20 @@
 	return head, nil
 }
 
+// WithUpcoming returns the head with a version that servers are to load beside the one they serve. It must be
+// above both that one and any that was announced before.
+func (v *View) WithUpcoming(version ModelVersion) (Head, error) {
+	if err := v.checkModelVersion("modelVersion", version); err != nil {
+		return Head{}, err
+	}
+	if announced, ok := v.Upcoming(version.Model); ok && version.Version <= announced.Version && version != announced {
+		return Head{}, FieldErrors{notAbove("modelVersion", version, announced)}
+	}
+	head := v.head.clone()
+	head.Upcoming[version.Model] = version
+	return head, nil
+}
+
 // with returns a view with the ticket's parts in place of the old ones; its indexes of keys and
 // models are not filled.
 func (v *View) with(t Ticket) *View {
--- a/internal/core/ticket/check.go
+++ b/internal/core/ticket/check.go
@@ -170,6 +170,10 @@
 	if !known || version.Version > current.Version || version == current {
 		return nil
 	}
+	return notAbove(path, version, current)
+}
+
+func notAbove(path string, version, current ModelVersion) *FieldError {
 	return &FieldError{
 		Path: path + ".version", Problem: fmt.Sprintf("version %d of %q is not above %d", version.Version, version.Model, current.Version),
 		Expected: fmt.Sprintf("a version from %d on", current.Version+1),
--- a/internal/core/ticket/delta.go
+++ b/internal/core/ticket/delta.go
@@ -1,5 +1,7 @@
 package ticket
 
+import "maps"
+
 // Delta is what leads from one head to a later one. A head of a thousand organisations takes 100 KB;
 // a relay that sent it to 58 followers at each ticket would send several megabytes.
 type Delta struct {
@@ -10,6 +12,7 @@
 	Parts         map[string]string       `json:"parts,omitempty"`
 	Removed       []string                `json:"removed,omitempty"`
 	ModelVersions map[string]ModelVersion `json:"modelVersions,omitempty"`
+	Upcoming      map[string]ModelVersion `json:"upcoming,omitempty"`
 }
 
 // DeltaTo returns what leads from this head to a later one.
@@ -18,7 +21,8 @@
 		LastTicket:    next.LastTicket,
 		Digests:       next.Digests[max(0, len(next.Digests)-(next.LastTicket-h.LastTicket)):],
 		Parts:         map[string]string{},
-		ModelVersions: map[string]ModelVersion{},
+		ModelVersions: changedVersions(h.ModelVersions, next.ModelVersions),
+		Upcoming:      changedVersions(h.Upcoming, next.Upcoming),
 	}
 	for name, hash := range next.Parts {
 		if h.Parts[name] != hash {
@@ -30,12 +34,18 @@
 			delta.Removed = append(delta.Removed, name)
 		}
 	}
-	for model, version := range next.ModelVersions {
-		if h.ModelVersions[model] != version {
-			delta.ModelVersions[model] = version
+	return delta
+}
+
+// changedVersions returns the versions that differ; a version is never taken out again.
+func changedVersions(old, next map[string]ModelVersion) map[string]ModelVersion {
+	changed := map[string]ModelVersion{}
+	for model, version := range next {
+		if old[model] != version {
+			changed[model] = version
 		}
 	}
-	return delta
+	return changed
 }
 
 // Patch returns the head that the delta leads to.
@@ -50,8 +60,7 @@
 	for _, name := range delta.Removed {
 		delete(next.Parts, name)
 	}
-	for model, version := range delta.ModelVersions {
-		next.ModelVersions[model] = version
-	}
+	maps.Copy(next.ModelVersions, delta.ModelVersions)
+	maps.Copy(next.Upcoming, delta.Upcoming)
 	return next
 }
--- a/internal/core/ticket/head.go
+++ b/internal/core/ticket/head.go
@@ -25,6 +25,9 @@
 	Parts map[string]string `json:"parts,omitempty"`
 	// ModelVersions holds the version to serve by model.
 	ModelVersions map[string]ModelVersion `json:"modelVersions,omitempty"`
+	// Upcoming holds the version that servers are to load beside the one they serve, by model. An entry that is
+	// not above the version to serve has no meaning any more.
+	Upcoming map[string]ModelVersion `json:"upcoming,omitempty"`
 }
 
 // ReadHead decodes the value of the head object. Fields of later releases are ignored, so that
@@ -51,6 +54,10 @@
 	h.Digests = slices.Clone(h.Digests)
 	h.Parts = maps.Clone(h.Parts)
 	h.ModelVersions = maps.Clone(h.ModelVersions)
+	h.Upcoming = maps.Clone(h.Upcoming)
+	if h.Upcoming == nil {
+		h.Upcoming = map[string]ModelVersion{}
+	}
 	if h.Parts == nil {
 		h.Parts = map[string]string{}
 	}
--- a/internal/core/ticket/view.go
+++ b/internal/core/ticket/view.go
@@ -219,6 +219,12 @@
 	return version, ok
 }
 
+// Upcoming returns the version that the model's servers are to load beside the one they serve, if there is one.
+func (v *View) Upcoming(model string) (ModelVersion, bool) {
+	version, ok := v.head.Upcoming[model]
+	return version, ok && version.Version > v.head.ModelVersions[model].Version
+}
+
 // ModelVersions returns the versions of all models, sorted by model.
 func (v *View) ModelVersions() []ModelVersion { return sortedValues(v.head.ModelVersions) }
 
--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -226,6 +226,7 @@
 func (a *Agent) Load() request.Load {
 	load := *a.load.Load()
 	load.Version = a.weights.version()
+	load.Prefetched = a.weights.prefetched()
 	load.Revision = a.deps.View().Revision()
 	return load
 }
--- a/internal/edge/agent/agent_test.go
+++ b/internal/edge/agent/agent_test.go
@@ -65,6 +65,12 @@
 
 // set puts a view in force: organisation name to keys, and the version of the model.
 func (c *configuration) set(t testing.TB, kind ticket.PoolKind, version int, organisations map[string][]string) {
+	t.Helper()
+	c.announce(t, kind, version, 0, organisations)
+}
+
+// announce sets a view with an upcoming version of the weights, 0 for none.
+func (c *configuration) announce(t testing.TB, kind ticket.PoolKind, version, upcoming int, organisations map[string][]string) {
 	t.Helper()
 	head := ticket.Head{Parts: map[string]string{}, ModelVersions: map[string]ticket.ModelVersion{}}
 	parts := map[string][]byte{}
@@ -87,6 +93,9 @@
 	if version > 0 {
 		head.ModelVersions["m"] = ticket.ModelVersion{Model: "m", Version: version, Weights: "w"}
 	}
+	if upcoming > 0 {
+		head.Upcoming = map[string]ticket.ModelVersion{"m": {Model: "m", Version: upcoming, Weights: "w"}}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	revision := uint64(1)
--- a/internal/edge/agent/weights.go
+++ b/internal/edge/agent/weights.go
@@ -34,10 +34,12 @@
 
 // weightState is the published progress of the weight orders.
 type weightState struct {
-	Served    int    `json:"served"`
-	Wanted    int    `json:"wanted"`
-	Failures  int    `json:"failures"`
-	LastError string `json:"lastError,omitempty"`
+	Served int `json:"served"`
+	Wanted int `json:"wanted"`
+	// Prefetched is the newest version that was loaded beside the one that serves.
+	Prefetched int    `json:"prefetched"`
+	Failures   int    `json:"failures"`
+	LastError  string `json:"lastError,omitempty"`
 }
 
 func newWeights(config Config, deps Dependencies) *weights {
@@ -56,7 +58,7 @@
 		changed := w.deps.Changed()
 		target, ok := w.target()
 		if !ok || target.Version == w.version() {
-			if !w.waitFor(ctx, changed, 0) {
+			if !w.waitFor(ctx, changed, w.prefetch(ctx, changed)) {
 				return
 			}
 			continue
@@ -105,6 +107,52 @@
 	return view.ModelVersion(pool.Model)
 }
 
+// prefetched is the newest version that the engine can switch to at once.
+func (w *weights) prefetched() int { return w.state.Load().Prefetched }
+
+// upcoming is the version to load beside the one that serves.
+func (w *weights) upcoming() (ticket.ModelVersion, bool) {
+	view := w.deps.View()
+	pool, ok := view.Pool(w.config.Pool)
+	if !ok || pool.Kind != ticket.KindModel {
+		return ticket.ModelVersion{}, false
+	}
+	version, ok := view.Upcoming(pool.Model)
+	return version, ok && version.Version > w.prefetched()
+}
+
+// prefetch loads the upcoming version while the old one serves, and returns after which pause to try
+// again; 0 is at the next change.
+//
+// Load pattern: new weights for every server of a model at the same time, from a store with a rate limit.
+// Without it each server would load when it is told to switch, and they would change version over minutes. The switch
+// of all follows by one change of the configuration, when nearly all have loaded.
+func (w *weights) prefetch(ctx context.Context, changed <-chan struct{}) time.Duration {
+	version, ok := w.upcoming()
+	if !ok {
+		return 0
+	}
+	if pause := w.spread(); pause > 0 && !w.waitFor(ctx, changed, pause) {
+		return 0
+	}
+	order := WeightOrder{
+		Kind:    OrderPrefetch,
+		Model:   version.Model,
+		Version: version.Version,
+		Weights: version.Weights,
+		Fencing: w.deps.View().Revision(),
+	}
+	if err := w.order(ctx, order); err != nil {
+		w.failed(order, err)
+		return w.backoff()
+	}
+	w.update(func(s *weightState) {
+		s.Prefetched = version.Version
+		s.Failures = 0
+	})
+	return 0
+}
+
 // swap prefetches and switches; false if it has to be tried again.
 func (w *weights) swap(ctx context.Context, changed <-chan struct{}, target ticket.ModelVersion) bool {
 	w.update(func(s *weightState) { s.Wanted = target.Version })
@@ -115,17 +163,23 @@
 		Weights: target.Weights,
 		Fencing: w.deps.View().Revision(),
 	}
-	if pause := w.spread(); pause > 0 && !w.waitFor(ctx, changed, pause) {
+	kinds := []OrderKind{OrderPrefetch, OrderSwitch}
+	if w.prefetched() >= target.Version {
+		kinds = []OrderKind{OrderSwitch}
+	}
+	if pause := w.spread(); len(kinds) > 1 && pause > 0 && !w.waitFor(ctx, changed, pause) {
 		return false
 	}
-	for _, kind := range []OrderKind{OrderPrefetch, OrderSwitch} {
+	for _, kind := range kinds {
 		order.Kind = kind
 		if err := w.order(ctx, order); err != nil {
 			w.failed(order, err)
 			return false
 		}
 	}
-	w.update(func(s *weightState) { *s = weightState{Served: target.Version, Wanted: target.Version} })
+	w.update(func(s *weightState) {
+		*s = weightState{Served: target.Version, Wanted: target.Version, Prefetched: max(s.Prefetched, target.Version)}
+	})
 	return true
 }
 
@@ -139,6 +193,8 @@
 	w.deps.Logger.Warn().Err(err).Str("kind", string(order.Kind)).Int("version", order.Version).
 		Msg("weight order failed")
 	w.update(func(s *weightState) {
+		// An engine that can't switch may have lost what it had loaded: the next try loads again.
+		s.Prefetched = 0
 		s.Failures++
 		s.LastError = err.Error()
 	})
@@ -211,7 +267,8 @@
 	if differing+1 < lostAfter {
 		return differing + 1
 	}
-	w.update(func(s *weightState) { s.Served = version })
+	// What it had loaded beside its weights went with its restart.
+	w.update(func(s *weightState) { s.Served, s.Prefetched = version, version })
 	select {
 	case w.lost <- struct{}{}:
 	default:
--- a/internal/edge/agent/weights_test.go
+++ b/internal/edge/agent/weights_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 
@@ -128,3 +129,37 @@
 		t.Errorf("the engine serves version %d", engine.version)
 	}
 }
+
+// New weights are announced before they are to serve, so that all servers can switch within seconds. The
+// agent must have them loaded while the old ones serve, and give only the switch when the version is to serve.
+func TestAnnouncedWeightsAreLoadedFirst(t *testing.T) {
+	organisations := map[string][]string{"a": {testKey}}
+	engine := &fakeEngine{ordered: make(chan struct{}, 100), cancelled: make(chan string, 10)}
+	b := &bench{config: &configuration{}, engine: engine}
+	b.config.set(t, ticket.KindModel, 0, organisations)
+	startBench(t, b, ticket.KindModel)
+	b.config.announce(t, ticket.KindModel, 6, 7, organisations)
+	for range 3 {
+		<-engine.ordered
+	}
+	for b.agent.Load().Prefetched != 7 {
+		b.untilQueued(t, 0)
+	}
+	if served := b.agent.Load().Version; served != 6 {
+		t.Errorf("version %d serves before the switch", served)
+	}
+	b.config.set(t, ticket.KindModel, 7, organisations)
+	<-engine.ordered
+	for b.agent.Load().Version != 7 {
+		b.untilQueued(t, 0)
+	}
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	kinds := []string{}
+	for _, order := range engine.orders {
+		kinds = append(kinds, fmt.Sprintf("%s %d", order.Kind, order.Version))
+	}
+	if diff := cmp.Diff([]string{"prefetch 6", "switch 6", "prefetch 7", "switch 7"}, kinds); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/edge/configuration/proposal.go
+++ b/internal/edge/configuration/proposal.go
@@ -65,6 +65,23 @@
 		"ticket %d may have been accepted; send the same ticket again: %v", n.number, cause)
 }
 
+// announced is a model version that servers are to load beside the one they serve.
+type announced struct{ versioned }
+
+func (a *announced) decide(view *ticket.View, _ time.Time, doubted bool) (decision, error) {
+	if upcoming, ok := view.Upcoming(a.version.Model); ok && upcoming == a.version {
+		return decision{done: true}, nil
+	}
+	if current, ok := view.ModelVersion(a.version.Model); ok && current == a.version {
+		return decision{done: true}, nil
+	}
+	head, err := view.WithUpcoming(a.version)
+	if err == nil {
+		return decision{change: ticket.Change{Head: head}}, nil
+	}
+	return a.refuse(view, err, doubted)
+}
+
 // versioned is a model version that is published without a ticket.
 type versioned struct{ version ticket.ModelVersion }
 
@@ -77,6 +94,12 @@
 	if err == nil {
 		return decision{change: ticket.Change{Head: head}}, nil
 	}
+	return v.refuse(view, err, doubted)
+}
+
+// refuse says why the version can't be taken; one that was replaced by a later one meanwhile may have been taken.
+func (v *versioned) refuse(view *ticket.View, err error, doubted bool) (decision, error) {
+	current, known := view.ModelVersion(v.version.Model)
 	if known && v.version.Version <= current.Version && doubted {
 		return decision{}, v.unsettled(errSuperseded)
 	}
--- a/internal/edge/configuration/publisher.go
+++ b/internal/edge/configuration/publisher.go
@@ -74,14 +74,30 @@
 	return p.commit(ctx, &numbered{number: number, ticket: t, digest: digest, early: p.clock().Add(earlyWait)})
 }
 
+// AnnounceModelVersion lets a model's servers load a version beside the one they serve. PublishModelVersion then
+// makes them switch by one change of the head.
+func (p *Publisher) AnnounceModelVersion(ctx context.Context, version ticket.ModelVersion) error {
+	if err := validVersion(version); err != nil {
+		return err
+	}
+	return p.commit(ctx, &announced{versioned{version: version}})
+}
+
 // PublishModelVersion sets the version that a model's servers are to serve, without a ticket. Versions
 // only grow; the version that is set already is accepted again without effect.
 func (p *Publisher) PublishModelVersion(ctx context.Context, version ticket.ModelVersion) error {
+	if err := validVersion(version); err != nil {
+		return err
+	}
+	return p.commit(ctx, &versioned{version: version})
+}
+
+func validVersion(version ticket.ModelVersion) error {
 	single := ticket.Ticket{ModelVersions: []ticket.ModelVersion{version}}
 	if err := single.Validate(); err != nil {
 		return verdict.New(verdict.NotRun, http.StatusBadRequest, verdict.ReasonBadRequest, 0, "%v", err)
 	}
-	return p.commit(ctx, &versioned{version: version})
+	return nil
 }
 
 // decision is what a proposal makes of the present configuration.
--- a/internal/program/process/entry.go
+++ b/internal/program/process/entry.go
@@ -23,6 +23,7 @@
 	entry     *entry.Entry
 	trainers  *trainer.Coordinator
 	duties    *duties
+	weights   *weightSwitch
 	peers     *peer.Server
 	admin     *admin.Server
 }
@@ -58,6 +59,7 @@
 	p.publisher = configuration.NewPublisher(r.platform, configuration.WithFollower(p.follower))
 	metrics := entry.NewMetrics(r.registry)
 	p.duties = newDuties(ctx, r, p.follower)
+	p.weights = newWeightSwitch(ctx, r, p.follower, p.publisher, p.duties.keeper(ctx, dutyWeightSwitch, ""))
 	r.registerState(p.follower, p.duties.usage.collector)
 	p.duties.registerDuties()
 	dispatcher := entry.NewDispatcher(entry.DispatcherConfig{
@@ -123,6 +125,7 @@
 	p.cancel()
 	p.entry.Wait()
 	p.trainers.Wait()
+	p.weights.wait()
 	p.duties.wait()
 	p.admin.Wait()
 	p.runtime.client.Wait()
--- a/internal/program/process/trainers.go
+++ b/internal/program/process/trainers.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
 	"github.com/oleandershelf/oleandershelf/internal/edge/configuration"
 	"github.com/oleandershelf/oleandershelf/internal/edge/entry"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
@@ -15,17 +16,23 @@
 // newCoordinator starts the coordinator of trainer jobs at this entry.
 func (r *runtime) newCoordinator(ctx context.Context, keepers *keepers, follower *configuration.Follower, publisher *configuration.Publisher, generator *entry.SampleGenerator) *trainer.Coordinator {
 	coordinator := trainer.New(ctx, trainer.Deps{
-		Store:               r.platform,
-		View:                func() trainer.Configuration { return follower.View() },
-		Generator:           generator,
-		Scorer:              generator,
-		Copier:              trainer.NewPeerCopier(r.client, r.copyHosts),
-		Forwarder:           trainer.NewPeerForwarder(r.client),
-		Fresh:               follower.Fresh,
-		Lease:               keepers.newJobLease,
-		Self:                r.set.PeerListen,
-		Secret:              []byte(r.set.PeerSecret),
-		PublishModelVersion: publisher.PublishModelVersion,
+		Store:     r.platform,
+		View:      func() trainer.Configuration { return follower.View() },
+		Generator: generator,
+		Scorer:    generator,
+		Copier:    trainer.NewPeerCopier(r.client, r.copyHosts),
+		Forwarder: trainer.NewPeerForwarder(r.client),
+		Fresh:     follower.Fresh,
+		Lease:     keepers.newJobLease,
+		Self:      r.set.PeerListen,
+		Secret:    []byte(r.set.PeerSecret),
+		PublishModelVersion: func(ctx context.Context, version ticket.ModelVersion) error {
+			// The first version of a model has nothing to serve beside it.
+			if _, serving := follower.View().ModelVersion(version.Model); !serving {
+				return publisher.PublishModelVersion(ctx, version)
+			}
+			return publisher.AnnounceModelVersion(ctx, version)
+		},
 	}, trainer.WithRegisterer(r.registry))
 	coordinator.RegisterPeer(r.peers)
 	return coordinator
