End a process that is ended right after its start

A shutdown of the HTTP server does nothing before the server accepts connections; begun after it, the server served for ever and the process never ended. The listener is now closed after the shutdown, at the admin server and at the entry.

--- a/internal/edge/admin/admin.go
+++ b/internal/edge/admin/admin.go
@@ -45,6 +45,9 @@
 		<-ctx.Done()
 		// An admin request still open after the time limit is cut: it changes nothing.
 		_ = s.app.ShutdownWithTimeout(shutdownTime)
+		// Guard: a shutdown that comes before the server accepts connections does nothing, and the process would
+		// never end; without its listener the server ends when it begins.
+		_ = l.Close()
 	})
 	return s
 }
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -103,6 +103,9 @@
 	e.work.Go(func() {
 		<-ctx.Done()
 		_ = e.app.ShutdownWithTimeout(keepAliveGrace)
+		// Guard: a shutdown that comes before the server accepts connections does nothing, and the process would
+		// never end; without its listener the server ends when it begins.
+		_ = l.Close()
 	})
 	e.work.Go(func() { e.followOrganisations(ctx) })
 	return e
