Let a straggler's second run go on from the tokens of the first

Cause: a hedge began anew, since the coordinator knows only how many tokens the running call has, not which. The entry has them. Trainers are also told the version of the first new token, so that generations which a new version made void are stopped.

--- a/internal/edge/entry/generator.go
+++ b/internal/edge/entry/generator.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/gofiber/fiber/v3"
 
@@ -22,10 +24,16 @@
 type SampleGenerator struct {
 	dispatcher *Dispatcher
 	view       func() *ticket.View
-	// running holds the host that runs a sample, by sample id.
+	// running holds the first run of each sample in work, by sample id.
 	running sync.Map
 }
 
+// sampleRun is what a second run of a sample needs to know of the first.
+type sampleRun struct {
+	hostID atomic.Pointer[string]
+	tokens atomic.Pointer[[]backendserver.Token]
+}
+
 // NewSampleGenerator returns a generator over the dispatcher.
 func NewSampleGenerator(d *Dispatcher, view func() *ticket.View) *SampleGenerator {
 	return &SampleGenerator{dispatcher: d, view: view}
@@ -41,9 +49,19 @@
 	if err != nil {
 		return ask.Resume, err
 	}
-	g := newGeneration(ask.Prompt, ask.MaxTokens, 0, engineTokens(ask.Resume))
+	first := s.firstRun(ask)
+	g := newGeneration(ask.Prompt, ask.MaxTokens, 0, resumeFrom(ask, first))
 	g.sampleID = ask.SampleID
-	g.onToken = func(backendserver.Token) error {
+	began := false
+	g.onToken = func(token backendserver.Token) error {
+		if !began && ask.Began != nil {
+			ask.Began(token.Version)
+		}
+		began = true
+		if !ask.Hedge {
+			tokens := g.tokens
+			first.tokens.Store(&tokens)
+		}
 		if ask.Progress != nil {
 			ask.Progress(len(g.tokens))
 		}
@@ -53,8 +71,12 @@
 		defer s.running.Delete(ask.SampleID)
 	}
 	err = s.dispatcher.run(ctx, call{
-		avoid:        s.avoid(ask),
-		placed:       func(hostID string) { s.placed(ask, hostID) },
+		avoid: avoid(ask, first),
+		placed: func(hostID string) {
+			if !ask.Hedge {
+				first.hostID.Store(&hostID)
+			}
+		},
 		organisation: ask.Organisation,
 		keyHash:      keyHash,
 		pool:         pool,
@@ -67,19 +89,34 @@
 	return sampleTokens(g.tokens), err
 }
 
-// avoid returns the host of a straggler's first run, so that the second goes elsewhere.
-func (s *SampleGenerator) avoid(ask trainer.GenerateRequest) []string {
-	hostID, ok := s.running.Load(ask.SampleID)
-	if !ok || !ask.Hedge {
-		return nil
+// firstRun returns the sample's first run, which this call is unless it is a hedge.
+func (s *SampleGenerator) firstRun(ask trainer.GenerateRequest) *sampleRun {
+	run := &sampleRun{}
+	if !ask.Hedge {
+		s.running.Store(ask.SampleID, run)
+		return run
+	}
+	if known, ok := s.running.Load(ask.SampleID); ok {
+		return known.(*sampleRun)
 	}
-	return []string{hostID.(string)}
+	return run
 }
 
-func (s *SampleGenerator) placed(ask trainer.GenerateRequest, hostID string) {
-	if !ask.Hedge {
-		s.running.Store(ask.SampleID, hostID)
+// resumeFrom returns the tokens to go on from: a straggler's second run need not make again what the first has.
+func resumeFrom(ask trainer.GenerateRequest, first *sampleRun) []backendserver.Token {
+	resume := engineTokens(ask.Resume)
+	if tokens := first.tokens.Load(); ask.Hedge && tokens != nil && len(*tokens) > len(resume) {
+		return slices.Clone(*tokens)
+	}
+	return resume
+}
+
+// avoid returns the host of a straggler's first run, so that the second goes elsewhere.
+func avoid(ask trainer.GenerateRequest, first *sampleRun) []string {
+	if hostID := first.hostID.Load(); ask.Hedge && hostID != nil {
+		return []string{*hostID}
 	}
+	return nil
 }
 
 // keyHash returns the hash of a key that the organisation holds now.
--- a/internal/edge/trainer/schedule.go
+++ b/internal/edge/trainer/schedule.go
@@ -77,7 +77,7 @@
 
 func newSchedule(slots int) *schedule {
 	return &schedule{
-		planner:   rollout.NewPlanner(rollout.WithWholeCopies()),
+		planner:   rollout.NewPlanner(),
 		slots:     slots,
 		positions: map[string]int{},
 		calls:     map[string][]task{},
