--- a/internal/edge/configuration/route.go
+++ b/internal/edge/configuration/route.go
@@ -14,6 +14,7 @@
 	relaysPerZone = 2
 	// neighbourZones is how many other zones' relays are the second choice.
 	neighbourZones = 2
+	relayPurpose   = "relay/"
 )
 
 // route is where the configuration comes from, as the host list has it now.
@@ -43,7 +44,7 @@
 	if f.exchange == nil {
 		return route{}
 	}
-	relays := zoneRelays(f.directory.Entries())
+	relays := membership.ZoneRelays(relayPurpose, f.directory.Entries(), relaysPerZone)
 	r := route{}
 	for _, zone := range nearestFirst(relays, f.self.AvailabilityZone) {
 		for _, host := range relays[zone] {
@@ -77,21 +78,6 @@
 	return near
 }
 
-// zoneRelays returns the relays of each availability zone.
-func zoneRelays(entries []platform.Host) map[string][]platform.Host {
-	zones := map[string][]platform.Host{}
-	for _, entry := range entries {
-		if entry.State == platform.HostLive {
-			zones[entry.AvailabilityZone] = append(zones[entry.AvailabilityZone], entry)
-		}
-	}
-	for zone, hosts := range zones {
-		ranked := membership.Rank("relay/"+zone, hosts)
-		zones[zone] = ranked[:min(relaysPerZone, len(ranked))]
-	}
-	return zones
-}
-
 // nearestFirst returns the zones by name, starting with the own one, so that the second choices of
 // different zones are spread over all zones.
 func nearestFirst(relays map[string][]platform.Host, own string) []string {
--- a/internal/edge/membership/rank.go
+++ b/internal/edge/membership/rank.go
@@ -62,3 +62,18 @@
 	}
 	return found
 }
+
+// ZoneRelays returns the first count live entries of each availability zone for the purpose.
+func ZoneRelays(purpose string, entries []platform.Host, count int) map[string][]platform.Host {
+	zones := map[string][]platform.Host{}
+	for _, entry := range entries {
+		if entry.State == platform.HostLive {
+			zones[entry.AvailabilityZone] = append(zones[entry.AvailabilityZone], entry)
+		}
+	}
+	for zone, hosts := range zones {
+		ranked := Rank(purpose+zone, hosts)
+		zones[zone] = ranked[:min(count, len(ranked))]
+	}
+	return zones
+}
--- a/internal/edge/membership/relay.go
+++ b/internal/edge/membership/relay.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
-	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
 )
 
 const (
@@ -84,7 +83,7 @@
 	if l.exchange == nil {
 		return r
 	}
-	relays := zoneRelays(l.current.Load().entries)
+	relays := ZoneRelays(relayPurpose, l.current.Load().entries, relaysPerZone)
 	zones := slices.Sorted(maps.Keys(relays))
 	at, own := slices.BinarySearch(zones, l.self.AvailabilityZone)
 	for _, zone := range zones {
@@ -110,18 +109,3 @@
 	}
 	return r
 }
-
-// zoneRelays returns the relays of each availability zone.
-func zoneRelays(entries []platform.Host) map[string][]platform.Host {
-	zones := map[string][]platform.Host{}
-	for _, entry := range entries {
-		if entry.State == platform.HostLive {
-			zones[entry.AvailabilityZone] = append(zones[entry.AvailabilityZone], entry)
-		}
-	}
-	for zone, hosts := range zones {
-		ranked := Rank(relayPurpose+zone, hosts)
-		zones[zone] = ranked[:min(relaysPerZone, len(ranked))]
-	}
-	return zones
-}
--- a/internal/edge/membership/relay_test.go
+++ b/internal/edge/membership/relay_test.go
@@ -127,7 +127,7 @@
 
 // split returns the relays and the others of lakeside.
 func (n *network) split() (relays, others []*List, addresses []netip.AddrPort) {
-	for _, host := range zoneRelays(n.hosts)["lakeside"] {
+	for _, host := range ZoneRelays(relayPurpose, n.hosts, relaysPerZone)["lakeside"] {
 		addresses = append(addresses, host.PeerAddress)
 		relays = append(relays, n.lists[host.PeerAddress])
 	}
