--- a/internal/program/process/agent.go
+++ b/internal/program/process/agent.go
@@ -64,6 +64,7 @@
 		ServerURL:        set.ServerURL,
 		Incarnation:      r.incarnation,
 		UsageWindow:      set.UsageWindow,
+		PrefetchSpread:   set.WeightSpread,
 	}, agent.Dependencies{
 		View:       p.follower.View,
 		Changed:    p.follower.Changed,
--- a/internal/program/settings/field.go
+++ b/internal/program/settings/field.go
@@ -53,6 +53,7 @@
 	"usageWindow":        {`a duration of whole seconds, such as "1h"`, setUsageWindow},
 	"leaveDelay":         {wantTime, duration(func(s *Settings) *time.Duration { return &s.LeaveDelay })},
 	"drainTime":          {wantTime, duration(func(s *Settings) *time.Duration { return &s.DrainTime })},
+	"weightSpread":       {wantTime, duration(func(s *Settings) *time.Duration { return &s.WeightSpread })},
 	"bodyLimitBytes":     {`a whole number of bytes from 1024 to 1073741824`, setBodyLimit},
 }
 
--- a/internal/program/settings/settings.go
+++ b/internal/program/settings/settings.go
@@ -48,6 +48,9 @@
 	// Pool and ServerURL name the agent's backend server.
 	Pool      string
 	ServerURL string
+	// WeightSpread is the time over which the agents of a model load announced weights, each at its own
+	// moment, so that a rate-limited weight store isn't asked by all at once; 0 is at once.
+	WeightSpread time.Duration
 	// PeerSecret is shared by all processes of one deployment.
 	PeerSecret string
 	// TLSCertificateFile, TLSKeyFile and TLSAuthorityFile turn on TLS between processes.
@@ -99,7 +102,7 @@
 	switch role {
 	case RoleEntry:
 		required = append(required, "listen")
-		doc.refuseFor(role, "pool", "serverUrl")
+		doc.refuseFor(role, "pool", "serverUrl", "weightSpread")
 	case RoleAgent:
 		required = append(required, "pool", "serverUrl")
 		doc.refuseFor(role, "listen", "operatorKeyHashes", "bodyLimitBytes")
