--- a/internal/program/process/duties.go
+++ b/internal/program/process/duties.go
@@ -2,84 +2,73 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
-	"github.com/oleandershelf/oleandershelf/internal/edge/duty"
+	"github.com/oleandershelf/oleandershelf/internal/core/usage"
+	"github.com/oleandershelf/oleandershelf/internal/edge/billing"
+	"github.com/oleandershelf/oleandershelf/internal/edge/configuration"
+	"github.com/oleandershelf/oleandershelf/internal/edge/entry"
+	"github.com/oleandershelf/oleandershelf/internal/edge/fleet"
 )
 
-// releaseTime bounds the release of all duties, which takes a write each.
-const releaseTime = 3 * time.Second
+// Names of duties.
+const (
+	dutyServerOrders = "serverOrders/"
+	dutyUsage        = "usage/0"
+	dutyTrainerJob   = "trainerJob/"
+	dutyRecords      = "idempotencyRecords"
+)
 
-// keepers starts and keeps the keepers of the duties for which this host is a contender.
-//
-// A keeper reads its lease object every few seconds. With a keeper for every duty on each of 380 entries the
-// platform would see thousands of reads a second; with three contenders a duty it sees about a hundred.
-type keepers struct {
-	runtime *runtime
-	mu      sync.Mutex
-	byName  map[string]*duty.Keeper
-	work    conc.WaitGroup
+// duties are what an entry does under lease beside serving.
+type duties struct {
+	*keepers
+	fleet *fleet.Runner
+	usage *gatherer
+	// closer closes usage windows; one host does it for all organisations.
+	closer  *billing.Closer
+	records *entry.RecordSweeper
 }
 
-func newKeepers(r *runtime) *keepers {
-	k := &keepers{runtime: r, byName: map[string]*duty.Keeper{}}
-	k.serveHolders(r.peers)
-	return k
+// newDuties starts the duties of an entry; each acts only while its lease is held.
+func newDuties(ctx context.Context, r *runtime, follower *configuration.Follower) *duties {
+	d := &duties{keepers: newKeepers(r), usage: r.newGatherer(ctx)}
+	own := r.set.AvailabilityZone
+	seen := zone{name: own, runtime: r, follower: follower}
+	d.fleet = fleet.New(ctx, own, r.set.HostID, fleet.Deps{
+		Keeper: plainKeeper{d.keeper(ctx, dutyServerOrders+own, own)},
+		Orders: r.platform,
+		Gather: seen.gather,
+		Drain:  seen.drain,
+	}, fleet.WithLogger(r.log))
+	d.closer = billing.NewCloser(ctx, r.platform, plainKeeper{d.keeper(ctx, dutyUsage, "")},
+		billing.WithCloserWindow(r.set.UsageWindow), billing.WithGrace(usageGrace(r.set.UsageWindow)), billing.WithCloserLog(r.log))
+	d.records = entry.NewRecordSweeper(ctx, r.platform, plainKeeper{d.keeper(ctx, dutyRecords, "")}, r.log)
+	return d
 }
 
-// keeper returns the keeper of the duty, started at the first call.
-func (k *keepers) keeper(ctx context.Context, name, zone string) *duty.Keeper {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if known, ok := k.byName[name]; ok {
-		return known
-	}
-	started := k.runtime.keeper(ctx, name, zone)
-	k.byName[name] = started
-	return started
-}
+// usageGrace is how long after its end a window is closed: counts are gathered every 3 s and flushed every 5 s,
+// so what ran is in the platform within 10 s; later counts are carried over. A window shorter than that waits its own length.
+func usageGrace(window time.Duration) time.Duration { return min(window, maxUsageGrace) }
 
-// release gives up all duties, so that a successor need not wait for the terms to pass.
-func (k *keepers) release(ctx context.Context) {
-	// Without the platform a lease can't be given up; its term then runs out by itself.
-	ctx, cancel := context.WithTimeout(ctx, releaseTime)
-	defer cancel()
-	var releases conc.WaitGroup
-	for _, keeper := range k.all() {
-		releases.Go(func() {
-			if err := keeper.Release(ctx); err != nil {
-				k.runtime.log.Warn().Err(err).Msg("release duty")
-			}
-		})
-	}
-	releases.Wait()
-}
+const maxUsageGrace = 30 * time.Second
 
-func (k *keepers) all() map[string]*duty.Keeper {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	all := make(map[string]*duty.Keeper, len(k.byName))
-	for name, keeper := range k.byName {
-		all[name] = keeper
-	}
-	return all
-}
+// counted takes the usage counter of an answer, so that two hosts hold it before the caller sees the end.
+func (d *duties) counted(count usage.Count) { d.usage.collector.Merge(count) }
 
-func (k *keepers) wait() {
-	k.work.Wait()
-	for _, keeper := range k.all() {
-		keeper.Wait()
-	}
+func (d *duties) wait() {
+	d.keepers.wait()
+	d.fleet.Wait()
+	d.usage.wait()
+	d.closer.Wait()
+	d.records.Wait()
 }
 
-// state is the dump of all duties, by name.
-func (k *keepers) state() any {
-	states := map[string]any{}
-	for name, keeper := range k.all() {
-		states[name] = keeper.State()
+// state is the dump of all duties.
+func (d *duties) state() any {
+	return map[string]any{
+		"leases":       d.keepers.state(),
+		"serverOrders": d.fleet.State(),
+		"usage":        d.usage.collector.State(),
+		"usageCloser":  d.closer.State(),
 	}
-	return states
 }
