--- a/internal/program/process/duties.go
+++ b/internal/program/process/duties.go
@@ -46,8 +46,8 @@
 	return d
 }
 
-// usageGrace is how long after its end a window is closed: counts are gathered every 3 s and flushed every 5 s,
-// so what ran is in the platform within 10 s; later counts are carried over. A window shorter than that waits its own length.
+// usageGrace is how long after its end a window is closed: counts are gathered every 3 s and flushed every 15 s at most,
+// so what ran is in the platform within 18 s; later counts are carried over. A window shorter than that waits its own length.
 func usageGrace(window time.Duration) time.Duration { return min(window, maxUsageGrace) }
 
 const maxUsageGrace = 30 * time.Second
