--- a/internal/program/settings/settings_test.go
+++ b/internal/program/settings/settings_test.go
@@ -69,3 +69,31 @@
 		})
 	}
 }
+
+// Whatever stands in a settings file, the process must not end by a panic, an error must name the file, and
+// settings without an error must have all that their role needs.
+func FuzzParse(f *testing.F) {
+	files, err := filepath.Glob("testdata/broken/*.json")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, file := range append(files, "../../../examples/sahil/entry.json") {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		set, err := Parse("fuzz.json", data, RoleEntry)
+		if err != nil {
+			if !strings.HasPrefix(err.Error(), "fuzz.json") {
+				t.Errorf("the error doesn't name the file: %v", err)
+			}
+			return
+		}
+		if set.HostID == "" || !set.Listen.IsValid() || !set.PeerListen.IsValid() || set.PeerSecret == "" {
+			t.Errorf("accepted without what an entry needs: %q", data)
+		}
+	})
+}
