Pass on the path and query of a plain call as they came

Cause: the entry passed on the path and query as it had read them, without the caller's escapes. Tried against separate processes: /a%20b was answered 400 by the backend server (its request line could not be read), /a%3Fx=1 began a query behind the check for keys, /a/ lost its slash, and /search/../bookings counted as a path that may be repeated, as did /searches. Request-Timeout: NaN was taken, and the call failed with 503 serverLost. Ruled out: a second request in the path; the HTTP library writes spaces for line breaks. Conclusion: the target goes on byte for byte, less parameters that hold a key; '.' and '..' segments are refused.

--- a/internal/edge/entry/generate.go
+++ b/internal/edge/entry/generate.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	if err := refuseKeyInContent("", []byte(body.Prompt), e.keyFinder(from)); err != nil {
+	if err := refuseKeyInContent(body.Prompt, e.keyFinder(from)); err != nil {
 		return err
 	}
 	end, err := deadline(c, time.Now())
--- a/internal/edge/entry/header.go
+++ b/internal/edge/entry/header.go
@@ -4,14 +4,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
-	"net/url"
 	"sort"
 	"strings"
 
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/request"
-	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 )
 
 // forwardedHeaders is the whole list of request headers that reach a backend server. A list of what
@@ -28,11 +26,6 @@
 	"Last-Modified": true, "Location": true, "Retry-After": true, "Vary": true, "X-Request-Id": true,
 }
 
-// keyParameters are query parameters that commonly hold keys; they never go on.
-var keyParameters = map[string]bool{
-	"key": true, "apikey": true, "api_key": true, "api-key": true, "access_token": true, "token": true, "authorization": true,
-}
-
 const headerIdempotencyKey = "Idempotency-Key"
 
 // isKey says whether text is or holds a caller's key.
@@ -68,43 +61,6 @@
 	return fields
 }
 
-// forwardQuery returns the query without parameters that hold a key, sorted by name.
-func forwardQuery(raw string, holdsKey isKey) (string, error) {
-	values, err := url.ParseQuery(raw)
-	if err != nil {
-		return "", badRequest("the query can't be read: %v", err)
-	}
-	for name, all := range values {
-		if keyParameters[strings.ToLower(name)] || holdsKey(name) || anyHolds(all, holdsKey) {
-			values.Del(name)
-		}
-	}
-	return values.Encode(), nil
-}
-
-func anyHolds(values []string, holdsKey isKey) bool {
-	for _, value := range values {
-		if holdsKey(value) {
-			return true
-		}
-	}
-	return false
-}
-
-// refuseKeyInContent refuses a request whose path or body holds the presented key: dropping
-// part of a body would change what the caller asked for.
-func refuseKeyInContent(path string, body []byte, holdsKey isKey) error {
-	for segment := range strings.SplitSeq(path, "/") {
-		if segment != "" && holdsKey(segment) {
-			return verdict.New(verdict.NotRun, http.StatusBadRequest, verdict.ReasonBadRequest, 0, "the path holds a key")
-		}
-	}
-	if holdsKey(string(body)) {
-		return verdict.New(verdict.NotRun, http.StatusBadRequest, verdict.ReasonBadRequest, 0, "the body holds a key")
-	}
-	return nil
-}
-
 // returnHeaders picks the answer headers that go back to the caller, sorted by name.
 func returnHeaders(fields []request.HeaderField) []request.HeaderField {
 	kept := make([]request.HeaderField, 0, len(fields))
--- a/internal/edge/entry/header_test.go
+++ b/internal/edge/entry/header_test.go
@@ -86,6 +86,7 @@
 		{"model pool as a service", "/v1/services/draftmodel/x", nil, http.StatusNotFound, verdict.ReasonNotFound},
 		{"unknown path", "/v2", nil, http.StatusNotFound, verdict.ReasonNotFound},
 		{"bad timeout", "/v1/services/billdesk/x", []string{"Request-Timeout", "soon"}, http.StatusBadRequest, verdict.ReasonBadRequest},
+		{"timeout not a number", "/v1/services/billdesk/x", []string{"Request-Timeout", "NaN"}, http.StatusBadRequest, verdict.ReasonBadRequest},
 		{"timeout too long", "/v1/services/billdesk/x", []string{"Request-Timeout", "86400"}, http.StatusBadRequest, verdict.ReasonBadRequest},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/edge/entry/service.go
+++ b/internal/edge/entry/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -84,29 +83,31 @@
 	if err != nil {
 		return request.Execute{}, err
 	}
-	path, err := url.PathUnescape(c.Params("*"))
+	path, err := forwardPath(string(c.Request().URI().PathOriginal()), holdsKey)
 	if err != nil {
-		return request.Execute{}, badRequest("the path can't be read: %v", err)
+		return request.Execute{}, err
 	}
 	body := slices.Clone(c.Body())
-	if err := refuseKeyInContent(path, body, holdsKey); err != nil {
+	if err := refuseKeyInContent(string(body), holdsKey); err != nil {
 		return request.Execute{}, err
 	}
 	return request.Execute{
 		Method: c.Method(),
-		Path:   "/" + path,
+		Path:   path,
 		Query:  query,
 		Header: forwardHeaders(c, holdsKey),
 		Body:   body,
 	}, nil
 }
 
+// isIdempotent compares the path as it came: one that is written with escapes counts as not listed.
 func isIdempotent(pool ticket.Pool, message request.Execute) bool {
 	if slices.Contains(idempotentMethods, message.Method) {
 		return true
 	}
-	return slices.ContainsFunc(pool.IdempotentPaths, func(prefix string) bool {
-		return strings.HasPrefix(message.Path, prefix)
+	return slices.ContainsFunc(pool.IdempotentPaths, func(listed string) bool {
+		below, ok := strings.CutPrefix(message.Path, strings.TrimSuffix(listed, "/"))
+		return ok && (below == "" || below[0] == '/')
 	})
 }
 
