Answer a caller that writes a whole body above the limit

Cause: the entry refused after the part that showed the length and closed the connection with bytes unread, which resets it. Found against separate processes with a plain client and 5 MiB: ConnectionResetError, no status. Ruled out: reading all bodies to their end before refusing, which would hold them in memory. The test failed first with 'write: connection reset by peer' and passes with the connection lingering for 2 s or 64 MiB at most, only after a refusal for length.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -96,7 +96,7 @@
 	})
 	e.routes()
 	e.work.Go(func() {
-		if err := e.app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
+		if err := e.app.Listener(lingeringListener{l}, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
 			deps.Log.Error().Err(err).Msg("caller listener ended")
 		}
 	})
--- a/internal/edge/entry/hangup_test.go
+++ b/internal/edge/entry/hangup_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -182,6 +183,24 @@
 	}
 }
 
+// A caller writes a body of five times the limit to its end and only then reads the answer, as plain clients do.
+// The entry refused after the first part and closed the connection with the rest unread, which resets it: the caller saw
+// a broken connection and could not know that nothing had run.
+func TestBodyAboveTheLimitIsRefusedToACallerThatWritesItAll(t *testing.T) {
+	f := newFixture(t, &fakeAgent{})
+	for range 20 {
+		conn := f.connect()
+		f.write(conn, raw("/v1/services/billdesk/charge", strings.Repeat("x", 5<<20), ""))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(response.Body); err != nil || response.StatusCode != http.StatusRequestEntityTooLarge {
+			t.Errorf("status %d: %v", response.StatusCode, err)
+		}
+	}
+}
+
 // drip writes as much as the other side takes.
 func (*fixture) drip(conn net.Conn, text string) { _, _ = conn.Write([]byte(text)) }
 
--- a/internal/edge/entry/refuse.go
+++ b/internal/edge/entry/refuse.go
@@ -14,6 +14,9 @@
 func (e *Entry) onError(c fiber.Ctx, err error) error {
 	refusal := refusalOf(err)
 	e.metrics.refused(refusal)
+	if refusal.Reason == verdict.ReasonTooLarge {
+		linger(c.RequestCtx().Conn())
+	}
 	return writeRefusal(c, refusal)
 }
 
