Let the killed agent of a test write nothing from the moment of the kill

TestRestartedAgentDoesNotDenyARun is known red: "no process in cancelled (mayHaveRun): the caller has gone".

Cause: the kill ended the agent's context and the peer server's together. Where the agent's was seen first, its handler answered over a connection that was still open, so that the entry held an answer and no lost connection. SIGKILL leaves no such moment. The kill now closes all connections, then ends the context, and then waits; waiting between the two hung, since the call that can't be cut short ends only with the agent's context. The port is kept by a duplicate of the listening socket for the process that is started anew: in between, a connection of another test could have taken it.

Ruled out: a false "not run". What the agent answered, mayHaveRun, is true.

--- a/internal/edge/agent/agent_test.go
+++ b/internal/edge/agent/agent_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -190,7 +191,10 @@
 	client  *peer.Client
 	address netip.AddrPort
 	counter uint64
-	// kill ends the agent at once.
+	// port is where the agent listens; nil for a new one.
+	port     *os.File
+	listener *processListener
+	// kill ends the agent's process without a last answer.
 	kill func()
 	// stale makes the agent's configuration unconfirmed.
 	stale atomic.Bool
@@ -226,19 +230,13 @@
 	}
 	registry := peer.NewRegistry()
 	a.Register(registry)
-	at := "127.0.0.1:0"
-	if b.address.IsValid() {
-		at = b.address.String()
-	}
-	l, err := net.Listen("tcp", at)
-	if err != nil {
-		t.Fatal(err)
-	}
-	b.agent, b.address = a, l.Addr().(*net.TCPAddr).AddrPort()
+	l := listen(t, b.port)
+	b.agent, b.listener, b.address = a, l, l.Addr().(*net.TCPAddr).AddrPort()
 	peers := peer.NewServer(ctx, l, registry, testSecret)
 	b.client = peer.NewClient(ctx, testSecret)
 	client := b.client
 	b.kill = func() {
+		l.kill()
 		cancel()
 		_ = peers.Close()
 		a.Wait()
--- a/internal/edge/agent/failure_test.go
+++ b/internal/edge/agent/failure_test.go
@@ -98,13 +98,14 @@
 		lost <- err
 	}()
 	<-b.server.started
+	port := b.holdPort(t)
 	b.kill()
 	err := <-lost
 	process := peer.LostProcess(err)
 	if process == 0 {
 		t.Fatalf("no process in %v", err)
 	}
-	again := startBench(t, &bench{config: b.config, address: b.address}, ticket.KindService)
+	again := startBench(t, &bench{config: b.config, port: port}, ticket.KindService)
 	for _, tc := range []struct {
 		name    string
 		process uint64
