Refuse what an ending agent cuts short as leaving, not as given up by its caller

Cause: an agent that is stopped after the bound of its drain ends its calls and may still answer them. It refused them as "cancelled: the caller has gone", which the entry takes for final: a stream or another call that may be repeated wasn't tried at the next agent, and its caller got a refusal without a time to come back. Only the asking side's own cancellation says now that the caller has gone; the rest is "leaving", with the same verdict as before and a second to come back.

Checked besides: the verdicts. What was sent to the backend server is answered mayHaveRun, also while the agent ends; notRun comes only where the goroutine of the request itself decided not to send it.

--- a/internal/edge/agent/execute.go
+++ b/internal/edge/agent/execute.go
@@ -65,25 +65,29 @@
 // enqueue waits until the request is started; an error means that it never will be.
 func (a *Agent) enqueue(ctx context.Context, j *job) error {
 	if !a.do(func(now time.Time) { a.control.submit(now, j) }) {
-		return ended()
+		return ended(verdict.NotRun)
 	}
 	select {
 	case err := <-j.started:
 		return err
 	case <-ctx.Done():
 	case <-a.ctx.Done():
-		return ended()
+		return ended(verdict.NotRun)
 	}
 	// The caller has gone. The control goroutine may have started the request meanwhile; its decision
 	// is in the channel then.
 	ok := a.do(func(now time.Time) { a.control.withdraw(now, j, gone(ctx, verdict.NotRun)) })
 	if !ok {
-		return ended()
+		return ended(verdict.NotRun)
 	}
 	return <-j.started
 }
 
 // gone is the refusal for a request whose context ended.
+//
+// Guard: an agent that is stopped ends its calls, and may still answer them. "The caller has gone" would be false and
+// final: the entry would refuse a stream that can go on elsewhere, without a time to come back. Only the peer's own
+// cancellation means that the caller has gone.
 func gone(ctx context.Context, v verdict.Verdict) *verdict.Refusal {
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errKeyWithdrawn):
@@ -93,16 +97,17 @@
 	case errors.Is(cause, context.DeadlineExceeded):
 		return verdict.New(v, http.StatusGatewayTimeout, verdict.ReasonDeadlinePassed, retrySoon,
 			"the deadline passed")
-	default:
+	case errors.Is(cause, peer.ErrCancelled):
 		return cancelled(v)
+	default:
+		return ended(v)
 	}
 }
 
-// ended is the refusal of a queued request when the process ends: the control goroutine, which alone
-// starts requests, is gone.
-func ended() *verdict.Refusal {
-	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonLeaving, retrySoon,
-		"the agent has ended")
+// ended is the refusal of a request when the process or its connection ends. A queued one has not run: the control
+// goroutine, which alone starts requests, is gone.
+func ended(v verdict.Verdict) *verdict.Refusal {
+	return verdict.New(v, http.StatusServiceUnavailable, verdict.ReasonLeaving, retrySoon, "the agent has ended")
 }
 
 // runJob runs a started job and records its end, whatever it is.
--- a/internal/edge/agent/failure_test.go
+++ b/internal/edge/agent/failure_test.go
@@ -125,6 +125,43 @@
 	}
 }
 
+// An agent is stopped, and the bound of its drain passes while a stream and a booking run. "The caller has gone" would
+// be false, and final: the entry would not try the stream elsewhere, and its caller would be refused with no time
+// to come back. Neither may be called "not run".
+func TestAgentEndsWhileCallsRun(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		kind ticket.PoolKind
+		path string
+	}{
+		{name: "stream of a model", kind: ticket.KindModel, path: pathFlow},
+		{name: "call that may not be repeated", kind: ticket.KindService, path: pathHold},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBench(t, tc.kind)
+			done := make(chan error, 1)
+			go func() {
+				_, err := b.agent.Execute(t.Context(), b.execute(tc.path), discard{})
+				done <- err
+			}()
+			<-b.server.started
+			b.kill()
+			err := <-done
+			wantRefusal(t, err, verdict.MayHaveRun, verdict.ReasonLeaving)
+			if refusal, _ := verdict.As(err); refusal.RetryAfter <= 0 {
+				t.Errorf("no time to come back in %v", err)
+			}
+		})
+	}
+}
+
+// discard is the sink of a caller whose answer doesn't matter.
+type discard struct{}
+
+func (discard) Head(request.AnswerHead) error { return nil }
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
 // A frame comes twice, over two connections. The second must not run, and must not be called "not run".
 func TestDoubledExecuteRunsOnce(t *testing.T) {
 	b := newBench(t, ticket.KindService)
