Let the fake stream of the agent's tests tell of a close as well

TestCallerGoneFromStream hung once in 251 runs (3 copies of -test.count 50 -test.cpu 1,2 with -race). Cause: the fake stream told of its end only from a Read that waited. A caller that hangs up before the first bytes were handed on makes the agent close the stream after its first Read, and the test waited for an end that nobody told. A server sees a closed connection in both cases, and so does the fake now; that the end has a cause is checked as before.

--- a/internal/edge/agent/agent_test.go
+++ b/internal/edge/agent/agent_test.go
@@ -146,7 +146,7 @@
 	case pathCut:
 		body = io.MultiReader(body, failingReader{})
 	case pathFlow:
-		body = &flow{ctx: ctx, server: s}
+		return &Reply{Status: 200, Body: &flow{ctx: ctx, server: s}}, nil
 	}
 	return &Reply{Status: 200, Body: io.NopCloser(body)}, nil
 }
@@ -161,11 +161,13 @@
 
 func (failingReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
 
-// flow yields bytes until it is released or cut.
+// flow yields bytes until it is released, cut or closed. It tells the server once of an end before its own, as a
+// server sees its connection end: also of a close by a reader that reads no more.
 type flow struct {
 	ctx    context.Context
 	server *fakeServer
 	open   bool
+	ended  bool
 }
 
 func (f *flow) Read(p []byte) (int, error) {
@@ -175,13 +177,22 @@
 	}
 	select {
 	case <-f.server.release:
+		f.ended = true
 		return 0, io.EOF
 	case <-f.ctx.Done():
-		f.server.ended <- context.Cause(f.ctx)
+		_ = f.Close()
 		return 0, f.ctx.Err()
 	}
 }
 
+func (f *flow) Close() error {
+	if !f.ended {
+		f.ended = true
+		f.server.ended <- context.Cause(f.ctx)
+	}
+	return nil
+}
+
 // bench is an agent behind a peer server, and a client.
 type bench struct {
 	config  *configuration
