Run the tests of leases in virtual time

Cause: the tests of edge/duty waited real terms of 600 ms, so that what a busy machine takes counted into the terms, and the look that two keepers hold at once had to leave out looks that took longer than 50 ms.

Now each case runs in a testing/synctest bubble. The look at two holders reads the first keeper before and after the second, so that no look is left out and a handover between two reads isn't one of both.

Ruled out that the virtual clock hides faults: on a scratch copy a term that never ends, a taker that waits a quarter of the term, and a Release that leaves the term alone each fail tests of this package. A doubtful write that is taken for not written passes, and passed the former tests too (core/lease is to find that one).

--- a/internal/edge/duty/fault_test.go
+++ b/internal/edge/duty/fault_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -56,16 +57,18 @@
 	both  atomic.Int64
 }
 
+// watch looks at the first keeper before and after the second: one that held under the same number at both
+// looks held at the look between them too, so that a handover between two looks doesn't count.
 func watch(first, second *Keeper) *watcher {
 	w := &watcher{}
 	w.group.Go(func() {
 		for !w.ended.Load() {
 			now := time.Now()
-			one, oneHolds := first.Held(now)
+			before, heldBefore := first.Held(now)
 			other, otherHolds := second.Held(now)
-			// A look that took long may have seen the two at different times.
-			quick := time.Since(now) < quick().Margin/2
-			if oneHolds && otherHolds && one.Number != other.Number && quick {
+			after, heldAfter := first.Held(now)
+			throughout := heldBefore && heldAfter && before.Number == after.Number
+			if throughout && otherHolds && other.Number != before.Number {
 				w.both.Add(1)
 			}
 			<-time.After(time.Millisecond)
@@ -88,7 +91,7 @@
 	for _, c := range leaseCases() {
 		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
 			t.Parallel()
-			c.run(t)
+			synctest.Test(t, c.run)
 		})
 	}
 }
@@ -134,27 +137,29 @@
 		for _, down := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s down %v", with, down), func(t *testing.T) {
 				t.Parallel()
-				memory := standin.NewMemory()
-				way := standin.NewDisturbed(memory)
-				first, _ := start(t, way, holder("entry-1", 1))
-				eventually(t, "first holds", func() bool { return held(first) })
-				second, _ := start(t, memory, holder("entry-2", 2))
-				memory.Outage(down)
-				way.At(0, with, true)
-				w := watch(first, second)
-				ctx, cancel := context.WithTimeout(t.Context(), quick().Renew)
-				defer cancel()
-				// Whether the release is known to have been written is not what counts here.
-				_ = first.Release(ctx)
-				if held(first) {
-					t.Error("held after the release")
-				}
-				way.Heal()
-				memory.Outage(false)
-				eventually(t, "second holds", func() bool { return held(second) })
-				if both := w.stop(); both > 0 || held(first) {
-					t.Errorf("both held at %d looks; the first holds: %v", both, held(first))
-				}
+				synctest.Test(t, func(t *testing.T) {
+					memory := standin.NewMemory()
+					way := standin.NewDisturbed(memory)
+					first, _ := start(t, way, holder("entry-1", 1))
+					eventually(t, "first holds", func() bool { return held(first) })
+					second, _ := start(t, memory, holder("entry-2", 2))
+					memory.Outage(down)
+					way.At(0, with, true)
+					w := watch(first, second)
+					ctx, cancel := context.WithTimeout(t.Context(), quick().Renew)
+					defer cancel()
+					// Whether the release is known to have been written is not what counts here.
+					_ = first.Release(ctx)
+					if held(first) {
+						t.Error("held after the release")
+					}
+					way.Heal()
+					memory.Outage(false)
+					eventually(t, "second holds", func() bool { return held(second) })
+					if both := w.stop(); both > 0 || held(first) {
+						t.Errorf("both held at %d looks; the first holds: %v", both, held(first))
+					}
+				})
 			})
 		}
 	}
@@ -166,17 +171,19 @@
 	for _, delay := range []time.Duration{quick().Renew / 2, quick().Term / 2, 2 * quick().Term} {
 		t.Run(delay.String(), func(t *testing.T) {
 			t.Parallel()
-			memory := standin.NewMemory()
-			memory.Delay(delay)
-			first, _ := start(t, memory, holder("entry-1", 1))
-			second, _ := start(t, memory, holder("entry-2", 2))
-			w := watch(first, second)
-			<-time.After(6 * quick().Term)
-			memory.Delay(0)
-			eventually(t, "one holds", func() bool { return held(first) || held(second) })
-			if both := w.stop(); both > 0 {
-				t.Errorf("both held at %d looks", both)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				memory := standin.NewMemory()
+				memory.Delay(delay)
+				first, _ := start(t, memory, holder("entry-1", 1))
+				second, _ := start(t, memory, holder("entry-2", 2))
+				w := watch(first, second)
+				<-time.After(6 * quick().Term)
+				memory.Delay(0)
+				eventually(t, "one holds", func() bool { return held(first) || held(second) })
+				if both := w.stop(); both > 0 {
+					t.Errorf("both held at %d looks", both)
+				}
+			})
 		})
 	}
 }
--- a/internal/edge/duty/keeper_test.go
+++ b/internal/edge/duty/keeper_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
@@ -41,13 +42,8 @@
 // eventually waits for the keeper's changes until ok holds.
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
-	tick := time.NewTicker(2 * time.Millisecond)
-	defer tick.Stop()
-	limit := time.After(20 * time.Second)
-	for !ok() {
-		select {
-		case <-tick.C:
-		case <-limit:
+	for began := time.Now(); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Since(began) > 20*time.Second {
 			t.Fatalf("never: %s", what)
 		}
 	}
@@ -64,18 +60,20 @@
 // contender sees the object unchanged for a term and a margin, takes it and gets a higher number.
 func TestTakeoverAfterDeath(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	store := standin.NewMemory()
-	first, stopFirst := start(t, store, holder("entry-1", 1))
-	eventually(t, "first holds", func() bool { return held(first) })
-	before, _ := first.Held(time.Now())
-	second, stopSecond := start(t, store, holder("entry-2", 2))
-	stopFirst()
-	eventually(t, "second holds", func() bool { return held(second) })
-	after, _ := second.Held(time.Now())
-	if held(first) || after.Number <= before.Number {
-		t.Errorf("first held %v, numbers %d then %d", held(first), before.Number, after.Number)
-	}
-	stopSecond()
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewMemory()
+		first, stopFirst := start(t, store, holder("entry-1", 1))
+		eventually(t, "first holds", func() bool { return held(first) })
+		before, _ := first.Held(time.Now())
+		second, stopSecond := start(t, store, holder("entry-2", 2))
+		stopFirst()
+		eventually(t, "second holds", func() bool { return held(second) })
+		after, _ := second.Held(time.Now())
+		if held(first) || after.Number <= before.Number {
+			t.Errorf("first held %v, numbers %d then %d", held(first), before.Number, after.Number)
+		}
+		stopSecond()
+	})
 }
 
 // TestPausedHolderKnowsWithoutCalls is a process that is stopped past its term.
@@ -83,18 +81,20 @@
 // What a user would see: an order of a host that is not in charge any more. The process is stopped right
 // after a check; when it goes on its control goroutine hasn't run yet. The clock alone must tell.
 func TestPausedHolderKnowsWithoutCalls(t *testing.T) {
-	var skipped atomic.Int64
-	clock := func() time.Time { return time.Now().Add(time.Duration(skipped.Load())) }
-	k, _ := start(t, standin.NewMemory(), holder("entry-1", 1), WithClock(clock))
-	eventually(t, "holds", func() bool { _, ok := k.Held(clock()); return ok })
-	fence, _ := k.Held(clock())
-	woken := clock().Add(30 * time.Second)
-	if _, ok := k.Held(woken); ok {
-		t.Error("held 30 s after the renewal")
-	}
-	if !fence.Deadline.Before(woken) {
-		t.Errorf("deadline %v is not before %v", fence.Deadline, woken)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		var skipped atomic.Int64
+		clock := func() time.Time { return time.Now().Add(time.Duration(skipped.Load())) }
+		k, _ := start(t, standin.NewMemory(), holder("entry-1", 1), WithClock(clock))
+		eventually(t, "holds", func() bool { _, ok := k.Held(clock()); return ok })
+		fence, _ := k.Held(clock())
+		woken := clock().Add(30 * time.Second)
+		if _, ok := k.Held(woken); ok {
+			t.Error("held 30 s after the renewal")
+		}
+		if !fence.Deadline.Before(woken) {
+			t.Errorf("deadline %v is not before %v", fence.Deadline, woken)
+		}
+	})
 }
 
 // TestLostAnswers is a platform that loses the answers of writes.
@@ -102,24 +102,26 @@
 // What a user would see: a duty that flaps or is never taken. The write that takes the lease, and some
 // renewals, take effect but fail; the keeper reads the object and recognises its own record.
 func TestLostAnswers(t *testing.T) {
-	store := standin.NewMemory()
-	store.LoseAnswers(1)
-	k, _ := start(t, store, holder("entry-1", 1))
-	eventually(t, "holds", func() bool { return held(k) })
-	taken, _ := k.Held(time.Now())
-	store.LoseAnswers(2)
-	eventually(t, "renewed", func() bool {
-		fence, ok := k.Held(time.Now())
-		return ok && fence.Number > taken.Number+2
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewMemory()
+		store.LoseAnswers(1)
+		k, _ := start(t, store, holder("entry-1", 1))
+		eventually(t, "holds", func() bool { return held(k) })
+		taken, _ := k.Held(time.Now())
+		store.LoseAnswers(2)
+		eventually(t, "renewed", func() bool {
+			fence, ok := k.Held(time.Now())
+			return ok && fence.Number > taken.Number+2
+		})
+		object, err := store.Get(context.Background(), ObjectPrefix+zoneDuty)
+		if err != nil {
+			t.Fatal(err)
+		}
+		record, err := lease.ReadRecord(object.Value)
+		if err != nil || record.Holder != k.self {
+			t.Errorf("record %+v, %v", record, err)
+		}
 	})
-	object, err := store.Get(context.Background(), ObjectPrefix+zoneDuty)
-	if err != nil {
-		t.Fatal(err)
-	}
-	record, err := lease.ReadRecord(object.Value)
-	if err != nil || record.Holder != k.self {
-		t.Errorf("record %+v, %v", record, err)
-	}
 }
 
 // TestOutage is a platform that is down for longer than a term.
@@ -127,14 +129,16 @@
 // What a user would see: a holder that goes on although another could have been told otherwise, or a duty
 // that stays free after the outage. The term runs out; after the outage a contender holds again.
 func TestOutage(t *testing.T) {
-	store := standin.NewMemory()
-	first, _ := start(t, store, holder("entry-1", 1))
-	second, _ := start(t, store, holder("entry-2", 2))
-	eventually(t, "one holds", func() bool { return held(first) || held(second) })
-	store.Outage(true)
-	eventually(t, "nobody holds", func() bool { return !held(first) && !held(second) })
-	store.Outage(false)
-	eventually(t, "one holds again", func() bool { return held(first) || held(second) })
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewMemory()
+		first, _ := start(t, store, holder("entry-1", 1))
+		second, _ := start(t, store, holder("entry-2", 2))
+		eventually(t, "one holds", func() bool { return held(first) || held(second) })
+		store.Outage(true)
+		eventually(t, "nobody holds", func() bool { return !held(first) && !held(second) })
+		store.Outage(false)
+		eventually(t, "one holds again", func() bool { return held(first) || held(second) })
+	})
 }
 
 // TestRelease hands a duty over when a host leaves.
@@ -143,59 +147,65 @@
 // holder gives the object back and the watching contender takes it at once.
 func TestRelease(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	store := standin.NewMemory()
-	slow := WithTiming(lease.Timing{Term: time.Hour, Renew: time.Minute, Margin: time.Minute})
-	first, stopFirst := start(t, store, holder("entry-1", 1), slow)
-	eventually(t, "first holds", func() bool { return held(first) })
-	second, stopSecond := start(t, store, holder("entry-2", 2), slow)
-	eventually(t, "second watches", func() bool { _, ok := second.Holder(); return ok })
-	if err := first.Release(context.Background()); err != nil {
-		t.Fatal(err)
-	}
-	if held(first) {
-		t.Error("first holds after its release")
-	}
-	eventually(t, "second holds", func() bool { return held(second) })
-	stopFirst()
-	stopSecond()
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewMemory()
+		slow := WithTiming(lease.Timing{Term: time.Hour, Renew: time.Minute, Margin: time.Minute})
+		first, stopFirst := start(t, store, holder("entry-1", 1), slow)
+		eventually(t, "first holds", func() bool { return held(first) })
+		second, stopSecond := start(t, store, holder("entry-2", 2), slow)
+		eventually(t, "second watches", func() bool { _, ok := second.Holder(); return ok })
+		if err := first.Release(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if held(first) {
+			t.Error("first holds after its release")
+		}
+		eventually(t, "second holds", func() bool { return held(second) })
+		stopFirst()
+		stopSecond()
+	})
 }
 
 // TestReleaseInOutage ends with its context and holds nothing all the same.
 func TestReleaseInOutage(t *testing.T) {
-	store := standin.NewMemory()
-	k, _ := start(t, store, holder("entry-1", 1))
-	eventually(t, "holds", func() bool { return held(k) })
-	store.Outage(true)
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
-	defer cancel()
-	if err := k.Release(ctx); err == nil {
-		t.Error("released in an outage")
-	}
-	if held(k) {
-		t.Error("held after release")
-	}
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewMemory()
+		k, _ := start(t, store, holder("entry-1", 1))
+		eventually(t, "holds", func() bool { return held(k) })
+		store.Outage(true)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		if err := k.Release(ctx); err == nil {
+			t.Error("released in an outage")
+		}
+		if held(k) {
+			t.Error("held after release")
+		}
+	})
 }
 
 // TestObserver sees the holder and never takes the duty.
 func TestObserver(t *testing.T) {
-	store := standin.NewMemory()
-	observer, _ := start(t, store, holder("entry-9", 9), WithContend(false))
-	first, stop := start(t, store, holder("entry-1", 1))
-	eventually(t, "observer sees the holder", func() bool {
-		seen, ok := observer.Holder()
-		return ok && seen == first.self
-	})
-	stop()
-	never := time.After(3 * quick().Term)
-	for over := false; !over; {
-		select {
-		case <-never:
-			over = true
-		case <-observer.Changed():
-			t.Fatal("the observed holder changed")
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewMemory()
+		observer, _ := start(t, store, holder("entry-9", 9), WithContend(false))
+		first, stop := start(t, store, holder("entry-1", 1))
+		eventually(t, "observer sees the holder", func() bool {
+			seen, ok := observer.Holder()
+			return ok && seen == first.self
+		})
+		stop()
+		never := time.After(3 * quick().Term)
+		for over := false; !over; {
+			select {
+			case <-never:
+				over = true
+			case <-observer.Changed():
+				t.Fatal("the observed holder changed")
+			}
 		}
-	}
-	if held(observer) {
-		t.Error("the observer holds the duty")
-	}
+		if held(observer) {
+			t.Error("the observer holds the duty")
+		}
+	})
 }
