Run the tests of server orders in virtual time

Cause: terms of 500 ms and a pause of 60 ms in real time; a machine that is slower than these changes which host holds the lease. In a testing/synctest bubble only the modelled delays count.

--- a/internal/edge/fleet/fault_test.go
+++ b/internal/edge/fleet/fault_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,28 +39,30 @@
 // of its term and goes on after the term. A timeout that is worked out from the old reading begins
 // to run at the wake, and a platform that ignores the fencing number takes the order.
 func TestPauseAfterTheCheckEndsTheWrite(t *testing.T) {
-	const left = 30 * time.Millisecond
-	f := newFake()
-	memory := standin.NewMemory(standin.WithFaults(standin.Faults{IgnoreFencing: true}))
-	f.now, f.deadline = time.Now(), time.Now().Add(left)
-	r := f.runner()
-	r.deps.Orders = memory
-	calls := 0
-	r.clock = func() time.Time {
-		read := f.now
-		// The last reading before the write is the one after the lease was looked at for the order.
-		if calls++; calls == clockReadings {
-			<-time.After(2 * left)
+	synctest.Test(t, func(t *testing.T) {
+		const left = 30 * time.Millisecond
+		f := newFake()
+		memory := standin.NewMemory(standin.WithFaults(standin.Faults{IgnoreFencing: true}))
+		f.now, f.deadline = time.Now(), time.Now().Add(left)
+		r := f.runner()
+		r.deps.Orders = memory
+		calls := 0
+		r.clock = func() time.Time {
+			read := f.now
+			// The last reading before the write is the one after the lease was looked at for the order.
+			if calls++; calls == clockReadings {
+				<-time.After(2 * left)
+			}
+			return read
 		}
-		return read
-	}
-	r.round(t.Context())
-	if calls < clockReadings {
-		t.Fatalf("the clock was read %d times", calls)
-	}
-	if orders := memory.Orders(); len(orders) != 0 {
-		t.Errorf("ordered after the end of the term: %v", orders)
-	}
+		r.round(t.Context())
+		if calls < clockReadings {
+			t.Fatalf("the clock was read %d times", calls)
+		}
+		if orders := memory.Orders(); len(orders) != 0 {
+			t.Errorf("ordered after the end of the term: %v", orders)
+		}
+	})
 }
 
 // clockReadings is how often a first round of one pool reads the clock up to its write.
@@ -125,13 +128,8 @@
 
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
-	tick := time.NewTicker(2 * time.Millisecond)
-	defer tick.Stop()
-	limit := time.After(20 * time.Second)
-	for !ok() {
-		select {
-		case <-tick.C:
-		case <-limit:
+	for began := time.Now(); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Since(began) > 20*time.Second {
 			t.Fatalf("never: %s", what)
 		}
 	}
@@ -204,7 +202,7 @@
 	for _, c := range orderCases() {
 		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
 			t.Parallel()
-			c.run(t)
+			synctest.Test(t, c.run)
 		})
 	}
 }
@@ -215,15 +213,17 @@
 	for _, delay := range []time.Duration{zoneTiming().Renew, zoneTiming().Term / 2, zoneTiming().Term} {
 		t.Run(delay.String(), func(t *testing.T) {
 			t.Parallel()
-			memory := standin.NewMemory(standin.WithHosts(zoneHosts()))
-			memory.Delay(delay)
-			for i := range uint64(2) {
-				defer startEntry(memory, fmt.Sprintf("entry-%d", i), i).stop()
-			}
-			<-time.After(4 * zoneTiming().Term)
-			memory.Delay(0)
-			eventually(t, "four servers are ordered", func() bool { return enough(memory) })
-			checkOneInCharge(t, memory.Orders())
+			synctest.Test(t, func(t *testing.T) {
+				memory := standin.NewMemory(standin.WithHosts(zoneHosts()))
+				memory.Delay(delay)
+				for i := range uint64(2) {
+					defer startEntry(memory, fmt.Sprintf("entry-%d", i), i).stop()
+				}
+				<-time.After(4 * zoneTiming().Term)
+				memory.Delay(0)
+				eventually(t, "four servers are ordered", func() bool { return enough(memory) })
+				checkOneInCharge(t, memory.Orders())
+			})
 		})
 	}
 }
