Let a starting host serve only by the newest view of its first round

Fault of the product: a host that starts asks all relays at once, and took in each answer with its freshness as it came. The first answer, of a relay that the platform confirmed just before a key was withdrawn, made it serve by the older ticket until the answer with the withdrawal came: on a restarted host a withdrawn key worked again for the rest of the round. Now a host that was never synced takes in the heads as they come and how fresh they are when the round is over.

How it was found: the tests of this package now run in virtual time (testing/synctest), where the ways between hosts take up to 2 ms each and the hosts start 37 ms apart, so that their polls are in all phases and a busy machine changes nothing.

--- a/internal/edge/configuration/follower_test.go
+++ b/internal/edge/configuration/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -15,26 +16,28 @@
 
 // TestSpread: a ticket reaches all hosts, and only the relays cost the platform watches.
 func TestSpread(t *testing.T) {
-	memory := newMemory(t)
-	n := newNetwork(t, memory, 6)
-	eventually(t, "all have ticket 1", every(n.all(), hasTicket(1)))
-	relays, followers := n.members(true), n.members(false)
-	if len(relays) != relaysPerZone*len(zones) {
-		t.Fatalf("%d relays", len(relays))
-	}
-	eventually(t, "all are fresh", every(n.all(), fresh))
-	for _, m := range followers {
-		m.store.setCut(true)
-	}
-	apply(t, memory, 2, 2)
-	took := eventually(t, "all have ticket 2 by their relays", every(n.all(), hasTicket(2)))
-	t.Logf("in force on %d hosts after %v", len(n.all()), took)
-	always(t, "hosts without the platform are fresh by their relays", ticket.FreshFor+time.Second, every(n.all(), fresh))
-	status, err := NewPublisher(memory, WithFollower(relays[0].follower)).Status(context.Background(), 2)
-	want := Status{Number: 2, Accepted: true, LastTicket: 2, Hosts: 18, InForce: 18, Share: 1}
-	if diff := cmp.Diff(want, status); diff != "" || err != nil {
-		t.Errorf("error %v, status (-want +got):\n%s", err, diff)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		memory := newMemory(t)
+		n := newNetwork(t, memory, 6)
+		eventually(t, "all have ticket 1", every(n.all(), hasTicket(1)))
+		relays, followers := n.members(true), n.members(false)
+		if len(relays) != relaysPerZone*len(zones) {
+			t.Fatalf("%d relays", len(relays))
+		}
+		eventually(t, "all are fresh", every(n.all(), fresh))
+		for _, m := range followers {
+			m.store.setCut(true)
+		}
+		apply(t, memory, 2, 2)
+		took := eventually(t, "all have ticket 2 by their relays", every(n.all(), hasTicket(2)))
+		t.Logf("in force on %d hosts after %v", len(n.all()), took)
+		always(t, "hosts without the platform are fresh by their relays", ticket.FreshFor+time.Second, every(n.all(), fresh))
+		status, err := NewPublisher(memory, WithFollower(relays[0].follower)).Status(context.Background(), 2)
+		want := Status{Number: 2, Accepted: true, LastTicket: 2, Hosts: 18, InForce: 18, Share: 1}
+		if diff := cmp.Diff(want, status); diff != "" || err != nil {
+			t.Errorf("error %v, status (-want +got):\n%s", err, diff)
+		}
+	})
 }
 
 // TestOutageKeepsServing is an outage of the platform.
@@ -44,14 +47,16 @@
 // are in all phases of their polls when it begins.
 func TestOutageKeepsServing(t *testing.T) {
 	t.Parallel()
-	memory := newMemory(t)
-	n := newNetwork(t, memory, 8)
-	eventually(t, "all are fresh", every(n.all(), fresh))
-	memory.Outage(true)
-	always(t, "all are fresh in the outage", 3*ticket.FreshFor, every(n.all(), fresh))
-	memory.Outage(false)
-	apply(t, memory, 2, 2)
-	eventually(t, "all have the ticket after the outage", every(n.all(), hasTicket(2)))
+	synctest.Test(t, func(t *testing.T) {
+		memory := newMemory(t)
+		n := newNetwork(t, memory, 8)
+		eventually(t, "all are fresh", every(n.all(), fresh))
+		memory.Outage(true)
+		always(t, "all are fresh in the outage", 3*ticket.FreshFor, every(n.all(), fresh))
+		memory.Outage(false)
+		apply(t, memory, 2, 2)
+		eventually(t, "all have the ticket after the outage", every(n.all(), hasTicket(2)))
+	})
 }
 
 // TestIsolatedHostRefuses is a host that is cut off while a key is withdrawn.
@@ -60,94 +65,104 @@
 // hears neither the platform nor relays; it must refuse soon, and serve again when the cut ends.
 func TestIsolatedHostRefuses(t *testing.T) {
 	t.Parallel()
-	memory := newMemory(t)
-	n := newNetwork(t, memory, 3)
-	eventually(t, "all are fresh", every(n.all(), fresh))
-	lone := []*member{n.members(true)[0], n.members(false)[0]}
-	for _, m := range lone {
-		n.setCut(m, true)
-		m.store.setCut(true)
-	}
-	apply(t, memory, 2, 2)
-	took := eventually(t, "cut-off hosts refuse", every(lone, func(f *Follower) bool { return !fresh(f) }))
-	t.Logf("refused after %v", took)
-	always(t, "cut-off hosts go on refusing", ticket.FreshFor, every(lone, func(f *Follower) bool { return !fresh(f) }))
-	for _, m := range lone {
-		n.setCut(m, false)
-		m.store.setCut(false)
-	}
-	eventually(t, "all have the ticket", every(n.all(), hasTicket(2)))
-	eventually(t, "all are fresh again", every(n.all(), fresh))
+	synctest.Test(t, func(t *testing.T) {
+		memory := newMemory(t)
+		n := newNetwork(t, memory, 3)
+		eventually(t, "all are fresh", every(n.all(), fresh))
+		lone := []*member{n.members(true)[0], n.members(false)[0]}
+		for _, m := range lone {
+			n.setCut(m, true)
+			m.store.setCut(true)
+		}
+		apply(t, memory, 2, 2)
+		took := eventually(t, "cut-off hosts refuse", every(lone, func(f *Follower) bool { return !fresh(f) }))
+		t.Logf("refused after %v", took)
+		always(t, "cut-off hosts go on refusing", ticket.FreshFor, every(lone, func(f *Follower) bool { return !fresh(f) }))
+		for _, m := range lone {
+			n.setCut(m, false)
+			m.store.setCut(false)
+		}
+		eventually(t, "all have the ticket", every(n.all(), hasTicket(2)))
+		eventually(t, "all are fresh again", every(n.all(), fresh))
+	})
 }
 
 // TestIsolatedHostInOutage has both at once: the cut-off host can't tell an outage from a cut.
 func TestIsolatedHostInOutage(t *testing.T) {
 	t.Parallel()
-	memory := newMemory(t)
-	n := newNetwork(t, memory, 3)
-	eventually(t, "all are fresh", every(n.all(), fresh))
-	memory.Outage(true)
-	lone := n.members(true)[:1]
-	n.setCut(lone[0], true)
-	eventually(t, "the cut-off relay refuses", every(lone, func(f *Follower) bool { return !fresh(f) }))
-	rest := slices.Concat(n.members(true)[1:], n.members(false))
-	always(t, "the others serve", ticket.FreshFor, every(rest, fresh))
+	synctest.Test(t, func(t *testing.T) {
+		memory := newMemory(t)
+		n := newNetwork(t, memory, 3)
+		eventually(t, "all are fresh", every(n.all(), fresh))
+		memory.Outage(true)
+		lone := n.members(true)[:1]
+		n.setCut(lone[0], true)
+		eventually(t, "the cut-off relay refuses", every(lone, func(f *Follower) bool { return !fresh(f) }))
+		rest := slices.Concat(n.members(true)[1:], n.members(false))
+		always(t, "the others serve", ticket.FreshFor, every(rest, fresh))
+	})
 }
 
 // TestRestartDuringOutage is a host that starts while the platform is down.
 //
 // What an operator would see: a withdrawn key that works again on a restarted host. Only one relay saw
-// the last ticket before the outage; the starting hosts must get that one, not the first answer.
+// the last ticket before the outage, and its answers come after those of the others; the starting hosts must
+// serve by that ticket from the first, not by the first answer.
 func TestRestartDuringOutage(t *testing.T) {
 	t.Parallel()
-	memory := newMemory(t)
-	n := newNetwork(t, memory, 3)
-	eventually(t, "all are fresh", every(n.all(), fresh))
-	relays, followers := n.members(true), n.members(false)
-	for _, m := range n.all()[1:] {
-		n.setCut(m, true)
-		m.store.setCut(true)
-	}
-	apply(t, memory, 2, 2)
-	eventually(t, "one relay has the ticket", every(relays[:1], hasTicket(2)))
-	memory.Outage(true)
-	for _, m := range n.all()[1:] {
-		n.setCut(m, false)
-		m.store.setCut(false)
-	}
-	restarted := []*member{}
-	for _, m := range []*member{relays[1], relays[2], followers[0]} {
-		m.stop()
-		restarted = append(restarted, n.start(t, memory, m.host))
-	}
-	eventually(t, "restarted hosts serve", every(restarted, fresh))
-	if !every(restarted, hasTicket(2))() {
-		t.Error("a restarted host serves by an older ticket")
-	}
-	eventually(t, "all have the ticket", every(n.all(), hasTicket(2)))
+	synctest.Test(t, func(t *testing.T) {
+		memory := newMemory(t)
+		n := newNetwork(t, memory, 3)
+		eventually(t, "all are fresh", every(n.all(), fresh))
+		relays, followers := n.members(true), n.members(false)
+		for _, m := range n.all()[1:] {
+			n.setCut(m, true)
+			m.store.setCut(true)
+		}
+		apply(t, memory, 2, 2)
+		eventually(t, "one relay has the ticket", every(relays[:1], hasTicket(2)))
+		memory.Outage(true)
+		for _, m := range n.all()[1:] {
+			n.setCut(m, false)
+			m.store.setCut(false)
+		}
+		n.setSlow(relays[0], 40*time.Millisecond)
+		restarted := []*member{}
+		for _, m := range []*member{relays[1], relays[2], followers[0]} {
+			m.stop()
+			restarted = append(restarted, n.start(t, memory, m.host))
+		}
+		eventually(t, "restarted hosts serve", every(restarted, fresh))
+		if !every(restarted, hasTicket(2))() {
+			t.Error("a restarted host serves by an older ticket")
+		}
+		eventually(t, "all have the ticket", every(n.all(), hasTicket(2)))
+	})
 }
 
 // TestRelaysDie: hosts of a zone whose relays are gone follow those of other zones.
 func TestRelaysDie(t *testing.T) {
 	t.Parallel()
-	memory := newMemory(t)
-	n := newNetwork(t, memory, 3)
-	eventually(t, "all are fresh", every(n.all(), fresh))
-	var followers []*member
-	for _, m := range n.members(true) {
-		if m.host.AvailabilityZone == zones[0] {
-			n.setCut(m, true)
+	synctest.Test(t, func(t *testing.T) {
+		memory := newMemory(t)
+		n := newNetwork(t, memory, 3)
+		eventually(t, "all are fresh", every(n.all(), fresh))
+		var followers []*member
+		for _, m := range n.members(true) {
+			if m.host.AvailabilityZone == zones[0] {
+				n.setCut(m, true)
+			}
 		}
-	}
-	for _, m := range n.members(false) {
-		if m.host.AvailabilityZone == zones[0] {
-			m.store.setCut(true)
-			followers = append(followers, m)
+		for _, m := range n.members(false) {
+			if m.host.AvailabilityZone == zones[0] {
+				m.store.setCut(true)
+				followers = append(followers, m)
+			}
 		}
-	}
-	always(t, "hosts stay fresh", ticket.FreshFor+time.Second, every(followers, fresh))
-	apply(t, memory, 2, 2)
-	eventually(t, "hosts follow neighbours", every(followers, hasTicket(2)))
+		always(t, "hosts stay fresh", ticket.FreshFor+time.Second, every(followers, fresh))
+		apply(t, memory, 2, 2)
+		eventually(t, "hosts follow neighbours", every(followers, hasTicket(2)))
+	})
 }
 
 // TestSlowPlatform is a platform whose answers take seconds.
@@ -156,14 +171,16 @@
 // that got the ticket accepted tells the relays itself.
 func TestSlowPlatform(t *testing.T) {
 	t.Parallel()
-	memory := newMemory(t)
-	n := newNetwork(t, memory, 3)
-	eventually(t, "all are fresh", every(n.all(), fresh))
-	for _, m := range n.all() {
-		m.store.setCut(true)
-	}
-	apply(t, memory, 2, 2, WithFollower(n.members(false)[0].follower))
-	eventually(t, "all have the ticket", every(n.all(), hasTicket(2)))
+	synctest.Test(t, func(t *testing.T) {
+		memory := newMemory(t)
+		n := newNetwork(t, memory, 3)
+		eventually(t, "all are fresh", every(n.all(), fresh))
+		for _, m := range n.all() {
+			m.store.setCut(true)
+		}
+		apply(t, memory, 2, 2, WithFollower(n.members(false)[0].follower))
+		eventually(t, "all have the ticket", every(n.all(), hasTicket(2)))
+	})
 }
 
 // TestAgesOfAnswer is an answer that comes late.
@@ -195,35 +212,39 @@
 // What an operator would see: withdrawn keys that are valid again.
 func TestRevertedHead(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	memory := newMemory(t)
-	old, err := memory.Get(context.Background(), ticket.HeadObject)
-	if err != nil {
-		t.Fatal(err)
-	}
-	apply(t, memory, 2, 2)
-	ctx, cancel := context.WithCancel(context.Background())
-	f := NewFollower(ctx, memory)
-	eventually(t, "has ticket 2", func() bool { return hasTicket(2)(f) })
-	now, _ := memory.Get(context.Background(), ticket.HeadObject)
-	if _, err := memory.Put(context.Background(), ticket.HeadObject, old.Value, now.Version); err != nil {
-		t.Fatal(err)
-	}
-	eventually(t, "the follower complains", func() bool { return f.State().(State).LastError != "" })
-	if !hasTicket(2)(f) {
-		t.Error("the view went back")
-	}
-	cancel()
-	f.Wait()
+	synctest.Test(t, func(t *testing.T) {
+		memory := newMemory(t)
+		old, err := memory.Get(context.Background(), ticket.HeadObject)
+		if err != nil {
+			t.Fatal(err)
+		}
+		apply(t, memory, 2, 2)
+		ctx, cancel := context.WithCancel(context.Background())
+		f := NewFollower(ctx, memory)
+		eventually(t, "has ticket 2", func() bool { return hasTicket(2)(f) })
+		now, _ := memory.Get(context.Background(), ticket.HeadObject)
+		if _, err := memory.Put(context.Background(), ticket.HeadObject, old.Value, now.Version); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "the follower complains", func() bool { return f.State().(State).LastError != "" })
+		if !hasTicket(2)(f) {
+			t.Error("the view went back")
+		}
+		cancel()
+		f.Wait()
+	})
 }
 
 // TestNoTickets: an empty platform is a state like any other.
 func TestNoTickets(t *testing.T) {
-	ctx, cancel := context.WithCancel(context.Background())
-	f := NewFollower(ctx, standin.NewMemory())
-	eventually(t, "synced and fresh", func() bool { return f.Synced() && fresh(f) })
-	if f.View().Revision() != 0 {
-		t.Errorf("revision %d", f.View().Revision())
-	}
-	cancel()
-	f.Wait()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f := NewFollower(ctx, standin.NewMemory())
+		eventually(t, "synced and fresh", func() bool { return f.Synced() && fresh(f) })
+		if f.View().Revision() != 0 {
+			t.Errorf("revision %d", f.View().Revision())
+		}
+		cancel()
+		f.Wait()
+	})
 }
--- a/internal/edge/configuration/network_test.go
+++ b/internal/edge/configuration/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"testing"
@@ -16,6 +17,13 @@
 
 var errCut = errors.New("connection is cut")
 
+const (
+	// startApart spreads the hosts over all phases of their polls, which last up to a second.
+	startApart = 37 * time.Millisecond
+	// longestWay is the longest time that a call takes to a peer.
+	longestWay = 2 * time.Millisecond
+)
+
 // network connects followers within the test, with cuts.
 type network struct {
 	mutex sync.Mutex
@@ -29,7 +37,9 @@
 	follower *Follower
 	store    *cuttable
 	cut      bool
-	stop     func()
+	// slow is added to the way to this host.
+	slow time.Duration
+	stop func()
 }
 
 // cuttable is the platform as one host reaches it.
@@ -78,23 +88,25 @@
 	from    netip.AddrPort
 }
 
-// peer returns the host at the address. A cut is silent: the question ends with its timeout.
+// peer returns the host at the address after the way there. A cut is silent: the question ends with its timeout.
 func (e exchange) peer(ctx context.Context, to netip.AddrPort) (*Follower, error) {
-	if f := e.reached(to); f != nil {
+	if f, way := e.reached(to); f != nil {
+		<-time.After(way)
 		return f, nil
 	}
 	<-ctx.Done()
 	return nil, errCut
 }
 
-func (e exchange) reached(to netip.AddrPort) *Follower {
+// reached returns the host at the address and how long the way to it is; nil if either side is cut off.
+func (e exchange) reached(to netip.AddrPort) (*Follower, time.Duration) {
 	e.network.mutex.Lock()
 	defer e.network.mutex.Unlock()
 	from, target := e.network.hosts[e.from], e.network.hosts[to]
 	if target == nil || target.cut || from != nil && from.cut {
-		return nil
+		return nil, 0
 	}
-	return target.follower
+	return target.follower, target.slow + rand.N(longestWay)
 }
 
 func (e exchange) Follow(ctx context.Context, to netip.AddrPort, ask FollowAsk) (FollowAnswer, error) {
@@ -149,6 +161,7 @@
 	}
 	for _, host := range n.list {
 		n.start(t, store, host)
+		<-time.After(startApart)
 	}
 	return n
 }
@@ -177,6 +190,12 @@
 	m.cut = cut
 }
 
+func (n *network) setSlow(m *member, slow time.Duration) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	m.slow = slow
+}
+
 // members returns the hosts that are relays, or those that are not.
 func (n *network) members(relay bool) []*member {
 	n.mutex.Lock()
@@ -214,32 +233,22 @@
 // eventually waits until ok holds, and returns how long that took.
 func eventually(t *testing.T, what string, ok func() bool) time.Duration {
 	t.Helper()
-	began := time.Now()
-	tick := time.NewTicker(5 * time.Millisecond)
-	defer tick.Stop()
-	for !ok() {
+	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return time.Since(began)
+		}
 		if time.Since(began) > 30*time.Second {
 			t.Fatalf("never: %s", what)
 		}
-		<-tick.C
 	}
-	return time.Since(began)
 }
 
 // always expects ok to hold for a time.
 func always(t *testing.T, what string, length time.Duration, ok func() bool) {
 	t.Helper()
-	tick := time.NewTicker(5 * time.Millisecond)
-	defer tick.Stop()
-	end := time.After(length)
-	for {
-		select {
-		case <-tick.C:
-			if !ok() {
-				t.Fatalf("not always: %s", what)
-			}
-		case <-end:
-			return
+	for began := time.Now(); time.Since(began) < length; time.Sleep(5 * time.Millisecond) {
+		if !ok() {
+			t.Fatalf("not always: %s", what)
 		}
 	}
 }
--- a/internal/edge/configuration/source.go
+++ b/internal/edge/configuration/source.go
@@ -78,7 +78,7 @@
 		s.relay = netip.AddrPort{}
 	}
 	if s.relay.IsValid() {
-		answer := f.ask(ctx, s.relay, f.waits.relay)
+		answer := f.ask(ctx, s.relay, query{wait: f.waits.relay})
 		if answer.err == nil && (f.settled() || time.Now().Before(s.look)) {
 			return nil
 		}
@@ -161,27 +161,56 @@
 }
 
 // round asks all relays at once without a wait, and takes in what they know.
+//
+// A host that isn't synced takes in how fresh their views are only when the round is over. It guards against
+// a withdrawn key that works again on a restarted host: the first answer, of a relay that was confirmed just
+// before the withdrawal, would make the host serve while the answer with the withdrawal is under way.
 func (f *Follower) round(ctx context.Context, relays []netip.AddrPort) []answered {
-	ctx, cancel := context.WithTimeout(ctx, f.waits.round)
+	starting := !f.Synced()
+	limited, cancel := context.WithTimeout(ctx, f.waits.round)
 	defer cancel()
 	answers := make([]answered, len(relays))
 	var wg conc.WaitGroup
 	for i, relay := range relays {
-		wg.Go(func() { answers[i] = f.ask(ctx, relay, 0) })
+		wg.Go(func() { answers[i] = f.ask(limited, relay, query{headOnly: starting}) })
 	}
 	wg.Wait()
+	if starting {
+		if err := f.deliver(ctx, arrival{freshness: newest(answers)}); err != nil {
+			f.note(err)
+		}
+	}
 	return answers
 }
 
+// newest returns the newest confirmation and the newest outage among the answers.
+func newest(answers []answered) ticket.Freshness {
+	known := ticket.Freshness{}
+	for _, answer := range answers {
+		if answer.err == nil {
+			known = known.Later(answer.freshness)
+		}
+	}
+	return known
+}
+
+// query is a question to a relay.
+type query struct {
+	// wait is how long the relay may keep it.
+	wait time.Duration
+	// headOnly leaves it to the caller to take in how fresh the relay's view is.
+	headOnly bool
+}
+
 // ask puts one question to a relay and takes in the answer.
-func (f *Follower) ask(ctx context.Context, relay netip.AddrPort, wait time.Duration) answered {
-	ctx, cancel := context.WithTimeout(ctx, wait+f.waits.relaySlack)
+func (f *Follower) ask(ctx context.Context, relay netip.AddrPort, q query) answered {
+	ctx, cancel := context.WithTimeout(ctx, q.wait+f.waits.relaySlack)
 	defer cancel()
 	known := f.current.Load()
 	view := known.view
 	asked := time.Now()
 	answer, err := f.exchange.Follow(ctx, relay, FollowAsk{
-		HostID: f.self.HostID, Revision: view.Revision(), Ticket: view.LastTicket(), Wait: wait,
+		HostID: f.self.HostID, Revision: view.Revision(), Ticket: view.LastTicket(), Wait: q.wait,
 	})
 	if err != nil {
 		return answered{err: errors.Wrapf(err, "relay %s", relay)}
@@ -192,6 +221,9 @@
 	}
 	freshness := answer.freshness(asked)
 	a := arrival{revision: answer.Revision, head: head, freshness: freshness}
+	if q.headOnly {
+		a.freshness = ticket.Freshness{}
+	}
 	err = f.takeHead(ctx, a, func(ctx context.Context, hashes []string) (map[string][]byte, error) {
 		return f.relayParts(ctx, relay, hashes)
 	})
