End a write of the platform client test once the platform has it

Cause: the test ended the context 20 ms after the call began, and the platform answered after 200 ms: on a busy machine the call was not sent within 20 ms (not run, in place of unsettled) or was answered before the end. Now the context ends when the stand-in has counted the call, and calls have a minute in place of 5 s.

--- a/internal/edge/platform/client_test.go
+++ b/internal/edge/platform/client_test.go
@@ -22,6 +22,12 @@
 	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
 }
 
+// callLimit is generous, so that a busy machine loses no call; heldWrite is longer than the platform takes to note a call.
+const (
+	callLimit = time.Minute
+	heldWrite = 2 * time.Second
+)
+
 // start serves a stand-in over loopback and returns it with a client.
 func start(t *testing.T, opts ...standin.Option) (*standin.Server, *platform.Client) {
 	t.Helper()
@@ -33,7 +39,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client := platform.NewClient(server.URL())
+	client := platform.NewClient(server.URL(), platform.WithCallTimeout(callLimit))
 	t.Cleanup(func() {
 		client.Close()
 		server.Close()
@@ -120,16 +126,24 @@
 // under way. The holder must not take the renewal for failed: the write still takes effect.
 func TestWriteWhoseContextEndsAfterSendingIsUnsettled(t *testing.T) {
 	server, client := start(t)
-	server.Delay(200 * time.Millisecond)
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	server.Delay(heldWrite)
+	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		for server.Calls()[standin.KindPut] == 0 && t.Context().Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	})
 	if _, err := client.Put(ctx, "lease", json.RawMessage(`1`), 0); !errors.Is(err, platform.ErrUnsettled) {
 		t.Errorf("ended after sending: got %v", err)
 	}
 	if _, err := client.Put(ctx, "lease", json.RawMessage(`1`), 0); !errors.Is(err, platform.ErrUnavailable) {
 		t.Errorf("ended before sending: got %v", err)
 	}
-	object, err := client.Watch(t.Context(), "lease", 0, 10*time.Second)
+	object, err := client.Watch(t.Context(), "lease", 0, callLimit)
 	if err != nil || string(object.Value) != "1" {
 		t.Errorf("the write has to take effect: %v, %v", object, err)
 	}
