Take only a failed read for an outage of the platform

TestBatchesUnderFaults failed now and then in "write n lasting true frozen before the effect" with 409 "batch n of step 1 was acknowledged by a cursor" when a batch was asked for again.

Cause, a fault of the product: a coordinator whose write was never sent, because the write's own time was over, took that for an outage of the platform and moved alone. A host that is stopped between the decision and the write, and wakes after another host has taken the lease, did so each time: it handed out a batch n that was never written, the trainer's cursor named that batch as delivered, and the successor, which knows no manifest of it, refused to repeat it for good. The answer came out only if the host was found fresh again before it had learnt of its successor, hence the few failures.

Mend: a write that was not sent is followed by a read, and only a failed read allows moves alone. The next write waits for the tick, as before, so that a platform above its rate isn't asked without a pause.

--- a/internal/core/delivery/job.go
+++ b/internal/core/delivery/job.go
@@ -53,7 +53,9 @@
 	// floor is the newest model version that may be in force, though unconfirmed.
 	floor int
 	down  bool
-	lost  ContentLost
+	// resting says that the platform refused the last write; the next one waits for a tick.
+	resting bool
+	lost    ContentLost
 
 	held bool
 	// terms are the times of holding the lease, the newest last.
@@ -152,7 +154,7 @@
 }
 
 func (j *Job) mayWrite() bool {
-	return j.loaded && j.held && !j.down && !j.reading && j.writing == nil
+	return j.loaded && j.held && !j.down && !j.resting && !j.reading && j.writing == nil
 }
 
 // mayMoveAlone holds the rules of Job for a move without the platform. The failure they guard
@@ -214,8 +216,13 @@
 		j.down = false
 		j.read()
 	case WriteUnavailable:
+		// A write that was not sent is no outage either. Failure: the process is stopped between the
+		// decision and the write, and the write's time is over when it wakes; taken for an outage, that
+		// would let it hand out batches of its own beside those of its successor. The read tells them
+		// apart: it begins after the wake, and brings the successor's record unless the platform is down.
 		j.unsend()
-		j.down = true
+		j.resting = true
+		j.read()
 	case WriteUnsettled:
 		j.unsettled = next
 		j.extended = false
@@ -288,9 +295,10 @@
 	j.loaded = false
 }
 
-// tick reads again after a failure, and while the lease is not held, to find out whether the
-// platform is down or another coordinator has taken over.
+// tick ends the rest after a refused write. It reads again after a failure, and while the lease is not
+// held, to find out whether the platform is down or another coordinator has taken over.
 func (j *Job) tick() {
+	j.resting = false
 	if j.writing == nil && (j.down || !j.loaded || !j.held) {
 		j.read()
 	}
--- a/internal/core/delivery/job_rapid_test.go
+++ b/internal/core/delivery/job_rapid_test.go
@@ -51,7 +51,7 @@
 		"workAll2": func(t *rapid.T) { w.workAll(coord(t), w.record.ModelVersion) },
 		"read":     func(t *rapid.T) { w.runRead(coord(t)) },
 		"write": func(t *rapid.T) {
-			how := rapid.SampledFrom([]fate{fateDone, fateDone, fateDone, fateLostApplied, fateLostLate}).Draw(t, "fate")
+			how := rapid.SampledFrom([]fate{fateDone, fateDone, fateDone, fateLostApplied, fateLostLate, fateUnsent}).Draw(t, "fate")
 			w.runWrite(coord(t), how)
 		},
 		"late": func(*rapid.T) { w.runLate() },
--- a/internal/core/delivery/job_test.go
+++ b/internal/core/delivery/job_test.go
@@ -139,6 +139,46 @@
 	}
 }
 
+// A trainer would get a batch from a coordinator that another has replaced. The process is stopped
+// before its write is sent, and the write's time is over when it wakes: nothing was written, which
+// is no sign that the platform is down. Only a read that fails is one.
+func TestUnsentWriteIsNoOutage(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		s := newScript(t, 0)
+		cursor := s.postStep()
+		s.ready(0, 0, 1)
+		the[Write](s, s.job.Handle(BatchAsked{ID: 2, Step: 1, Batch: 1, Cursor: &cursor}))
+		s.job.Handle(FenceChanged{})
+		the[Read](s, s.job.Handle(WriteUnavailable{}))
+		if down {
+			answer := the[Answer](s, s.job.Handle(ReadFailed{}))
+			if _, ready := answer.Result.(BatchReady); !ready {
+				t.Errorf("in an outage: %+v", answer.Result)
+			}
+			continue
+		}
+		got := s.refusal(s.job.Handle(Loaded{Record: Record{Job: "fees", Fencing: 20}, Version: 9}))
+		if got.Reason != verdict.ReasonNotLeader {
+			t.Errorf("%+v", got)
+		}
+	}
+}
+
+// A platform that refuses writes above its rate would be asked again without a pause, by a read and a
+// write in turn. After a refused write the next one waits for the next tick.
+func TestRefusedWriteRests(t *testing.T) {
+	s := newScript(t, 0)
+	s.postStep()
+	s.ready(0, 0, 1)
+	before := s.job.record
+	the[Write](s, s.job.Handle(BatchAsked{ID: 2, Step: 1, Batch: 1}))
+	the[Read](s, s.job.Handle(WriteUnavailable{}))
+	if effects := s.job.Handle(Loaded{Record: before, Version: s.version}); len(effects) != 0 {
+		t.Errorf("at once: %+v", effects)
+	}
+	the[Write](s, s.job.Handle(Ticked{}))
+}
+
 // A trainer would be sent back in time: it was served by a later coordinator, and the balancer
 // brings it to the one before, which has slept through the change.
 func TestCursorOfLaterCoordinatorIsObeyed(t *testing.T) {
--- a/internal/core/delivery/world_test.go
+++ b/internal/core/delivery/world_test.go
@@ -16,6 +16,8 @@
 	fateLostApplied
 	fateLostDropped
 	fateLostLate
+	// fateUnsent: the write's time was over before it was sent.
+	fateUnsent
 )
 
 // lateWrite is a write whose answer was lost and which takes effect later.
@@ -34,6 +36,10 @@
 	write *Write
 	// landed is the newest model version that a write of this process put into the object.
 	landed int
+	// unread says that the last read failed.
+	unread bool
+	// given are the manifests handed out.
+	given map[string]bool
 }
 
 // reply is an answer on its way to the trainer.
@@ -97,7 +103,7 @@
 func (w *world) newCoordinator() *coordinator {
 	self := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 9000)
 	w.processes++
-	return &coordinator{id: w.processes, job: NewJob("fees", self, w.bound)}
+	return &coordinator{id: w.processes, job: NewJob("fees", self, w.bound), given: map[string]bool{}}
 }
 
 func (w *world) lease(at int) {
@@ -143,6 +149,7 @@
 		if !w.stored[r.digest] {
 			w.checkAlone(c, ready, w.cursors[answer.ID])
 		}
+		c.given[r.digest] = true
 		key := fmt.Sprintf("%d/%d", ready.Step, ready.Manifest.Batch)
 		known, seen := w.manifests[key]
 		if seen && known != r.digest && (!w.useCursor || w.outages == 0) {
@@ -170,6 +177,10 @@
 	if cursor == nil || w.issuers[cursor.Fencing] != c.id {
 		w.t.Fatalf("process %d moved alone past a cursor that is not its own: %+v", c.id, cursor)
 	}
+	// A batch that was handed out alone is repeated also when the platform is back.
+	if !c.unread && !c.given[fmt.Sprint(ready.Manifest)] {
+		w.t.Fatalf("process %d moved alone though its last read succeeded", c.id)
+	}
 	for _, ref := range ready.Manifest.Refs {
 		if ref.Oldest < c.landed-w.bound {
 			w.t.Fatalf("moved alone with a sample of version %d, though it wrote version %d, bound %d", ref.Oldest, c.landed, w.bound)
@@ -219,7 +230,8 @@
 		return
 	}
 	c.reads--
-	if !w.up {
+	c.unread = !w.up
+	if c.unread {
 		w.feed(at, ReadFailed{})
 		return
 	}
@@ -235,7 +247,7 @@
 	write := *c.write
 	c.write = nil
 	switch {
-	case !w.up && how == fateDone:
+	case !w.up && how == fateDone, how == fateUnsent:
 		w.feed(at, WriteUnavailable{})
 	case !w.up || how == fateLostDropped:
 		w.feed(at, WriteUnsettled{})
--- a/internal/edge/trainer/failure_test.go
+++ b/internal/edge/trainer/failure_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/delivery"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
@@ -21,9 +22,11 @@
 // before it reaches the platform or before its answer comes back.
 type heldStore struct {
 	platform.Store
-	mu      sync.Mutex
-	hold    bool
-	after   bool
+	mu    sync.Mutex
+	hold  bool
+	after bool
+	// unsent says that the write held up is never sent: its time is over when it goes on.
+	unsent  bool
 	arrived chan struct{}
 	release chan struct{}
 }
@@ -54,6 +57,9 @@
 	if !after {
 		close(s.arrived)
 		<-s.release
+		if s.unsent {
+			return 0, errors.Wrap(platform.ErrUnavailable, name)
+		}
 		return s.Store.Put(context.WithoutCancel(ctx), name, value, ifVersion)
 	}
 	version, err := s.Store.Put(ctx, name, value, ifVersion)
@@ -62,6 +68,21 @@
 	return version, err
 }
 
+// heldWorld is two entries of which A reaches the platform over a held store, holds the job, and has
+// scored all samples of step 1.
+func heldWorld(t *testing.T) (*world, *heldStore) {
+	t.Helper()
+	w := newWorld(t)
+	w.kill(hostA)
+	store := newHeldStore(w.store)
+	w.start(hostA, hostB, store)
+	w.lease.take(hostA, false)
+	w.postVersion(hostA, 1)
+	w.postStep(hostA, 1)
+	w.eventually(hostA, "all samples scored", scored(6))
+	return w, store
+}
+
 // record reads the job object.
 func (w *world) record() delivery.Record {
 	w.t.Helper()
@@ -81,14 +102,7 @@
 // accepted there; A wakes, believes in its lease still, and sends the write. Cause: a delivery and a
 // new version pass each other.
 func TestVersionRacesDelivery(t *testing.T) {
-	w := newWorld(t)
-	w.kill(hostA)
-	store := newHeldStore(w.store)
-	w.start(hostA, hostB, store)
-	w.lease.take(hostA, false)
-	w.postVersion(hostA, 1)
-	w.postStep(hostA, 1)
-	w.eventually(hostA, "all samples scored", scored(6))
+	w, store := heldWorld(t)
 	store.holdNext(false)
 	late := make(chan answer, 1)
 	go func() { late <- w.getBatch(hostA, 1, 1, map[string]string{"Request-Timeout": "2"}) }()
@@ -109,17 +123,35 @@
 	}
 }
 
+// A trainer would be refused batch 1 for good when it asks again. Host A decides on batch 1 and is
+// paused before its write is sent; B takes the lease and hands out its own batch 1; A wakes when the
+// time of its write is over. Cause: A takes the write that it never sent for an outage of the platform,
+// and hands out a batch 1 of its own without writing it.
+func TestWakeIsNoOutage(t *testing.T) {
+	w, store := heldWorld(t)
+	store.unsent = true
+	store.holdNext(false)
+	header := w.withCursor()
+	header["Request-Timeout"] = "2"
+	late := make(chan answer, 1)
+	go func() { late <- w.getBatch(hostA, 1, 1, header) }()
+	<-store.arrived
+	w.lease.take(hostB, true)
+	first := w.batch(w.getBatch(hostB, 1, 1, nil))
+	close(store.release)
+	if got := <-late; got.status == http.StatusOK {
+		t.Errorf("A handed out a batch that B serves: %s", got.body)
+	}
+	if again := w.batch(w.getBatch(hostB, 1, 1, w.withCursor())); !cmp.Equal(first, again) {
+		t.Errorf("batch 1 was\n%+v\nand is\n%+v", first, again)
+	}
+}
+
 // A trainer would get batch 1 with other samples, and later some of them twice. The coordinator
 // writes the manifest and dies before it answers; the trainer asks the successor for batch 1.
 // Cause: the successor makes the batch anew and does not go by the job object.
 func TestCoordinatorKilledAfterWrite(t *testing.T) {
-	w := newWorld(t)
-	w.kill(hostA)
-	store := newHeldStore(w.store)
-	w.start(hostA, hostB, store)
-	w.lease.take(hostA, false)
-	w.postStep(hostA, 1)
-	w.eventually(hostA, "all samples scored", scored(6))
+	w, store := heldWorld(t)
 	store.holdNext(true)
 	unheard := make(chan answer, 1)
 	go func() { unheard <- w.getBatch(hostA, 1, 1, nil) }()
