Measure the bytes of a usage flush and the heap while a window is closed

The slope usageCells took agents in a row of numbers and one amount for all counts, which no deployment has and which a compact form would profit from; it counted the length of the stored object but not what a flush reads and writes, and its memory was that of a collector that was already garbage. Incarnations and amounts are random now, a third of the counts grows before each of 60 flushes, and objects are counted in both directions. closings now takes counts of a hundred agents an organisation and shows the highest heap during the closing, not only what is left.

--- a/internal/program/capacity/usage.go
+++ b/internal/program/capacity/usage.go
@@ -2,9 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"runtime/debug"
+	"runtime/metrics"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/usage"
@@ -13,20 +19,52 @@
 	standin "github.com/oleandershelf/oleandershelf/internal/standin/platform"
 )
 
-// cellsOf returns a count for each organisation and agent in the window.
+// cellsOf returns a count for each organisation and agent in the window. Agents' incarnations and the amounts are
+// as random as those of a deployment, since the length of a stored count depends on them.
 func cellsOf(organisations, agents int, windowStart int64) []usage.Count {
+	random := rand.New(rand.NewPCG(1, 2)) //nolint:gosec // the same sizes at each run are wanted
+	incarnations := make([]uint64, agents)
+	for i := range incarnations {
+		incarnations[i] = random.Uint64()
+	}
 	counts := make([]usage.Count, 0, organisations*agents)
 	for o := range organisations {
-		for a := range agents {
-			counts = append(counts, usage.Count{
-				Cell:   usage.Cell{Agent: 1<<60 + uint64(a), Organisation: fmt.Sprintf("organisation-%04d", o), Window: windowStart},
-				Amount: usage.Amount{Requests: 12, Tokens: 4000, ServerTime: 90 * time.Second},
-			})
+		for _, incarnation := range incarnations {
+			cell := usage.Cell{Agent: incarnation, Organisation: fmt.Sprintf("organisation-%04d", o), Window: windowStart}
+			counts = append(counts, usage.Count{Cell: cell, Amount: grown(usage.Amount{}, 1+random.Uint64N(200))})
 		}
 	}
 	return counts
 }
 
+// grown is the amount after so many requests more.
+func grown(amount usage.Amount, requests uint64) usage.Amount {
+	const (
+		tokens = 371
+		took   = 7_481_293_731 * time.Nanosecond
+	)
+	return amount.Plus(usage.Amount{Requests: requests, Tokens: requests * tokens, ServerTime: time.Duration(requests) * took})
+}
+
+// carriedStore counts the bytes of the objects that are read and written.
+type carriedStore struct {
+	platform.Store
+	bytes int
+}
+
+// Get implements platform.Store.
+func (c *carriedStore) Get(ctx context.Context, name string) (platform.Object, error) {
+	object, err := c.Store.Get(ctx, name)
+	c.bytes += len(object.Value)
+	return object, err
+}
+
+// Put implements platform.Store.
+func (c *carriedStore) Put(ctx context.Context, name string, value json.RawMessage, ifVersion platform.Version) (platform.Version, error) {
+	c.bytes += len(value)
+	return c.Store.Put(ctx, name, value, ifVersion)
+}
+
 // usageCells is the cost of a flush of usage counts at a relay.
 type usageCells struct{}
 
@@ -34,17 +72,23 @@
 func (usageCells) About() About {
 	return About{
 		Name: "usageCells", Axis: "count",
-		Notes: "A relay's flush of so many growing counts of one window into the object API, in memory; the bytes of the counts as agents hand them over; and the memory of ledger and collector. One end.",
+		Notes: "A relay's flush of so many growing counts of one window of eight organisations into the object API, in memory. A third of the counts grows before each flush, as of 1,900 counts of a zone do at 40 requests/s within 15 s. Bytes of the objects read and written, of the counts as agents hand them over, and the memory of ledger and collector. One end.",
 	}
 }
 
 // Sizes implements Slope.
-func (usageCells) Sizes() []int { return []int{8, 64, 250, 1000, 4000} }
+func (usageCells) Sizes() []int { return []int{8, 64, 248, 1000, 1904, 4000} }
 
 // Measure implements Slope.
 func (usageCells) Measure(ctx context.Context, cells int) ([]Figure, error) {
-	store := standin.NewMemory()
-	counts := cellsOf(cells, 1, usage.WindowStart(time.Now(), billing.DefaultWindow))
+	const (
+		organisations = 8
+		grownPart     = 3
+		flushes       = 3 * repeats
+	)
+	memory := standin.NewMemory()
+	store := &carriedStore{Store: memory}
+	counts := cellsOf(organisations, cells/organisations, usage.WindowStart(time.Now(), billing.DefaultWindow))
 	handed, err := msgpack.Marshal(counts)
 	if err != nil {
 		return nil, err
@@ -55,11 +99,12 @@
 	if err := collector.Flush(ctx); err != nil {
 		return nil, err
 	}
-	memory := usedMemory() - before
-	used, calls := usedTime(), store.Calls()
-	for round := range repeats {
+	used, calls, carried := usedTime(), memory.Calls(), store.bytes
+	for round := range flushes {
 		for i := range counts {
-			counts[i].Amount.Requests = uint64(100 + round)
+			if (i+round)%grownPart == 0 {
+				counts[i].Amount = grown(counts[i].Amount, 1)
+			}
 		}
 		collector.Merge(counts...)
 		if err := collector.Flush(ctx); err != nil {
@@ -67,18 +112,24 @@
 		}
 	}
 	spent := usedTime() - used
-	stored, err := store.List(ctx, billing.CountsPrefix)
+	carried = store.bytes - carried
+	held := usedMemory() - before
+	runtime.KeepAlive(collector)
+	runtime.KeepAlive(counts)
+	stored, err := memory.List(ctx, billing.CountsPrefix)
 	length := 0
 	for _, object := range stored {
 		length += len(object.Value)
 	}
+	made := memory.Calls()
 	return []Figure{
-		{Name: "processor time of a flush", Unit: "µs", Value: spent.Seconds() * microsecondsPerSecond / repeats},
+		{Name: "processor time of a flush", Unit: "µs", Value: spent.Seconds() * microsecondsPerSecond / flushes},
+		{Name: "bytes read and written a flush", Unit: unitBytes, Value: float64(carried) / flushes},
 		{Name: "bytes handed over", Unit: unitBytes, Value: float64(len(handed))},
-		{Name: "bytes of the stored object", Unit: unitBytes, Value: float64(length)},
-		{Name: nameMemory, Unit: unitBytes, Value: max(memory, 0)},
-		{Name: "writes a flush", Unit: unitCount, Value: float64(store.Calls()[standin.KindPut]-calls[standin.KindPut]) / repeats},
-		{Name: "reads a flush", Unit: unitCount, Value: float64(store.Calls()[standin.KindGet]-calls[standin.KindGet]) / repeats},
+		{Name: "bytes of the stored objects", Unit: unitBytes, Value: float64(length)},
+		{Name: nameMemory + ", stored objects included", Unit: unitBytes, Value: max(held, 0)},
+		{Name: "writes a flush", Unit: unitCount, Value: float64(made[standin.KindPut]-calls[standin.KindPut]) / flushes},
+		{Name: "reads a flush", Unit: unitCount, Value: float64(made[standin.KindGet]-calls[standin.KindGet]) / flushes},
 	}, err
 }
 
@@ -102,6 +153,32 @@
 	return 1, now.Add(time.Minute), true
 }
 
+// highestHeap watches the heap, which is collected often meanwhile, until the function that it returns is called;
+// that function returns the highest size seen. The processor time of the collections is part of what is measured.
+func highestHeap(ctx context.Context) func() float64 {
+	const (
+		garbagePercent = 10
+		every          = time.Millisecond
+	)
+	percent := debug.SetGCPercent(garbagePercent)
+	ctx, cancel := context.WithCancel(ctx)
+	highest := 0.0
+	var watching conc.WaitGroup
+	watching.Go(func() {
+		samples := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+		for pause(ctx, every) == nil {
+			metrics.Read(samples)
+			highest = max(highest, float64(samples[0].Value.Uint64()))
+		}
+	})
+	return func() float64 {
+		cancel()
+		watching.Wait()
+		debug.SetGCPercent(percent)
+		return highest
+	}
+}
+
 // closings is the cost of closing a usage window.
 type closings struct{}
 
@@ -109,7 +186,7 @@
 func (closings) About() About {
 	return About{
 		Name: "closings", Axis: "organisation",
-		Notes: "Closing one usage window in which each organisation has counts of ten agents: freezing, reporting, cleaning; closer and stand-in in memory together.",
+		Notes: "Closing one usage window in which each organisation has counts of a hundred agents: freezing, reporting, cleaning; closer and stand-in in memory together, with a collection of garbage at each tenth of growth.",
 	}
 }
 
@@ -118,7 +195,7 @@
 
 // Measure implements Slope.
 func (closings) Measure(ctx context.Context, organisations int) ([]Figure, error) {
-	const agents = 10
+	const agents = 100
 	store := standin.NewMemory()
 	now := time.Now()
 	windowStart := usage.WindowStart(now, billing.DefaultWindow) - usage.WindowSeconds(billing.DefaultWindow)
@@ -128,11 +205,14 @@
 		return nil, err
 	}
 	closer := billing.NewCloser(ctx, store, soleDuty{}, billing.WithCheckInterval(0), billing.WithGrace(0))
-	before, used, began, calls := usedMemory(), usedTime(), time.Now(), store.Calls()
+	before, calls := usedMemory(), store.Calls()
+	highest := highestHeap(ctx)
+	used, began := usedTime(), time.Now()
 	if err := closer.CloseDue(ctx); err != nil {
 		return nil, err
 	}
 	spent, took := usedTime()-used, time.Since(began)
+	peak := highest()
 	made := func(kinds ...standin.Kind) float64 {
 		sum := 0
 		for _, kind := range kinds {
@@ -144,6 +224,7 @@
 		{Name: nameProcessor, Unit: "ms", Value: spent.Seconds() * 1e3},
 		{Name: "time", Unit: "ms", Value: took.Seconds() * 1e3},
 		{Name: "growth of memory, stored objects included", Unit: unitBytes, Value: max(usedMemory()-before, 0)},
+		{Name: "highest growth of the heap in between", Unit: unitBytes, Value: max(peak-before, 0)},
 		{Name: "writes and reports", Unit: unitCount, Value: made(standin.KindPut, standin.KindDelete, standin.KindReport)},
 		{Name: "reads", Unit: unitCount, Value: made(standin.KindGet, standin.KindList)},
 	}, nil
