Measure entries at rest as processes of their own, apart from the stand-in

The slope entryAtRest gives the processor time of two entries and the stand-in of the platform together. The benchmark runs two entries and a third that answers for all other rows as processes, and the stand-in in its own.

go test ./internal/program/capacity -run none -bench 'EntryProcess/rows=(10|2580)$' -benchtime 1x

The command can't do the same, since a process starts no other.

--- /dev/null
+++ b/internal/program/capacity/entryprocess_bench_test.go
@@ -0,0 +1,131 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/configuration"
+	"github.com/oleandershelf/oleandershelf/internal/program/scenario"
+	"github.com/oleandershelf/oleandershelf/internal/program/settings"
+)
+
+const (
+	// restWindow is long enough that the coarse processor times of the system, 10 ms, count for little.
+	restWindow = 20 * time.Second
+	// clockTick is the unit of processor times under /proc on this system.
+	clockTick = 10 * time.Millisecond
+)
+
+// BenchmarkEntryProcess measures two entries at rest as processes of their own, with the stand-in of the platform in
+// the process of the benchmark, so that the processor time of each is told apart. Rows and jobs are as in entryAtRest, but
+// a third entry, which is not measured, has the address of all rows beside the two and answers what they are asked.
+//
+//	go test ./internal/program/capacity -run none -bench EntryProcess -benchtime 1x
+func BenchmarkEntryProcess(b *testing.B) {
+	program := filepath.Join(b.TempDir(), "oleandershelf")
+	if out, err := exec.Command("go", "build", "-o", program, "../../..").CombinedOutput(); err != nil {
+		b.Fatalf("go build: %v\n%s", err, out)
+	}
+	for _, rows := range (entryAtRest{}).Sizes() {
+		b.Run(fmt.Sprintf("rows=%d", rows), func(b *testing.B) {
+			for range b.N {
+				measureProcesses(b, program, rows)
+			}
+		})
+	}
+}
+
+func measureProcesses(b *testing.B, program string, rows int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &deployment{cancel: cancel}
+	defer d.close()
+	l, err := d.platforms.listen(ctx)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := d.layOut(scenario.Addresses(), "http://"+l.Addr().String(), zoneEntries+1, 0); err != nil {
+		b.Fatal(err)
+	}
+	hosts := d.hosts()
+	hosts = append(hosts, rowsOf(rows-len(hosts), d.entries[zoneEntries].PeerListen)...)
+	if d.platform, err = newPlatform(ctx, l, hosts); err != nil {
+		b.Fatal(err)
+	}
+	if err := configuration.NewPublisher(d.platform).Apply(ctx, 1, modelTicket(1, restJobs)); err != nil {
+		b.Fatal(err)
+	}
+	var processes []int
+	for _, set := range d.entries {
+		processes = append(processes, startProcess(b, program, set))
+	}
+	if err := pause(ctx, 4*settle); err != nil {
+		b.Fatal(err)
+	}
+	processes = processes[:zoneEntries]
+	before := make([]time.Duration, len(processes))
+	for i, process := range processes {
+		before[i] = processorTime(b, process)
+	}
+	seen, err := observe(ctx, &d.platforms, restWindow)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i, process := range processes {
+		used := processorTime(b, process) - before[i]
+		b.ReportMetric(used.Seconds()/seen.seconds*microsecondsPerSecond, fmt.Sprintf("µs/s-entry-%d", i+1))
+	}
+	b.ReportMetric(seen.processor, "µs/s-stand-in")
+	b.ReportMetric(0, "ns/op")
+}
+
+// startProcess starts an entry, which ends with the benchmark, and returns its process id.
+func startProcess(b *testing.B, program string, set settings.Settings) int {
+	body, err := json.Marshal(map[string]any{
+		"hostId": set.HostID, "availabilityZone": set.AvailabilityZone, "platformUrl": set.PlatformURL, "listen": set.Listen,
+		"peerListen": set.PeerListen, "adminListen": set.AdminListen, "peerSecret": set.PeerSecret, "logLevel": "error",
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	path := filepath.Join(b.TempDir(), set.HostID+".json")
+	if err := os.WriteFile(path, body, 0o600); err != nil {
+		b.Fatal(err)
+	}
+	process := exec.Command(program, "entry", "--settings", path)
+	process.Stderr = os.Stderr
+	if err := process.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		_ = process.Process.Kill()
+		_ = process.Wait()
+	})
+	return process.Process.Pid
+}
+
+// processorTime is what the process has used so far.
+func processorTime(b *testing.B, process int) time.Duration {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", process))
+	if err != nil {
+		b.Fatal(err)
+	}
+	// The name, in parentheses, may hold spaces; user and system time are the 12th and 13th fields after it.
+	fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+1:]))
+	var used time.Duration
+	for _, field := range fields[11:13] {
+		ticks, err := strconv.Atoi(field)
+		if err != nil {
+			b.Fatal(err)
+		}
+		used += time.Duration(ticks) * clockTick
+	}
+	return used
+}
--- a/internal/program/capacity/zone.go
+++ b/internal/program/capacity/zone.go
@@ -19,7 +19,9 @@
 
 const (
 	zoneEntries = 2
-	maxStreams  = 2000
+	// restJobs are the trainer jobs at the size to design for.
+	restJobs   = 18
+	maxStreams = 2000
 )
 
 // part is a running process.
@@ -216,9 +218,8 @@
 
 // Measure implements Slope.
 func (entryAtRest) Measure(ctx context.Context, rows int) ([]Figure, error) {
-	const jobs = 18
 	before := usedMemory()
-	d, err := deploy(ctx, zoneEntries, 0, jobs, rows)
+	d, err := deploy(ctx, zoneEntries, 0, restJobs, rows)
 	if err != nil {
 		return nil, err
 	}
