--- a/internal/program/faults/rules_test.go
+++ b/internal/program/faults/rules_test.go
@@ -8,9 +8,6 @@
 ` + "`go test ./internal/program/faults -update`" + ` from the table in that package, and a test holds it to it. A T names a test that runs in CI and
 brings the fault about at that step; it says nothing of faults that the test doesn't bring about.
 
-Two of the tests named here, ` + "`TestBatchesUnderFaults`" + ` and ` + "`TestRestartedAgentDoesNotDenyARun`" + `, failed in one of six whole runs and stand in KNOWN-RED.txt. A cell that
-rests on one of them alone is not proved until that is settled, though it is counted as such below.
-
 How to read some cells: "frozen" is a real stop and continue signal in ` + "`program/e2e`" + ` and held bytes or a gated store elsewhere. Answers crossed at weights and hosts are
 sent twice on one connection, and the guard against surplus answers was not shown to be needed there. "Server order prepared" is disturbed at a stand-in for the gathering of loads. The
 requests' "platform down" cells run load through an outage and don't hold a call at each step. "Usage counted" killed or cut short is shown at the ledgers.
