Tell a caller with a wrong method which one would do

Cause: a route of our own answered whatever no other route takes, with 404 for a wrong method too, and ran also for requests that the HTTP library had refused, where it wrote an unstructured line into the log for each. Ruled out: a list of methods of our own. Before: GET of a generate path 404 'no such path'. After: 405 with Allow, verdict notRun; the library's own refusals carry our verdicts, and no such line is written.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -16,7 +15,6 @@
 
 	"github.com/oleandershelf/oleandershelf/internal/core/admission"
 	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
-	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
 )
 
@@ -120,9 +118,6 @@
 	if e.deps.Trainers != nil {
 		e.deps.Trainers.RegisterHTTP(e.app)
 	}
-	e.app.Use(func(c fiber.Ctx) error {
-		return verdict.New(verdict.NotRun, http.StatusNotFound, verdict.ReasonNotFound, 0, "no such path: %s", c.Path())
-	})
 }
 
 // count keeps the number of running requests, and closes kept-alive connections once the host leaves.
--- a/internal/edge/entry/header_test.go
+++ b/internal/edge/entry/header_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -102,3 +103,24 @@
 		})
 	}
 }
+
+// A client asks with another method than the path takes. It must learn which one would do.
+func TestOtherMethodIsRefusedWithTheOneThatWouldDo(t *testing.T) {
+	f := newFixture(t, &fakeAgent{})
+	response, err := http.Get(f.url + modelPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var refusal struct {
+		Verdict verdict.Verdict `json:"verdict"`
+		Reason  verdict.Reason  `json:"reason"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&refusal); err != nil {
+		t.Fatal(err)
+	}
+	if response.StatusCode != http.StatusMethodNotAllowed || response.Header.Get("Allow") != http.MethodPost ||
+		refusal.Verdict != verdict.NotRun || refusal.Reason != verdict.ReasonBadRequest {
+		t.Errorf("status %d, allowed %q, %+v", response.StatusCode, response.Header.Get("Allow"), refusal)
+	}
+}
--- a/internal/edge/entry/refuse.go
+++ b/internal/edge/entry/refuse.go
@@ -27,8 +27,11 @@
 	}
 	// fiber refuses before any handler of ours has passed the request on.
 	reason := verdict.ReasonBadRequest
-	if fiberError.Code == http.StatusRequestEntityTooLarge {
+	switch fiberError.Code {
+	case http.StatusRequestEntityTooLarge:
 		reason = verdict.ReasonTooLarge
+	case http.StatusNotFound:
+		reason = verdict.ReasonNotFound
 	}
 	return verdict.New(verdict.NotRun, fiberError.Code, reason, 0, "%s", fiberError.Message)
 }
