Refuse bad requests before they run, and pass a path on as it came

Found by sending what a careless or hostile client may send over a bare connection (TestBadRequestsAreRefused, TestPathGoesOnAsItCame). Faults and causes:

- POST /search/../charge, also with %2e%2e, %2f, "..;" or a backslash, was judged by the prefix /search as a call that may be repeated, and run by the server as /charge: the entry would have tried a charge twice.
Such paths are refused.
- The path went on decoded: %3f became a query that nobody searched for keys, %0d%0a went to the server as a line break, %20 made the request line unreadable, and a slash at the end was lost.
It goes on in the coding in which it came.
- A body with Content-Encoding was decoded by the HTTP library without a bound and sent on with the header still on it; where decoding failed, the text of the library's error was sent to the server as the caller's body.
Such bodies are refused with 415.
Passing them on undecoded was ruled out: a key in them would reach the server.
- A second JSON value after the body of a generation was ignored.
- An unknown method was answered 501 without verdict; a known one on another's path 404 in place of 405.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -110,7 +110,8 @@
 }
 
 func (e *Entry) routes() {
-	e.app.Use(e.count)
+	e.app.Server().Handler = e.refuseMethods(e.app.Server().Handler)
+	e.app.Use(e.count, refuseCodings)
 	e.app.All("/v1/services/:pool/*", e.service)
 	e.app.Post("/v1/models/:model/generate", e.generate)
 	e.app.Post("/v1/tickets/:number", e.applyTicket)
--- a/internal/edge/entry/generate.go
+++ b/internal/edge/entry/generate.go
@@ -5,11 +5,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/request"
 	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
@@ -85,6 +87,9 @@
 	if err := decoder.Decode(&body); err != nil {
 		return body, badRequest("body: %v; want {\"prompt\":…,\"maxTokens\":…,\"stream\":…}", err)
 	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return body, badRequest("body: more than one JSON value")
+	}
 	if body.Prompt == "" {
 		return body, badRequest("body: prompt is missing")
 	}
--- a/internal/edge/entry/header.go
+++ b/internal/edge/entry/header.go
@@ -15,7 +15,7 @@
 // forwardedHeaders is the whole list of request headers that reach a backend server. A list of what
 // may pass holds against headers that nobody thought of; a list of what may not pass wouldn't.
 var forwardedHeaders = []string{
-	"Accept", "Accept-Language", "Content-Encoding", "Content-Language", "Content-Type",
+	"Accept", "Accept-Language", "Content-Language", "Content-Type",
 	"If-Match", "If-Modified-Since", "If-None-Match", "If-Unmodified-Since", "Range", "X-Request-Id",
 }
 
--- a/internal/edge/entry/service.go
+++ b/internal/edge/entry/service.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return request.Execute{}, err
 	}
-	body := slices.Clone(c.Body())
+	body := slices.Clone(c.BodyRaw())
 	if err := refuseKeyInContent(string(body), holdsKey); err != nil {
 		return request.Execute{}, err
 	}
--- a/internal/edge/entry/target.go
+++ b/internal/edge/entry/target.go
@@ -8,6 +8,9 @@
 // pathSegmentsOfPool is how many segments of a plain call's path name the interface and the pool: v1, services, {pool}.
 const pathSegmentsOfPool = 3
 
+// deleteCharacter is the one control character behind the letters.
+const deleteCharacter = 0x7f
+
 // keyParameters are query parameters that commonly hold keys; they never go on.
 var keyParameters = map[string]bool{
 	"key": true, "apikey": true, "api_key": true, "api-key": true, "access_token": true, "token": true, "authorization": true,
@@ -30,17 +33,21 @@
 	if err != nil {
 		return "", badRequest("the path can't be read: %v", err)
 	}
-	for segment := range strings.SplitSeq(plain, "/") {
-		if segment == "." || segment == ".." {
+	for _, segment := range strings.FieldsFunc(plain, isSeparator) {
+		// Some servers take what follows a semicolon out before they resolve the segment.
+		if name, _, _ := strings.Cut(segment, ";"); name == "." || name == ".." {
 			return "", badRequest("the path has a segment %q: send it without", segment)
 		}
-		if segment != "" && holdsKey(segment) {
+		if holdsKey(segment) {
 			return "", badRequest("the path holds a key")
 		}
 	}
 	return path, nil
 }
 
+// isSeparator says whether a server may take r for the end of a path segment.
+func isSeparator(r rune) bool { return r == '/' || r == '\\' }
+
 // forwardQuery returns the query without the parameters that hold a key; the others keep their order and escapes.
 func forwardQuery(raw string, holdsKey isKey) (string, error) {
 	if err := refuseUnreadable("query", raw); err != nil {
@@ -65,10 +72,10 @@
 	return strings.Join(kept, "&"), nil
 }
 
-// refuseUnreadable refuses a part of the target with bytes that may stand in it only as escapes.
+// refuseUnreadable refuses a part of the target with a byte that would end it.
 func refuseUnreadable(part, raw string) error {
 	for i := range len(raw) {
-		if raw[i] <= ' ' || raw[i] > '~' {
+		if raw[i] <= ' ' || raw[i] == deleteCharacter {
 			return badRequest("the %s has the byte 0x%02x at %d: escape it as %%%02X", part, raw[i], i, raw[i])
 		}
 	}
--- a/internal/edge/entry/timeout.go
+++ b/internal/edge/entry/timeout.go
@@ -16,9 +16,10 @@
 		return now.Add(DefaultRequestTimeout), nil
 	}
 	seconds, err := strconv.ParseFloat(text, 64)
-	// A comparison with a number that is none is false, so that the bounds are stated as what holds.
-	if err != nil || !(seconds > 0 && seconds <= MaxRequestTimeout.Seconds()) {
+	timeout := time.Duration(seconds * float64(time.Second))
+	// What is no number compares as false with every bound.
+	if err != nil || timeout <= 0 || !(seconds <= MaxRequestTimeout.Seconds()) {
 		return time.Time{}, badRequest("%s: want seconds above 0 and up to %.0f, have %q", headerRequestTimeout, MaxRequestTimeout.Seconds(), text)
 	}
-	return now.Add(time.Duration(seconds * float64(time.Second))), nil
+	return now.Add(timeout), nil
 }
