Answer a caller at its deadline though the platform stands still, and take back the record of a call that never ran

Two faults of calls with an Idempotency-Key, both while the entry lives:

- The outcome was written to the platform before the caller was answered, for up to 5 s: where the platform stood still, a caller was answered 5 s after its deadline.
The write goes on without it now, 200 ms after the deadline.
A drain waits for it as before.
- A record whose creation was not confirmed before the deadline was left behind.
The caller was told "not run", truly, but each repeat "in progress" for half an hour.
The record of this very try is now looked for during 5 s and deleted; nothing runs under it.
A write that takes effect later than that still leaves its record.

Ruled out: deleting before the refusal, since a caller that is given up on is answered at once.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -82,7 +82,7 @@
 // New returns an entry that serves on l until ctx ends or Drain.
 func New(ctx context.Context, l net.Listener, config Config, deps Deps, metrics *Metrics) *Entry {
 	e := &Entry{config: config, deps: deps, metrics: metrics}
-	e.records = newRecordKeeper(deps.Store, config)
+	e.records = newRecordKeeper(deps.Store, config, e.background)
 	e.app = fiber.New(fiber.Config{
 		// Without copies, a string kept past its handler would become part of another caller's request.
 		Immutable:    true,
@@ -131,6 +131,15 @@
 	return c.Next()
 }
 
+// background runs work that outlives its request; a drain waits for it as for a request.
+func (e *Entry) background(work func()) {
+	e.running.Add(1)
+	e.work.Go(func() {
+		defer e.running.Add(-1)
+		work()
+	})
+}
+
 // followOrganisations hands every new configuration to admission.
 func (e *Entry) followOrganisations(ctx context.Context) {
 	for {
--- a/internal/edge/entry/generate.go
+++ b/internal/edge/entry/generate.go
@@ -119,9 +119,7 @@
 	stopWatch := watchHangup(c.RequestCtx().Conn(), cancel)
 	events := newEventQueue()
 	g.onToken = events.token
-	e.running.Add(1)
-	e.work.Go(func() {
-		defer e.running.Add(-1)
+	e.background(func() {
 		defer cancel()
 		err := e.admitted(ctx, generation, func() error { return e.deps.Dispatcher.run(ctx, generation, g.consume) })
 		events.finish(g.answer(), err)
--- /dev/null
+++ b/internal/edge/entry/recordfault_test.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/request"
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
+	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+)
+
+// standingStore is a platform that stands still until it is released.
+type standingStore struct {
+	platform.Store
+	// loseFirst: the first write takes effect and its answer is lost, and reads fail.
+	loseFirst bool
+	lost      atomic.Bool
+	// entered tells of each call that stands, and left counts those that have ended.
+	entered  chan struct{}
+	left     atomic.Int32
+	released chan struct{}
+}
+
+func newStandingStore(inner platform.Store) *standingStore {
+	return &standingStore{Store: inner, entered: make(chan struct{}, 100), released: make(chan struct{})}
+}
+
+func (s *standingStore) stand(ctx context.Context) error {
+	s.entered <- struct{}{}
+	defer s.left.Add(1)
+	select {
+	case <-s.released:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+	}
+}
+
+func (s *standingStore) Get(ctx context.Context, name string) (platform.Object, error) {
+	if err := s.stand(ctx); err != nil {
+		return platform.Object{}, err
+	}
+	return s.Store.Get(ctx, name)
+}
+
+func (s *standingStore) Put(ctx context.Context, name string, value json.RawMessage, ifVersion platform.Version) (platform.Version, error) {
+	if ifVersion != 0 {
+		if err := s.stand(ctx); err != nil {
+			return 0, err
+		}
+	}
+	version, err := s.Store.Put(ctx, name, value, ifVersion)
+	if s.loseFirst && !s.lost.Swap(true) {
+		return 0, platform.ErrUnsettled
+	}
+	return version, err
+}
+
+// until waits for the only record to be as wanted; nil stands for no record.
+func (f *fixture) until(what string, wanted func(*record) bool) {
+	f.t.Helper()
+	for end := time.Now().Add(soon); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		objects, err := f.memory.List(context.Background(), "idempotency/")
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		var found *record
+		if len(objects) > 0 {
+			found = &record{}
+			if err := json.Unmarshal(objects[0].Value, found); err != nil {
+				f.t.Fatal(err)
+			}
+		}
+		if wanted(found) {
+			return
+		}
+	}
+	f.t.Fatalf("%s: not within %v", what, soon)
+}
+
+// A parent books a ride; the agent doesn't answer in time, and then the platform stands still, to which the outcome is
+// to be written. The caller's deadline is over; it must be answered at once and not when the platform is back. The
+// outcome is written all the same, so that a repeat learns of it.
+func TestStandingPlatformHoldsUpNoAnswer(t *testing.T) {
+	silent := make(chan struct{})
+	defer close(silent)
+	agent := &fakeAgent{
+		execute: func(context.Context, request.Execute, peer.Sink) (request.AnswerEnd, error) {
+			<-silent
+			return request.AnswerEnd{}, errLostAnswer
+		},
+		settle: func(request.Settle) request.Settled { return request.Settled{Verdict: verdict.MayHaveRun} },
+	}
+	f := newFixture(t, agent)
+	store := newStandingStore(f.memory)
+	f.entry.records.store = store
+	answers := make(chan answer, 1)
+	go func() {
+		answers <- f.send(http.MethodPost, bookingPath, "x", "Idempotency-Key", "k", "Request-Timeout", "0.3")
+	}()
+	receive(t, "write of the outcome", store.entered)
+	have := receive(t, "answer", answers)
+	if have.verdict != verdict.MayHaveRun || have.reason != verdict.ReasonDeadlinePassed {
+		t.Errorf("have %+v", have)
+	}
+	if store.left.Load() > 0 {
+		t.Error("the answer waited for the platform")
+	}
+	close(store.released)
+	f.until("outcome in the record", func(r *record) bool { return r != nil && r.InDoubt })
+	if again := f.send(http.MethodPost, bookingPath, "x", "Idempotency-Key", "k"); again.reason != verdict.ReasonServerLost || runs(agent) != 1 {
+		t.Errorf("%d runs, again %+v", runs(agent), again)
+	}
+}
+
+// The record of a booking is written, but the answer to that write is lost and the platform can't be read until the
+// caller's deadline is over. The caller is told "not run", which is true, since nothing was sent. The record that is left behind
+// would tell each repeat for half an hour that the booking is running. It must go, so that a repeat runs.
+func TestRecordOfACallThatNeverRanGoes(t *testing.T) {
+	ready := &fakeAgent{}
+	f := newFixture(t, ready)
+	store := newStandingStore(f.memory)
+	store.loseFirst = true
+	f.entry.records.store = store
+	have := f.send(http.MethodPost, bookingPath, "x", "Idempotency-Key", "k", "Request-Timeout", "0.3")
+	if have.verdict != verdict.NotRun || have.reason != verdict.ReasonPlatformUnavailable || runs(ready) != 0 {
+		t.Errorf("%d runs, %+v", runs(ready), have)
+	}
+	close(store.released)
+	f.until("no record", func(r *record) bool { return r == nil })
+	if again := f.send(http.MethodPost, bookingPath, "x", "Idempotency-Key", "k"); again.status != http.StatusOK || runs(ready) != 1 {
+		t.Errorf("%d runs, again %+v", runs(ready), again)
+	}
+}
--- a/internal/edge/entry/recordkeeper.go
+++ b/internal/edge/entry/recordkeeper.go
@@ -50,10 +50,12 @@
 	store  platform.Store
 	config Config
 	count  atomic.Uint64
+	// background runs work that outlives its request; the end of the process waits for it.
+	background func(work func())
 }
 
-func newRecordKeeper(store platform.Store, config Config) *recordKeeper {
-	return &recordKeeper{store: store, config: config}
+func newRecordKeeper(store platform.Store, config Config, background func(work func())) *recordKeeper {
+	return &recordKeeper{store: store, config: config, background: background}
 }
 
 func (k *recordKeeper) once(ctx context.Context, c call, message request.Execute, key string, run func() (wholeAnswer, error)) (wholeAnswer, error) {
@@ -68,13 +70,68 @@
 		return k.repeat(ctx, name, mine)
 	}
 	if err != nil {
+		if !errors.Is(err, platform.ErrUnavailable) {
+			k.background(func() { k.withdraw(ctx, name, mine) })
+		}
 		return wholeAnswer{}, platformRefusal(err)
 	}
 	answer, err := run()
-	k.finish(ctx, name, mine, version, answer, err)
+	k.finishInTime(ctx, func() { k.finish(ctx, name, mine, version, answer, err) })
 	return answer, err
 }
 
+// finishInTime runs finish, and returns once it has ended or the caller's deadline is over.
+//
+// Guard: the platform stands still while an outcome is written. A caller that is given up on would wait for the platform
+// instead of being answered; the outcome is written without it.
+func (k *recordKeeper) finishInTime(ctx context.Context, finish func()) {
+	done := make(chan struct{})
+	k.background(func() {
+		defer close(done)
+		finish()
+	})
+	select {
+	case <-done:
+		return
+	case <-ctx.Done():
+	}
+	// Within this time a platform that answers has the outcome, so that a repeat that comes at once learns of it.
+	timer := time.NewTimer(settleTimeAfterDeadline)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+// withdraw deletes a record whose creation was not confirmed, if it was created after all.
+//
+// Guard: the call was refused as not run, and its record would tell each repeat for half an hour that it is running.
+// Only the record of this very try goes, and nothing runs under it. It is looked for during recordTime, since the
+// write may take effect after the first look; one that takes effect later still stays.
+func (k *recordKeeper) withdraw(ctx context.Context, name string, mine record) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTime)
+	defer cancel()
+	for {
+		object, err := k.store.Get(ctx, name)
+		if err == nil && !mine.wrote(object) {
+			return
+		}
+		if err == nil && k.store.Delete(ctx, name, object.Version) == nil {
+			return
+		}
+		if !wait(ctx, recordPause) {
+			return
+		}
+	}
+}
+
+// wrote says whether the object is this record as its own try created it.
+func (r record) wrote(object platform.Object) bool {
+	var found record
+	return json.Unmarshal(object.Value, &found) == nil && found.Writer == r.Writer
+}
+
 func recordName(c call, key string) string {
 	sum := sha256.Sum256([]byte(c.pool.Name + "\x00" + key))
 	return recordPrefix(int(sum[0])) + c.organisation + "/" + hex.EncodeToString(sum[:])
@@ -104,8 +161,7 @@
 	if readErr != nil {
 		return 0, err
 	}
-	var found record
-	if json.Unmarshal(object.Value, &found) == nil && found.Writer == mine.Writer {
+	if mine.wrote(object) {
 		return object.Version, nil
 	}
 	return 0, platform.ErrConflict
