Let a request that is given up on leave a connection that stands still at once

Cause: giving up on a sent request waits until the cancelling frame is in the connection's queue. Where the other host stands still and the queue is full, that lasted until the write timeout broke the connection, up to 3 s, and the caller was answered as much later than its deadline. The frame is handed to the writer without waiting now, and goes out when the writer gets on.

--- a/internal/edge/peer/link.go
+++ b/internal/edge/peer/link.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,10 +28,31 @@
 	reader   *frameReader
 	settings settings
 	out      chan outgoing
+	late     late
 	ctx      context.Context
 	end      context.CancelCauseFunc
 }
 
+// late holds frames that found the queue full and whose sender doesn't wait: at most one for each open stream.
+type late struct {
+	mu     sync.Mutex
+	frames []frame
+}
+
+func (l *late) put(f frame) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.frames = append(l.frames, f)
+}
+
+func (l *late) take() []frame {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	frames := l.frames
+	l.frames = nil
+	return frames
+}
+
 // progressConn sets a new deadline for each read and each bounded write, so that a long frame may
 // take its time as long as bytes move, and a peer that stands still is noticed.
 type progressConn struct {
@@ -161,6 +183,19 @@
 	}
 }
 
+// post hands a frame to the writer without waiting.
+//
+// Guard: the other side stands still, and the queue is full. A request whose caller has given up would wait to tell the other
+// side so until the connection breaks, and its caller as long. The writer sends the frame when it gets on, or a heartbeat's
+// time later if it had just emptied the queue.
+func (l *link) post(f frame) {
+	select {
+	case l.out <- outgoing{frame: f}:
+	default:
+		l.late.put(f)
+	}
+}
+
 // batch collects the frames of one system call.
 type batch struct {
 	link    *link
@@ -194,7 +229,7 @@
 
 func (b *batch) heartbeat(quiet bool) error {
 	if !quiet {
-		return nil
+		return b.flush()
 	}
 	if err := b.add(outgoing{frame: frame{Kind: kindHeartbeat}}); err != nil {
 		return err
@@ -203,6 +238,11 @@
 }
 
 func (b *batch) flush() error {
+	for _, f := range b.link.late.take() {
+		if err := b.add(outgoing{frame: f}); err != nil {
+			return err
+		}
+	}
 	if b.buf.Len() == 0 {
 		return nil
 	}
--- a/internal/edge/peer/outbound.go
+++ b/internal/edge/peer/outbound.go
@@ -164,7 +164,7 @@
 	if stream != 0 {
 		o.channel.drop(stream)
 		if open {
-			_ = o.channel.send(o.channel.ctx, outgoing{frame: frame{Kind: kindCancel, Stream: stream}})
+			o.channel.post(frame{Kind: kindCancel, Stream: stream})
 		}
 	}
 	o.channel.release()
