Wait for the answer of a keyed call whose caller has hung up

Cause: a caller that hangs up cancels its request. Such a call is no longer cancelled by a hang-up; its answer is waited for until its deadline and recorded. Calls without a key and calls that may be repeated are cancelled as before.

Price: a keyed call still queued when its caller hangs up takes its turn. Its repeat is answered from that run.

--- a/internal/edge/entry/hangup_test.go
+++ b/internal/edge/entry/hangup_test.go
@@ -165,19 +165,7 @@
 func TestBodyAboveTheLimit(t *testing.T) {
 	ready := &fakeAgent{}
 	f := newFixture(t, ready)
-	conn := f.connect()
-	go f.drip(conn, raw("/v1/services/billdesk/charge", strings.Repeat("x", 1<<20+1), ""))
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var refusal struct {
-		Verdict verdict.Verdict `json:"verdict"`
-		Reason  verdict.Reason  `json:"reason"`
-	}
-	if err := json.NewDecoder(response.Body).Decode(&refusal); err != nil {
-		t.Fatal(err)
-	}
+	response, refusal := f.exchange(t, raw("/v1/services/billdesk/charge", strings.Repeat("x", 1<<20+1), ""))
 	if response.StatusCode != http.StatusRequestEntityTooLarge || refusal.Verdict != verdict.NotRun || refusal.Reason != verdict.ReasonTooLarge || runs(ready) != 0 {
 		t.Errorf("have status %d and %+v, %d runs", response.StatusCode, refusal, runs(ready))
 	}
--- a/internal/edge/entry/recordfault_test.go
+++ b/internal/edge/entry/recordfault_test.go
@@ -139,3 +139,35 @@
 		t.Errorf("%d runs, again %+v", runs(ready), again)
 	}
 }
+
+// A tower clerk's program charges a fee under an Idempotency-Key, gives up too soon and hangs up while the charge runs; then it
+// repeats the call. The first run goes on at the server. Were its answer not waited for, the repeat would be told for a day that the charge
+// may have run, and a person would have to look. It must get the first answer.
+func TestRepeatAfterAHangUpGetsTheFirstAnswer(t *testing.T) {
+	began, release := make(chan struct{}, 2), make(chan struct{})
+	agent := &fakeAgent{execute: func(ctx context.Context, q request.Execute, out peer.Sink) (request.AnswerEnd, error) {
+		began <- struct{}{}
+		select {
+		case <-release:
+			return echo(ctx, q, out)
+		case <-ctx.Done():
+			return request.AnswerEnd{}, errLostAnswer
+		}
+	}, settle: func(request.Settle) request.Settled { return request.Settled{Verdict: verdict.MayHaveRun} }}
+	f := newFixture(t, agent)
+	conn := f.connect()
+	f.write(conn, raw(bookingPath, "pony 3", "Idempotency-Key: k\r\n"))
+	receive(t, "call at the agent", began)
+	_ = conn.Close()
+	repeat := func() answer { return f.send(http.MethodPost, bookingPath, "pony 3", "Idempotency-Key", "k") }
+	for range 3 {
+		if have := repeat(); have.reason != verdict.ReasonInProgress {
+			t.Fatalf("while it runs: %+v", have)
+		}
+	}
+	close(release)
+	f.until("outcome in the record", func(r *record) bool { return r != nil && (r.Answer != nil || r.InDoubt) })
+	if have := repeat(); have.status != http.StatusOK || have.body != "pony 3" || runs(agent) != 1 {
+		t.Errorf("%d runs, repeat %+v", runs(agent), have)
+	}
+}
--- a/internal/edge/entry/service.go
+++ b/internal/edge/entry/service.go
@@ -53,7 +53,6 @@
 	}
 	ctx, cancel := context.WithDeadline(c.Context(), end)
 	defer cancel()
-	defer watchHangup(c.RequestCtx().Conn(), cancel)()
 	plain := call{
 		organisation: from.organisation.Name,
 		keyHash:      from.keyHash,
@@ -62,7 +61,11 @@
 		cost:         1,
 		message:      func() request.Execute { return message },
 	}
-	answer, err := e.once(ctx, plain, message, c.Get(headerIdempotencyKey))
+	key := c.Get(headerIdempotencyKey)
+	if !needsRecord(plain, key) {
+		defer watchHangup(c.RequestCtx().Conn(), cancel)()
+	}
+	answer, err := e.once(ctx, plain, message, key)
 	if err != nil {
 		return err
 	}
@@ -111,9 +114,15 @@
 	})
 }
 
+// needsRecord says whether the outcome of the call is kept for its repeats.
+//
+// Guard: a caller hangs up too soon and repeats the call. The first run can't be cut short at the server, and its answer
+// would be lost to the repeat if it were given up with the caller. So it is waited for until the deadline.
+func needsRecord(c call, key string) bool { return key != "" && !c.idempotent }
+
 // once runs the call under the caller's idempotency key, if there is one and the call needs it.
 func (e *Entry) once(ctx context.Context, c call, message request.Execute, key string) (wholeAnswer, error) {
-	if key == "" || c.idempotent {
+	if !needsRecord(c, key) {
 		return e.whole(ctx, c)
 	}
 	return e.records.once(ctx, c, message, key, func() (wholeAnswer, error) { return e.whole(ctx, c) })
