Take over what runs from a host list that was read

Fault of the product: the first decision of a holder took what the host list showed for what was ordered, also where the list had never been read or was old. With a list that wasn't read yet, since the platform's answer was cut short, "nothing runs" was remembered, and from the next, whole list on the first server needed counted as one more: the zone ordered 1, then 2, then 3 while 4 ran and were wanted, without draining any. Now a first view that is stale is forgotten.

--- a/internal/core/fleet/decide.go
+++ b/internal/core/fleet/decide.go
@@ -31,7 +31,13 @@
 
 // Decide returns how many servers the zone is to have. It is a pure function of its arguments.
 func Decide(now time.Time, state State) Decision {
+	first := state.Memory.Since.IsZero()
 	memory := state.Memory.begin(now, &state)
+	if first && state.ViewAge > maxViewAge {
+		// It guards against a mass stop by a holder whose list was not read yet: what runs would be taken for
+		// none, and the first servers needed for more. What runs is taken over from a view that can be trusted.
+		return Decision{Hold: HoldStaleView, Count: memory.Ordered, Need: memory.Ordered}
+	}
 	if hold := distrust(now, state, &memory); hold != HoldNone {
 		return Decision{Hold: hold, Count: memory.Ordered, Drain: memory.Drain, Need: memory.Ordered, Memory: memory}
 	}
--- a/internal/core/fleet/decide_test.go
+++ b/internal/core/fleet/decide_test.go
@@ -132,3 +132,16 @@
 		})
 	}
 }
+
+// Callers wait in line although four servers ran a moment ago: a new holder's first look falls on a host list that
+// was never read, since the platform's answer was cut short. The four that the next list shows were not
+// ordered by it, so the one that is needed looked like one more, and the order for one stopped three without a drain.
+func TestFirstViewThatIsStaleIsForgotten(t *testing.T) {
+	unread := State{Pool: "p", MinServers: 1, MaxServers: 100, StartupTime: time.Minute, ViewAge: time.Hour}
+	whole := state(4, 1)
+	whole.Memory = Decide(start, unread).Memory
+	d := Decide(start.Add(2*time.Second), whole)
+	if d.Hold == HoldNone || d.Count != 4 {
+		t.Errorf("hold %q, count %d, want a hold at 4", d.Hold, d.Count)
+	}
+}
