--- a/internal/core/lease/machine_test.go
+++ b/internal/core/lease/machine_test.go
@@ -283,22 +283,21 @@
 	}
 }
 
-// TestLostRenewalAnswer is an answer lost after the effect.
-//
-// What a user would see: a duty that nobody carries out for seconds, or one carried out on a fencing
-// number that is not the object's. The renewal is written, its answer lost; the holder reads the object,
-// knows its own record and counts from before it sent that renewal.
-func TestLostRenewalAnswer(t *testing.T) {
+// renewalSent returns a world whose only host holds the duty and has sent a renewal, and when it did.
+func renewalSent(t *testing.T) (*world, *host, Instant) {
+	t.Helper()
 	w := newWorld(1, func(int) bool { return false })
 	h := w.hosts[0]
 	until(t, w, h)
 	w.advance(DefaultTiming().Renew)
 	sent := h.now()
 	w.send(h)
-	w.reach(h)
-	w.lose(h)
-	w.advance(time.Second)
-	w.run(h)
+	return w, h, sent
+}
+
+// checkGrant wants the object's version, counted from the moment at which its write was sent.
+func (w *world) checkGrant(t *testing.T, h *host, sent Instant) {
+	t.Helper()
 	grant, _ := h.machine.Grant()
 	want := Grant{Version: w.object.version, Since: sent}
 	if diff := cmp.Diff(want, grant); diff != "" {
@@ -306,18 +305,27 @@
 	}
 }
 
+// TestLostRenewalAnswer is an answer lost after the effect.
+//
+// What a user would see: a duty that nobody carries out for seconds, or one carried out on a fencing
+// number that is not the object's. The renewal is written, its answer lost; the holder reads the object,
+// knows its own record and counts from before it sent that renewal.
+func TestLostRenewalAnswer(t *testing.T) {
+	w, h, sent := renewalSent(t)
+	w.reach(h)
+	w.lose(h)
+	w.advance(time.Second)
+	w.run(h)
+	w.checkGrant(t, h, sent)
+}
+
 // TestOlderOfTwoLostRenewals has two renewals of unknown fate.
 //
 // What a user would see: two holders for a second. The first renewal is written late, the second one's
 // answer is lost after a conflict. The object shows the first; the term must count from that one and not
 // from the second, which came after a taker may have started to wait.
 func TestOlderOfTwoLostRenewals(t *testing.T) {
-	w := newWorld(1, func(int) bool { return false })
-	h := w.hosts[0]
-	until(t, w, h)
-	w.advance(DefaultTiming().Renew)
-	sent := h.now()
-	w.send(h)
+	w, h, sent := renewalSent(t)
 	w.lose(h)
 	w.run(h) // reads the object: the renewal has not been written yet
 	w.advance(time.Second)
@@ -326,11 +334,7 @@
 	w.reach(h)
 	w.lose(h)
 	w.run(h)
-	grant, _ := h.machine.Grant()
-	want := Grant{Version: w.object.version, Since: sent}
-	if diff := cmp.Diff(want, grant); diff != "" {
-		t.Errorf("grant (-want +got):\n%s", diff)
-	}
+	w.checkGrant(t, h, sent)
 }
 
 // TestRelease lets the next holder take over without a wait.
--- a/internal/edge/configuration/apply_test.go
+++ b/internal/edge/configuration/apply_test.go
@@ -20,10 +20,7 @@
 // What the operator is told must be so when everything that was on its way has arrived, one of two
 // rivals at most may win, and the same ticket sent again must be answered well if nobody else won.
 func TestApplyAtEachCall(t *testing.T) {
-	disturbances := []standin.Disturbance{
-		standin.Refused, standin.RequestLost, standin.AnswerLost, standin.Late, standin.Doubled, standin.HeldBefore, standin.HeldAfter,
-	}
-	for _, with := range disturbances {
+	for _, with := range standin.Disturbances() {
 		for call := range callsOfApply {
 			for _, rival := range []bool{false, true} {
 				for _, lasting := range []bool{false, true} {
--- a/internal/edge/configuration/follower_test.go
+++ b/internal/edge/configuration/follower_test.go
@@ -48,9 +48,7 @@
 func TestOutageKeepsServing(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		memory := newMemory(t)
-		n := newNetwork(t, memory, 8)
-		eventually(t, "all are fresh", every(n.all(), fresh))
+		memory, n := freshNetwork(t, 8)
 		memory.Outage(true)
 		always(t, "all are fresh in the outage", 3*ticket.FreshFor, every(n.all(), fresh))
 		memory.Outage(false)
@@ -66,9 +64,7 @@
 func TestIsolatedHostRefuses(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		memory := newMemory(t)
-		n := newNetwork(t, memory, 3)
-		eventually(t, "all are fresh", every(n.all(), fresh))
+		memory, n := freshNetwork(t, 3)
 		lone := []*member{n.members(true)[0], n.members(false)[0]}
 		for _, m := range lone {
 			n.setCut(m, true)
@@ -91,9 +87,7 @@
 func TestIsolatedHostInOutage(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		memory := newMemory(t)
-		n := newNetwork(t, memory, 3)
-		eventually(t, "all are fresh", every(n.all(), fresh))
+		memory, n := freshNetwork(t, 3)
 		memory.Outage(true)
 		lone := n.members(true)[:1]
 		n.setCut(lone[0], true)
@@ -111,9 +105,7 @@
 func TestRestartDuringOutage(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		memory := newMemory(t)
-		n := newNetwork(t, memory, 3)
-		eventually(t, "all are fresh", every(n.all(), fresh))
+		memory, n := freshNetwork(t, 3)
 		relays, followers := n.members(true), n.members(false)
 		for _, m := range n.all()[1:] {
 			n.setCut(m, true)
@@ -144,9 +136,7 @@
 func TestRelaysDie(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		memory := newMemory(t)
-		n := newNetwork(t, memory, 3)
-		eventually(t, "all are fresh", every(n.all(), fresh))
+		memory, n := freshNetwork(t, 3)
 		var followers []*member
 		for _, m := range n.members(true) {
 			if m.host.AvailabilityZone == zones[0] {
@@ -172,9 +162,7 @@
 func TestSlowPlatform(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		memory := newMemory(t)
-		n := newNetwork(t, memory, 3)
-		eventually(t, "all are fresh", every(n.all(), fresh))
+		memory, n := freshNetwork(t, 3)
 		for _, m := range n.all() {
 			m.store.setCut(true)
 		}
--- a/internal/edge/configuration/network_test.go
+++ b/internal/edge/configuration/network_test.go
@@ -166,6 +166,15 @@
 	return n
 }
 
+// freshNetwork returns a platform with one ticket and hosts that all serve by it.
+func freshNetwork(t *testing.T, perZone int) (*standin.Memory, *network) {
+	t.Helper()
+	memory := newMemory(t)
+	n := newNetwork(t, memory, perZone)
+	eventually(t, "all are fresh", every(n.all(), fresh))
+	return memory, n
+}
+
 // start starts or restarts a host.
 func (n *network) start(t *testing.T, store platform.Store, host platform.Host) *member {
 	t.Helper()
--- a/internal/edge/duty/fault_test.go
+++ b/internal/edge/duty/fault_test.go
@@ -16,10 +16,6 @@
 // callsOfLease covers the first read, the taking and two renewals.
 const callsOfLease = 4
 
-var disturbances = []standin.Disturbance{
-	standin.Refused, standin.RequestLost, standin.AnswerLost, standin.Late, standin.Doubled, standin.HeldBefore, standin.HeldAfter,
-}
-
 // leaseCase is one fault of a holder's calls.
 type leaseCase struct {
 	with standin.Disturbance
@@ -34,7 +30,7 @@
 func leaseCases() []leaseCase {
 	var cases []leaseCase
 	both := []bool{false, true}
-	for _, with := range disturbances {
+	for _, with := range standin.Disturbances() {
 		for call := range callsOfLease {
 			for _, lasting := range both {
 				for _, dies := range both {
@@ -133,7 +129,7 @@
 // to its release is lost, or the release never arrives, comes late, twice, or after an outage. From
 // the release on it must not hold, and the next contender must.
 func TestReleaseUnderFaults(t *testing.T) {
-	for _, with := range disturbances {
+	for _, with := range standin.Disturbances() {
 		for _, down := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s down %v", with, down), func(t *testing.T) {
 				t.Parallel()
--- a/internal/edge/fleet/fault_test.go
+++ b/internal/edge/fleet/fault_test.go
@@ -173,9 +173,7 @@
 func orderCases() []ordersCase {
 	var cases []ordersCase
 	both := []bool{false, true}
-	for _, with := range []standin.Disturbance{
-		standin.Refused, standin.RequestLost, standin.AnswerLost, standin.Late, standin.Doubled, standin.HeldBefore, standin.HeldAfter,
-	} {
+	for _, with := range standin.Disturbances() {
 		for call := range 2 {
 			for _, lapses := range both {
 				for _, dies := range both {
--- a/internal/standin/platform/disturbed.go
+++ b/internal/standin/platform/disturbed.go
@@ -32,6 +32,11 @@
 	HeldAfter Disturbance = "heldAfter"
 )
 
+// Disturbances returns all of them.
+func Disturbances() []Disturbance {
+	return []Disturbance{Refused, RequestLost, AnswerLost, Late, Doubled, HeldBefore, HeldAfter}
+}
+
 // Disturbed is a platform whose calls are disturbed from the n-th on, until it is healed. Watches
 // count as reads. It is safe for concurrent use.
 type Disturbed struct {
