Refuse a forwarded trainer's request at a host cut off while it waits

A forwarded request was refused by a coordinator that was cut off when it came, and served by one that was cut off while the request waited for its samples, which may take minutes. A trainer's own request is checked again when it is answered; a forwarded one now too. What was done for it may have run.

Before: TestIsolatedWhileForwardedRequestWaits, new, got status 200 with batch 1. After: go test -race -run 'TestIsolated' passes.

--- a/internal/edge/trainer/failure_test.go
+++ b/internal/edge/trainer/failure_test.go
@@ -414,3 +414,25 @@
 		}
 	}
 }
+
+// The same, but the forwarded request came before the cut and waits for its samples meanwhile.
+func TestIsolatedWhileForwardedRequestWaits(t *testing.T) {
+	w := newWorld(t)
+	gate := w.engines.hold()
+	w.lease.take(hostA, false)
+	w.postStep(hostA, 1)
+	w.eventually(hostA, "the step is answered", func(s *runnerStatus) bool { return s.Waiting == 0 })
+	header := w.withCursor()
+	header["Request-Timeout"] = "3"
+	waiting := make(chan answer, 1)
+	go func() { waiting <- w.getBatch(hostB, 1, 1, header) }()
+	w.eventually(hostA, "the request waits", func(s *runnerStatus) bool { return s.Waiting == 1 })
+	w.store.Outage(true)
+	w.lease.lapse()
+	cut := hostA
+	w.isolated.Store(&cut)
+	close(gate)
+	if got := <-waiting; got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, "mayHaveRun") {
+		t.Errorf("%d %s", got.status, got.body)
+	}
+}
--- a/internal/edge/trainer/peer.go
+++ b/internal/edge/trainer/peer.go
@@ -82,6 +82,12 @@
 	if err != nil {
 		return forwardEnd{}, verdict.From(err)
 	}
+	// The request may have waited here for minutes, and this host be cut off by now.
+	if !c.fresh(time.Now()) {
+		refusal := refusalNotHolder(forwarded.Job)
+		refusal.Verdict = verdict.MayHaveRun
+		return forwardEnd{}, refusal
+	}
 	if err := out.Head(request.AnswerHead{Status: reply.Status}); err != nil {
 		return forwardEnd{}, errors.Wrap(err, forwarded.Job)
 	}
