Tell how long an outage of the platform has been seen

A coordinator of trainer jobs needs both what the relays find and when any of them last reached the platform, to know whether another host can have taken its lease since. The follower knows both; nothing else changes.

--- a/internal/edge/configuration/follower.go
+++ b/internal/edge/configuration/follower.go
@@ -144,6 +144,13 @@
 // Fresh reports whether requests may be served by the view at now.
 func (f *Follower) Fresh(now time.Time) bool { return f.current.Load().freshness.Fresh(now) }
 
+// Outage reports whether the platform is known to be down at now, by more than half of the relays, and when
+// any of them is last known to have reached it.
+func (f *Follower) Outage(now time.Time) (reached time.Time, established bool) {
+	freshness := f.current.Load().freshness
+	return freshness.Confirmed, freshness.InOutage(now)
+}
+
 // Synced reports whether the view was fresh at any time since the start. Before, the host knows too
 // little to serve.
 func (f *Follower) Synced() bool { return f.current.Load().synced }
