Let the bench of the fault matrix start on a busy machine

Cause: the bench orders the servers itself, without a fencing number, so as not to wait for the zone's holder. Ruled out: a fault of the product, since an order of number 0 has to be refused then. What the tests check is unchanged: the bench goes on only when both entries serve.

--- a/internal/program/faults/bench_test.go
+++ b/internal/program/faults/bench_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
@@ -230,7 +231,8 @@
 	})
 	for _, zone := range b.d.AvailabilityZones {
 		order := edge.ServerOrder{AvailabilityZone: zone, Pool: pool.Name, Count: 1}
-		if err := b.platform.Order(context.Background(), order); err != nil {
+		// On a busy machine the zone's holder may have ordered the server already: its number is higher than none.
+		if err := b.platform.Order(context.Background(), order); err != nil && !errors.Is(err, edge.ErrFenced) {
 			b.t.Fatal(err)
 		}
 	}
