--- a/internal/program/faults/bench_test.go
+++ b/internal/program/faults/bench_test.go
@@ -26,7 +26,7 @@
 )
 
 const (
-	serveLimit     = 30 * time.Second
+	serveLimit     = time.Minute
 	requestTimeout = 10 * time.Second
 	// answerSlack is how much later than its deadline a caller may be answered.
 	answerSlack = 3 * time.Second
--- a/internal/program/faults/requests_test.go
+++ b/internal/program/faults/requests_test.go
@@ -20,10 +20,12 @@
 	callsToFill = 8
 	// heldFor is longer than the heartbeat timeout of a connection, so that its other side gives it up.
 	heldFor = 4 * time.Second
-	// lateBy is shorter than the heartbeat timeout.
-	lateBy    = 1500 * time.Millisecond
-	stepLimit = 15 * time.Second
-	// serverDelay keeps one call of each server started and the others queued.
+	// lateBy is longer than a probe waits. With the second between two heartbeats it stays far below the heartbeat
+	// timeout of three, so that a busy machine doesn't make a lost connection of it.
+	lateBy = 800 * time.Millisecond
+	// stepLimit only ends a test whose step is never reached.
+	stepLimit = time.Minute
+	// serverDelay is how long started calls go on when the fault comes.
 	serverDelay = 700 * time.Millisecond
 	slowCall    = 1500 * time.Millisecond
 )
@@ -171,8 +173,10 @@
 	}
 }
 
-// queuedAt waits for an agent with a call started at its server and another in its queue.
+// queuedAt waits for an agent with a call started at its server and another in its queue. The servers hold their
+// calls until then, however long a look takes.
 func (b *bench) queuedAt() string {
+	defer b.serverDelay(serverDelay)
 	found := ""
 	waitFor(b.t, "a queued call", stepLimit, func() bool {
 		for _, place := range b.topology.Places {
@@ -215,6 +219,13 @@
 	}
 }
 
+// holdServers keeps all calls from running until the next serverDelay.
+func (b *bench) holdServers() {
+	for _, s := range b.services {
+		s.SetFaults(service.Faults{Hold: true})
+	}
+}
+
 // runs returns how often each booking ran, over all servers.
 func (b *bench) runs() map[string]int {
 	total := map[string]int{}
@@ -262,7 +273,7 @@
 	all := append([]fault{{name: doubled, bring: (*bench).thaw}}, agentFaults...)
 	queued := func(b *bench) func() string {
 		b.resetLimits()
-		b.serverDelay(serverDelay)
+		b.holdServers()
 		return b.queuedAt
 	}
 	for _, step := range []struct {
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -26,7 +26,9 @@
 
 // Faults are the switches of the stand-in; the zero value is a healthy service.
 type Faults struct {
-	// DelayMilliseconds passes before a call runs.
+	// Hold keeps calls from running until it is switched off.
+	Hold bool `json:"hold"`
+	// DelayMilliseconds passes before a call runs; a call that was held waits for it after that.
 	DelayMilliseconds int `json:"delayMilliseconds"`
 	// CutAfterRun is the number of calls that run and whose connection is then cut.
 	CutAfterRun int `json:"cutAfterRun"`
@@ -68,8 +70,10 @@
 type Server struct {
 	*web.Server
 
-	mutex    sync.Mutex
-	faults   Faults
+	mutex  sync.Mutex
+	faults Faults
+	// switched is closed when the switches are replaced.
+	switched chan struct{}
 	runs     map[string]int
 	received []Received
 }
@@ -84,7 +88,7 @@
 
 // New serves a plain service on the listener until the context ends.
 func New(ctx context.Context, listener net.Listener, opts ...Option) (*Server, error) {
-	server := &Server{Server: web.NewServer(ctx, listener), runs: make(map[string]int)}
+	server := &Server{Server: web.NewServer(ctx, listener), switched: make(chan struct{}), runs: make(map[string]int)}
 	for _, opt := range opts {
 		opt(server)
 	}
@@ -103,6 +107,8 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.faults = faults
+	close(s.switched)
+	s.switched = make(chan struct{})
 }
 
 func (s *Server) currentFaults() Faults {
@@ -125,14 +131,38 @@
 	if faults.FailStatus != 0 {
 		return c.SendStatus(faults.FailStatus)
 	}
+	if !s.wait() {
+		return web.CutAnswer(c)
+	}
+	return c.Next()
+}
+
+// wait returns once the call may run: when no calls are held and then the delay has passed. It returns false if the
+// service ended first.
+func (s *Server) wait() bool {
+	faults, switched := s.switches()
+	for faults.Hold {
+		select {
+		case <-s.Context().Done():
+			return false
+		case <-switched:
+			faults, switched = s.switches()
+		}
+	}
 	timer := time.NewTimer(time.Duration(faults.DelayMilliseconds) * time.Millisecond)
 	defer timer.Stop()
 	select {
 	case <-s.Context().Done():
-		return web.CutAnswer(c)
+		return false
 	case <-timer.C:
+		return true
 	}
-	return c.Next()
+}
+
+func (s *Server) switches() (Faults, <-chan struct{}) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.faults, s.switched
 }
 
 func (s *Server) admit(call Received) (Faults, bool) {
