Tell the repeats of a dead entry's call after its own deadline that no answer will come

Cause: the record under an Idempotency-Key did not hold the call's deadline, so that repeats had to wait for the longest deadline there is, half an hour, before "in progress" became "may have run; its answer was lost". The record holds it now. Records of older versions keep the half hour. Both answers say mayHaveRun and neither lets a repeat run, so that a wrong clock makes none of them false.

Weighed and left: telling "not run" where the dead entry had not sent the call. It needs the agent and its process in the record before each try, a conditional write more for each further try, and a way to know that the entry is dead: a question to the agent fences a call that is queued there, so a repeat would end the first try of a living entry. Asking all agents of the pool doesn't do, since one that was started anew since can't know.

Before: go test -race -run TestRepeatsOfADeadEntrysCall: "well after the deadline" had inProgress. After: 6 of 6 cases pass; the package passes.

--- a/internal/edge/entry/recordfault_test.go
+++ b/internal/edge/entry/recordfault_test.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/request"
+	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
@@ -122,7 +123,7 @@
 
 // The record of a booking is written, but the answer to that write is lost and the platform can't be read until the
 // caller's deadline is over. The caller is told "not run", which is true, since nothing was sent. The record that is left behind
-// would tell each repeat for half an hour that the booking is running. It must go, so that a repeat runs.
+// would tell each repeat that the booking is running, and later that it may have run. It must go, so that a repeat runs.
 func TestRecordOfACallThatNeverRanGoes(t *testing.T) {
 	ready := &fakeAgent{}
 	f := newFixture(t, ready)
@@ -159,6 +160,7 @@
 	f.write(conn, raw(bookingPath, "pony 3", "Idempotency-Key: k\r\n"))
 	receive(t, "call at the agent", began)
 	_ = conn.Close()
+	f.until("deadline in the record", func(r *record) bool { return r != nil && r.Deadline.After(time.Now()) })
 	repeat := func() answer { return f.send(http.MethodPost, bookingPath, "pony 3", "Idempotency-Key", "k") }
 	for range 3 {
 		if have := repeat(); have.reason != verdict.ReasonInProgress {
@@ -171,3 +173,44 @@
 		t.Errorf("%d runs, repeat %+v", runs(agent), have)
 	}
 }
+
+// An entry dies between the record of a booking and its run, or in the run. Nobody writes the outcome any more, and each
+// repeat was told for half an hour that the booking is running, though its caller had asked for an answer within a minute. Once the
+// first try's own deadline is over, nothing runs for it, and its repeats must learn that no answer will come.
+func TestRepeatsOfADeadEntrysCall(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// created and deadline are relative to now; a record of an older version has no deadline.
+		created, deadline time.Duration
+		want              verdict.Reason
+	}{
+		{"before the deadline", -time.Minute, time.Minute, verdict.ReasonInProgress},
+		{"long deadline", -5 * time.Minute, 20 * time.Minute, verdict.ReasonInProgress},
+		{"just after the deadline, by this host's clock", -time.Minute, -time.Second, verdict.ReasonInProgress},
+		{"well after the deadline", -time.Minute, -recordMargin - time.Second, verdict.ReasonServerLost},
+		{"no deadline, young", -2 * time.Minute, 0, verdict.ReasonInProgress},
+		{"no deadline, old", -MaxRequestTimeout - time.Minute, 0, verdict.ReasonServerLost},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ready := &fakeAgent{}
+			f := newFixture(t, ready)
+			pool := ticket.Pool{Name: "billdesk"}
+			left := record{
+				Digest:  messageDigest(pool.Name, request.Execute{Method: http.MethodPost, Path: "/bookings", Body: []byte("x")}),
+				Writer:  "an entry that died",
+				Created: time.Now().Add(test.created),
+			}
+			if test.deadline != 0 {
+				left.Deadline = time.Now().Add(test.deadline)
+			}
+			name := recordName(call{organisation: "salalah-ground", pool: pool}, "k")
+			if _, err := f.entry.records.create(t.Context(), name, left); err != nil {
+				t.Fatal(err)
+			}
+			have := f.send(http.MethodPost, bookingPath, "x", "Idempotency-Key", "k")
+			if have.verdict != verdict.MayHaveRun || have.reason != test.want || runs(ready) != 0 {
+				t.Errorf("%d runs, have %+v", runs(ready), have)
+			}
+		})
+	}
+}
--- a/internal/edge/entry/recordkeeper.go
+++ b/internal/edge/entry/recordkeeper.go
@@ -24,6 +24,9 @@
 	recordPause     = 200 * time.Millisecond
 	recordTime      = 5 * time.Second
 	inProgressRetry = time.Second
+	// recordMargin is how long after the deadline of a call its outcome may still come: the question after the deadline,
+	// the write of the outcome, and clocks of two hosts that differ by some seconds.
+	recordMargin = settleTimeAfterDeadline + recordTime + 5*time.Second
 )
 
 // record is the object kept for one idempotency key.
@@ -36,6 +39,20 @@
 	// InDoubt says that the call may have run and that no answer will come.
 	InDoubt bool      `json:"inDoubt,omitempty"`
 	Created time.Time `json:"created"`
+	// Deadline is when the entry gives the call up; records of older versions have none.
+	Deadline time.Time `json:"deadline,omitzero"`
+}
+
+// over says whether nobody waits for the call any more.
+//
+// Guard: the entry of a call dies, and the record stays without an outcome. Its repeats would be told for half an hour, the longest
+// deadline there is, that the call is running. Past its own deadline no answer will come. Both answers say that the call may have
+// run, so that a clock that is wrong makes none of them false, and no repeat runs.
+func (r record) over(now time.Time) bool {
+	if r.Deadline.IsZero() {
+		return now.Sub(r.Created) > MaxRequestTimeout
+	}
+	return now.Sub(r.Deadline) > recordMargin
 }
 
 // recordKeeper maps a caller's idempotency key to one run over all entries.
@@ -65,6 +82,7 @@
 		Writer:  fmt.Sprintf("%s-%016x-%d", k.config.HostID, k.config.Incarnation, k.count.Add(1)),
 		Created: time.Now().UTC(),
 	}
+	mine.Deadline, _ = ctx.Deadline()
 	version, err := k.create(ctx, name, mine)
 	if errors.Is(err, platform.ErrConflict) {
 		return k.repeat(ctx, name, mine)
@@ -106,7 +124,7 @@
 
 // withdraw deletes a record whose creation was not confirmed, if it was created after all.
 //
-// Guard: the call was refused as not run, and its record would tell each repeat for half an hour that it is running.
+// Guard: the call was refused as not run, and its record would tell each repeat until its deadline that it is running, and for a day that it may have run.
 // Only the record of this very try goes, and nothing runs under it. It is looked for during recordTime, since the
 // write may take effect after the first look; one that takes effect later still stays.
 func (k *recordKeeper) withdraw(ctx context.Context, name string, mine record) {
@@ -170,7 +188,7 @@
 // readBack reads a record after a lost answer, again and again for recordTime.
 //
 // Guard: the connection that lost the answer to the write often loses the read as well. The call would be refused
-// as not run and its record left behind, and every repeat of the caller told for half an hour that the call is running.
+// as not run and its record left behind, and every repeat of the caller told of a call that never ran.
 func (k *recordKeeper) readBack(ctx context.Context, name string) (platform.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, recordTime)
 	defer cancel()
@@ -205,7 +223,7 @@
 			"the idempotency key was used for another call")
 	case found.Answer != nil:
 		return *found.Answer, nil
-	case found.InDoubt || time.Since(found.Created) > MaxRequestTimeout:
+	case found.InDoubt || found.over(time.Now()):
 		return wholeAnswer{}, verdict.New(verdict.MayHaveRun, http.StatusConflict, verdict.ReasonServerLost, 0,
 			"the first call with this idempotency key may have run; its answer was lost")
 	default:
