Let a trainer job go on without the platform in an outage only

Failure: a coordinator that can't read the platform, though others can, took its own failed reads for an outage, and never learnt better as long as it heard of new configuration from relays. It went on handing out batches after another host had taken the lease and accepted a new model version: samples beyond the staleness bound, and batches that its successor can't repeat. A coordinator that was stopped, replaced, and woken in an outage did the same. The window was named at Job as open.

A coordinator now moves alone only while more than half of the relays find the platform down and none of them is known to have reached it since the end of its own last known term. A lease is taken only through the platform and later than that, so nobody can have replaced it. The state is looked at again before each message, since the process may have been stopped while it waited for one.

--- a/internal/core/delivery/event.go
+++ b/internal/core/delivery/event.go
@@ -79,6 +79,9 @@
 	}
 	// Superseded says that another holder of the lease was seen.
 	Superseded struct{}
+	// OutageChanged says whether the platform is down for most hosts, and nobody is known to have reached it
+	// since this host's last term ended, so that no other host can have taken the lease.
+	OutageChanged struct{ Established bool }
 	// BoundChanged sets the staleness bound, in versions.
 	BoundChanged struct{ Bound int }
 	// Ticked comes about once a second and tries an unreachable platform again.
@@ -134,6 +137,7 @@
 func (WriteFenced) event()      {}
 func (FenceChanged) event()     {}
 func (Superseded) event()       {}
+func (OutageChanged) event()    {}
 func (BoundChanged) event()     {}
 func (Ticked) event()           {}
 func (ContentLost) event()      {}
--- a/internal/core/delivery/job.go
+++ b/internal/core/delivery/job.go
@@ -18,16 +18,17 @@
 //   - this coordinator issued the cursor, under a lease of its own, so no other coordinator can
 //     move alone past the same cursor;
 //   - this coordinator had read the job object under its newest lease;
+//   - its last read failed, and the platform has been down for all hosts since its lease ended;
 //   - a model version never moves alone.
 //
 // Such moves are written when the platform is back. If another coordinator has moved the object
 // meanwhile they are dropped, and the trainer's next cursor tells what it had received: the
 // trainer is the one consumer, so its cursor decides between two branches.
 //
-// What remains open: a coordinator that can't reach the platform while others can may move alone
-// with a version that a successor has just replaced, until it learns that it is cut off; and a
-// batch that was handed out alone is not repeated byte for byte after its coordinator's death, but
-// made anew under its number for a trainer whose cursor shows that it never had it.
+// What remains open: a coordinator that is cut off together with most of the hosts that judge of an
+// outage may move alone with a version that a successor has just replaced; and a batch that was handed
+// out alone is not repeated byte for byte after its coordinator's death, but made anew under its number
+// for a trainer whose cursor shows that it never had it.
 type Job struct {
 	name  string
 	self  netip.AddrPort
@@ -52,7 +53,9 @@
 	extended bool
 	// floor is the newest model version that may be in force, though unconfirmed.
 	floor int
-	down  bool
+	// down says that the last read failed; outage is what OutageChanged said last.
+	down   bool
+	outage bool
 	// resting says that the platform refused the last write; the next one waits for a tick.
 	resting bool
 	lost    ContentLost
@@ -125,6 +128,8 @@
 		j.changeFence(e)
 	case Superseded:
 		j.supersede()
+	case OutageChanged:
+		j.outage = e.Established
 	case BoundChanged:
 		j.bound = e.Bound
 	case Ticked:
@@ -158,10 +163,12 @@
 }
 
 // mayMoveAlone holds the rules of Job for a move without the platform. The failure they guard
-// against: a coordinator that wakes up late and can't reach the platform would otherwise hand out
-// samples that its successor has delivered.
+// against: a coordinator that wakes up late, or can't reach the platform while others can, would
+// otherwise hand out samples that its successor has delivered, or that are too old by a version that its
+// successor has accepted. While the platform is down for all there is no successor.
 func (j *Job) mayMoveAlone(cursor *Cursor) bool {
-	return j.down && cursor != nil && j.issued(cursor) && j.loadedTerm == j.term().first && j.writing == nil
+	return j.down && j.outage && cursor != nil && j.issued(cursor) &&
+		j.loadedTerm == j.term().first && j.writing == nil
 }
 
 func (j *Job) issued(cursor *Cursor) bool {
--- a/internal/core/delivery/job_rapid_test.go
+++ b/internal/core/delivery/job_rapid_test.go
@@ -58,7 +58,7 @@
 		"tick": func(t *rapid.T) { w.feed(coord(t), Ticked{}) },
 		"take": func(t *rapid.T) {
 			if w.up {
-				w.lease(coord(t))
+				w.take(coord(t))
 			}
 		},
 		"renew": func(t *rapid.T) {
@@ -66,6 +66,11 @@
 				w.renew(coord(t))
 			}
 		},
+		"learn": func(*rapid.T) { w.learn() },
+		"cut": func(t *rapid.T) {
+			c := w.coords[coord(t)]
+			c.cut = !c.cut
+		},
 		"lapse": func(t *rapid.T) { w.feed(coord(t), FenceChanged{}) },
 		"kill": func(t *rapid.T) {
 			at := coord(t)
@@ -97,9 +102,22 @@
 		}
 	}
 	if outages {
-		actions["outage"] = func(*rapid.T) {
+		actions["outage"] = func(t *rapid.T) {
 			w.up = !w.up
 			w.outages++
+			if rapid.IntRange(0, 3).Draw(t, "known at once") > 0 {
+				w.learn()
+			}
+		}
+		actions["outageRounds"] = func(t *rapid.T) {
+			w.up = false
+			w.outages++
+			w.learn()
+			at := coord(t)
+			for range rapid.IntRange(1, 3).Draw(t, "rounds") {
+				w.round(at)
+				w.workAll(at, w.record.ModelVersion)
+			}
 		}
 	}
 	return actions
--- a/internal/core/delivery/job_test.go
+++ b/internal/core/delivery/job_test.go
@@ -21,6 +21,7 @@
 // newScript returns a job under its first lease, number 10, that has read an absent object.
 func newScript(t *testing.T, bound int) *script {
 	s := &script{t: t, job: NewJob("fees", netip.MustParseAddrPort("127.0.0.1:7001"), bound)}
+	s.job.Handle(OutageChanged{Established: true})
 	s.job.Handle(FenceChanged{Number: 10, Held: true})
 	s.job.Handle(Loaded{Record: Record{Job: "fees"}})
 	return s
@@ -164,6 +165,27 @@
 	}
 }
 
+// A trainer would get samples that are too old: a coordinator that can't reach the platform, which
+// others reach, has been replaced without knowing. It moves alone once the others find the platform
+// down too, and no longer than that.
+func TestFailedReadAloneIsNoOutage(t *testing.T) {
+	s := newScript(t, 0)
+	cursor := s.postStep()
+	s.ready(0, 0, 1, 2, 3)
+	s.job.Handle(OutageChanged{})
+	s.job.Handle(FenceChanged{})
+	the[Read](s, s.job.Handle(Ticked{}))
+	s.job.Handle(ReadFailed{})
+	if effects := s.job.Handle(BatchAsked{ID: 2, Step: 1, Batch: 1, Cursor: &cursor}); len(effects) != 0 {
+		t.Errorf("no outage: %+v", effects)
+	}
+	ready := the[Answer](s, s.job.Handle(OutageChanged{Established: true})).Result.(BatchReady)
+	s.job.Handle(OutageChanged{})
+	if effects := s.job.Handle(BatchAsked{ID: 3, Step: 1, Batch: 2, Cursor: &ready.Cursor}); len(effects) != 0 {
+		t.Errorf("after the outage: %+v", effects)
+	}
+}
+
 // A platform that refuses writes above its rate would be asked again without a pause, by a read and a
 // write in turn. After a refused write the next one waits for the next tick.
 func TestRefusedWriteRests(t *testing.T) {
--- a/internal/core/delivery/world_test.go
+++ b/internal/core/delivery/world_test.go
@@ -36,7 +36,8 @@
 	write *Write
 	// landed is the newest model version that a write of this process put into the object.
 	landed int
-	// unread says that the last read failed.
+	// cut says that the process can't reach the platform; unread, that its last read failed.
+	cut    bool
 	unread bool
 	// given are the manifests handed out.
 	given map[string]bool
@@ -96,7 +97,7 @@
 	for range 2 {
 		w.coords = append(w.coords, w.newCoordinator())
 	}
-	w.lease(0)
+	w.take(0)
 	return w
 }
 
@@ -106,6 +107,19 @@
 	return &coordinator{id: w.processes, job: NewJob("fees", self, w.bound), given: map[string]bool{}}
 }
 
+// take gives the lease to a coordinator. What was known of an outage is over by then: a taker waits longer.
+func (w *world) take(at int) {
+	w.learn()
+	w.lease(at)
+}
+
+// learn tells all coordinators of an outage.
+func (w *world) learn() {
+	for at, c := range w.coords {
+		w.feed(at, OutageChanged{Established: !w.up && c.job.fence() == w.fence})
+	}
+}
+
 func (w *world) lease(at int) {
 	w.fence++
 	w.issuers[w.fence] = w.coords[at].id
@@ -178,8 +192,8 @@
 		w.t.Fatalf("process %d moved alone past a cursor that is not its own: %+v", c.id, cursor)
 	}
 	// A batch that was handed out alone is repeated also when the platform is back.
-	if !c.unread && !c.given[fmt.Sprint(ready.Manifest)] {
-		w.t.Fatalf("process %d moved alone though its last read succeeded", c.id)
+	if repeated := c.given[fmt.Sprint(ready.Manifest)]; !repeated {
+		w.checkMove(c)
 	}
 	for _, ref := range ready.Manifest.Refs {
 		if ref.Oldest < c.landed-w.bound {
@@ -188,6 +202,16 @@
 	}
 }
 
+// checkMove checks the ground for a move that was not written.
+func (w *world) checkMove(c *coordinator) {
+	if !c.unread {
+		w.t.Fatalf("process %d moved alone though its last read succeeded", c.id)
+	}
+	if c.job.fence() != w.fence {
+		w.t.Fatalf("process %d moved alone under lease %d though another holds lease %d", c.id, c.job.fence(), w.fence)
+	}
+}
+
 func (w *world) checkBound(manifest Manifest) {
 	for _, ref := range manifest.Refs {
 		if ref.Oldest < manifest.ModelVersion-w.bound {
@@ -230,7 +254,7 @@
 		return
 	}
 	c.reads--
-	c.unread = !w.up
+	c.unread = !w.up || c.cut
 	if c.unread {
 		w.feed(at, ReadFailed{})
 		return
@@ -247,9 +271,9 @@
 	write := *c.write
 	c.write = nil
 	switch {
-	case !w.up && how == fateDone, how == fateUnsent:
+	case (!w.up || c.cut) && how == fateDone, how == fateUnsent:
 		w.feed(at, WriteUnavailable{})
-	case !w.up || how == fateLostDropped:
+	case !w.up || c.cut || how == fateLostDropped:
 		w.feed(at, WriteUnsettled{})
 	case how == fateLostApplied:
 		w.put(c, write.Record, write.IfVersion)
@@ -417,7 +441,7 @@
 		w.runLate()
 	}
 	w.coords = []*coordinator{w.newCoordinator()}
-	w.lease(0)
+	w.take(0)
 	for round := 0; !w.finished(); round++ {
 		if round > 500 {
 			w.t.Fatalf("no end after all faults: step %d batch %d posted %v, %+v", w.step, w.batch, w.posted, w.coords[0].job.Status())
--- a/internal/edge/trainer/deps.go
+++ b/internal/edge/trainer/deps.go
@@ -130,6 +130,9 @@
 	Secret []byte
 	// Fresh says whether the configuration may still be relied on; nil means always.
 	Fresh func(now time.Time) bool
+	// Outage says whether more than half of the relays find the platform down, and when any of them is last
+	// known to have reached it; nil leaves that to this host's own reads.
+	Outage func(now time.Time) (reached time.Time, established bool)
 	// PublishModelVersion makes a model version known to the backend servers, by a change of head.
 	PublishModelVersion func(ctx context.Context, version ticket.ModelVersion) error
 }
--- a/internal/edge/trainer/fakes_test.go
+++ b/internal/edge/trainer/fakes_test.go
@@ -18,7 +18,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/delivery"
-	"github.com/oleandershelf/oleandershelf/internal/core/request"
 	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
 	standin "github.com/oleandershelf/oleandershelf/internal/standin/platform"
@@ -249,50 +248,6 @@
 	return l.changed
 }
 
-// fakePeers joins coordinators without sockets.
-type fakePeers struct {
-	mu    sync.Mutex
-	hosts map[netip.AddrPort]*Coordinator
-}
-
-func (p *fakePeers) at(host netip.AddrPort) (*Coordinator, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c, ok := p.hosts[host]
-	return c, ok
-}
-
-func (p *fakePeers) set(host netip.AddrPort, c *Coordinator) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.hosts, host)
-	if c != nil {
-		p.hosts[host] = c
-	}
-}
-
-type copierOf struct {
-	*fakePeers
-	other netip.AddrPort
-}
-
-func (p copierOf) Copy(_ context.Context, job string, sample CopiedSample) (netip.AddrPort, error) {
-	other, ok := p.at(p.other)
-	if !ok {
-		return netip.AddrPort{}, errFake
-	}
-	return p.other, other.shelf.put(job, sample)
-}
-
-func (p copierOf) Fetch(_ context.Context, from netip.AddrPort, job string, digests []string) ([]CopiedSample, error) {
-	other, ok := p.at(from)
-	if !ok {
-		return nil, errFake
-	}
-	answer, err := other.serveFetch(context.Background(), fetchMessage{Job: job, Digests: digests})
-	return answer.Samples, err
-}
-
 // world is two entries with one platform.
 type world struct {
 	t       testing.TB
@@ -312,6 +267,7 @@
 	isolated  atomic.Pointer[netip.AddrPort]
 	mu        sync.Mutex
 	published []int
+	reached   time.Time
 	cursor    string
 }
 
@@ -331,6 +287,17 @@
 	return w
 }
 
+// outage is what most hosts find, whatever a single one's way to the platform is.
+func (w *world) outage(now time.Time) (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	down := w.store.CurrentFaults().Outage
+	if !down {
+		w.reached = now
+	}
+	return w.reached, down
+}
+
 func (w *world) start(self, other netip.AddrPort, store platform.Store) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := New(ctx, Deps{
@@ -344,6 +311,7 @@
 		Self:      self,
 		Secret:    testToken,
 		Fresh:     func(time.Time) bool { cut := w.isolated.Load(); return cut == nil || *cut != self },
+		Outage:    w.outage,
 		PublishModelVersion: func(_ context.Context, version ticket.ModelVersion) error {
 			w.mu.Lock()
 			defer w.mu.Unlock()
@@ -368,34 +336,6 @@
 	delete(w.stops, host)
 }
 
-type forwarderOf struct{ *fakePeers }
-
-func (p forwarderOf) Forward(ctx context.Context, to netip.AddrPort, forwarded Forwarded) (Reply, error) {
-	other, ok := p.at(to)
-	if !ok {
-		return Reply{}, refusalNotHolder(forwarded.Job)
-	}
-	sink := &fakeSink{}
-	end, err := other.serveForward(ctx, forwarded, sink)
-	return Reply{Status: sink.status, Body: sink.body, Cursor: end.Cursor}, err
-}
-
-// fakeSink gathers a forwarded answer.
-type fakeSink struct {
-	status int
-	body   []byte
-}
-
-func (s *fakeSink) Head(head request.AnswerHead) error {
-	s.status = head.Status
-	return nil
-}
-
-func (s *fakeSink) Write(p []byte) (int, error) {
-	s.body = append(s.body, p...)
-	return len(p), nil
-}
-
 // answer is what the trainer receives.
 type answer struct {
 	status int
--- a/internal/edge/trainer/peer_test.go
+++ b/internal/edge/trainer/peer_test.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/delivery"
+	"github.com/oleandershelf/oleandershelf/internal/core/request"
 	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 )
@@ -144,3 +146,75 @@
 		t.Errorf("%+v", state)
 	}
 }
+
+// fakePeers joins coordinators without sockets.
+type fakePeers struct {
+	mu    sync.Mutex
+	hosts map[netip.AddrPort]*Coordinator
+}
+
+func (p *fakePeers) at(host netip.AddrPort) (*Coordinator, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.hosts[host]
+	return c, ok
+}
+
+func (p *fakePeers) set(host netip.AddrPort, c *Coordinator) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.hosts, host)
+	if c != nil {
+		p.hosts[host] = c
+	}
+}
+
+type copierOf struct {
+	*fakePeers
+	other netip.AddrPort
+}
+
+func (p copierOf) Copy(_ context.Context, job string, sample CopiedSample) (netip.AddrPort, error) {
+	other, ok := p.at(p.other)
+	if !ok {
+		return netip.AddrPort{}, errFake
+	}
+	return p.other, other.shelf.put(job, sample)
+}
+
+func (p copierOf) Fetch(_ context.Context, from netip.AddrPort, job string, digests []string) ([]CopiedSample, error) {
+	other, ok := p.at(from)
+	if !ok {
+		return nil, errFake
+	}
+	answer, err := other.serveFetch(context.Background(), fetchMessage{Job: job, Digests: digests})
+	return answer.Samples, err
+}
+
+type forwarderOf struct{ *fakePeers }
+
+func (p forwarderOf) Forward(ctx context.Context, to netip.AddrPort, forwarded Forwarded) (Reply, error) {
+	other, ok := p.at(to)
+	if !ok {
+		return Reply{}, refusalNotHolder(forwarded.Job)
+	}
+	sink := &fakeSink{}
+	end, err := other.serveForward(ctx, forwarded, sink)
+	return Reply{Status: sink.status, Body: sink.body, Cursor: end.Cursor}, err
+}
+
+// fakeSink gathers a forwarded answer.
+type fakeSink struct {
+	status int
+	body   []byte
+}
+
+func (s *fakeSink) Head(head request.AnswerHead) error {
+	s.status = head.Status
+	return nil
+}
+
+func (s *fakeSink) Write(p []byte) (int, error) {
+	s.body = append(s.body, p...)
+	return len(p), nil
+}
--- a/internal/edge/trainer/runner.go
+++ b/internal/edge/trainer/runner.go
@@ -48,8 +48,10 @@
 	activation int
 	active     bool
 	held       bool
-	fence      Fence
-	probed     time.Time
+	// outage says that the platform has been down since this host's last known term ended.
+	outage bool
+	fence  Fence
+	probed time.Time
 	// bodies are those of posted steps by digest; posted names them by request.
 	bodies     map[string][]byte
 	posted     map[delivery.AskID]string
@@ -114,6 +116,7 @@
 	r.activation++
 	r.active = false
 	r.held = false
+	r.outage = false
 	r.fence = Fence{}
 	r.machine = delivery.NewJob(r.job, r.deps.Self, r.bound())
 	r.bodies = map[string][]byte{}
@@ -132,6 +135,7 @@
 	defer ticker.Stop()
 	for {
 		changed := r.lease.Changed()
+		r.checkOutage(time.Now())
 		r.checkLease(time.Now())
 		if next := r.interval(); next != interval {
 			interval = next
@@ -144,6 +148,9 @@
 			r.leave()
 			return
 		case m := <-r.inbox:
+			// The process may have been stopped while it waited here: what it knew of an outage then is
+			// no ground any more for serving the message without the platform.
+			r.checkOutage(time.Now())
 			m.apply(r)
 			r.drain()
 		case <-changed:
@@ -182,6 +189,30 @@
 	}
 }
 
+// checkOutage tells the machine whether the job may go on without the platform.
+//
+// Failure: a host that was stopped, or can't reach the platform while others can, is replaced without
+// knowing, and goes on serving the job when it finds the platform down. Another host takes the lease only
+// through the platform, and later than the end of this one's last known term; if nobody is known to have
+// reached the platform since then, nobody has taken it.
+func (r *runner) checkOutage(now time.Time) {
+	established := r.deps.Outage == nil
+	if !established {
+		reached, down := r.deps.Outage(now)
+		established = down && before(reached, r.fence.Deadline)
+	}
+	if established == r.outage {
+		return
+	}
+	r.outage = established
+	r.handle(delivery.OutageChanged{Established: established})
+}
+
+// before compares by both clocks: the monotonic one misses a suspended machine, the wall clock a step.
+func before(a, b time.Time) bool {
+	return a.Before(b) && a.Round(0).Before(b.Round(0))
+}
+
 // checkLease tells the machine of changes. A number that is seen before the deadline of the one
 // before is a renewal: no other host can have held the lease in between.
 func (r *runner) checkLease(now time.Time) {
--- a/internal/program/process/trainers.go
+++ b/internal/program/process/trainers.go
@@ -25,6 +25,7 @@
 		Copier:    trainer.NewPeerCopier(r.client, r.copyHosts),
 		Forwarder: trainer.NewPeerForwarder(r.client),
 		Fresh:     follower.Fresh,
+		Outage:    follower.Outage,
 		Lease:     keepers.newJobLease,
 		Self:      r.set.PeerListen,
 		Secret:    []byte(r.set.PeerSecret),
