Hand a usage count to each relay once for each change

Cause: a host's answer to a relay held all counts that were not stored yet, and it is asked every 3 s, while a flush comes every 15 s: each count went over up to five times, the relay sent it back once as stored, and the two relays of a zone handed each other what both had gathered from the hosts.

A host numbers changes now; a relay asks for those since the last number it has, and says up to which number the platform has all. The numbers belong to one process of the host: another one takes them for 0. A relay doesn't hand over what it has gathered and will flush; one that has ceased to be a relay does.

Tests: TestCountIsHandedToEachRelayOnce, TestRevisionsOfAFormerProcessDropNothing, TestFormerRelayHandsOverWhatItGathered, TestAnswersOfAnOutageAreTakenTogether and the interleavings of TestHostDropsOnlyWhatIsStored.

--- a/internal/edge/billing/collector.go
+++ b/internal/edge/billing/collector.go
@@ -169,6 +169,20 @@
 	return !ok || known != count.Amount
 }
 
+// HasStored reports whether the platform is known to have at least these amounts, which the collector was given before.
+// One that it has forgotten since is stored.
+func (c *Collector) HasStored(counts []usage.Count) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, count := range counts {
+		known, ok := c.stored[count.Cell]
+		if c.ledger.Has(count.Cell) && (!ok || known.Max(count.Amount) != known) {
+			return false
+		}
+	}
+	return true
+}
+
 // Stored notes that the platform has the counts, which another host may have flushed, and drops
 // those of old windows: a collector that never flushes by itself must not keep them for ever.
 func (c *Collector) Stored(counts []usage.Count) {
--- a/internal/program/process/gatherer.go
+++ b/internal/program/process/gatherer.go
@@ -33,23 +33,11 @@
 	shortestFlush    = time.Second
 )
 
-// gatherAsk asks a host for the usage counts that the platform is not known to have.
-type gatherAsk struct {
-	// Stored are counts of an earlier answer that the platform has by now.
-	Stored []usage.Count `msgpack:"s"`
-}
-
-// gatherAnswer holds those counts.
-type gatherAnswer struct {
-	Counts []usage.Count `msgpack:"c"`
-}
-
 // serveGather lets a relay of the zone take the counts of this host.
-func serveGather(r *peer.Registry, collector *billing.Collector, refresh func()) {
-	peer.Handle(r, methodGatherUsage, func(_ context.Context, ask gatherAsk) (gatherAnswer, error) {
-		collector.Stored(ask.Stored)
+func serveGather(r *peer.Registry, handover *billing.Handover, refresh func()) {
+	peer.Handle(r, methodGatherUsage, func(_ context.Context, ask billing.GatherAsk) (billing.GatherAnswer, error) {
 		refresh()
-		return gatherAnswer{Counts: collector.Unstored()}, nil
+		return handover.Answer(ask), nil
 	})
 }
 
@@ -100,7 +88,7 @@
 func (r *runtime) newAgentCollector(ctx context.Context, counters *usage.Ledger) *billing.Collector {
 	collector := billing.NewCollector(ctx, r.platform, usage.NewLedger(), r.set.AvailabilityZone,
 		billing.WithFlushInterval(0), billing.WithWindow(r.set.UsageWindow), billing.WithCollectorLog(r.log))
-	serveGather(r.peers, collector, func() { collector.Follow(counters) })
+	serveGather(r.peers, billing.NewHandover(collector), func() { collector.Follow(counters) })
 	return collector
 }
 
@@ -108,17 +96,19 @@
 type gatherer struct {
 	runtime   *runtime
 	collector *billing.Collector
+	handover  *billing.Handover
 	work      conc.WaitGroup
-	// handed are the counts of the last answer of each host. Only the gathering goroutine uses it.
-	handed map[string][]usage.Count
+	// sources are the hosts of the zone by their names. Only the gathering goroutine uses it.
+	sources map[string]*billing.Source
 }
 
 func (r *runtime) newGatherer(ctx context.Context) *gatherer {
-	g := &gatherer{runtime: r, handed: map[string][]usage.Count{}}
+	g := &gatherer{runtime: r, sources: map[string]*billing.Source{}}
 	g.collector = billing.NewCollector(ctx, r.platform, usage.NewLedger(), r.set.AvailabilityZone,
 		billing.WithWriter(r.set.HostID), billing.WithFlushIf(g.isRelay), billing.WithFlushInterval(flushInterval(r.set.UsageWindow)),
 		billing.WithWindow(r.set.UsageWindow), billing.WithCollectorLog(r.log))
-	serveGather(r.peers, g.collector, func() {})
+	g.handover = billing.NewHandover(g.collector)
+	serveGather(r.peers, g.handover, func() {})
 	peer.Handle(r.peers, methodTakeUsage, func(_ context.Context, taken takeUsage) (took, error) {
 		g.collector.Merge(taken.Counts...)
 		return took{}, nil
@@ -149,37 +139,21 @@
 	return g.runtime.isAmong(rankingKey{purpose: "usageRelay", zone: own, count: usageRelays})
 }
 
-// round asks each host of the zone once.
+// round asks each host of the zone once. Hosts that have gone from the list are forgotten.
 func (g *gatherer) round(ctx context.Context) {
-	unstored := map[usage.Cell]usage.Amount{}
-	for _, count := range g.collector.Unstored() {
-		unstored[count.Cell] = count.Amount
-	}
 	hosts := g.hosts()
-	answers := make([][]usage.Count, len(hosts))
+	sources := make(map[string]*billing.Source, len(hosts))
 	asks := pool.New().WithMaxGoroutines(gatherParallel)
-	for i, host := range hosts {
-		stored := storedOf(g.handed[host.ID], unstored)
-		asks.Go(func() { answers[i] = g.ask(ctx, host, stored) })
-	}
-	asks.Wait()
-	g.handed = make(map[string][]usage.Count, len(hosts))
-	for i, host := range hosts {
-		g.collector.Merge(answers[i]...)
-		g.handed[host.ID] = answers[i]
-	}
-}
-
-// storedOf returns the counts that were taken over and that the platform has by now. A host may drop a
-// count only then: a relay that dies between taking over and flushing must not lose it.
-func storedOf(handed []usage.Count, unstored map[usage.Cell]usage.Amount) []usage.Count {
-	stored := []usage.Count{}
-	for _, count := range handed {
-		if _, pending := unstored[count.Cell]; !pending {
-			stored = append(stored, count)
+	for _, host := range hosts {
+		source, ok := g.sources[host.ID]
+		if !ok {
+			source = &billing.Source{}
 		}
+		sources[host.ID] = source
+		asks.Go(func() { g.ask(ctx, host, source) })
 	}
-	return stored
+	asks.Wait()
+	g.sources = sources
 }
 
 func (g *gatherer) hosts() []platform.Host {
@@ -192,15 +166,16 @@
 	return hosts
 }
 
-func (g *gatherer) ask(ctx context.Context, host platform.Host, stored []usage.Count) []usage.Count {
+func (g *gatherer) ask(ctx context.Context, host platform.Host, source *billing.Source) {
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
-	answer, err := peer.Ask[gatherAsk, gatherAnswer](ctx, g.runtime.client, host.PeerAddress, methodGatherUsage, gatherAsk{Stored: stored})
+	answer, err := peer.Ask[billing.GatherAsk, billing.GatherAnswer](ctx, g.runtime.client, host.PeerAddress, methodGatherUsage, source.Ask(g.collector))
 	if err != nil {
 		g.runtime.log.Debug().Err(err).Str("from", host.ID).Msg("usage not gathered")
-		return nil
+		return
 	}
-	return answer.Counts
+	g.handover.Gathered(answer.Counts...)
+	source.Take(answer)
 }
 
 func (g *gatherer) wait() {
