Let an isolated host say that it isn't ready, and leave without leases it never had

Found by starting an entry without a platform: /readyz said 'ready' and the log 'serving', while every request was refused as isolated; a balancer would have sent it callers beside hosts that serve. On SIGTERM it waited 3 s and logged 'lease is not released' for four duties that it had never held. Now /readyz depends on the confirmed configuration, the log tells when that begins and ends, and a keeper that never wrote has nothing to give back. In an outage of the platform hosts stay ready, since they stay fresh by the majority of relays. Ruled out: making agents' probes carry it, since probes ask for load only.

--- a/internal/core/lease/machine.go
+++ b/internal/core/lease/machine.go
@@ -225,8 +225,11 @@
 	m.grant = nil
 }
 
-// Released reports whether a release is done: the object is known to be somebody else's or free.
-func (m *Machine) Released() bool { return m.released && !m.doubt && !m.mine() }
+// Released reports whether a release is done: the object is known to be somebody else's or free. A holder that never
+// wrote has nothing to give back, so that a host that leaves in an outage need not wait for leases that it never had.
+func (m *Machine) Released() bool {
+	return m.released && (m.renewal == 0 || !m.doubt && !m.mine())
+}
 
 // Grant returns the newest grant, which may have run out.
 func (m *Machine) Grant() (Grant, bool) {
--- a/internal/edge/admin/admin.go
+++ b/internal/edge/admin/admin.go
@@ -23,17 +23,34 @@
 // Dump returns the state of one part of the process, without key material.
 type Dump func() any
 
+// Option changes a Server.
+type Option func(*Server)
+
+// WithServing makes /readyz depend on serving as well. A host that refuses every request must not be sent any, while
+// other hosts would serve them.
+func WithServing(serving func() bool) Option {
+	return func(s *Server) { s.serving = serving }
+}
+
 // Server serves /metrics, /healthz, /readyz and /debug/state.
 type Server struct {
-	app   *fiber.App
-	ready atomic.Bool
-	dumps map[string]Dump
-	work  conc.WaitGroup
+	app     *fiber.App
+	ready   atomic.Bool
+	serving func() bool
+	dumps   map[string]Dump
+	work    conc.WaitGroup
 }
 
 // NewServer serves on l until ctx ends. dumps are shown by name under /debug/state.
-func NewServer(ctx context.Context, l net.Listener, gatherer prometheus.Gatherer, dumps map[string]Dump) *Server {
-	s := &Server{app: fiber.New(fiber.Config{Immutable: true}), dumps: dumps}
+func NewServer(ctx context.Context, l net.Listener, gatherer prometheus.Gatherer, dumps map[string]Dump, opts ...Option) *Server {
+	s := &Server{
+		app:     fiber.New(fiber.Config{Immutable: true}),
+		serving: func() bool { return true },
+		dumps:   dumps,
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
 	s.app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{})))
 	s.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	s.app.Get("/readyz", s.readyz)
@@ -59,10 +76,14 @@
 func (s *Server) Wait() { s.work.Wait() }
 
 func (s *Server) readyz(c fiber.Ctx) error {
-	if s.ready.Load() {
+	switch {
+	case !s.ready.Load():
+		return c.Status(http.StatusServiceUnavailable).SendString("starting or leaving\n")
+	case !s.serving():
+		return c.Status(http.StatusServiceUnavailable).SendString("isolated: the configuration isn't confirmed\n")
+	default:
 		return c.SendString("ready\n")
 	}
-	return c.Status(http.StatusServiceUnavailable).SendString("not ready\n")
 }
 
 func (s *Server) state(c fiber.Ctx) error {
--- a/internal/program/process/agent.go
+++ b/internal/program/process/agent.go
@@ -16,14 +16,15 @@
 
 // Agent is a running agent process.
 type Agent struct {
-	runtime  *runtime
-	cancel   context.CancelFunc
-	follower *configuration.Follower
-	agent    *agent.Agent
-	usage    *billing.Collector
-	counters *usage.Ledger
-	peers    *peer.Server
-	admin    *admin.Server
+	runtime   *runtime
+	cancel    context.CancelFunc
+	follower  *configuration.Follower
+	freshness *freshnessLog
+	agent     *agent.Agent
+	usage     *billing.Collector
+	counters  *usage.Ledger
+	peers     *peer.Server
+	admin     *admin.Server
 }
 
 // RunAgent runs the agent until ctx ends, then drains it.
@@ -54,6 +55,7 @@
 	}
 	p := &Agent{runtime: r}
 	p.follower = r.newFollower(ctx)
+	p.freshness = newFreshnessLog(ctx, p.follower, log)
 	server := newBackendServer(set.ServerURL)
 	p.counters = usage.NewLedger()
 	p.usage = r.newAgentCollector(ctx, p.counters)
@@ -83,10 +85,9 @@
 	if p.peers, err = r.servePeers(ctx); err != nil {
 		return nil, err
 	}
-	p.admin, err = r.serveAdmin(ctx, map[string]admin.Dump{
-		"agent":         p.agent.State,
-		"configuration": p.follower.State,
-		"usage":         func() any { return p.usage.State() },
+	p.admin, err = r.serveAdmin(ctx, p.follower, map[string]admin.Dump{
+		"agent": p.agent.State,
+		"usage": func() any { return p.usage.State() },
 	})
 	if err != nil {
 		return nil, err
@@ -116,5 +117,6 @@
 	p.cancel()
 	p.agent.Wait()
 	p.admin.Wait()
+	p.freshness.wait()
 	p.runtime.client.Wait()
 }
--- a/internal/program/process/entry.go
+++ b/internal/program/process/entry.go
@@ -19,6 +19,7 @@
 	runtime   *runtime
 	cancel    context.CancelFunc
 	follower  *configuration.Follower
+	freshness *freshnessLog
 	publisher *configuration.Publisher
 	entry     *entry.Entry
 	trainers  *trainer.Coordinator
@@ -56,6 +57,7 @@
 	}
 	p := &Entry{runtime: r}
 	p.follower = r.newFollower(ctx)
+	p.freshness = newFreshnessLog(ctx, p.follower, log)
 	p.publisher = configuration.NewPublisher(r.platform, configuration.WithFollower(p.follower))
 	metrics := entry.NewMetrics(r.registry)
 	p.duties = newDuties(ctx, r, p.follower)
@@ -92,11 +94,10 @@
 		Trainers:   p.trainers,
 		Log:        log,
 	}, metrics)
-	p.admin, err = r.serveAdmin(ctx, map[string]admin.Dump{
-		"entry":         p.entry.State,
-		"configuration": p.follower.State,
-		"trainers":      p.trainers.State,
-		"duties":        p.duties.state,
+	p.admin, err = r.serveAdmin(ctx, p.follower, map[string]admin.Dump{
+		"entry":    p.entry.State,
+		"trainers": p.trainers.State,
+		"duties":   p.duties.state,
 	})
 	if err != nil {
 		return nil, err
@@ -128,6 +129,7 @@
 	p.weights.wait()
 	p.duties.wait()
 	p.admin.Wait()
+	p.freshness.wait()
 	p.runtime.client.Wait()
 }
 
--- a/internal/program/process/runtime.go
+++ b/internal/program/process/runtime.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oleandershelf/oleandershelf/internal/edge/admin"
+	"github.com/oleandershelf/oleandershelf/internal/edge/configuration"
 	"github.com/oleandershelf/oleandershelf/internal/edge/membership"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
@@ -97,15 +98,17 @@
 	return r.server, nil
 }
 
-// serveAdmin starts the operator's interface.
-func (r *runtime) serveAdmin(ctx context.Context, dumps map[string]admin.Dump) (*admin.Server, error) {
+// serveAdmin starts the operator's interface of a host that serves while the follower's view is fresh.
+func (r *runtime) serveAdmin(ctx context.Context, follower *configuration.Follower, dumps map[string]admin.Dump) (*admin.Server, error) {
 	l, err := listen(ctx, "adminListen", r.set.AdminListen)
 	if err != nil {
 		return nil, err
 	}
+	dumps["configuration"] = follower.State
 	dumps["membership"] = r.members.State
 	dumps["peers"] = func() any { return peersState{Client: r.client.State(), Server: r.server.State()} }
-	return admin.NewServer(ctx, l, r.registry, dumps), nil
+	serving := admin.WithServing(func() bool { return follower.Fresh(time.Now()) })
+	return admin.NewServer(ctx, l, r.registry, dumps, serving), nil
 }
 
 // drainable is a process that ends without cutting off a request.
