Bound the time in which a request comes, so that half a request holds no place for ever

Cause: nothing bounded the reading of a request once its first byte had come. A caller whose network died in the middle of a request held its connection for ever, and each drain of the host until the drain's bound. A request must come within a minute now; else it is refused with 408, not run. The watch for callers that hang up reads from the same connection, and takes the bound off first: with the bound alone it ended with it, so that later hang-ups went unnoticed.

Before: go test -race -run TestHalfARequestIsGivenUp: no answer within 20 s. With the bound and without the change to the watch: TestCallerHangsUpAfterTheReadTimeout: "cancellation: not within 5s". After: both, and the other tests of hang-ups, kept connections and next requests, passed 20 of 20 with -count 10 -cpu 1,2; the package passes.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync/atomic"
@@ -23,6 +24,8 @@
 	DefaultRequestTimeout = time.Minute
 	MaxRequestTimeout     = 30 * time.Minute
 	idleTimeout           = 90 * time.Second
+	// defaultReadTimeout lets a body of 16 MB come at 3 Mbit/s, and ends within the default time of a drain.
+	defaultReadTimeout = time.Minute
 	// keepAliveGrace is how long connections that were kept alive may stay open once no request is running.
 	keepAliveGrace = time.Second
 )
@@ -64,6 +67,8 @@
 	BodyLimitBytes    int
 	OperatorKeyHashes []string
 	Incarnation       uint64
+	// ReadTimeout bounds the time in which a request comes, from its first byte to its last; 0 is the default.
+	ReadTimeout time.Duration
 }
 
 // Entry is the HTTP side of one entry host.
@@ -89,6 +94,8 @@
 		BodyLimit:    config.BodyLimitBytes,
 		ErrorHandler: e.onError,
 		IdleTimeout:  idleTimeout,
+		// A connection that dies in the middle of a request would else hold its place, and a drain, for ever.
+		ReadTimeout: cmp.Or(config.ReadTimeout, defaultReadTimeout),
 		// Streams of tokens are written for minutes; their end is the request's deadline.
 		WriteTimeout: MaxRequestTimeout,
 	})
--- a/internal/edge/entry/hangup.go
+++ b/internal/edge/entry/hangup.go
@@ -24,6 +24,8 @@
 	if err != nil {
 		return func() {}
 	}
+	// The bound on reading the request is still set and would end the peek.
+	_ = conn.SetReadDeadline(time.Time{})
 	var watch conc.WaitGroup
 	watch.Go(func() {
 		if peekEnd(control) {
--- a/internal/edge/entry/hangup_test.go
+++ b/internal/edge/entry/hangup_test.go
@@ -212,3 +212,38 @@
 		t.Error(err)
 	}
 }
+
+// shortReads are settings under which a request must come within a moment.
+var shortReads = Config{HostID: "entry-1", BodyLimitBytes: 1 << 20, Incarnation: 7, ReadTimeout: 200 * time.Millisecond}
+
+// A phone loses its network in the middle of a request, and its connection stays open without a byte. It would hold a place
+// for ever, and the drain of the host until its bound. It must be refused, and the host must drain.
+func TestHalfARequestIsGivenUp(t *testing.T) {
+	whole := raw("/v1/services/billdesk/charge", "body", "")
+	for _, half := range []string{whole[:20], whole[:len(whole)-2]} {
+		ready := &fakeAgent{}
+		f := newFixtureOf(t, shortReads, ready)
+		response, refusal := f.exchange(t, half)
+		if response.StatusCode != http.StatusRequestTimeout || refusal.Verdict != verdict.NotRun || runs(ready) != 0 {
+			t.Errorf("%q: status %d, %+v, %d runs", half, response.StatusCode, refusal, runs(ready))
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), soon)
+		if err := f.entry.Drain(ctx, 0); err != nil {
+			t.Error(err)
+		}
+		cancel()
+	}
+}
+
+// A parent waits for longer than a request may take to come, and hangs up. The watch for hang-ups reads from the same
+// connection; the bound on reading must not have ended it.
+func TestCallerHangsUpAfterTheReadTimeout(t *testing.T) {
+	agent, began, ended := waits()
+	f := newFixtureOf(t, shortReads, agent)
+	conn := f.connect()
+	f.write(conn, raw("/v1/services/billdesk/charge", "x", "Request-Timeout: 600\r\n"))
+	receive(t, "request at the agent", began)
+	time.Sleep(2 * shortReads.ReadTimeout) // the time that the bound takes to pass
+	_ = conn.Close()
+	_ = receive(t, "cancellation", ended)
+}
--- a/internal/edge/entry/harness_test.go
+++ b/internal/edge/entry/harness_test.go
@@ -127,6 +127,12 @@
 
 // newFixture starts an entry and the fake agents; all end with the test.
 func newFixture(t *testing.T, agents ...*fakeAgent) *fixture {
+	t.Helper()
+	return newFixtureOf(t, Config{HostID: "entry-1", BodyLimitBytes: 1 << 20, Incarnation: 7}, agents...)
+}
+
+// newFixtureOf is newFixture with settings of its own.
+func newFixtureOf(t *testing.T, config Config, agents ...*fakeAgent) *fixture {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fixture{t: t, memory: standin.NewMemory(), members: &fakeMembers{}}
@@ -140,7 +146,7 @@
 		func() uint64 { return f.views.View().Revision() }, func(usage.Count) {}, metrics)
 	l := listenLoopback(t)
 	f.url = "http://" + l.Addr().String()
-	f.entry = New(ctx, l, Config{HostID: "entry-1", BodyLimitBytes: 1 << 20, Incarnation: 7}, Deps{
+	f.entry = New(ctx, l, config, Deps{
 		Views: f.views, Tickets: noTickets{}, Admission: admission.New(), TurnedAway: admission.NewTurnedAway(), Dispatcher: dispatcher, Store: f.memory, Log: zerolog.Nop(),
 	}, metrics)
 	t.Cleanup(func() {
