--- a/internal/standin/scorer/server.go
+++ b/internal/standin/scorer/server.go
@@ -6,7 +6,7 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,28 +38,17 @@
 // Server is one scoring service.
 type Server struct {
 	*web.Server
+	web.Switches[Faults]
 
-	mutex sync.Mutex
-	state State
-}
-
-// Option changes a scoring service under construction.
-type Option func(*Server)
-
-// WithFaults sets the switches from the start.
-func WithFaults(faults Faults) Option {
-	return func(s *Server) { s.state.Faults = faults }
+	scored atomic.Int64
 }
 
 // New serves a scoring service on the listener until the context ends.
-func New(ctx context.Context, listener net.Listener, opts ...Option) (*Server, error) {
+func New(ctx context.Context, listener net.Listener) (*Server, error) {
 	server := &Server{Server: web.NewServer(ctx, listener)}
-	for _, opt := range opts {
-		opt(server)
-	}
 	app := web.NewApp()
 	app.Post(backendserver.PathScore, server.score)
-	web.HandleFaults(app, server.currentFaults, server.SetFaults, nil)
+	web.HandleFaults(app, server.CurrentFaults, server.SetFaults, nil)
 	web.HandleState(app, server.State)
 	server.Serve(app)
 	return server, nil
@@ -71,22 +60,9 @@
 	return float64(sum%(scoreSteps+1)) / scoreSteps
 }
 
-// SetFaults replaces all switches.
-func (s *Server) SetFaults(faults Faults) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.state.Faults = faults
-}
-
-func (s *Server) currentFaults() Faults {
-	return s.State().Faults
-}
-
 // State returns the content of the stand-in.
 func (s *Server) State() State {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.state
+	return State{Scored: int(s.scored.Load()), Faults: s.CurrentFaults()}
 }
 
 func (s *Server) score(c fiber.Ctx) error {
@@ -94,7 +70,9 @@
 	if !web.Decode(c, &asks) {
 		return nil
 	}
-	faults, cut := s.enter(len(asks))
+	s.scored.Add(int64(len(asks)))
+	faults := s.CurrentFaults()
+	cut := s.Spend(func(f *Faults) *int { return &f.CutAnswers })
 	timer := time.NewTimer(time.Duration(faults.DelayMilliseconds) * time.Millisecond)
 	defer timer.Stop()
 	select {
@@ -114,16 +92,3 @@
 	}
 	return c.JSON(scores)
 }
-
-// enter counts the samples and reports whether the answer is to be lost.
-func (s *Server) enter(samples int) (Faults, bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.state.Scored += samples
-	faults := s.state.Faults
-	if faults.CutAnswers > 0 {
-		s.state.Faults.CutAnswers--
-		return faults, true
-	}
-	return faults, false
-}
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -69,31 +69,18 @@
 // Server is one plain service.
 type Server struct {
 	*web.Server
+	web.Switches[Faults]
 
-	mutex  sync.Mutex
-	faults Faults
-	// switched is closed when the switches are replaced.
-	switched chan struct{}
+	mutex    sync.Mutex
 	runs     map[string]int
 	received []Received
 }
 
-// Option changes a service under construction.
-type Option func(*Server)
-
-// WithFaults sets the switches from the start.
-func WithFaults(faults Faults) Option {
-	return func(s *Server) { s.faults = faults }
-}
-
 // New serves a plain service on the listener until the context ends.
-func New(ctx context.Context, listener net.Listener, opts ...Option) (*Server, error) {
-	server := &Server{Server: web.NewServer(ctx, listener), switched: make(chan struct{}), runs: make(map[string]int)}
-	for _, opt := range opts {
-		opt(server)
-	}
+func New(ctx context.Context, listener net.Listener) (*Server, error) {
+	server := &Server{Server: web.NewServer(ctx, listener), runs: make(map[string]int)}
 	app := web.NewApp()
-	web.HandleFaults(app, server.currentFaults, server.SetFaults, nil)
+	web.HandleFaults(app, server.CurrentFaults, server.SetFaults, nil)
 	web.HandleState(app, server.State)
 	app.Use(server.enter)
 	app.Post(PathBookings, server.book)
@@ -102,34 +89,21 @@
 	return server, nil
 }
 
-// SetFaults replaces all switches.
-func (s *Server) SetFaults(faults Faults) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.faults = faults
-	close(s.switched)
-	s.switched = make(chan struct{})
-}
-
-func (s *Server) currentFaults() Faults {
-	return s.State().Faults
-}
-
 // State returns the content of the stand-in.
 func (s *Server) State() State {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return State{Runs: maps.Clone(s.runs), Received: slices.Clone(s.received), Faults: s.faults}
+	return State{Runs: maps.Clone(s.runs), Received: slices.Clone(s.received), Faults: s.CurrentFaults()}
 }
 
 // enter records the call and applies the switches that come before a run.
 func (s *Server) enter(c fiber.Ctx) error {
-	faults, cut := s.admit(received(c))
-	if cut {
+	s.record(received(c))
+	if s.Spend(func(f *Faults) *int { return &f.CutBeforeRun }) {
 		return web.CutAnswer(c)
 	}
-	if faults.FailStatus != 0 {
-		return c.SendStatus(faults.FailStatus)
+	if status := s.CurrentFaults().FailStatus; status != 0 {
+		return c.SendStatus(status)
 	}
 	if !s.wait() {
 		return web.CutAnswer(c)
@@ -140,13 +114,13 @@
 // wait returns once the call may run: when no calls are held and then the delay has passed. It returns false if the
 // service ended first.
 func (s *Server) wait() bool {
-	faults, switched := s.switches()
+	faults, switched := s.Watch()
 	for faults.Hold {
 		select {
 		case <-s.Context().Done():
 			return false
 		case <-switched:
-			faults, switched = s.switches()
+			faults, switched = s.Watch()
 		}
 	}
 	timer := time.NewTimer(time.Duration(faults.DelayMilliseconds) * time.Millisecond)
@@ -159,23 +133,12 @@
 	}
 }
 
-func (s *Server) switches() (Faults, <-chan struct{}) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.faults, s.switched
-}
-
-func (s *Server) admit(call Received) (Faults, bool) {
+func (s *Server) record(call Received) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if len(s.received) < maxReceived {
 		s.received = append(s.received, call)
 	}
-	if s.faults.CutBeforeRun > 0 {
-		s.faults.CutBeforeRun--
-		return s.faults, true
-	}
-	return s.faults, false
 }
 
 // book runs a booking, which must not run twice.
@@ -191,15 +154,12 @@
 	return c.Status(http.StatusCreated).JSON(Booked{ID: booking.ID, Runs: runs})
 }
 
+// run counts a run, and reports whether its answer is to be cut.
 func (s *Server) run(id string) (int, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.runs[id]++
-	if s.faults.CutAfterRun > 0 {
-		s.faults.CutAfterRun--
-		return s.runs[id], true
-	}
-	return s.runs[id], false
+	return s.runs[id], s.Spend(func(f *Faults) *int { return &f.CutAfterRun })
 }
 
 func (s *Server) echo(c fiber.Ctx) error {
--- a/internal/standin/weightstore/server.go
+++ b/internal/standin/weightstore/server.go
@@ -42,11 +42,11 @@
 // Server is one weight store.
 type Server struct {
 	*web.Server
+	web.Switches[Faults]
 	limiter *rate.Limiter
 	size    int
 
 	mutex   sync.Mutex
-	faults  Faults
 	served  map[string]int
 	limited int
 }
@@ -79,28 +79,17 @@
 	}
 	app := web.NewApp()
 	app.Get(backendserver.PathWeights+"/*", server.read)
-	web.HandleFaults(app, server.currentFaults, server.SetFaults, nil)
+	web.HandleFaults(app, server.CurrentFaults, server.SetFaults, nil)
 	web.HandleState(app, server.State)
 	server.Serve(app)
 	return server, nil
 }
 
-// SetFaults replaces all switches.
-func (s *Server) SetFaults(faults Faults) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.faults = faults
-}
-
-func (s *Server) currentFaults() Faults {
-	return s.State().Faults
-}
-
 // State returns the content of the stand-in.
 func (s *Server) State() State {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return State{Served: maps.Clone(s.served), Limited: s.limited, Faults: s.faults}
+	return State{Served: maps.Clone(s.served), Limited: s.limited, Faults: s.CurrentFaults()}
 }
 
 func (s *Server) read(c fiber.Ctx) error {
@@ -131,12 +120,11 @@
 func (s *Server) admit(name string) admission {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.faults.Outage || !s.limiter.Allow() {
+	if s.CurrentFaults().Outage || !s.limiter.Allow() {
 		s.limited++
 		return refused
 	}
-	if s.faults.CutAnswers > 0 {
-		s.faults.CutAnswers--
+	if s.Spend(func(f *Faults) *int { return &f.CutAnswers }) {
 		return cut
 	}
 	s.served[name]++
