--- a/internal/program/e2e/path_test.go
+++ b/internal/program/e2e/path_test.go
@@ -25,10 +25,11 @@
 // An operator, callers and a trainer use a deployment of separate processes, with mutual TLS between them, from the first ticket to the report.
 // What they received must be what the golden file holds, and all processes must then end gracefully.
 func TestWholePathAsSeparateProcesses(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), playLimit)
-	defer cancel()
+	t.Parallel()
 	deployment := scenario.Sahil()
 	c := newCluster(t, deployment, overTLS(t))
+	ctx, cancel := context.WithTimeout(context.Background(), playLimit)
+	defer cancel()
 	seen, err := scenario.NewPlayer(deployment, c.topology.Targets(), t.Logf).Play(ctx)
 	if err != nil {
 		t.Fatal(err)
