--- a/internal/edge/entry/harness_test.go
+++ b/internal/edge/entry/harness_test.go
@@ -223,10 +223,7 @@
 		f.t.Fatal(err)
 	}
 	result := answer{status: response.StatusCode, body: string(content)}
-	var refusal struct {
-		Verdict verdict.Verdict `json:"verdict"`
-		Reason  verdict.Reason  `json:"reason"`
-	}
+	var refusal refusalOnWire
 	if response.StatusCode >= http.StatusBadRequest && json.Unmarshal(content, &refusal) == nil {
 		result.verdict, result.reason = refusal.Verdict, refusal.Reason
 	}
