Share the relay and its followers between two slopes, and measure a followed entry by itself

followers and listFollowers laid out a relay with its followers each by itself; what they have in common is one generic type now. The ids of the followers of the host list are no part of their messages, so their figures stay comparable. EntryProcess also lets 58 hosts follow the first entry, since a relay's processor time was only known with that of its followers.

go test -race ./internal/program/capacity passed.

--- a/internal/program/capacity/entryprocess_bench_test.go
+++ b/internal/program/capacity/entryprocess_bench_test.go
@@ -15,6 +15,7 @@
 	"github.com/oleandershelf/oleandershelf/internal/edge/configuration"
 	"github.com/oleandershelf/oleandershelf/internal/program/scenario"
 	"github.com/oleandershelf/oleandershelf/internal/program/settings"
+	standin "github.com/oleandershelf/oleandershelf/internal/standin/platform"
 )
 
 const (
@@ -22,11 +23,14 @@
 	restWindow = 20 * time.Second
 	// clockTick is the unit of processor times under /proc on this system.
 	clockTick = 10 * time.Millisecond
+	// zoneFollowers is half of the other hosts of a zone of 117 with two relays.
+	zoneFollowers = 58
 )
 
 // BenchmarkEntryProcess measures two entries at rest as processes of their own, with the stand-in of the platform in
 // the process of the benchmark, so that the processor time of each is told apart. Rows and jobs are as in entryAtRest, but
-// a third entry, which is not measured, has the address of all rows beside the two and answers what they are asked.
+// a third entry, which is not measured, has the address of all rows beside the two and answers what they are asked. Then
+// so many hosts as follow a relay of the configuration at the size to design for follow the first entry.
 //
 //	go test ./internal/program/capacity -run none -bench EntryProcess -benchtime 1x
 func BenchmarkEntryProcess(b *testing.B) {
@@ -66,10 +70,27 @@
 	for _, set := range d.entries {
 		processes = append(processes, startProcess(b, program, set))
 	}
+	rest, standIn := observeProcesses(ctx, b, d, processes[:zoneEntries])
+	zone := &followedZone{store: standin.NewMemory(), hosts: d.hosts()[:1]}
+	defer func() {
+		cancel()
+		zone.wait()
+	}()
+	zone.follow(ctx, zoneFollowers, zone.follower(ctx))
+	followed, _ := observeProcesses(ctx, b, d, processes[:1])
+	for i, used := range rest {
+		b.ReportMetric(used, fmt.Sprintf("µs/s-entry-%d", i+1))
+	}
+	b.ReportMetric(followed[0], "µs/s-entry-1-followed")
+	b.ReportMetric(standIn, "µs/s-stand-in")
+	b.ReportMetric(0, "ns/op")
+}
+
+// observeProcesses returns the processor time of each process and of this one, in µs/s.
+func observeProcesses(ctx context.Context, b *testing.B, d *deployment, processes []int) (used []float64, own float64) {
 	if err := pause(ctx, 4*settle); err != nil {
 		b.Fatal(err)
 	}
-	processes = processes[:zoneEntries]
 	before := make([]time.Duration, len(processes))
 	for i, process := range processes {
 		before[i] = processorTime(b, process)
@@ -79,11 +100,9 @@
 		b.Fatal(err)
 	}
 	for i, process := range processes {
-		used := processorTime(b, process) - before[i]
-		b.ReportMetric(used.Seconds()/seen.seconds*microsecondsPerSecond, fmt.Sprintf("µs/s-entry-%d", i+1))
+		used = append(used, (processorTime(b, process)-before[i]).Seconds()/seen.seconds*microsecondsPerSecond)
 	}
-	b.ReportMetric(seen.processor, "µs/s-stand-in")
-	b.ReportMetric(0, "ns/op")
+	return used, seen.processor
 }
 
 // startProcess starts an entry, which ends with the benchmark, and returns its process id.
--- a/internal/program/capacity/followers.go
+++ b/internal/program/capacity/followers.go
@@ -83,12 +83,10 @@
 
 // followedZone is a relay with its followers.
 type followedZone struct {
-	store     *standin.Memory
-	wire      wire
-	hosts     []platform.Host
-	followers []*configuration.Follower
-	clients   []*peer.Client
-	server    *peer.Server
+	followed[*configuration.Follower]
+	store *standin.Memory
+	wire  wire
+	hosts []platform.Host
 }
 
 // Entries implements configuration.HostDirectory.
@@ -102,33 +100,23 @@
 	if err != nil {
 		return err
 	}
-	z.hosts = []platform.Host{{
-		ID: "relay", Role: platform.RoleEntry, AvailabilityZone: measuredZone,
-		PeerAddress: addressOf(l.Addr().String()), State: platform.HostLive,
-	}}
-	registry := peer.NewRegistry()
-	z.follower(ctx, "relay").Register(registry)
-	z.server = peer.NewServer(ctx, l, registry, secret)
-	for i := range count {
-		z.follower(ctx, fmt.Sprintf("host-%03d", i))
-	}
+	z.hosts = []platform.Host{relayHost(l)}
+	z.serve(ctx, l, count, z.follower(ctx))
 	return nil
 }
 
-func (z *followedZone) follower(ctx context.Context, id string) *configuration.Follower {
-	client := peer.NewClient(ctx, secret)
-	follower := configuration.NewFollower(ctx, z.store, configuration.WithExchange(
-		configuration.NewPeerExchange(client), z, configuration.Self{HostID: id, AvailabilityZone: measuredZone}))
-	z.clients = append(z.clients, client)
-	z.followers = append(z.followers, follower)
-	return follower
+func (z *followedZone) follower(ctx context.Context) func(id string, client *peer.Client) *configuration.Follower {
+	return func(id string, client *peer.Client) *configuration.Follower {
+		return configuration.NewFollower(ctx, z.store, configuration.WithExchange(
+			configuration.NewPeerExchange(client), z, configuration.Self{HostID: id, AvailabilityZone: measuredZone}))
+	}
 }
 
 // await waits until the ticket is in force on all hosts.
 func (z *followedZone) await(ctx context.Context, number int) error {
 	ctx, cancel := context.WithTimeout(ctx, spreadLimit)
 	defer cancel()
-	for _, follower := range z.followers {
+	for _, follower := range z.parts {
 		for {
 			changed := follower.Changed()
 			if follower.View().LastTicket() >= number {
@@ -144,16 +132,6 @@
 	return nil
 }
 
-func (z *followedZone) wait() {
-	for i, follower := range z.followers {
-		follower.Wait()
-		z.clients[i].Wait()
-	}
-	if z.server != nil {
-		_ = z.server.Close()
-	}
-}
-
 // ticketOf creates organisations with so many keys each.
 func ticketOf(organisations, keys int) ticket.Ticket {
 	t := ticket.Ticket{}
--- a/internal/program/capacity/listfollowers.go
+++ b/internal/program/capacity/listfollowers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/netip"
 
 	"github.com/oleandershelf/oleandershelf/internal/edge/membership"
@@ -58,12 +57,9 @@
 
 // followedList is a relay with its followers.
 type followedList struct {
-	store   *standin.Memory
-	wire    wire
-	hosts   []platform.Host
-	lists   []*membership.List
-	clients []*peer.Client
-	server  *peer.Server
+	followed[*membership.List]
+	store *standin.Memory
+	wire  wire
 }
 
 // start makes the only entry of the list the relay of all followers.
@@ -72,44 +68,20 @@
 	if err != nil {
 		return err
 	}
-	address := addressOf(l.Addr().String())
-	f.hosts = []platform.Host{{
-		ID: "relay", Role: platform.RoleEntry, AvailabilityZone: measuredZone, PeerAddress: address, State: platform.HostLive,
-	}}
-	for _, host := range rowsOf(listRows-1, netip.AddrPortFrom(address.Addr(), 1)) {
+	hosts := []platform.Host{relayHost(l)}
+	for _, host := range rowsOf(listRows-1, netip.AddrPortFrom(hosts[0].PeerAddress.Addr(), 1)) {
 		host.Role, host.Pool = platform.RoleAgent, modelPool
-		f.hosts = append(f.hosts, host)
+		hosts = append(hosts, host)
 	}
-	f.store.SetHosts(f.hosts)
-	for _, order := range ordersOf(f.hosts) {
+	f.store.SetHosts(hosts)
+	for _, order := range ordersOf(hosts) {
 		if err := f.store.Order(ctx, order); err != nil {
 			return err
 		}
 	}
-	registry := peer.NewRegistry()
-	f.list(ctx, "relay").Register(registry)
-	f.server = peer.NewServer(ctx, l, registry, secret)
-	for i := range count {
-		f.list(ctx, fmt.Sprintf("follower-%03d", i))
-	}
+	f.serve(ctx, l, count, func(id string, client *peer.Client) *membership.List {
+		return membership.NewList(ctx, f.store, membership.WithRelays(membership.NewPeerExchange(client),
+			membership.Self{HostID: id, AvailabilityZone: measuredZone}))
+	})
 	return nil
 }
-
-func (f *followedList) list(ctx context.Context, id string) *membership.List {
-	client := peer.NewClient(ctx, secret)
-	list := membership.NewList(ctx, f.store, membership.WithRelays(membership.NewPeerExchange(client),
-		membership.Self{HostID: id, AvailabilityZone: measuredZone}))
-	f.clients = append(f.clients, client)
-	f.lists = append(f.lists, list)
-	return list
-}
-
-func (f *followedList) wait() {
-	for i, list := range f.lists {
-		list.Wait()
-		f.clients[i].Wait()
-	}
-	if f.server != nil {
-		_ = f.server.Close()
-	}
-}
