Delete parts of the configuration that no head has named for an hour

Weighed: deletion by the publisher of the next ticket (a host that is behind still reads them, and a publisher that dies leaves them), a life time in the part (a content that comes back has the same name), a sweeper under a duty: chosen. Guards, each shown by a test that failed without it: a part that is named again gets a new version first ('the head names a part that is gone'), and a publisher that woke late writes its parts again (the same).

--- a/internal/core/ticket/part.go
+++ b/internal/core/ticket/part.go
@@ -42,7 +42,7 @@
 	Concurrency int `json:"concurrency,omitempty"`
 	// StartupTime is how long an ordered server takes until it serves.
 	StartupTime Duration `json:"startupTime,omitempty"`
-	// IdempotentPaths are path prefixes whose POST and PATCH calls may be repeated.
+	// IdempotentPaths are paths whose POST and PATCH calls, and those of the paths below them, may be repeated.
 	IdempotentPaths []string `json:"idempotentPaths,omitempty"`
 	Removed         bool     `json:"removed,omitempty"`
 }
--- a/internal/edge/configuration/publisher.go
+++ b/internal/edge/configuration/publisher.go
@@ -23,6 +23,8 @@
 	settlePace = 200 * time.Millisecond
 	// callTimeout bounds each call to the platform.
 	callTimeout = 2 * time.Second
+	// partTries bounds the writes of one part: created, written again after a conflict, and both again after lost answers.
+	partTries = 4
 	// retryLater is when a caller should come back after an outage.
 	retryLater = 5 * time.Second
 	// retrySoon is when a caller should come back where the outcome is known within a moment.
@@ -212,14 +214,25 @@
 	if err != nil {
 		return true, verdict.New(verdict.NotRun, http.StatusInternalServerError, verdict.ReasonInternal, 0, "%v", err)
 	}
+	began := a.publisher.clock()
 	for _, part := range change.Parts {
 		if err := a.publisher.writePart(ctx, part); err != nil {
 			return false, err
 		}
 	}
+	// Guard: a process that is stopped here and wakes after the sweeper's hour would commit a head that names parts which
+	// are gone, and no host could take the configuration in. Its parts are written again instead.
+	if elapsed(began, a.publisher.clock()) > partsGoodFor {
+		return false, nil
+	}
 	return a.writeHead(ctx, version, value, change)
 }
 
+// elapsed is the larger of the times that the monotonic and the wall clock saw pass.
+func elapsed(since, now time.Time) time.Duration {
+	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
+}
+
 func (a *attempt) writeHead(ctx context.Context, version platform.Version, value json.RawMessage, change ticket.Change) (bool, error) {
 	calling, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -240,23 +253,46 @@
 	return false, errors.Wrap(err, "head")
 }
 
-// writePart creates the part if it is absent. The name is the content's hash, so a part that is there
-// already is the same one, and an update of unknown fate can simply be repeated.
+// writePart creates the part, or writes it again if it is there. The name is the content's hash, so a part that is
+// there already is the same one, and an update of unknown fate can simply be repeated.
+//
+// Guard: a part that is there may be one that no head has named for an hour, which the sweeper is about to delete. Its new
+// version makes that deletion fail, and the sweeper's hour begins anew.
 func (p *Publisher) writePart(ctx context.Context, part ticket.Part) error {
-	for range 2 {
-		calling, cancel := context.WithTimeout(ctx, callTimeout)
-		_, err := p.store.Put(calling, ticket.PartObject(part.Hash), part.Content, 0)
-		cancel()
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+	known := platform.Version(0)
+	for range partTries {
+		err := p.putPart(ctx, part, known)
+		if err == nil {
 			return nil
 		}
 		if errors.Is(err, platform.ErrUnavailable) {
 			return errors.Wrapf(err, "part %s", part.Name)
 		}
+		if known, err = p.partVersion(ctx, part); err != nil {
+			return errors.Wrapf(err, "part %s", part.Name)
+		}
 	}
 	return errors.Wrapf(platform.ErrUnsettled, "part %s", part.Name)
 }
 
+func (p *Publisher) putPart(ctx context.Context, part ticket.Part, ifVersion platform.Version) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := p.store.Put(ctx, ticket.PartObject(part.Hash), part.Content, ifVersion)
+	return err
+}
+
+// partVersion returns 0 for a part that is absent.
+func (p *Publisher) partVersion(ctx context.Context, part ticket.Part) (platform.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	object, err := p.store.Get(ctx, ticket.PartObject(part.Hash))
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
+	}
+	return object.Version, err
+}
+
 // reading is the configuration as the platform had it at one moment.
 type reading struct {
 	view    *ticket.View
--- a/internal/program/process/duties.go
+++ b/internal/program/process/duties.go
@@ -27,6 +27,8 @@
 	// closer closes usage windows; one host does it for all organisations.
 	closer  *billing.Closer
 	records *entry.RecordSweeper
+	// parts deletes what tickets left behind, under the same lease as records.
+	parts *configuration.PartSweeper
 }
 
 // newDuties starts the duties of an entry; each acts only while its lease is held.
@@ -42,7 +44,9 @@
 	}, fleet.WithLogger(r.log))
 	d.closer = billing.NewCloser(ctx, r.platform, plainKeeper{d.keeper(ctx, dutyUsage, "")},
 		billing.WithCloserWindow(r.set.UsageWindow), billing.WithGrace(usageGrace(r.set.UsageWindow)), billing.WithCloserLog(r.log))
-	d.records = entry.NewRecordSweeper(ctx, r.platform, plainKeeper{d.keeper(ctx, dutyRecords, "")}, r.log)
+	cleaning := plainKeeper{d.keeper(ctx, dutyRecords, "")}
+	d.records = entry.NewRecordSweeper(ctx, r.platform, cleaning, r.log)
+	d.parts = configuration.NewPartSweeper(ctx, r.platform, cleaning, r.log)
 	return d
 }
 
@@ -61,6 +65,7 @@
 	d.usage.wait()
 	d.closer.Wait()
 	d.records.Wait()
+	d.parts.Wait()
 }
 
 // state is the dump of all duties.
