Read the job object again before a batch is taken for one that was never written

Cause, a fault of the product: a write of the former coordinator came late, after its successor had read the object. The former one wakes, finds its batch there and hands it out. The successor does not know of that write; it took the trainer's newer cursor for that of a batch handed out in an outage, whose manifest is lost, and refused to repeat a batch that stands in the object.

Mend: a request whose cursor differs from what the coordinator knows makes it read the object once more before it goes by the cursor.

Ruled out: a move alone, which needs an outage now and there was none in these subtests.

Two tests that feed such a cursor, TestCursorDecidesBetweenBranches and TestVersionNeverTakesTheCursorBack, expected a write at once; they now expect the read and then the same write.

--- a/internal/core/delivery/ask.go
+++ b/internal/core/delivery/ask.go
@@ -18,6 +18,8 @@
 	cursor *Cursor
 	// sent says that a write for the request was sent and may have taken effect.
 	sent bool
+	// readUp says that the object was read after the request came, since its cursor differed.
+	readUp bool
 }
 
 func newAsk(event Event) *ask {
@@ -102,6 +104,9 @@
 	if !j.loaded && !j.mayMoveAlone(a.cursor) {
 		return waiting()
 	}
+	if j.readsUp(a) {
+		return waiting()
+	}
 	switch e := a.event.(type) {
 	case StepAsked:
 		return j.tryStep(e)
@@ -113,6 +118,24 @@
 	return waiting()
 }
 
+// readsUp reads the object again, once for each request, if the trainer has another batch than this job
+// knows of.
+//
+// Failure: a write of an earlier coordinator comes late, after this one has read the object; the earlier
+// one finds it there and hands out its batch. This one would take the trainer's cursor for that of a batch
+// handed out in an outage, and refuse to repeat the batch for good.
+func (j *Job) readsUp(a *ask) bool {
+	if a.readUp || !j.loaded || a.cursor == nil || !j.differs(a.cursor) {
+		return false
+	}
+	if !j.reading {
+		a.readUp = true
+		j.loaded = false
+		j.read()
+	}
+	return true
+}
+
 func (j *Job) checkCursor(cursor *Cursor) (outcome, bool) {
 	switch {
 	case cursor == nil:
--- a/internal/core/delivery/job_rapid_test.go
+++ b/internal/core/delivery/job_rapid_test.go
@@ -44,6 +44,7 @@
 			w.ask(0)
 			w.ask(1)
 		},
+		"askAgain": func(t *rapid.T) { w.askAgain(coord(t)) },
 		"round1":   func(t *rapid.T) { w.round(coord(t)) },
 		"round2":   func(t *rapid.T) { w.round(coord(t)) },
 		"round3":   func(t *rapid.T) { w.round(coord(t)) },
--- a/internal/core/delivery/job_test.go
+++ b/internal/core/delivery/job_test.go
@@ -50,6 +50,14 @@
 	return the[Answer](s, s.job.Handle(Written{Version: s.version}))
 }
 
+// readUp feeds an event whose cursor differs from the object, which is read again and has not changed.
+func (s *script) readUp(event Event) []Effect {
+	s.t.Helper()
+	record := s.job.record
+	the[Read](s, s.job.Handle(event))
+	return s.job.Handle(Loaded{Record: record, Version: s.version})
+}
+
 func (s *script) postStep() Cursor {
 	s.t.Helper()
 	answer := s.commit(StepAsked{ID: 1, Step: 1, Digest: "body", Sizes: []int{4, 2}, BatchSize: 2, Chunks: 1})
@@ -287,6 +295,32 @@
 	}
 }
 
+// A trainer would be refused batch 1 for good when it asks again. A write of the former coordinator comes
+// late, after its successor has read the object; the former one finds it there and hands out batch 1. Now
+// the trainer asks the successor, whose knowledge is behind the trainer's cursor.
+func TestCursorAheadOfLateWriteIsReadUp(t *testing.T) {
+	for _, landed := range []bool{true, false} {
+		s := newScript(t, 0)
+		cursor := s.postStep()
+		cursor.Batch = 1
+		cursor.Delivered = Bitmap{0b11}
+		cursor.Fencing = 5
+		record := s.job.record
+		record.Step = record.Step.clone()
+		if landed {
+			record.Step.Batch = 1
+			record.Step.Delivered = cursor.Delivered
+			record.Step.Manifest = &Manifest{Batch: 1, Refs: []Ref{{}, {Index: 1}}}
+			s.version++
+		}
+		the[Read](s, s.job.Handle(BatchAsked{ID: 2, Step: 1, Batch: 1, Cursor: &cursor}))
+		answer := the[Answer](s, s.job.Handle(Loaded{Record: record, Version: s.version}))
+		if _, ready := answer.Result.(BatchReady); ready != landed {
+			t.Errorf("landed %v: %+v", landed, answer.Result)
+		}
+	}
+}
+
 // A trainer would get samples twice. It took batch 1 of one coordinator, which handed it out in an
 // outage, while this one has written another batch 1; now it asks here for batch 2.
 func TestCursorDecidesBetweenBranches(t *testing.T) {
@@ -297,7 +331,7 @@
 	cursor.Batch = 1
 	cursor.Delivered = Bitmap{0b110000}
 	cursor.Fencing = 5
-	write := the[Write](s, s.job.Handle(BatchAsked{ID: 3, Step: 1, Batch: 2, Cursor: &cursor}))
+	write := the[Write](s, s.readUp(BatchAsked{ID: 3, Step: 1, Batch: 2, Cursor: &cursor}))
 	if got := write.Record.Step.Delivered; !got.Equal(Bitmap{0b110011}) {
 		t.Errorf("delivered %b", got)
 	}
--- a/internal/core/delivery/outage_test.go
+++ b/internal/core/delivery/outage_test.go
@@ -57,7 +57,13 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := newScript(t, 0)
 			s.postStep()
-			answer := s.commit(VersionAsked{ID: 9, Version: 4, Weights: "w4", Cursor: &c.sent})
+			event := VersionAsked{ID: 9, Version: 4, Weights: "w4", Cursor: &c.sent}
+			if c.sent.Step == 1 {
+				the[Write](s, s.readUp(event))
+			} else {
+				the[Write](s, s.job.Handle(event))
+			}
+			answer := the[Answer](s, s.job.Handle(Written{Version: s.version + 1}))
 			given := answer.Result.(VersionAccepted).Cursor
 			if given != nil && (given.Step < c.sent.Step || given.Batch < c.sent.Batch) {
 				t.Errorf("the trainer at step %d, batch %d is given the cursor of step %d, batch %d",
--- a/internal/core/delivery/step.go
+++ b/internal/core/delivery/step.go
@@ -114,19 +114,28 @@
 	if cursor.Digest != step.Digest || !step.fits(cursor) {
 		return cursorMisfit(cursor), false
 	}
-	switch {
-	case cursor.Batch > step.Batch,
-		cursor.Batch == step.Batch && !cursor.Delivered.Equal(step.Delivered):
+	if j.differs(cursor) {
 		j.rebase(cursor)
-	case cursor.Batch == step.Batch-1:
-		before, known := step.deliveredBefore()
-		if known && !before.Equal(cursor.Delivered) {
-			j.rebase(cursor)
-		}
 	}
 	return outcome{}, true
 }
 
+// differs says whether the trainer has other samples of the current step than this job knows of.
+func (j *Job) differs(cursor *Cursor) bool {
+	step := j.record.Step
+	if step == nil || cursor.Step != step.Step {
+		return false
+	}
+	switch cursor.Batch {
+	case step.Batch:
+		return !cursor.Delivered.Equal(step.Delivered)
+	case step.Batch - 1:
+		before, known := step.deliveredBefore()
+		return known && !before.Equal(cursor.Delivered)
+	}
+	return cursor.Batch > step.Batch
+}
+
 // rebase sets the delivery to what the trainer has, and drops batches that went another way.
 func (j *Job) rebase(cursor *Cursor) {
 	step := j.record.Step.clone()
--- a/internal/core/delivery/world_test.go
+++ b/internal/core/delivery/world_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 
 	"pgregory.net/rapid"
 )
@@ -171,6 +172,9 @@
 		}
 		w.manifests[key] = r.digest
 	}
+	if no, ok := answer.Result.(Refused); ok && w.outages == 0 && strings.Contains(no.Refusal.Detail, "by a cursor") {
+		w.t.Fatalf("refused for good without an outage: %s", no.Refusal.Detail)
+	}
 	if accepted, ok := answer.Result.(VersionAccepted); ok && accepted.Cursor != nil {
 		w.checkForward(w.cursors[answer.ID], *accepted.Cursor)
 	}
@@ -314,6 +318,16 @@
 	w.feed(at, BatchAsked{ID: w.asked, Step: w.step, Batch: w.batch + 1, Cursor: cursor})
 }
 
+// askAgain sends the trainer's last request for a batch again, with the cursor that came with it.
+func (w *world) askAgain(at int) {
+	if !w.posted || w.batch == 0 || !w.useCursor {
+		return
+	}
+	w.asked++
+	w.cursors[w.asked] = w.cursor
+	w.feed(at, BatchAsked{ID: w.asked, Step: w.step, Batch: w.batch, Cursor: w.cursor})
+}
+
 // postVersion sends the model version that the trainer made last, or the next one.
 func (w *world) postVersion(at int, version int) {
 	var cursor *Cursor
