--- a/internal/edge/configuration/peer_test.go
+++ b/internal/edge/configuration/peer_test.go
@@ -19,7 +19,13 @@
 // TestOverConnections: an agent that never reaches the platform follows an entry over TCP.
 func TestOverConnections(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	var ends []func()
+	defer func() {
+		cancel()
+		for _, end := range ends {
+			end()
+		}
+	}()
 	memory := newMemory(t)
 	secret := []byte("secret of the test")
 	client := peer.NewClient(ctx, secret)
@@ -33,7 +39,9 @@
 		{ID: "agent-1", Role: platform.RoleAgent, State: platform.HostLive, AvailabilityZone: "begnas", PeerAddress: netip.MustParseAddrPort("127.0.0.1:1")},
 	}
 	join := func(id string, store platform.Store) *Follower {
-		return NewFollower(ctx, store, WithExchange(NewPeerExchange(client), hosts, Self{HostID: id, AvailabilityZone: "begnas"}))
+		f := NewFollower(ctx, store, WithExchange(NewPeerExchange(client), hosts, Self{HostID: id, AvailabilityZone: "begnas"}))
+		ends = append(ends, f.Wait)
+		return f
 	}
 	entry := join("entry-1", memory)
 	registry := peer.NewRegistry()
