Fold what tests of trainer jobs set up alike

Four beginnings (a step posted, an outage after batch 1, a request that waits, a held way to the platform) and the taking of the remaining batches stood in several tests.

--- a/internal/edge/trainer/coordinator_test.go
+++ b/internal/edge/trainer/coordinator_test.go
@@ -51,9 +51,7 @@
 }
 
 func TestRefusals(t *testing.T) {
-	w := newWorld(t)
-	w.lease.take(hostA, false)
-	w.postStep(hostA, 1)
+	w := worldWithStep(t)
 	cases := []struct {
 		name    string
 		method  string
@@ -110,9 +108,7 @@
 // The platform would be read once a renewal by each coordinator: a renewed lease has a new number,
 // but nobody else can have written the job object meanwhile.
 func TestRenewalReadsNothing(t *testing.T) {
-	w := newWorld(t)
-	w.lease.take(hostA, false)
-	w.postStep(hostA, 1)
+	w := worldWithStep(t)
 	before := w.store.Calls()[standin.KindGet]
 	for range 3 {
 		w.lease.renew()
--- a/internal/edge/trainer/failure_test.go
+++ b/internal/edge/trainer/failure_test.go
@@ -85,6 +85,52 @@
 	return w, store
 }
 
+// worldWithStep is two entries of which A holds the job and has accepted step 1.
+func worldWithStep(t *testing.T) *world {
+	t.Helper()
+	w := newWorld(t)
+	w.lease.take(hostA, false)
+	w.postStep(hostA, 1)
+	return w
+}
+
+// worldInOutage is the same after batch 1, in an outage of the platform in which the lease has lapsed.
+func worldInOutage(t *testing.T) (*world, map[string]bool) {
+	t.Helper()
+	w := worldWithStep(t)
+	seen := map[string]bool{}
+	w.collect(seen, w.getBatch(hostA, 1, 1, nil))
+	w.store.Outage(true)
+	w.lease.lapse()
+	return w, seen
+}
+
+// worldWithRequest is two entries of which A holds the job, and a request with a cursor at host, which waits
+// for batch 1 until the gate is closed.
+func worldWithRequest(t *testing.T, host netip.AddrPort, timeout string) (*world, chan struct{}, <-chan answer) {
+	t.Helper()
+	w := newWorld(t)
+	gate := w.engines.hold()
+	w.lease.take(hostA, false)
+	w.postStep(hostA, 1)
+	// The status may still show the step's own request, which would be taken for the batch's.
+	w.eventually(hostA, "the step is answered", func(s *runnerStatus) bool { return s.Waiting == 0 })
+	header := w.withCursor()
+	header["Request-Timeout"] = timeout
+	waiting := make(chan answer, 1)
+	go func() { waiting <- w.getBatch(host, 1, 1, header) }()
+	w.eventually(hostA, "the request waits", func(s *runnerStatus) bool { return s.Waiting == 1 })
+	return w, gate, waiting
+}
+
+// collectFrom takes the batches of step 1 from the first one on; each sample may come once.
+func (w *world) collectFrom(first int, seen map[string]bool, host netip.AddrPort) {
+	w.t.Helper()
+	for n := first; n <= 3; n++ {
+		w.collect(seen, w.getBatch(host, 1, n, nil))
+	}
+}
+
 // record reads the job object.
 func (w *world) record() delivery.Record {
 	w.t.Helper()
@@ -173,21 +219,14 @@
 			t.Errorf("sample %d is %+v, the manifest says %s", i, first.Samples[i], want)
 		}
 	}
-	w.collect(seen, w.getBatch(hostB, 1, 2, nil))
-	w.collect(seen, w.getBatch(hostB, 1, 3, nil))
+	w.collectFrom(2, seen, hostB)
 }
 
 // A trainer would stand idle through an outage, or get samples again after it. The platform goes
 // down after batch 1 and the lease can't be renewed; the trainer asks on with its cursor; the
 // coordinator dies and the platform comes back. Cause: the successor knows of batch 1 only.
 func TestOutageWithCursor(t *testing.T) {
-	w := newWorld(t)
-	w.lease.take(hostA, false)
-	w.postStep(hostA, 1)
-	seen := map[string]bool{}
-	w.collect(seen, w.getBatch(hostA, 1, 1, nil))
-	w.store.Outage(true)
-	w.lease.lapse()
+	w, seen := worldInOutage(t)
 	w.collect(seen, w.getBatch(hostA, 1, 2, w.withCursor()))
 	w.kill(hostA)
 	w.start(hostA, hostB, w.store)
@@ -206,13 +245,7 @@
 // down after batch 1; the trainer asks for batch 2 without a cursor. Cause: nothing but the job
 // object can tell what such a trainer has, so it has to wait, and is told when to come back.
 func TestOutageWithoutCursor(t *testing.T) {
-	w := newWorld(t)
-	w.lease.take(hostA, false)
-	w.postStep(hostA, 1)
-	seen := map[string]bool{}
-	w.collect(seen, w.getBatch(hostA, 1, 1, nil))
-	w.store.Outage(true)
-	w.lease.lapse()
+	w, seen := worldInOutage(t)
 	got := w.getBatch(hostA, 1, 2, map[string]string{"Request-Timeout": "2"})
 	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" ||
 		!strings.Contains(got.body, "platformUnavailable") {
@@ -220,17 +253,14 @@
 	}
 	w.store.Outage(false)
 	w.lease.take(hostA, false)
-	w.collect(seen, w.getBatch(hostA, 1, 2, nil))
-	w.collect(seen, w.getBatch(hostA, 1, 3, nil))
+	w.collectFrom(2, seen, hostA)
 }
 
 // A trainer whose requests the balancer spreads would get samples twice. A is paused past its lease
 // and B takes it; A wakes and believes on; the trainer asks both in turn. Cause: both move the same
 // job from what each remembers.
 func TestTwoBelievers(t *testing.T) {
-	w := newWorld(t)
-	w.lease.take(hostA, false)
-	w.postStep(hostA, 1)
+	w := worldWithStep(t)
 	w.eventually(hostA, "all samples scored", scored(6))
 	w.lease.take(hostB, true)
 	seen := map[string]bool{}
@@ -287,15 +317,7 @@
 // Whoever shows a withdrawn key would still get a batch, a minute later. The request waits for its
 // batch while the key is withdrawn; then the batch is ready.
 func TestKeyWithdrawnWhileWaiting(t *testing.T) {
-	w := newWorld(t)
-	gate := w.engines.hold()
-	w.lease.take(hostA, false)
-	w.postStep(hostA, 1)
-	// The status may still show the step's own request, which would be taken for the batch's.
-	w.eventually(hostA, "the step is answered", func(s *runnerStatus) bool { return s.Waiting == 0 })
-	waiting := make(chan answer, 1)
-	go func() { waiting <- w.getBatch(hostA, 1, 1, nil) }()
-	w.eventually(hostA, "the request waits", func(s *runnerStatus) bool { return s.Waiting == 1 })
+	w, gate, waiting := worldWithRequest(t, hostA, "20")
 	w.view.withdraw(testKey)
 	close(gate)
 	if got := <-waiting; got.status != http.StatusUnauthorized || !strings.Contains(got.body, "keyWithdrawn") {
@@ -306,9 +328,7 @@
 // A job would stand still for ever. Batch 1 is written, and both hosts that hold its samples die
 // before the trainer has it. Cause: no host can repeat the batch; it has to be made anew.
 func TestBothCopiesLost(t *testing.T) {
-	w := newWorld(t)
-	w.lease.take(hostA, false)
-	w.postStep(hostA, 1)
+	w := worldWithStep(t)
 	w.getBatch(hostA, 1, 1, nil)
 	w.kill(hostA)
 	w.kill(hostB)
@@ -319,9 +339,7 @@
 		t.Fatalf("%d %s", got.status, got.body)
 	}
 	seen := map[string]bool{}
-	for n := 1; n <= 3; n++ {
-		w.collect(seen, w.getBatch(hostB, 1, n, nil))
-	}
+	w.collectFrom(1, seen, hostB)
 	if len(seen) != 6 {
 		t.Errorf("%d samples came, not 6", len(seen))
 	}
@@ -354,9 +372,7 @@
 	w.lease.take(hostA, false)
 	w.postStep(hostA, 1)
 	seen := map[string]bool{}
-	for n := 1; n <= 3; n++ {
-		w.collect(seen, w.getBatch(hostA, 1, n, nil))
-	}
+	w.collectFrom(1, seen, hostA)
 }
 
 // A step would last as long as its slowest engine. One call of sixty never ends; the others are done.
@@ -379,9 +395,7 @@
 
 // A trainer that posts wrong bodies again and again would fill the coordinator's memory.
 func TestRefusedBodiesAreForgotten(t *testing.T) {
-	w := newWorld(t)
-	w.lease.take(hostA, false)
-	w.postStep(hostA, 1)
+	w := worldWithStep(t)
 	for i := range 5 {
 		content := fmt.Sprintf(`{"groups":[{"prompt":"other %d","samples":1}]}`, i)
 		if got := w.call(hostA, http.MethodPost, "/steps/1", content, nil); got.status != http.StatusConflict {
@@ -425,12 +439,7 @@
 // lease is cut off from the platform and the relays, and takes that for an outage; another entry
 // still reaches it and forwards a request with a cursor.
 func TestIsolatedCoordinatorDoesNotMoveAlone(t *testing.T) {
-	w := newWorld(t)
-	w.lease.take(hostA, false)
-	w.postStep(hostA, 1)
-	w.getBatch(hostA, 1, 1, nil)
-	w.store.Outage(true)
-	w.lease.lapse()
+	w, _ := worldInOutage(t)
 	cut := hostA
 	w.isolated.Store(&cut)
 	header := w.withCursor()
@@ -444,16 +453,7 @@
 
 // The same, but the forwarded request came before the cut and waits for its samples meanwhile.
 func TestIsolatedWhileForwardedRequestWaits(t *testing.T) {
-	w := newWorld(t)
-	gate := w.engines.hold()
-	w.lease.take(hostA, false)
-	w.postStep(hostA, 1)
-	w.eventually(hostA, "the step is answered", func(s *runnerStatus) bool { return s.Waiting == 0 })
-	header := w.withCursor()
-	header["Request-Timeout"] = "3"
-	waiting := make(chan answer, 1)
-	go func() { waiting <- w.getBatch(hostB, 1, 1, header) }()
-	w.eventually(hostA, "the request waits", func(s *runnerStatus) bool { return s.Waiting == 1 })
+	w, gate, waiting := worldWithRequest(t, hostB, "3")
 	w.store.Outage(true)
 	w.lease.lapse()
 	cut := hostA
