Fold two repeated pieces of the scripts of a trainer job

"No effect" stood seven times and "lease lost, read failed" three times. No check changed: go test -race -count 5 ./internal/core/delivery passes.

--- a/internal/core/delivery/job_test.go
+++ b/internal/core/delivery/job_test.go
@@ -50,6 +50,22 @@
 	return the[Answer](s, s.job.Handle(Written{Version: s.version}))
 }
 
+// waits feeds an event that must have no effect.
+func (s *script) waits(event Event) {
+	s.t.Helper()
+	if effects := s.job.Handle(event); len(effects) != 0 {
+		s.t.Errorf("%T: %+v", event, effects)
+	}
+}
+
+// lose ends the lease and the next read fails.
+func (s *script) lose() {
+	s.t.Helper()
+	s.job.Handle(FenceChanged{})
+	the[Read](s, s.job.Handle(Ticked{}))
+	s.job.Handle(ReadFailed{})
+}
+
 // readUp feeds an event whose cursor differs from the object, which is read again and has not changed.
 func (s *script) readUp(event Event) []Effect {
 	s.t.Helper()
@@ -107,9 +123,7 @@
 	the[Write](s, s.job.Handle(VersionAsked{ID: 3, Version: 2}))
 	the[Read](s, s.job.Handle(WriteUnsettled{}))
 	s.job.Handle(ReadFailed{})
-	if effects := s.job.Handle(BatchAsked{ID: 4, Step: 1, Batch: 1, Cursor: &cursor}); len(effects) != 0 {
-		t.Errorf("%+v", effects)
-	}
+	s.waits(BatchAsked{ID: 4, Step: 1, Batch: 1, Cursor: &cursor})
 }
 
 // The same, but the lost write lands after it was looked for and not found.
@@ -123,12 +137,8 @@
 	s.job.Handle(AskExpired{ID: 3})
 	the[Read](s, s.job.Handle(WriteUnsettled{}))
 	s.job.Handle(Loaded{Record: before, Version: s.version})
-	s.job.Handle(FenceChanged{})
-	the[Read](s, s.job.Handle(Ticked{}))
-	s.job.Handle(ReadFailed{})
-	if effects := s.job.Handle(BatchAsked{ID: 4, Step: 1, Batch: 1, Cursor: &cursor}); len(effects) != 0 {
-		t.Errorf("%+v", effects)
-	}
+	s.lose()
+	s.waits(BatchAsked{ID: 4, Step: 1, Batch: 1, Cursor: &cursor})
 }
 
 // A trainer would see two versions of batch 1. The write of its manifest has an unknown fate, the
@@ -181,17 +191,11 @@
 	cursor := s.postStep()
 	s.ready(0, 0, 1, 2, 3)
 	s.job.Handle(OutageChanged{})
-	s.job.Handle(FenceChanged{})
-	the[Read](s, s.job.Handle(Ticked{}))
-	s.job.Handle(ReadFailed{})
-	if effects := s.job.Handle(BatchAsked{ID: 2, Step: 1, Batch: 1, Cursor: &cursor}); len(effects) != 0 {
-		t.Errorf("no outage: %+v", effects)
-	}
+	s.lose()
+	s.waits(BatchAsked{ID: 2, Step: 1, Batch: 1, Cursor: &cursor})
 	ready := the[Answer](s, s.job.Handle(OutageChanged{Established: true})).Result.(BatchReady)
 	s.job.Handle(OutageChanged{})
-	if effects := s.job.Handle(BatchAsked{ID: 3, Step: 1, Batch: 2, Cursor: &ready.Cursor}); len(effects) != 0 {
-		t.Errorf("after the outage: %+v", effects)
-	}
+	s.waits(BatchAsked{ID: 3, Step: 1, Batch: 2, Cursor: &ready.Cursor})
 }
 
 // A platform that refuses writes above its rate would be asked again without a pause, by a read and a
@@ -203,9 +207,7 @@
 	before := s.job.record
 	the[Write](s, s.job.Handle(BatchAsked{ID: 2, Step: 1, Batch: 1}))
 	the[Read](s, s.job.Handle(WriteUnavailable{}))
-	if effects := s.job.Handle(Loaded{Record: before, Version: s.version}); len(effects) != 0 {
-		t.Errorf("at once: %+v", effects)
-	}
+	s.waits(Loaded{Record: before, Version: s.version})
 	the[Write](s, s.job.Handle(Ticked{}))
 }
 
@@ -248,9 +250,7 @@
 	s.job.Handle(FenceChanged{Number: 30, Held: true})
 	the[Read](s, s.job.Handle(Loaded{Record: old, Version: s.version}))
 	s.job.Handle(ReadFailed{})
-	if effects := s.job.Handle(BatchAsked{ID: 4, Step: 1, Batch: 1, Cursor: &cursor}); len(effects) != 0 {
-		t.Errorf("%+v", effects)
-	}
+	s.waits(BatchAsked{ID: 4, Step: 1, Batch: 1, Cursor: &cursor})
 }
 
 // A trainer would get the samples of batch 1 again. A step was begun and batch 1 delivered in an
@@ -344,16 +344,12 @@
 	cursor := s.postStep()
 	s.ready(0, 0, 1)
 	other := s.job.record
-	s.job.Handle(FenceChanged{})
-	the[Read](s, s.job.Handle(Ticked{}))
-	s.job.Handle(ReadFailed{})
+	s.lose()
 	the[Answer](s, s.job.Handle(BatchAsked{ID: 2, Step: 1, Batch: 1, Cursor: &cursor}))
 	other.ModelVersion = 1
 	other.Fencing = 20
 	s.job.Handle(FenceChanged{Number: 30, Held: true})
-	if effects := s.job.Handle(Loaded{Record: other, Version: 9}); len(effects) != 0 {
-		t.Errorf("%+v", effects)
-	}
+	s.waits(Loaded{Record: other, Version: 9})
 	if status := s.job.Status(); status.Unwritten || status.ModelVersion != 1 || status.Batch != 0 {
 		t.Errorf("%+v", status)
 	}
