--- a/internal/edge/configuration/follower.go
+++ b/internal/edge/configuration/follower.go
@@ -5,7 +5,7 @@
 // more reads than the platform has. So two entries an availability zone watch the head object and
 // all other hosts of the zone follow these relays by long poll: 44 relays that ask every 0.3 s make
 // 150 reads a second of about two thousand. A relay with 58 followers that ask every second sends
-// and receives about 10 KB/s.
+// and receives about 8 KB/s.
 //
 // A host serves by its view only while that is known to be the newest or the platform is known to be
 // down; see Freshness in core/ticket.
