--- a/internal/program/e2e/calls_test.go
+++ b/internal/program/e2e/calls_test.go
@@ -32,6 +32,8 @@
 	id      string
 	status  int
 	verdict verdict.Verdict
+	// refusal is the body of an answer that is none.
+	refusal string
 }
 
 // load sends calls that may not be repeated, each with an id of its own, and runs fault in the middle; the
@@ -85,6 +87,7 @@
 		seen.verdict = verdict.Ran
 		return seen
 	}
+	seen.refusal = string(content)
 	var refusal struct {
 		Verdict verdict.Verdict `json:"verdict"`
 	}
@@ -200,7 +203,7 @@
 		case call.verdict == verdict.NotRun && ran != 0:
 			c.t.Errorf("%s was refused as not run and ran", call.id)
 		case certain && call.verdict != verdict.Ran:
-			c.t.Errorf("%s got status %d, verdict %s", call.id, call.status, call.verdict)
+			c.t.Errorf("%s got status %d, verdict %s: %s", call.id, call.status, call.verdict, call.refusal)
 		}
 	}
 	c.t.Logf("callers were told: %v", told)
