--- a/internal/program/process/freshness.go
+++ b/internal/program/process/freshness.go
@@ -25,20 +25,13 @@
 func newFreshnessLog(ctx context.Context, follower *configuration.Follower, log zerolog.Logger) *freshnessLog {
 	f := &freshnessLog{follower: follower, log: log}
 	f.work.Go(func() {
-		ticker := time.NewTicker(freshnessInterval)
-		defer ticker.Stop()
 		fresh, told := false, false
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case now := <-ticker.C:
-				if next := follower.Fresh(now); next != fresh || !told {
-					fresh, told = next, true
-					f.tell(fresh)
-				}
+		every(ctx, freshnessInterval, func(now time.Time) {
+			if next := follower.Fresh(now); next != fresh || !told {
+				fresh, told = next, true
+				f.tell(fresh)
 			}
-		}
+		})
 	})
 	return f
 }
--- a/internal/program/process/gatherer.go
+++ b/internal/program/process/gatherer.go
@@ -114,18 +114,11 @@
 		return took{}, nil
 	})
 	g.work.Go(func() {
-		ticker := time.NewTicker(gatherInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				if g.isRelay() {
-					g.round(ctx)
-				}
+		every(ctx, gatherInterval, func(time.Time) {
+			if g.isRelay() {
+				g.round(ctx)
 			}
-		}
+		})
 	})
 	return g
 }
--- a/internal/program/process/joblease.go
+++ b/internal/program/process/joblease.go
@@ -61,16 +61,8 @@
 	changed := make(chan struct{})
 	l.changed.Store(&changed)
 	k.work.Go(func() {
-		ticker := time.NewTicker(contendInterval)
-		defer ticker.Stop()
-		for {
-			l.round(ctx)
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-			}
-		}
+		l.round(ctx)
+		every(ctx, contendInterval, func(time.Time) { l.round(ctx) })
 	})
 	return l
 }
--- a/internal/program/process/weightswitch.go
+++ b/internal/program/process/weightswitch.go
@@ -56,16 +56,7 @@
 func newWeightSwitch(ctx context.Context, r *runtime, follower *configuration.Follower, publisher *configuration.Publisher, keeper *duty.Keeper) *weightSwitch {
 	s := &weightSwitch{runtime: r, follower: follower, publisher: publisher, keeper: keeper, loading: map[ticket.ModelVersion]*loading{}}
 	s.work.Go(func() {
-		ticker := time.NewTicker(switchInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				s.round(ctx)
-			}
-		}
+		every(ctx, switchInterval, func(time.Time) { s.round(ctx) })
 	})
 	return s
 }
