Say which batches of an outage a successor can't repeat

The comment at Job named only the death of the coordinator. TestBatchesUnderFaults, "woken before the effect while the platform is down", shows the same without a death: a batch is handed out alone in an outage, the outage ends, another host takes the lease before the batch is written, and the trainer, which has the batch's cursor, asks for the batch again and is refused: 409 "batch 2 of step 1 was acknowledged by a cursor". Not mended: the successor would need the manifest, which only the former coordinator holds.

--- a/internal/core/delivery/job.go
+++ b/internal/core/delivery/job.go
@@ -27,8 +27,9 @@
 //
 // What remains open: a coordinator that is cut off together with most of the hosts that judge of an
 // outage may move alone with a version that a successor has just replaced; and a batch that was handed
-// out alone is not repeated byte for byte after its coordinator's death, but made anew under its number
-// for a trainer whose cursor shows that it never had it.
+// out alone and not written before another coordinator takes the job, after the outage or the first
+// one's death, is not repeated byte for byte: it is made anew under its number for a trainer whose cursor
+// shows that it never had it, and refused to one whose cursor shows that it had.
 type Job struct {
 	name  string
 	self  netip.AddrPort
