Load the weights that are to serve, also where later ones are loaded

Failure: an agent that starts while version 6 is in force and 7 is announced could load 7 and then order the switch to 6, which was not loaded. Cause: a round looked at the configuration twice, and one that came between the looks made the upcoming version the first; and a later version that was loaded counted as this one. Ruled out: the fake engine, whose orders all came. TestLaterLoadedVersionIsNotTheOneToServe brings it about without a race; before it had 'prefetch 7, switch 6'.

--- a/internal/edge/agent/weights.go
+++ b/internal/edge/agent/weights.go
@@ -52,18 +52,20 @@
 // version is the weight version that serves.
 func (w *weights) version() int { return w.state.Load().Served }
 
-// run follows the configuration until ctx ends.
+// run follows the configuration until ctx ends. Each round decides by one view: a configuration that comes between two
+// looks would let it load the upcoming version before the one that is to serve.
 func (w *weights) run(ctx context.Context) {
 	for {
 		changed := w.deps.Changed()
-		target, ok := w.target()
+		view := w.deps.View()
+		target, ok := w.target(view)
 		if !ok || target.Version == w.version() {
-			if !w.waitFor(ctx, changed, w.prefetch(ctx, changed)) {
+			if !w.waitFor(ctx, changed, w.prefetch(ctx, changed, view)) {
 				return
 			}
 			continue
 		}
-		if w.swap(ctx, changed, target) {
+		if w.swap(ctx, changed, target, view.Revision()) {
 			continue
 		}
 		if !w.waitFor(ctx, changed, w.backoff()) {
@@ -98,8 +100,7 @@
 	return ok && pool.Kind == ticket.KindModel
 }
 
-func (w *weights) target() (ticket.ModelVersion, bool) {
-	view := w.deps.View()
+func (w *weights) target(view *ticket.View) (ticket.ModelVersion, bool) {
 	pool, ok := view.Pool(w.config.Pool)
 	if !ok || pool.Kind != ticket.KindModel {
 		return ticket.ModelVersion{}, false
@@ -111,8 +112,7 @@
 func (w *weights) prefetched() int { return w.state.Load().Prefetched }
 
 // upcoming is the version to load beside the one that serves.
-func (w *weights) upcoming() (ticket.ModelVersion, bool) {
-	view := w.deps.View()
+func (w *weights) upcoming(view *ticket.View) (ticket.ModelVersion, bool) {
 	pool, ok := view.Pool(w.config.Pool)
 	if !ok || pool.Kind != ticket.KindModel {
 		return ticket.ModelVersion{}, false
@@ -127,8 +127,8 @@
 // Load pattern: new weights for every server of a model at the same time, from a store with a rate limit.
 // Without it each server would load when it is told to switch, and they would change version over minutes. The switch
 // of all follows by one change of the configuration, when nearly all have loaded.
-func (w *weights) prefetch(ctx context.Context, changed <-chan struct{}) time.Duration {
-	version, ok := w.upcoming()
+func (w *weights) prefetch(ctx context.Context, changed <-chan struct{}, view *ticket.View) time.Duration {
+	version, ok := w.upcoming(view)
 	if !ok {
 		return 0
 	}
@@ -140,7 +140,7 @@
 		Model:   version.Model,
 		Version: version.Version,
 		Weights: version.Weights,
-		Fencing: w.deps.View().Revision(),
+		Fencing: view.Revision(),
 	}
 	if err := w.order(ctx, order); err != nil {
 		w.failed(order, err)
@@ -154,17 +154,18 @@
 }
 
 // swap prefetches and switches; false if it has to be tried again.
-func (w *weights) swap(ctx context.Context, changed <-chan struct{}, target ticket.ModelVersion) bool {
+func (w *weights) swap(ctx context.Context, changed <-chan struct{}, target ticket.ModelVersion, revision uint64) bool {
 	w.update(func(s *weightState) { s.Wanted = target.Version })
 	order := WeightOrder{
 		Kind:    OrderPrefetch,
 		Model:   target.Model,
 		Version: target.Version,
 		Weights: target.Weights,
-		Fencing: w.deps.View().Revision(),
+		Fencing: revision,
 	}
 	kinds := []OrderKind{OrderPrefetch, OrderSwitch}
-	if w.prefetched() >= target.Version {
+	// A later version that was loaded says nothing of this one.
+	if w.prefetched() == target.Version {
 		kinds = []OrderKind{OrderSwitch}
 	}
 	if pause := w.spread(); len(kinds) > 1 && pause > 0 && !w.waitFor(ctx, changed, pause) {
--- a/internal/edge/agent/weights_test.go
+++ b/internal/edge/agent/weights_test.go
@@ -63,6 +63,17 @@
 	return nil
 }
 
+// kinds returns the orders so far, each with its version.
+func (e *fakeEngine) kinds() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	kinds := []string{}
+	for _, order := range e.orders {
+		kinds = append(kinds, fmt.Sprintf("%s %d", order.Kind, order.Version))
+	}
+	return kinds
+}
+
 func startWeights(t *testing.T, fail map[OrderKind]int, count int) (*bench, *fakeEngine) {
 	t.Helper()
 	engine := &fakeEngine{fail: fail, ordered: make(chan struct{}, 100), cancelled: make(chan string, 10)}
@@ -153,13 +164,25 @@
 	for b.agent.Load().Version != 7 {
 		b.untilQueued(t, 0)
 	}
-	engine.mu.Lock()
-	defer engine.mu.Unlock()
-	kinds := []string{}
-	for _, order := range engine.orders {
-		kinds = append(kinds, fmt.Sprintf("%s %d", order.Kind, order.Version))
+	if diff := cmp.Diff([]string{"prefetch 6", "switch 6", "prefetch 7", "switch 7"}, engine.kinds()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Version 7 is announced and loaded, and then an operator sets version 6. The agent told the engine to switch to
+// weights that it had not loaded, since it had loaded later ones; an engine that refuses serves the old version on for a while.
+func TestLaterLoadedVersionIsNotTheOneToServe(t *testing.T) {
+	organisations := map[string][]string{"a": {testKey}}
+	engine := &fakeEngine{ordered: make(chan struct{}, 100), cancelled: make(chan string, 10)}
+	b := &bench{config: &configuration{}, engine: engine}
+	b.config.announce(t, ticket.KindModel, 0, 7, organisations)
+	startBench(t, b, ticket.KindModel)
+	<-engine.ordered
+	b.config.set(t, ticket.KindModel, 6, organisations)
+	for b.agent.Load().Version != 6 {
+		b.untilQueued(t, 0)
 	}
-	if diff := cmp.Diff([]string{"prefetch 6", "switch 6", "prefetch 7", "switch 7"}, kinds); diff != "" {
+	if diff := cmp.Diff([]string{"prefetch 7", "prefetch 6", "switch 6"}, engine.kinds()); diff != "" {
 		t.Error(diff)
 	}
 }
