Remember an entry's part of a pool as other work from the list of hosts is remembered

What was worked out for a list of hosts stood twice, once for each entry's subset and once for relays and contenders. No behaviour changed; the tests of edge/entry that place calls pass with -race. The page of faults names the subtests that are known red.

--- a/internal/edge/entry/dispatcher.go
+++ b/internal/edge/entry/dispatcher.go
@@ -17,6 +17,7 @@
 	"github.com/oleandershelf/oleandershelf/internal/core/usage"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/agent"
+	"github.com/oleandershelf/oleandershelf/internal/edge/membership"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
 )
@@ -58,7 +59,7 @@
 	counted func(usage.Count)
 	metrics *Metrics
 	counter atomic.Uint64
-	// subsets holds a subset for each pool's name.
+	// subsets holds a *subsets for each pool's name.
 	subsets sync.Map
 }
 
@@ -196,25 +197,14 @@
 // subset returns this entry's part of the pool's servers. It is computed once for each list of hosts: ranking
 // 2,200 servers takes longer than all other decisions about a request together.
 func (d *Dispatcher) subset(pool string) []placement.Server {
-	hosts := d.members.Servers(pool)
-	if known, ok := d.subsets.Load(pool); ok && sameList(known.(subset).hosts, hosts) {
-		return known.(subset).servers
-	}
-	servers := placement.Subset(d.config.HostID, d.config.AvailabilityZone, serversOf(hosts), subsetSize)
-	d.subsets.Store(pool, subset{hosts: hosts, servers: servers})
-	return servers
+	known, _ := d.subsets.LoadOrStore(pool, &subsets{})
+	return known.(*subsets).Of(d.members.Servers(pool), func(hosts []platform.Host) []placement.Server {
+		return placement.Subset(d.config.HostID, d.config.AvailabilityZone, serversOf(hosts), subsetSize)
+	})
 }
 
-// subset is an entry's part of a pool, and the list of hosts that it was chosen from.
-type subset struct {
-	hosts   []platform.Host
-	servers []placement.Server
-}
-
-// sameList says whether both are the same list, not merely equal ones: lists of hosts never change once published.
-func sameList(a, b []platform.Host) bool {
-	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
-}
+// subsets holds an entry's part of one pool for the newest list of hosts.
+type subsets = membership.PerList[[]placement.Server]
 
 func serversOf(hosts []platform.Host) []placement.Server {
 	servers := make([]placement.Server, 0, len(hosts))
--- a/internal/program/faults/rules_test.go
+++ b/internal/program/faults/rules_test.go
@@ -8,6 +8,9 @@
 ` + "`go test ./internal/program/faults -update`" + ` from the table in that package, and a test holds it to it. A T names a test that runs in CI and
 brings the fault about at that step; it says nothing of faults that the test doesn't bring about.
 
+Six subtests of TestBatchesUnderFaults, "woken before the effect while the platform is down", stand in KNOWN-RED.txt (2 of 240 loaded runs failed). The cell "sample
+batched", woken while the platform is down, is counted as proved below by the test's other subtests and by other tests; that one sequence is not.
+
 How to read some cells: "frozen" is a real stop and continue signal in ` + "`program/e2e`" + ` and held bytes or a gated store elsewhere. Answers crossed at weights and hosts are
 sent twice on one connection, and the guard against surplus answers was not shown to be needed there. "Server order prepared" is disturbed at a stand-in for the gathering of
 loads, but for short answers, which are cut on real connections. The
