Repeat work at an interval in one place, and judge leases by the time of the work

The read-through found the loop over a ticker six times (entries' parts and two sweepers), and the sum of two clocks twice. One of the loops was wrong: the sweeper of parts asked for its lease by the time of the tick, which for a process that was stopped and woke is from before the stop, so that a lapsed lease would have counted as held until the next tick. Its deletions are conditional, so nothing in use could have gone. Not shown by a test of its own; the packages' tests pass with -race.

--- a/internal/edge/configuration/partsweeper.go
+++ b/internal/edge/configuration/partsweeper.go
@@ -12,6 +12,7 @@
 
 	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 )
 
 const (
@@ -59,18 +60,11 @@
 func NewPartSweeper(ctx context.Context, store platform.Store, duty Duty, log zerolog.Logger) *PartSweeper {
 	s := newPartSweeper(store, duty, log)
 	s.work.Go(func() {
-		ticker := time.NewTicker(partInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case now := <-ticker.C:
-				if err := s.sweep(ctx, now); err != nil {
-					s.log.Warn().Err(err).Msg("sweep parts of the configuration")
-				}
+		ticker.Every(ctx, partInterval, func(now time.Time) {
+			if err := s.sweep(ctx, now); err != nil {
+				s.log.Warn().Err(err).Msg("sweep parts of the configuration")
 			}
-		}
+		})
 	})
 	return s
 }
--- a/internal/edge/configuration/publisher.go
+++ b/internal/edge/configuration/publisher.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/lease"
 	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
@@ -222,17 +223,13 @@
 	}
 	// Guard: a process that is stopped here and wakes after the sweeper's hour would commit a head that names parts which
 	// are gone, and no host could take the configuration in. Its parts are written again instead.
-	if elapsed(began, a.publisher.clock()) > partsGoodFor {
+	now := a.publisher.clock()
+	if lease.InstantAt(began, now).Elapsed(lease.InstantAt(began, began)) > partsGoodFor {
 		return false, nil
 	}
 	return a.writeHead(ctx, version, value, change)
 }
 
-// elapsed is the larger of the times that the monotonic and the wall clock saw pass.
-func elapsed(since, now time.Time) time.Duration {
-	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
-}
-
 func (a *attempt) writeHead(ctx context.Context, version platform.Version, value json.RawMessage, change ticket.Change) (bool, error) {
 	calling, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/edge/entry/recordsweeper.go
+++ b/internal/edge/entry/recordsweeper.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 )
 
 const (
@@ -42,18 +43,11 @@
 func NewRecordSweeper(ctx context.Context, store platform.Store, duty Duty, log zerolog.Logger) *RecordSweeper {
 	s := &RecordSweeper{store: store, duty: duty, log: log}
 	s.work.Go(func() {
-		ticker := time.NewTicker(sweepInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-			}
-			if err := s.sweep(ctx, time.Now()); err != nil {
+		ticker.Every(ctx, sweepInterval, func(now time.Time) {
+			if err := s.sweep(ctx, now); err != nil {
 				s.log.Warn().Err(err).Msg("sweep idempotency records")
 			}
-		}
+		})
 	})
 	return s
 }
--- a/internal/program/process/freshness.go
+++ b/internal/program/process/freshness.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/oleandershelf/oleandershelf/internal/edge/configuration"
+	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 )
 
 // freshnessInterval is how often a host looks whether it serves. A view is fresh for 3 s, so no lasting isolation is missed.
@@ -26,7 +27,7 @@
 	f := &freshnessLog{follower: follower, log: log}
 	f.work.Go(func() {
 		fresh, told := false, false
-		every(ctx, freshnessInterval, func(now time.Time) {
+		ticker.Every(ctx, freshnessInterval, func(now time.Time) {
 			if next := follower.Fresh(now); next != fresh || !told {
 				fresh, told = next, true
 				f.tell(fresh)
@@ -37,12 +38,11 @@
 }
 
 func (f *freshnessLog) tell(fresh bool) {
-	state := f.follower.State()
 	if fresh {
 		f.log.Info().Int("ticket", f.follower.View().LastTicket()).Msg("configuration confirmed: requests are taken")
 		return
 	}
-	f.log.Warn().Interface("configuration", state).Msg("isolated: all requests are refused until the configuration is confirmed")
+	f.log.Warn().Interface("configuration", f.follower.State()).Msg("isolated: all requests are refused until the configuration is confirmed")
 }
 
 func (f *freshnessLog) wait() { f.work.Wait() }
--- a/internal/program/process/gatherer.go
+++ b/internal/program/process/gatherer.go
@@ -11,6 +11,7 @@
 	"github.com/oleandershelf/oleandershelf/internal/edge/billing"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 )
 
 const (
@@ -114,7 +115,7 @@
 		return took{}, nil
 	})
 	g.work.Go(func() {
-		every(ctx, gatherInterval, func(time.Time) {
+		ticker.Every(ctx, gatherInterval, func(time.Time) {
 			if g.isRelay() {
 				g.round(ctx)
 			}
--- a/internal/program/process/joblease.go
+++ b/internal/program/process/joblease.go
@@ -9,6 +9,7 @@
 	"github.com/oleandershelf/oleandershelf/internal/edge/duty"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 	"github.com/oleandershelf/oleandershelf/internal/edge/trainer"
 )
 
@@ -62,7 +63,7 @@
 	l.changed.Store(&changed)
 	k.work.Go(func() {
 		l.round(ctx)
-		every(ctx, contendInterval, func(time.Time) { l.round(ctx) })
+		ticker.Every(ctx, contendInterval, func(time.Time) { l.round(ctx) })
 	})
 	return l
 }
--- a/internal/program/process/weightswitch.go
+++ b/internal/program/process/weightswitch.go
@@ -15,6 +15,7 @@
 	"github.com/oleandershelf/oleandershelf/internal/edge/duty"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 )
 
 const (
@@ -56,7 +57,7 @@
 func newWeightSwitch(ctx context.Context, r *runtime, follower *configuration.Follower, publisher *configuration.Publisher, keeper *duty.Keeper) *weightSwitch {
 	s := &weightSwitch{runtime: r, follower: follower, publisher: publisher, keeper: keeper, loading: map[ticket.ModelVersion]*loading{}}
 	s.work.Go(func() {
-		every(ctx, switchInterval, func(time.Time) { s.round(ctx) })
+		ticker.Every(ctx, switchInterval, func(time.Time) { s.round(ctx) })
 	})
 	return s
 }
