Fewer followers of the store, gathered watches, and only what changed between entries

Change: the first four in order keep the time of a second, the others wait 1.8 s; neighbours in the gossip follow the same order; watches of the servers come at most every 250 ms; a fresh entry waits for the others' news. Entries fetch the objects that changed, not the whole part. A list of several answers is followed from its first one.

--- a/internal/edge/gossip/gossip.go
+++ b/internal/edge/gossip/gossip.go
@@ -206,23 +206,30 @@
 	return near
 }
 
-// ring returns the addresses of all entries that may live, this one included, in one order for all. The order is by hash, so
-// that neighbours mostly stand in different availability zones.
+// ring returns the addresses of all entries that may live, this one included, in one order for all. The order is by hash of
+// the host, so that neighbours mostly stand in different availability zones and entries which follow each other in other orders by that hash
+// are neighbours.
 func (g *Gossip) ring() []netip.AddrPort {
-	ring := []netip.AddrPort{g.self.Address}
+	type place struct {
+		address netip.AddrPort
+		hash    uint64
+	}
+	places := []place{{g.self.Address, xxhash.Sum64String(g.self.HostID)}}
 	for address, other := range g.others {
 		if !other.silent || other.member.HostID == "" || time.Since(other.heard) < slowFrom {
-			ring = append(ring, address)
+			places = append(places, place{address, xxhash.Sum64String(other.member.HostID)})
 		}
 	}
-	slices.SortFunc(ring, func(a, b netip.AddrPort) int {
-		return cmp.Or(cmp.Compare(hash(a), hash(b)), a.Compare(b))
+	slices.SortFunc(places, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), a.address.Compare(b.address))
 	})
+	ring := make([]netip.AddrPort, 0, len(places))
+	for _, p := range places {
+		ring = append(ring, p.address)
+	}
 	return ring
 }
 
-func hash(address netip.AddrPort) uint64 { return xxhash.Sum64String(address.String()) }
-
 func (g *Gossip) call(ctx context.Context, address netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
--- a/internal/edge/store/store.go
+++ b/internal/edge/store/store.go
@@ -121,9 +121,13 @@
 	return object, errors.Wrapf(readError(err), "%s/%s", kind, name)
 }
 
-// List reads all objects of a kind, and the revision at which they were so.
+// List reads all objects of a kind, and a revision from which on a watch tells of everything that the list doesn't hold.
+//
+// Guard: a kind of more than some 500 objects comes in several answers. An object of the first one may change before the last one is
+// given; watched from the revision of the last, that change would never be seen. So the revision is that of the first.
 func (s *Store) List(ctx context.Context, kind string) ([]product.Object, product.Version, error) {
 	var objects []product.Object
+	var revision product.Version
 	after := ""
 	for {
 		reply, err := s.call(ctx, platform.List(kind, after, false))
@@ -135,8 +139,11 @@
 			return nil, 0, errors.Wrap(readError(err), kind)
 		}
 		objects = append(objects, page.Objects...)
+		if revision == 0 {
+			revision = page.Revision
+		}
 		if !page.More || len(page.Objects) == 0 {
-			return objects, page.Revision, nil
+			return objects, revision, nil
 		}
 		after = page.Objects[len(page.Objects)-1].Name
 	}
--- a/internal/edge/view/contacts.go
+++ b/internal/edge/view/contacts.go
@@ -20,6 +20,11 @@
 	// contactTime is how old the last contact of a follower may be. A new configuration must be in force within two seconds, also
 	// if all followers are cut off right before it: the next ones begin after this time, and news takes half a second to spread.
 	contactTime = time.Second
+	// standbys is how many entries, in order, begin after contactTime; the others begin after contactMost. News of a follower's
+	// contact takes up to two intervals of the gossip to the farthest of some dozen entries, and those began to follow again and again: 490
+	// watches in a minute with 27 entries. The standbys are neighbours of the followers, and hear from them directly.
+	standbys    = 4
+	contactMost = 1800 * time.Millisecond
 	// outageTime is how long no entry reached the store when it is taken for down: some probes in a row failed everywhere.
 	outageTime = 2500 * time.Millisecond
 	// restPause is how often an entry that doesn't follow looks whether it is to.
@@ -93,15 +98,20 @@
 }
 
 // chosen says whether this entry is to follow the store: it is, unless enough entries that come before it reach it. The order is
-// by hash, so that the work isn't always with the first hosts of the first availability zone.
+// by hash, so that the work isn't always with the first hosts of the first availability zone; place is how many living entries come before
+// this one.
 //
 // Guard: an entry that the store turns away, or that is cut off, has no fresh contact, and the next in order begins.
-func (c *contacts) chosen(now time.Time) bool {
+func (c *contacts) chosen(now time.Time, place int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	allowed := contactTime
+	if place >= standbys {
+		allowed = contactMost
+	}
 	before := 0
 	for host, at := range c.reached {
-		if host != c.self && now.Sub(at) < contactTime && cmp.Compare(rank(host), rank(c.self)) < 0 {
+		if host != c.self && now.Sub(at) < allowed && cmp.Compare(rank(host), rank(c.self)) < 0 {
 			before++
 		}
 	}
--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -28,6 +28,14 @@
 	retryMost  = 800 * time.Millisecond
 	// partTimeout bounds the fetch of a part from another entry.
 	partTimeout = time.Second
+	// gatherTime is the least time between two watches of the list of servers. Each watch is paid for and ends with the first change,
+	// and a new weight version changes the entries of a dozen engines within a second. A leaving server may get requests for two
+	// seconds more.
+	gatherTime = 250 * time.Millisecond
+	// beginWait is how long a fresh entry waits for others to tell it what they know before it reads the store; they answer the
+	// first beat, within a tenth of a second. beginMost is how long those wait that are not among the first in order.
+	beginWait = 600 * time.Millisecond
+	beginMost = 2 * time.Second
 )
 
 // Source is the store as far as a follower needs it.
@@ -38,22 +46,39 @@
 	Probe(ctx context.Context) error
 }
 
+// Members are the other entries.
+type Members interface {
+	Self() gossip.Member
+	// Alive returns those that are heard of.
+	Alive(now time.Time) []gossip.Member
+}
+
 // Follower keeps a view up to date.
 type Follower struct {
 	view     *View
 	source   Source
 	client   *peer.Client
+	members  Members
 	contacts *contacts
 	log      zerolog.Logger
 	work     conc.WaitGroup
+	started  time.Time
 }
 
-// NewFollower follows the store until ctx ends, and serves the view's parts to other entries. Self is this entry's host.
-func NewFollower(ctx context.Context, self string, view *View, source Source, client *peer.Client, registry *peer.Registry, log zerolog.Logger) *Follower {
-	f := &Follower{view: view, source: source, client: client, contacts: newContacts(self), log: log}
-	peer.Handle(registry, MethodPart, func(_ context.Context, kind string) (Part, error) {
-		part, _ := view.Part(kind)
-		return part, nil
+// NewFollower follows the store until ctx ends, and serves the view's parts to other entries.
+func NewFollower(ctx context.Context, members Members, view *View, source Source, client *peer.Client, registry *peer.Registry, log zerolog.Logger) *Follower {
+	f := &Follower{
+		view:     view,
+		source:   source,
+		client:   client,
+		members:  members,
+		contacts: newContacts(members.Self().HostID),
+		log:      log,
+		started:  time.Now(),
+	}
+	peer.Handle(registry, MethodPart, func(_ context.Context, q PartRequest) (PartAnswer, error) {
+		part, _ := view.Part(q.Kind)
+		return part.since(q.Known), nil
 	})
 	for _, kind := range Kinds {
 		f.work.Go(func() { f.follow(ctx, kind) })
@@ -78,14 +103,25 @@
 func (f *Follower) fetch(ctx context.Context, from netip.AddrPort, kind string) {
 	ctx, cancel := context.WithTimeout(ctx, partTimeout)
 	defer cancel()
-	part, err := peer.Ask[string, Part](ctx, f.client, from, MethodPart, kind)
-	if err != nil {
-		// The next beat tells of the newer revision again.
-		f.log.Debug().Err(err).Str("kind", kind).Stringer("entry", from).Msg("part not fetched")
-		return
-	}
-	if part.Kind == kind {
-		f.view.Offer(part)
+	part, known := f.view.Part(kind)
+	for {
+		answer, err := peer.Ask[PartRequest, PartAnswer](ctx, f.client, from, MethodPart, PartRequest{Kind: kind, Known: part.Revision})
+		if err != nil {
+			// The next beat tells of the newer revision again.
+			f.log.Debug().Err(err).Str("kind", kind).Stringer("entry", from).Msg("part not fetched")
+			return
+		}
+		if answer.Kind != kind {
+			return
+		}
+		if next, whole := part.updated(answer); whole {
+			f.view.Offer(next)
+			return
+		}
+		if !known {
+			return
+		}
+		part, known = Part{}, false
 	}
 }
 
@@ -106,7 +142,7 @@
 func (f *Follower) probe(ctx context.Context) {
 	for sleep(ctx, probePause) {
 		now := time.Now()
-		if !f.contacts.chosen(now) || f.contacts.age(now) < probePause {
+		if !f.contacts.chosen(now, f.place(now)) || f.contacts.age(now) < probePause {
 			continue
 		}
 		probing, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -124,10 +160,14 @@
 			sleep(ctx, restPause)
 			continue
 		}
+		began := time.Now()
 		err := f.step(ctx, kind)
 		f.contacts.note(time.Now(), err)
 		if err == nil {
 			pause = retryPause
+			if kind == platform.KindServers {
+				sleep(ctx, gatherTime-time.Since(began))
+			}
 			continue
 		}
 		f.log.Debug().Err(err).Str("kind", kind).Msg("store not followed")
@@ -140,10 +180,32 @@
 
 // due says whether the kind is to be read or watched now. While the store can't be reached the configuration alone is tried for.
 func (f *Follower) due(kind string) bool {
+	now := time.Now()
 	if _, known := f.view.Part(kind); !known {
-		return true
+		return f.begins(now)
+	}
+	return f.contacts.chosen(now, f.place(now)) && (kind == platform.KindConfiguration || !f.contacts.failing())
+}
+
+// begins says whether a fresh entry is to read the store itself.
+//
+// Guard: all entries of a deployment start within moments; each would read and watch everything, a third of all calls of a minute
+// with 27 entries. So a fresh entry waits for what the others tell it, and the first in order read for all.
+func (f *Follower) begins(now time.Time) bool {
+	waited := now.Sub(f.started)
+	return waited >= beginMost || waited >= beginWait && f.place(now) < standbys
+}
+
+// place is how many living entries come before this one in the order in which they follow the store.
+func (f *Follower) place(now time.Time) int {
+	own := rank(f.members.Self().HostID)
+	before := 0
+	for _, member := range f.members.Alive(now) {
+		if !member.Leaving && rank(member.HostID) < own {
+			before++
+		}
 	}
-	return f.contacts.chosen(time.Now()) && (kind == platform.KindConfiguration || !f.contacts.failing())
+	return before
 }
 
 func (f *Follower) step(ctx context.Context, kind string) error {
--- a/internal/edge/view/view_test.go
+++ b/internal/edge/view/view_test.go
@@ -3,10 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
+	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	product "github.com/oleandershelf/oleandershelf/internal/edge/platform"
 	"github.com/oleandershelf/oleandershelf/platform"
 )
@@ -71,3 +75,67 @@
 		t.Errorf("%+v", servers)
 	}
 }
+
+// An entry that is behind asks another for what changed, and must have the very same part afterwards: with what was added, changed and
+// removed. One that lacks an object, since it heard nothing of that kind yet, is told so and asks for the whole.
+func TestWhatChangedMakesTheSamePart(t *testing.T) {
+	there := Part{Kind: platform.KindServers, Revision: 9, Objects: []product.Object{{Name: "a", Version: 2}, {Name: "b", Version: 7}, {Name: "d", Version: 9}}}
+	for _, test := range []struct {
+		name    string
+		here    Part
+		changed int
+		whole   bool
+	}{
+		{name: "behind", here: Part{Revision: 5, Objects: []product.Object{{Name: "a", Version: 2}, {Name: "b", Version: 4}, {Name: "c", Version: 3}}}, changed: 2, whole: true},
+		{name: "without anything", changed: 3, whole: true},
+		{name: "lacking an object", here: Part{Revision: 5}, changed: 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			answer := there.since(test.here.Revision)
+			if len(answer.Changed) != test.changed {
+				t.Errorf("%d objects go over the wire", len(answer.Changed))
+			}
+			got, whole := test.here.updated(answer)
+			if whole != test.whole {
+				t.Fatalf("whole: %v", whole)
+			}
+			if diff := cmp.Diff(there, got); whole && diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// fakeMembers are the entries that a follower hears of.
+type fakeMembers struct {
+	self   string
+	others []string
+}
+
+func (m fakeMembers) Self() gossip.Member { return gossip.Member{HostID: m.self} }
+
+func (m fakeMembers) Alive(time.Time) []gossip.Member {
+	var members []gossip.Member
+	for _, host := range m.others {
+		members = append(members, gossip.Member{HostID: host})
+	}
+	return members
+}
+
+// All entries of a deployment start at once. Each read and watched everything by itself, a third of a minute's calls to the store; now
+// the first in order read for all, and one that nobody tells anything reads for itself in the end.
+func TestFreshEntriesWaitForEachOther(t *testing.T) {
+	hosts := inOrder(27)
+	for i, host := range hosts {
+		f := &Follower{members: fakeMembers{self: host, others: slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return h == host })}, started: start}
+		if f.begins(start.Add(beginWait - time.Millisecond)) {
+			t.Errorf("number %d didn't wait", i)
+		}
+		if got := f.begins(start.Add(beginWait)); got != (i < standbys) {
+			t.Errorf("number %d reads the store: %v", i, got)
+		}
+		if !f.begins(start.Add(beginMost)) {
+			t.Errorf("number %d never reads the store", i)
+		}
+	}
+}
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -134,8 +134,8 @@
 	relay := &lateRelay{}
 	g.store = store.New(store.NewHTTP(platformAddress, platformCalls), relay, store.NewMetrics(metrics), g.log)
 	store.Serve(g.registry, g.store)
-	g.follower = view.NewFollower(ctx, g.set.HostID, g.view, g.store, g.client, g.registry, g.log)
 	members := &lateMembers{self: self}
+	g.follower = view.NewFollower(ctx, members, g.view, g.store, g.client, g.registry, g.log)
 	g.jobs = batchjob.NewManager(ctx, batchjob.Deps{
 		Store:   g.store,
 		Book:    g.book,
