Batch jobs of a model run at one entry, whichever accepted them

Cause: each step ran at the entry at which its trainer handed it in, another one each time. Change: core/batch.Home deals the models out to the entries with half or more of the largest one's processor time (new setting processorCores, told in the gossip). The accepting entry gives the job to the home and runs it itself if that one doesn't answer. Jobs that are over keep their results in memory without their bodies, 24 for two minutes.

--- /dev/null
+++ b/internal/core/batch/home_test.go
@@ -0,0 +1,100 @@
+package batch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// entries returns hosts with 0.144 and 0.8 cores in turn, as on a deployment that grew.
+func entries(count int) []Runner {
+	var runners []Runner
+	for i := range count {
+		cores := 0.8
+		if i%2 == 1 {
+			cores = 0.144
+		}
+		runners = append(runners, Runner{HostID: fmt.Sprintf("entry-%d", i), Cores: cores})
+	}
+	return runners
+}
+
+func homes(t *testing.T, models []string, runners []Runner) map[string]string {
+	t.Helper()
+	found := map[string]string{}
+	for _, model := range models {
+		home, ok := Home(model, models, runners)
+		if !ok {
+			t.Fatalf("%s has no home among %d", model, len(runners))
+		}
+		found[model] = home
+	}
+	return found
+}
+
+// Eighteen trainers hand in a step each few seconds, anywhere. All entries must name the same home whatever order they know the others
+// in, no entry may have two models while another that can run them has none, and the small entries have none.
+func TestModelsAreSpreadOverEntries(t *testing.T) {
+	var models []string
+	for i := range 18 {
+		models = append(models, fmt.Sprintf("m%d", i))
+	}
+	for _, test := range []struct {
+		name    string
+		entries int
+		most    int
+	}{
+		{name: "many entries", entries: 380, most: 1},
+		{name: "few entries", entries: 8, most: 5},
+		{name: "one entry", entries: 1, most: 18},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runners := entries(test.entries)
+			found := homes(t, models, runners)
+			back := slices.Clone(runners)
+			slices.Reverse(back)
+			dealt := map[string]int{}
+			for model, home := range homes(t, models, back) {
+				dealt[home]++
+				if found[model] != home {
+					t.Errorf("%s has two homes: %s and %s", model, home, found[model])
+				}
+			}
+			for _, r := range runners {
+				if dealt[r.HostID] > test.most || r.Cores < 0.8 && dealt[r.HostID] > 0 {
+					t.Errorf("%s with %v cores has %d models", r.HostID, r.Cores, dealt[r.HostID])
+				}
+			}
+		})
+	}
+}
+
+// An entry goes. The steps of its model go elsewhere, and few others move, or their connections would all be opened anew.
+func TestFewModelsMoveWhenAnEntryGoes(t *testing.T) {
+	var models []string
+	for i := range 18 {
+		models = append(models, fmt.Sprintf("m%d", i))
+	}
+	runners := entries(380)
+	before := homes(t, models, runners)
+	gone := before["m7"]
+	after := homes(t, models, slices.DeleteFunc(slices.Clone(runners), func(r Runner) bool { return r.HostID == gone }))
+	moved := 0
+	for model := range before {
+		if before[model] != after[model] {
+			moved++
+		}
+	}
+	if after["m7"] == gone || moved > 2 {
+		t.Errorf("%d models moved, m7 from %s to %s", moved, gone, after["m7"])
+	}
+}
+
+func TestNoHome(t *testing.T) {
+	if home, ok := Home("m", []string{"m"}, nil); ok {
+		t.Errorf("got %q", home)
+	}
+	if home, _ := Home("unknown", nil, []Runner{{HostID: "a"}}); home != "a" {
+		t.Errorf("a model that is not trained yet has home %q", home)
+	}
+}
--- /dev/null
+++ b/internal/edge/batchjob/home.go
@@ -0,0 +1,100 @@
+package batchjob
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
+	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
+)
+
+// homeTime bounds the question to the home of a model whether it runs a job; entries answer within milliseconds, and a trainer waits.
+const homeTime = 700 * time.Millisecond
+
+// home returns the entry that is to run the jobs of a model: this one, or another that is heard of.
+func (m *Manager) home(model string) gossip.Member {
+	self := m.members.Self()
+	var runners []batch.Runner
+	if !m.isLeaving() {
+		runners = append(runners, batch.Runner{HostID: self.HostID, Cores: self.Cores})
+	}
+	members := map[string]gossip.Member{}
+	for _, member := range m.members.Alive(time.Now()) {
+		if !member.Leaving {
+			members[member.HostID] = member
+			runners = append(runners, batch.Runner{HostID: member.HostID, Cores: member.Cores})
+		}
+	}
+	home, _ := batch.Home(model, m.models(), runners)
+	if member, ok := members[home]; ok {
+		return member
+	}
+	return self
+}
+
+func (m *Manager) isLeaving() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaving
+}
+
+// begin has an accepted job run: by its model's home, or here if that is this entry or doesn't answer. Fresh is the job as the
+// store keeps it if it was accepted just now, so that no page of it exists.
+func (m *Manager) begin(spec *batch.Job, fresh []byte) {
+	home := m.home(spec.Model)
+	if home.HostID == m.members.Self().HostID {
+		m.beginHere(spec, fresh)
+		return
+	}
+	m.noteOwner(spec.ID, home.HostID)
+	m.work.Go(func() {
+		ctx, cancel := context.WithTimeout(m.ctx, homeTime)
+		defer cancel()
+		q := RunRequest{Job: spec.ID, Organisation: spec.Organisation, Fresh: fresh}
+		_, err := peer.Ask[RunRequest, RunAnswer](ctx, m.peers, home.Address, MethodRun, q)
+		m.log.Info().Str("request", spec.ID).Str("entry", home.HostID).Str("model", spec.Model).AnErr("answer", err).Msg("batch job given to its model's home")
+		if err != nil {
+			m.forgetOwner(spec.ID, home.HostID)
+			m.beginHere(spec, fresh)
+		}
+	})
+}
+
+// beginHere runs an accepted job here. One that may have pages is read from the store first.
+func (m *Manager) beginHere(spec *batch.Job, fresh []byte) {
+	if fresh != nil {
+		m.run(spec)
+		return
+	}
+	m.work.Go(func() {
+		ctx, cancel := context.WithTimeout(m.ctx, handoverTime)
+		defer cancel()
+		if _, err := m.load(ctx, spec.ID, spec.Organisation); err != nil {
+			m.log.Warn().Err(err).Str("request", spec.ID).Msg("accepted batch job not begun")
+		}
+	})
+}
+
+// runFor runs a job for another entry that accepted it or leaves it.
+func (m *Manager) runFor(ctx context.Context, q RunRequest) error {
+	if j, ok := m.find(q.Job); ok && j.running() {
+		return nil
+	}
+	if m.isLeaving() {
+		return errors.Errorf("job %s: this entry is leaving", q.Job)
+	}
+	if q.Fresh == nil {
+		_, err := m.load(ctx, q.Job, q.Organisation)
+		return err
+	}
+	var spec batch.Job
+	if err := json.Unmarshal(q.Fresh, &spec); err != nil {
+		return errors.Wrapf(err, "job %s", q.Job)
+	}
+	m.run(&spec)
+	return nil
+}
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -39,9 +39,9 @@
 	endedMemory = 3 * time.Minute
 	// keepTime is how long a job that isn't run or read stays in memory. Results are read again for minutes after a job's
 	// end, and to have them anew costs a call to the store for each page.
-	keepTime = time.Minute
-	// keepMost is how many jobs that are over stay in memory at most; each takes some hundred kilobytes.
-	keepMost = 6
+	keepTime = 2 * time.Minute
+	// keepMost is how many jobs that are over stay in memory at most; each takes some eighty kilobytes without its bodies.
+	keepMost = 24
 	// settleTime bounds how long a lost answer to an acceptance is looked into; the store may carry a call out seconds late.
 	settleTime  = 8 * time.Second
 	settlePause = 500 * time.Millisecond
@@ -71,6 +71,7 @@
 	peers   *peer.Client
 	members Members
 	outage  func(now time.Time) bool
+	models  func() []string
 	metrics *Metrics
 	log     zerolog.Logger
 	work    conc.WaitGroup
@@ -94,7 +95,9 @@
 	Peers   *peer.Client
 	Members Members
 	// Outage says whether the store is known to be out of every entry's reach.
-	Outage  func(now time.Time) bool
+	Outage func(now time.Time) bool
+	// Models returns the models that are trained.
+	Models  func() []string
 	Metrics *Metrics
 	Log     zerolog.Logger
 }
@@ -109,6 +112,7 @@
 		peers:   deps.Peers,
 		members: deps.Members,
 		outage:  deps.Outage,
+		models:  deps.Models,
 		metrics: deps.Metrics,
 		log:     deps.Log,
 		jobs:    map[string]*job{},
@@ -148,8 +152,7 @@
 		return EndAnswer{Known: true}, m.endKnown(ctx, j, q.Organisation)
 	})
 	peer.Handle(registry, MethodRun, func(ctx context.Context, q RunRequest) (RunAnswer, error) {
-		_, err := m.load(ctx, q.Job, q.Organisation)
-		return RunAnswer{}, err
+		return RunAnswer{}, m.runFor(ctx, q)
 	})
 }
 
--- a/internal/edge/batchjob/message.go
+++ b/internal/edge/batchjob/message.go
@@ -56,10 +56,12 @@
 	Known bool `msgpack:"k"`
 }
 
-// RunRequest asks another entry to run a job that this one leaves.
+// RunRequest asks another entry to run a job that this one leaves, or doesn't run at all.
 type RunRequest struct {
 	Job          string `msgpack:"j"`
 	Organisation string `msgpack:"o"`
+	// Fresh is the job as the store keeps it, in JSON, if it was accepted just now and has no page yet; else the entry reads the store.
+	Fresh []byte `msgpack:"f"`
 }
 
 // RunAnswer confirms a RunRequest.
--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -29,6 +29,22 @@
 	return m.members.Find(time.Now(), known.hostID)
 }
 
+// noteOwner remembers that an entry runs a job.
+func (m *Manager) noteOwner(id, hostID string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.owners[id] = owner{hostID: hostID, heard: time.Now()}
+}
+
+// forgetOwner drops what noteOwner remembered.
+func (m *Manager) forgetOwner(id, hostID string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.owners[id].hostID == hostID {
+		delete(m.owners, id)
+	}
+}
+
 // reader returns a living entry that has the job in memory: the one that runs it, or one that ran it.
 func (m *Manager) reader(id string) (gossip.Member, bool) {
 	if owner, ok := m.owner(id); ok {
--- a/internal/edge/batchjob/submit.go
+++ b/internal/edge/batchjob/submit.go
@@ -22,7 +22,7 @@
 		// To try would hold the trainer for seconds, and leave open whether the job was accepted.
 		return verdict.New(verdict.NotRun, 0, verdict.ReasonPlatformUnavailable, outageRetry, "no entry reaches the store")
 	}
-	spec.Owner = m.members.Self().HostID
+	spec.Owner = m.home(spec.Model).HostID
 	value, err := json.Marshal(spec)
 	if err != nil {
 		return verdict.New(verdict.NotRun, 0, verdict.ReasonBadRequest, 0, "job %s: %v", spec.ID, err)
@@ -33,7 +33,7 @@
 		AnErr("store", err).Msg("batch job submitted")
 	switch {
 	case err == nil:
-		m.run(spec)
+		m.begin(spec, value)
 		return nil
 	case errors.Is(err, product.ErrConflict):
 		return m.submittedBefore(ctx, spec, err)
@@ -60,8 +60,8 @@
 	if err := accepted(&known, spec.Organisation); err != nil {
 		return err
 	}
-	if known.Owner == spec.Owner {
-		m.run(&known)
+	if _, runs := m.owner(known.ID); !runs && known.Owner == spec.Owner {
+		m.begin(&known, nil)
 	}
 	return nil
 }
@@ -94,7 +94,7 @@
 		_, err := m.store.Get(m.ctx, KindJobs, spec.ID)
 		if err == nil {
 			m.log.Info().Str("request", spec.ID).Msg("batch job was accepted though the store's answer was lost")
-			m.run(spec)
+			m.begin(spec, nil)
 			return
 		}
 	}
--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -19,6 +19,8 @@
 	HostID           string         `msgpack:"h" json:"hostId"`
 	Address          netip.AddrPort `msgpack:"a" json:"address"`
 	AvailabilityZone string         `msgpack:"z" json:"availabilityZone"`
+	// Cores is the processor time that the entry has, as part of a core; 0 if its settings don't say.
+	Cores float64 `msgpack:"c" json:"cores,omitempty"`
 	// Incarnation is random for each start of the process.
 	Incarnation uint64 `msgpack:"i" json:"incarnation"`
 	// Leaving entries take no new work.
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"net/url"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -127,6 +129,7 @@
 		HostID:           g.set.HostID,
 		Address:          g.set.PeerListen,
 		AvailabilityZone: g.set.AvailabilityZone,
+		Cores:            g.set.ProcessorCores,
 		Incarnation:      incarnation,
 	}
 	platformCalls := exchange.NewClient(exchange.WithDialTimeout(platformDial), exchange.WithKeepAlive(platformProbes))
@@ -143,6 +146,7 @@
 		Peers:   g.client,
 		Members: members,
 		Outage:  g.follower.Outage,
+		Models:  func() []string { return slices.Sorted(maps.Keys(g.view.Now().Versions)) },
 		Metrics: batchjob.NewMetrics(metrics),
 		Log:     g.log,
 	}, g.registry)
--- a/internal/program/settings/field.go
+++ b/internal/program/settings/field.go
@@ -57,11 +57,12 @@
 	"weightSpread":       {wantTime, duration(func(s *Settings) *time.Duration { return &s.WeightSpread })},
 	"reportsUrl":         {wantURL, text(validURL, func(s *Settings) *string { return &s.ReportsURL })},
 	"seeds":              {`a list of addresses with ports`, setSeeds},
+	"processorCores":     {`a number of cores from 0.01 to 1024, such as 0.5`, setProcessorCores},
 	"bodyLimitBytes":     {`a whole number of bytes from 1024 to 1073741824`, setBodyLimit},
 }
 
 // gatewayFields have a meaning for gateways only.
-var gatewayFields = []string{"reportsUrl", "seeds"}
+var gatewayFields = []string{"processorCores", "reportsUrl", "seeds"}
 
 // knownFields returns the fields that may be set for the role, sorted.
 func knownFields(role Role) []string {
@@ -188,6 +189,18 @@
 	return nil
 }
 
+func setProcessorCores(set *Settings, raw json.RawMessage) error {
+	cores, err := decode[float64](raw)
+	if err != nil {
+		return err
+	}
+	if cores < 0.01 || cores > 1024 {
+		return errValue
+	}
+	set.ProcessorCores = cores
+	return nil
+}
+
 func validName(name string) bool { return namePattern.MatchString(name) }
 
 func notEmpty(value string) bool { return value != "" }
--- a/internal/program/settings/settings.go
+++ b/internal/program/settings/settings.go
@@ -62,6 +62,9 @@
 	// OperatorKeyHashes are SHA-256 sums of the keys that may apply tickets; empty leaves the ticket interface open.
 	OperatorKeyHashes []string
 	UsageWindow       time.Duration
+	// ProcessorCores is the processor time that the process has, in cores; 0 if it isn't said. Entries with less than half of what
+	// the largest one has don't run batch jobs.
+	ProcessorCores float64
 	// LeaveDelay is how long a leaving process still takes requests while the balancer and its peers learn of it.
 	LeaveDelay time.Duration
 	// DrainTime bounds a graceful shutdown.
