--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -34,7 +34,7 @@
 	gatherTime = 250 * time.Millisecond
 	// beginWait is how long a fresh entry waits for others to tell it what they know before it reads the store; they answer the
 	// first beat, within a tenth of a second. beginMost is how long those wait that are not among the first in order.
-	beginWait = 600 * time.Millisecond
+	beginWait = 300 * time.Millisecond
 	beginMost = 2 * time.Second
 )
 
