Bodies stay in memory, and watches go on from where they ended

Change: bodies stay; watches of 15 s, each from the revision that the one before returned; 400 ms between watches of the servers.

--- a/internal/core/batch/progress.go
+++ b/internal/core/batch/progress.go
@@ -66,7 +66,6 @@
 	wroteAt   time.Time
 	doneSince time.Time
 	ended     bool
-	stripped  bool
 }
 
 // NewProgress returns the progress of a job of which no page is known yet. Writer names this run of the process.
@@ -374,25 +373,12 @@
 // Body returns an item's body.
 func (p *Progress) Body(id string) ([]byte, bool) {
 	state, ok := p.items[id]
-	if !ok || p.stripped {
+	if !ok {
 		return nil, false
 	}
 	return state.item.Body, true
 }
 
-// Strip drops the bodies and headers of all items of a job of which nothing runs any more; the results stay. They are most of what a
-// job takes in memory, and results are read for minutes after a job's end.
-func (p *Progress) Strip() {
-	for i := range p.job.Items {
-		p.job.Items[i].Body = nil
-		p.job.Items[i].Header = nil
-	}
-	p.stripped = true
-}
-
-// Stripped says that bodies can't be had here any more.
-func (p *Progress) Stripped() bool { return p.stripped }
-
 // Running returns how many items run.
 func (p *Progress) Running() int { return p.count(phaseRunning) }
 
--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -163,21 +163,6 @@
 	}
 }
 
-// strip drops what only a run needs once the job is over and nothing of it runs here.
-func (j *job) strip() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if !j.runs && (j.progress.Ended() || j.progress.Complete()) {
-		j.progress.Strip()
-	}
-}
-
-func (j *job) stripped() bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.progress.Stripped()
-}
-
 func (j *job) body(item string) ([]byte, bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/edge/batchjob/read.go
+++ b/internal/edge/batchjob/read.go
@@ -61,14 +61,6 @@
 		}
 	}
 	j, ok := m.find(id)
-	if ok && j.stripped() && j.spec.Organisation == organisation {
-		// Bodies aren't kept in memory beyond a job's end; the store has them.
-		kept, err := m.peek(ctx, id)
-		if err != nil {
-			return nil, err
-		}
-		j = kept
-	}
 	if !ok {
 		var err error
 		if j, err = m.load(ctx, id, organisation); err != nil {
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -72,7 +72,6 @@
 	j.stop()
 	j.mu.Unlock()
 	j.work.Wait()
-	j.strip()
 	m.log.Info().Str("request", j.spec.ID).Interface("job", j.state()).Msg("batch job not run any more here")
 }
 
--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -20,8 +20,9 @@
 const MethodPart peer.Method = "view.part"
 
 const (
-	// watchWait is how long a watch waits for a change. Each watch is paid for, and the store allows 30 s.
-	watchWait = 30 * time.Second
+	// watchWait is how long a watch waits for a change. Each watch is paid for; the store allows 30 s, but keeps its history for 20 s at
+	// most, and a watch from before that ends in an error and a list.
+	watchWait = 15 * time.Second
 	// retryPause is the mean pause after a failed call, doubled up to retryMost: in an outage three watches of an entry make
 	// some four calls a second together, and a store that is back is noticed within a second.
 	retryPause = 200 * time.Millisecond
@@ -31,7 +32,7 @@
 	// gatherTime is the least time between two watches of the list of servers. Each watch is paid for and ends with the first change,
 	// and a new weight version changes the entries of a dozen engines within a second. A leaving server may get requests for two
 	// seconds more.
-	gatherTime = 250 * time.Millisecond
+	gatherTime = 400 * time.Millisecond
 	// beginWait is how long a fresh entry waits for others to tell it what they know before it reads the store; they answer the
 	// first beat, within a tenth of a second. beginMost is how long those wait that are not among the first in order.
 	beginWait = 300 * time.Millisecond
@@ -155,13 +156,15 @@
 // follow lists a kind and then watches it, for ever, while this entry is one of those that follow the store.
 func (f *Follower) follow(ctx context.Context, kind string) {
 	pause := retryPause
+	var watched product.Version
 	for ctx.Err() == nil {
 		if !f.due(kind) {
 			sleep(ctx, restPause)
 			continue
 		}
 		began := time.Now()
-		err := f.step(ctx, kind)
+		var err error
+		watched, err = f.step(ctx, kind, watched)
 		f.contacts.note(time.Now(), err)
 		if err == nil {
 			pause = retryPause
@@ -208,32 +211,35 @@
 	return before
 }
 
-func (f *Follower) step(ctx context.Context, kind string) error {
+// step reads a kind, or watches it from the newest revision at which nothing is known to have changed. It returns that revision; it is
+// not one of the view, since other entries would ask for what is new in it.
+func (f *Follower) step(ctx context.Context, kind string, watched product.Version) (product.Version, error) {
 	part, known := f.view.Part(kind)
 	if !known {
 		return f.list(ctx, kind)
 	}
-	changes, err := f.source.Watch(ctx, kind, product.Version(part.Revision), watchWait)
+	watched = max(watched, product.Version(part.Revision))
+	changes, err := f.source.Watch(ctx, kind, watched, watchWait)
 	if errors.Is(err, platform.ErrCompacted) {
 		return f.list(ctx, kind)
 	}
 	if err != nil {
-		return err
+		return watched, err
 	}
 	if len(changes.Changes) == 0 {
-		return nil
+		return max(watched, changes.Revision), nil
 	}
 	f.view.Offer(part.after(changes))
-	return nil
+	return changes.Revision, nil
 }
 
-func (f *Follower) list(ctx context.Context, kind string) error {
+func (f *Follower) list(ctx context.Context, kind string) (product.Version, error) {
 	objects, revision, err := f.source.List(ctx, kind)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	f.view.Offer(Part{Kind: kind, Revision: uint64(revision), Objects: objects})
-	return nil
+	return revision, nil
 }
 
 func jitter(mean time.Duration) time.Duration {
