One entry follows the servers and versions, and ends of jobs go to the entry that ran them

Change: two entries follow the configuration, one the other kinds; an end goes to the entry that ran the job.

--- a/internal/edge/batchjob/end.go
+++ b/internal/edge/batchjob/end.go
@@ -17,7 +17,7 @@
 	if known, ok := m.find(id); ok {
 		return m.endKnown(ctx, known, organisation)
 	}
-	if owner, ok := m.owner(id); ok {
+	if owner, ok := m.reader(id); ok {
 		q := EndRequest{Job: id, Organisation: organisation}
 		answer, err := peer.Ask[EndRequest, EndAnswer](ctx, m.peers, owner.Address, MethodEnd, q)
 		if err == nil && answer.Known {
--- a/internal/edge/view/contacts.go
+++ b/internal/edge/view/contacts.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// followers is how many entries follow the store by watches; the others hear from them. Two, so that one that dies holds
-	// nobody up.
-	followers = 2
+	// followers is how many entries follow the configuration by watches; the others hear from them. Two, so that one that dies holds
+	// nobody up. One follows the other kinds, whose changes may come a second later, and whose watches are most of all calls.
+	followers      = 2
+	otherFollowers = 1
 	// probePause is how often a follower makes sure that it reaches the store. A probe costs a tenth of a call.
 	probePause   = 400 * time.Millisecond
 	probeTimeout = 400 * time.Millisecond
@@ -101,10 +102,10 @@
 
 // chosen says whether this entry is to follow the store: it is, unless enough entries that come before it reach it. The order is
 // by hash, so that the work isn't always with the first hosts of the first availability zone; place is how many living entries come before
-// this one.
+// this one, and wanted how many are to follow.
 //
 // Guard: an entry that the store turns away, or that is cut off, has no fresh contact, and the next in order begins.
-func (c *contacts) chosen(now time.Time, place int) bool {
+func (c *contacts) chosen(now time.Time, place, wanted int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	allowed := contactTime
@@ -117,7 +118,7 @@
 			before++
 		}
 	}
-	return before < followers
+	return before < wanted
 }
 
 // fresh says whether the entry reached the store lately.
--- a/internal/edge/view/contacts_test.go
+++ b/internal/edge/view/contacts_test.go
@@ -46,7 +46,7 @@
 					ages[hosts[at]] = age.Milliseconds()
 				}
 				c.merge(start, ages)
-				if got := c.chosen(start, i); got != test.want[i] {
+				if got := c.chosen(start, i, followers); got != test.want[i] {
 					t.Errorf("number %d follows: %v", i, got)
 				}
 			}
@@ -63,7 +63,7 @@
 		c := newContacts(host)
 		late := (contactTime + 400*time.Millisecond).Milliseconds()
 		c.merge(start, map[string]int64{hosts[0]: late, hosts[1]: late})
-		if c.chosen(start, i) {
+		if c.chosen(start, i, followers) {
 			following++
 		}
 	}
@@ -72,6 +72,30 @@
 	}
 }
 
+// The one entry that follows the list of servers is cut off. The next in order must go on with it as soon as the last proof is old, or a
+// leaving server would get requests for as long as the cut lasts.
+func TestTheListOfServersIsFollowedOn(t *testing.T) {
+	hosts := inOrder(4)
+	for _, test := range []struct {
+		name string
+		age  time.Duration
+		want []bool
+	}{
+		{name: "the first reaches the store", want: []bool{true, false, false, false}},
+		{name: "the first is cut off", age: contactTime, want: []bool{true, true, true, true}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for i, host := range hosts {
+				c := newContacts(host)
+				c.merge(start, map[string]int64{hosts[0]: test.age.Milliseconds()})
+				if got := c.chosen(start, i, otherFollowers); got != test.want[i] {
+					t.Errorf("number %d follows: %v", i, got)
+				}
+			}
+		})
+	}
+}
+
 func TestContactsAreToldByAge(t *testing.T) {
 	first, second := newContacts("a"), newContacts("b")
 	first.note(start, nil)
--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -143,7 +143,7 @@
 func (f *Follower) probe(ctx context.Context) {
 	for sleep(ctx, probePause) {
 		now := time.Now()
-		if !f.contacts.chosen(now, f.place(now)) || f.contacts.age(now) < probePause {
+		if !f.contacts.chosen(now, f.place(now), followers) || f.contacts.age(now) < probePause {
 			continue
 		}
 		probing, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -187,7 +187,10 @@
 	if _, known := f.view.Part(kind); !known {
 		return f.begins(now)
 	}
-	return f.contacts.chosen(now, f.place(now)) && (kind == platform.KindConfiguration || !f.contacts.failing())
+	if kind == platform.KindConfiguration {
+		return f.contacts.chosen(now, f.place(now), followers)
+	}
+	return !f.contacts.failing() && f.contacts.chosen(now, f.place(now), otherFollowers)
 }
 
 // begins says whether a fresh entry is to read the store itself.
