--- a/internal/edge/entry/dispatcher.go
+++ b/internal/edge/entry/dispatcher.go
@@ -114,6 +114,7 @@
 		tried[hostID] = true
 	}
 	last := noServer(c.pool.Name)
+	isolated := newIsolatedAgents()
 	for attempt := range maxAttempts {
 		if attempt > 0 {
 			if !d.budget.Spend() {
@@ -122,6 +123,9 @@
 			d.metrics.retried(c.pool.Name)
 		}
 		server, ok := d.place(ctx, c, tried)
+		for !ok && isolated.wait(ctx, tried) {
+			server, ok = d.place(ctx, c, tried)
+		}
 		if !ok {
 			return d.orDeadline(ctx, last)
 		}
@@ -134,6 +138,7 @@
 			return nil
 		}
 		last = verdict.From(err)
+		isolated.note(server.HostID, last)
 		if !mayRepeat(last, c.idempotent) || ctx.Err() != nil {
 			return last
 		}
--- a/internal/edge/entry/dispatcher_test.go
+++ b/internal/edge/entry/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/request"
@@ -113,3 +114,40 @@
 		t.Errorf("have %d runs and %+v", runs(ready), have)
 	}
 }
+
+// takesItselfForIsolated makes an agent that refuses so many requests because its configuration was not confirmed lately.
+func takesItselfForIsolated(times int) *fakeAgent {
+	var refused atomic.Int64
+	return &fakeAgent{execute: func(ctx context.Context, q request.Execute, out peer.Sink) (request.AnswerEnd, error) {
+		if refused.Add(1) <= int64(times) {
+			return request.AnswerEnd{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonIsolated, 0, "not confirmed")
+		}
+		return echo(ctx, q, out)
+	}}
+}
+
+// The platform goes down, and for a moment the only agent can't tell that from being cut off itself. A rider was refused with 503 though the
+// engine was idle and the agent took requests again half a second later. One that stays cut off still refuses, with the truth that
+// nothing ran.
+func TestAgentThatSoonKnowsOfTheOutageIsAskedAgain(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		refuses int
+		status  int
+	}{
+		{name: "confirmed after a moment", refuses: 2, status: http.StatusOK},
+		{name: "cut off", refuses: 1000, status: http.StatusServiceUnavailable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, takesItselfForIsolated(test.refuses))
+			have := f.send(http.MethodPost, "/v1/services/billdesk/charge", "once")
+			if have.status != test.status {
+				t.Errorf("%+v", have)
+			}
+			if test.status != http.StatusOK && (have.verdict != verdict.NotRun || have.reason != verdict.ReasonIsolated) {
+				t.Errorf("%+v", have)
+			}
+		})
+	}
+}
