--- a/internal/core/backend/book.go
+++ b/internal/core/backend/book.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/oleandershelf/oleandershelf/internal/core/placement"
 )
 
@@ -30,6 +32,11 @@
 	moveFactor = 1.9
 	// leastPaces is how many other servers must be known to call one slow.
 	leastPaces = 2
+	// subsetSize is how many servers that may run a request an entry looks at first, in an order of its own by hash, and leastFit how many
+	// of them must have a place to look no further. It bounds the connections of an entry and of a server, and the work of a choice: of
+	// 2,700 servers a choice among all took longer than the request.
+	subsetSize = 32
+	leastFit   = 4
 	// paceShare is the part of a new span of a stream in the pace of its server: the last few spans count.
 	paceShare = 0.2
 )
@@ -61,6 +68,8 @@
 	versions map[string]int
 	// pace is the usual time between two pieces of a stream.
 	pace time.Duration
+	// order is the server's place in the order of this entry.
+	order uint64
 }
 
 func (s *serverState) version(model string) int {
@@ -69,16 +78,20 @@
 
 // Book holds the servers of all pools with what this entry runs at each. It is safe for concurrent use.
 type Book struct {
+	host    string
 	zone    string
 	mu      sync.Mutex
 	tracker *placement.Tracker
 	servers map[string]*serverState
+	// pools holds the servers of each pool in this entry's order.
+	pools   map[string][]*serverState
 	changed chan struct{}
 }
 
-// NewBook returns an empty book of an entry in the availability zone.
-func NewBook(zone string) *Book {
+// NewBook returns an empty book of the entry at the host in the availability zone.
+func NewBook(host, zone string) *Book {
 	return &Book{
+		host: host,
 		zone: zone,
 		// All servers are weighed, since nothing has to be asked for it.
 		tracker: placement.NewTracker(placement.WithChoices(1<<20), placement.WithCacheSaving(0)),
@@ -107,12 +120,21 @@
 	for _, server := range servers {
 		state, known := b.servers[server.ID]
 		if !known || state.server.Key() != server.Key() {
-			state = &serverState{versions: map[string]int{}}
+			state = &serverState{versions: map[string]int{}, order: xxhash.Sum64String(b.host + "\x00" + server.ID)}
 		}
 		state.server = server
 		next[server.ID] = state
 	}
 	b.servers = next
+	b.pools = map[string][]*serverState{}
+	for _, state := range next {
+		b.pools[state.server.Pool] = append(b.pools[state.server.Pool], state)
+	}
+	for _, pool := range b.pools {
+		slices.SortFunc(pool, func(x, y *serverState) int {
+			return cmp.Or(cmp.Compare(x.order, y.order), cmp.Compare(x.server.ID, y.server.ID))
+		})
+	}
 	b.wake()
 }
 
@@ -190,11 +212,19 @@
 // candidates returns the servers that may run the request, without those that the tracker spares.
 func (b *Book) candidates(now time.Time, need Need) []*serverState {
 	var fit []placement.Server
-	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
-		if state := b.servers[id]; b.fits(now, state, need) {
-			fit = append(fit, placement.Server{HostID: id, Pool: state.server.Pool})
+	seen := 0
+	for _, state := range b.pools[need.Pool] {
+		if !mayRun(state, need) {
+			continue
+		}
+		if hasPlace(now, state, need) {
+			fit = append(fit, placement.Server{HostID: state.server.ID, Pool: need.Pool})
+		}
+		if seen++; seen%subsetSize == 0 && len(fit) >= leastFit {
+			break
 		}
 	}
+	slices.SortFunc(fit, func(x, y placement.Server) int { return cmp.Compare(x.HostID, y.HostID) })
 	chosen := b.tracker.Candidates(now, fit, 0, nil)
 	states := make([]*serverState, 0, len(chosen))
 	for _, server := range chosen {
@@ -203,18 +233,20 @@
 	return states
 }
 
-func (b *Book) fits(now time.Time, state *serverState, need Need) bool {
-	server := state.server
-	if server.Pool != need.Pool || server.Draining || need.Avoid[server.ID] {
-		return false
-	}
-	if need.Model != "" && state.version(need.Model) < need.MinVersion {
+// mayRun says whether the server can run the request at all.
+func mayRun(state *serverState, need Need) bool {
+	if state.server.Draining || need.Avoid[state.server.ID] {
 		return false
 	}
+	return need.Model == "" || state.version(need.Model) >= need.MinVersion
+}
+
+// hasPlace says whether the request may be sent to the server now.
+func hasPlace(now time.Time, state *serverState, need Need) bool {
 	if !need.Within {
 		return true
 	}
-	return !now.Before(state.lastUntil) && state.running+state.others < max(1, server.Slots)
+	return !now.Before(state.lastUntil) && state.running+state.others < max(1, state.server.Slots)
 }
 
 // late puts servers behind that just refused or could not be reached.
@@ -320,10 +352,13 @@
 		return false
 	}
 	var paces []time.Duration
-	for other, state := range b.servers {
-		if other != id && state.server.Pool == own.server.Pool && state.pace > 0 {
+	for _, state := range b.pools[own.server.Pool] {
+		if state != own && state.pace > 0 {
 			paces = append(paces, state.pace)
 		}
+		if len(paces) == subsetSize {
+			break
+		}
 	}
 	if len(paces) < leastPaces {
 		return false
--- a/internal/core/backend/book_test.go
+++ b/internal/core/backend/book_test.go
@@ -18,7 +18,7 @@
 }
 
 func newTestBook() *Book {
-	book := NewBook("near")
+	book := NewBook("self", "near")
 	book.Sync(servers())
 	return book
 }
@@ -138,7 +138,7 @@
 // Two of nine engines turn four times slower while they run the longest items of a step. Without leaving them the step would take
 // as long as the items do there.
 func TestMoves(t *testing.T) {
-	book := NewBook("near")
+	book := NewBook("self", "near")
 	var list []Server
 	for _, id := range []string{"a", "b", "c", "d"} {
 		list = append(list, Server{ID: id, Pool: "p", Slots: 12, Models: map[string]int{"m": 1}})
--- a/internal/core/batch/home_test.go
+++ b/internal/core/batch/home_test.go
@@ -23,7 +23,7 @@
 	t.Helper()
 	found := map[string]string{}
 	for _, model := range models {
-		home, ok := Home(model, models, runners)
+		home, ok := Home("job", model, Demand{Models: models}, runners)
 		if !ok {
 			t.Fatalf("%s has no home among %d", model, len(runners))
 		}
@@ -91,10 +91,40 @@
 }
 
 func TestNoHome(t *testing.T) {
-	if home, ok := Home("m", []string{"m"}, nil); ok {
+	if home, ok := Home("job", "m", Demand{Models: []string{"m"}}, nil); ok {
 		t.Errorf("got %q", home)
 	}
-	if home, _ := Home("unknown", nil, []Runner{{HostID: "a"}}); home != "a" {
+	if home, _ := Home("job", "unknown", Demand{}, []Runner{{HostID: "a"}}); home != "a" {
 		t.Errorf("a model that is not trained yet has home %q", home)
 	}
 }
+
+// A model has 1,350 engines of twelve places, and a hundred jobs run at once. One entry can't carry the streams of all; they must spread over
+// as many as the engines need, evenly, while the jobs of a model with few engines stay together.
+func TestJobsOfALargeModelAreSpread(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		slots        int
+		least, busy  int
+		entriesCount int
+	}{
+		{name: "a dozen engines", slots: 108, least: 1, busy: 400, entriesCount: 8},
+		{name: "1,350 engines a model", slots: 32400, least: 60, busy: 20, entriesCount: 300},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runners := entries(test.entriesCount)
+			jobs := map[string]int{}
+			for i := range 400 {
+				home, _ := Home(fmt.Sprintf("job-%d", i), "a", Demand{Models: []string{"a", "b"}, Slots: test.slots}, runners)
+				jobs[home]++
+			}
+			busiest := 0
+			for _, count := range jobs {
+				busiest = max(busiest, count)
+			}
+			if len(jobs) < test.least || busiest > test.busy {
+				t.Errorf("%d homes, the busiest with %d jobs", len(jobs), busiest)
+			}
+		})
+	}
+}
--- a/internal/core/placement/tracker.go
+++ b/internal/core/placement/tracker.go
@@ -149,6 +149,9 @@
 
 // addRandom adds random servers, until choices of them are there.
 func (t *Tracker) addRandom(out, usable []Server) []Server {
+	if t.choices >= len(usable) {
+		return appendAll(out, usable)
+	}
 	want := min(len(out)+t.choices, len(usable))
 	for tries := 0; len(out) < want && tries < 4*want; tries++ {
 		out = appendOnce(out, usable[t.random.IntN(len(usable))])
@@ -164,6 +167,17 @@
 	return out
 }
 
+// appendAll appends all servers that out doesn't hold yet; drawn one by one, some dozens took as long as all else of a choice.
+func appendAll(out, usable []Server) []Server {
+	first := out
+	for _, server := range usable {
+		if !slices.ContainsFunc(first, func(s Server) bool { return s.HostID == server.HostID }) {
+			out = append(out, server)
+		}
+	}
+	return out
+}
+
 func appendOnce(out []Server, server Server) []Server {
 	if slices.ContainsFunc(out, func(s Server) bool { return s.HostID == server.HostID }) {
 		return out
--- a/internal/edge/batchjob/home.go
+++ b/internal/edge/batchjob/home.go
@@ -15,8 +15,8 @@
 // homeTime bounds the question to the home of a model whether it runs a job; entries answer within milliseconds, and a trainer waits.
 const homeTime = 700 * time.Millisecond
 
-// home returns the entry that is to run the jobs of a model: this one, or another that is heard of.
-func (m *Manager) home(model string) gossip.Member {
+// home returns the entry that is to run a job: this one, or another that is heard of.
+func (m *Manager) home(spec *batch.Job) gossip.Member {
 	self := m.members.Self()
 	var runners []batch.Runner
 	if !m.isLeaving() {
@@ -29,7 +29,7 @@
 			runners = append(runners, batch.Runner{HostID: member.HostID, Cores: member.Cores})
 		}
 	}
-	home, _ := batch.Home(model, m.models(), runners)
+	home, _ := batch.Home(spec.ID, spec.Model, m.demand(), runners)
 	if member, ok := members[home]; ok {
 		return member
 	}
@@ -45,7 +45,7 @@
 // begin has an accepted job run: by its model's home, or here if that is this entry or doesn't answer. Fresh is the job as the
 // store keeps it if it was accepted just now, so that no page of it exists.
 func (m *Manager) begin(spec *batch.Job, fresh []byte) {
-	home := m.home(spec.Model)
+	home := m.home(spec)
 	if home.HostID == m.members.Self().HostID {
 		m.beginHere(spec, fresh)
 		return
--- a/internal/edge/batchjob/item_test.go
+++ b/internal/edge/batchjob/item_test.go
@@ -9,7 +9,7 @@
 
 // newWatchedBook returns a book of four engines whose usual pace is 30 ms a piece.
 func newWatchedBook() *backend.Book {
-	book := backend.NewBook("near")
+	book := backend.NewBook("self", "near")
 	var servers []backend.Server
 	for _, id := range []string{"a", "b", "c", "d"} {
 		servers = append(servers, backend.Server{ID: id, Pool: "p", Slots: 6})
--- a/internal/edge/batchjob/load.go
+++ b/internal/edge/batchjob/load.go
@@ -39,7 +39,7 @@
 	if err != nil || j.over() || m.hasOwner(j.spec) {
 		return j, err
 	}
-	if m.home(j.spec.Model).HostID == m.members.Self().HostID {
+	if m.home(j.spec).HostID == m.members.Self().HostID {
 		return m.takeHere(j), nil
 	}
 	// Entries that each know nobody who runs the job agree on its home, which may well run it already.
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
+	"github.com/oleandershelf/oleandershelf/internal/core/batch"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
@@ -72,7 +73,7 @@
 	peers   *peer.Client
 	members Members
 	outage  func(now time.Time) bool
-	models  func() []string
+	demand  func() batch.Demand
 	metrics *Metrics
 	log     zerolog.Logger
 	work    conc.WaitGroup
@@ -97,8 +98,8 @@
 	Members Members
 	// Outage says whether the store is known to be out of every entry's reach.
 	Outage func(now time.Time) bool
-	// Models returns the models that are trained.
-	Models  func() []string
+	// Demand returns what is trained.
+	Demand  func() batch.Demand
 	Metrics *Metrics
 	Log     zerolog.Logger
 }
@@ -113,7 +114,7 @@
 		peers:   deps.Peers,
 		members: deps.Members,
 		outage:  deps.Outage,
-		models:  deps.Models,
+		demand:  deps.Demand,
 		metrics: deps.Metrics,
 		log:     deps.Log,
 		jobs:    map[string]*job{},
--- a/internal/edge/batchjob/submit.go
+++ b/internal/edge/batchjob/submit.go
@@ -22,7 +22,7 @@
 		// To try would hold the trainer for seconds, and leave open whether the job was accepted.
 		return verdict.New(verdict.NotRun, 0, verdict.ReasonPlatformUnavailable, outageRetry, "no entry reaches the store")
 	}
-	spec.Owner = m.home(spec.Model).HostID
+	spec.Owner = m.home(spec).HostID
 	value, err := json.Marshal(spec)
 	if err != nil {
 		return verdict.New(verdict.NotRun, 0, verdict.ReasonBadRequest, 0, "job %s: %v", spec.ID, err)
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
+	"github.com/oleandershelf/oleandershelf/internal/core/batch"
 	"github.com/oleandershelf/oleandershelf/internal/core/usage"
 	"github.com/oleandershelf/oleandershelf/internal/edge/admin"
 	"github.com/oleandershelf/oleandershelf/internal/edge/batchjob"
@@ -121,7 +122,7 @@
 	metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	options = append(options, peer.WithHeartbeat(peerHeartbeat, peerTimeout))
 	g.client = peer.NewClient(ctx, []byte(g.set.PeerSecret), options...)
-	g.book = backend.NewBook(g.set.AvailabilityZone)
+	g.book = backend.NewBook(g.set.HostID, g.set.AvailabilityZone)
 	g.ledger = usage.NewLedger()
 	g.view = view.New(g.log, func(s *view.Snapshot) { g.book.Sync(s.Servers) })
 	g.news = newNews(g, incarnation)
@@ -146,7 +147,7 @@
 		Peers:   g.client,
 		Members: members,
 		Outage:  g.follower.Outage,
-		Models:  func() []string { return slices.Sorted(maps.Keys(g.view.Now().Versions)) },
+		Demand:  g.demand,
 		Metrics: batchjob.NewMetrics(metrics),
 		Log:     g.log,
 	}, g.registry)
@@ -258,6 +259,18 @@
 	return ok && member.Incarnation == holder.Incarnation && !member.Leaving
 }
 
+// demand returns what is trained.
+func (g *Gateway) demand() batch.Demand {
+	snapshot := g.view.Now()
+	demand := batch.Demand{Models: slices.Sorted(maps.Keys(snapshot.Versions))}
+	for _, server := range snapshot.Servers {
+		if len(server.Models) > 0 {
+			demand.Slots += server.Slots
+		}
+	}
+	return demand
+}
+
 // reload takes over what may change while the process runs.
 func (g *Gateway) reload(set settings.Settings) {
 	g.gossip.Meet(set.Seeds...)
