Watches begin anew once the store is back, and counts of ended runs go on

Change: watches begin anew when the store is reached after a failure and when an entry is to follow again; a watch waits 8 s at most; counts of runs that are over go on from neighbour to neighbour.

--- a/internal/edge/view/contacts.go
+++ b/internal/edge/view/contacts.go
@@ -47,6 +47,8 @@
 	// reached is when each entry was last known to reach the store.
 	reached map[string]time.Time
 	failed  bool
+	// failures counts the failed calls of this entry.
+	failures int
 }
 
 func newContacts(self string) *contacts {
@@ -60,7 +62,9 @@
 	c.failed = err != nil
 	if err == nil {
 		c.reached[c.self] = now
+		return
 	}
+	c.failures++
 }
 
 func (c *contacts) failing() bool {
@@ -69,6 +73,13 @@
 	return c.failed
 }
 
+// lost returns how many calls of this entry failed so far, and whether the last one did.
+func (c *contacts) lost() (failures int, failing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failures, c.failed
+}
+
 // age is the time since this entry reached the store.
 func (c *contacts) age(now time.Time) time.Duration {
 	c.mu.Lock()
--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -22,7 +22,7 @@
 const (
 	// watchWait is how long a watch waits for a change. Each watch is paid for; the store allows 30 s, but keeps its history for 20 s at
 	// most, and a watch from before that ends in an error and a list.
-	watchWait = 15 * time.Second
+	watchWait = 8 * time.Second
 	// retryPause is the mean pause after a failed call, doubled up to retryMost: in an outage three watches of an entry make
 	// some four calls a second together, and a store that is back is noticed within a second.
 	retryPause = 200 * time.Millisecond
@@ -64,6 +64,7 @@
 	log      zerolog.Logger
 	work     conc.WaitGroup
 	started  time.Time
+	watches  watches
 }
 
 // NewFollower follows the store until ctx ends, and serves the view's parts to other entries.
@@ -141,18 +142,28 @@
 // probe makes sure that this entry reaches the store while it follows it. A watch on a connection that a partition cut says nothing
 // for seconds, and all that rely on it would go on with an old configuration.
 func (f *Follower) probe(ctx context.Context) {
+	followed, known := false, 0
 	for sleep(ctx, probePause) {
 		now := time.Now()
-		if !f.contacts.chosen(now, f.place(now), followers) || f.contacts.age(now) < probePause {
-			continue
+		chosen := f.contacts.chosen(now, f.place(now), followers)
+		if chosen && f.contacts.age(now) >= probePause {
+			f.probeOnce(ctx)
 		}
-		probing, cancel := context.WithTimeout(ctx, probeTimeout)
-		err := f.source.Probe(probing)
-		cancel()
-		f.contacts.note(time.Now(), err)
+		failures, failing := f.contacts.lost()
+		if chosen && !failing && (!followed || failures != known) {
+			f.watches.restart()
+			known = failures
+		}
+		followed = chosen
 	}
 }
 
+func (f *Follower) probeOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	f.contacts.note(time.Now(), f.source.Probe(ctx))
+}
+
 // follow lists a kind and then watches it, for ever, while this entry is one of those that follow the store.
 func (f *Follower) follow(ctx context.Context, kind string) {
 	pause := retryPause
@@ -165,6 +176,9 @@
 		began := time.Now()
 		var err error
 		watched, err = f.step(ctx, kind, watched)
+		if errors.Is(err, errRestarted) {
+			continue
+		}
 		f.contacts.note(time.Now(), err)
 		if err == nil {
 			pause = retryPause
@@ -222,7 +236,11 @@
 		return f.list(ctx, kind)
 	}
 	watched = max(watched, product.Version(part.Revision))
-	changes, err := f.source.Watch(ctx, kind, watched, watchWait)
+	watching, done := f.watches.begin(ctx, kind)
+	changes, err := f.source.Watch(watching, kind, watched, watchWait)
+	if restarted := done(); restarted && err != nil {
+		return watched, errRestarted
+	}
 	if errors.Is(err, platform.ErrCompacted) {
 		return f.list(ctx, kind)
 	}
--- a/internal/program/process/news.go
+++ b/internal/program/process/news.go
@@ -40,6 +40,7 @@
 		running:     map[string]runningThere{},
 		total:       map[string]int{},
 		told:        map[uint64]map[usage.Cell]usage.Amount{},
+		living:      g.living,
 	}
 }
 
@@ -47,6 +48,8 @@
 type news struct {
 	gateway     *Gateway
 	incarnation uint64
+	// living returns the runs of other entries that are alive.
+	living func(now time.Time) map[uint64]bool
 
 	mu sync.Mutex
 	// running is what each other entry runs, and total the sum by server.
@@ -89,16 +92,30 @@
 	return beat
 }
 
+// living returns the runs of other entries that are alive.
+func (g *Gateway) living(now time.Time) map[uint64]bool {
+	living := map[uint64]bool{}
+	for _, member := range g.gossip.Alive(now) {
+		living[member.Incarnation] = true
+	}
+	return living
+}
+
 // counts returns the counts that the entry hasn't got from this one. The holder of the duties gets copies of others' counts too: an
 // entry may die after it told its neighbours and before it told the holder.
+//
+// Guard: all entries are restarted one after the other while the store is out of reach, and windows can't be closed. Each takes the copies
+// with it that it had of those before, and a whole window was lost. So the counts of a run that is over go on from neighbour to neighbour.
 func (n *news) counts(now time.Time, to gossip.Member) []usage.Count {
 	from := usage.WindowStart(now.Add(-toldWindows), n.gateway.set.UsageWindow)
+	living := n.living(now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	all := to.HostID == n.holder.HostID
 	there := n.told[to.Incarnation]
 	counts := n.gateway.ledger.Which(func(cell usage.Cell) bool {
-		return cell.Window >= from && (all || cell.Agent == n.incarnation) && cell.Agent != to.Incarnation
+		mine := cell.Agent == n.incarnation || !living[cell.Agent]
+		return cell.Window >= from && (all || mine) && cell.Agent != to.Incarnation
 	})
 	return slices.DeleteFunc(counts, func(c usage.Count) bool { return there[c.Cell] == c.Amount })
 }
@@ -205,13 +222,10 @@
 		}
 	}
 	before := now.Add(-forgetCounts).Unix()
-	alive := map[uint64]bool{}
-	for _, member := range n.gateway.gossip.Alive(now) {
-		alive[member.Incarnation] = true
-	}
+	living := n.living(now)
 	maps.DeleteFunc(n.told, func(run uint64, there map[usage.Cell]usage.Amount) bool {
 		maps.DeleteFunc(there, func(cell usage.Cell, _ usage.Amount) bool { return cell.Window < before })
-		return !alive[run]
+		return !living[run]
 	})
 	n.mu.Unlock()
 	for _, hostID := range old {
--- a/internal/program/process/news_test.go
+++ b/internal/program/process/news_test.go
@@ -15,11 +15,13 @@
 func newTestNews(incarnation uint64) *news {
 	book := backend.NewBook("self", "north-a")
 	book.Sync([]backend.Server{{ID: "e1", Pool: "engines"}, {ID: "e2", Pool: "engines"}})
-	return newNews(&Gateway{
+	n := newNews(&Gateway{
 		ledger: usage.NewLedger(),
 		book:   book,
 		set:    settings.Settings{HostID: "self", UsageWindow: 5 * time.Second},
 	}, incarnation)
+	n.living = func(time.Time) map[uint64]bool { return map[uint64]bool{1: true, 2: true, 3: true, 4: true} }
+	return n
 }
 
 // An entry dies a moment after it counted requests, before the holder of the duties heard of them. Its neighbour has a copy, and the holder
@@ -56,6 +58,25 @@
 	}
 }
 
+// All entries are restarted one after the other while the store is out of reach and no window can be closed. The counts of the first go on
+// through runs that never heard of it to the one that reports in the end.
+func TestCountsOutliveARestartOfAll(t *testing.T) {
+	now := time.Now()
+	runs := []*news{newTestNews(1), newTestNews(2), newTestNews(3), newTestNews(4)}
+	runs[0].Ran("north", now)
+	for i, next := range runs[1:] {
+		before := runs[i]
+		before.living = func(time.Time) map[uint64]bool { return map[uint64]bool{uint64(i + 2): true} }
+		for _, count := range before.counts(now, gossip.Member{HostID: "next", Incarnation: uint64(i + 2)}) {
+			next.gateway.ledger.Merge(count)
+		}
+	}
+	start := usage.WindowStart(now, 5*time.Second)
+	if diff := cmp.Diff(map[string]uint64{"north": 1}, runs[3].gateway.ledger.Window(start)); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Who holds the duties goes from entry to entry, and old word of it may come after newer.
 func TestTheNewestHolderCounts(t *testing.T) {
 	n := newTestNews(1)
