Agents that take themselves for cut off don't use up a request's tries

Cause: with two agents four tries were over after one pause of 250 ms, and a copy of TestWeightsChange run beside seven others still got the 503. Test: five refusals in a row.

--- a/internal/edge/entry/dispatcher.go
+++ b/internal/edge/entry/dispatcher.go
@@ -115,7 +115,7 @@
 	}
 	last := noServer(c.pool.Name)
 	isolated := newIsolatedAgents()
-	for attempt := range maxAttempts {
+	for attempt := 0; attempt < maxAttempts; attempt++ {
 		if attempt > 0 {
 			if !d.budget.Spend() {
 				return last
@@ -138,7 +138,10 @@
 			return nil
 		}
 		last = verdict.From(err)
-		isolated.note(server.HostID, last)
+		if isolated.note(server.HostID, last) {
+			// It was turned away at the door of an agent; tries are bounded by the time that such agents have.
+			attempt--
+		}
 		if !mayRepeat(last, c.idempotent) || ctx.Err() != nil {
 			return last
 		}
--- a/internal/edge/entry/dispatcher_test.go
+++ b/internal/edge/entry/dispatcher_test.go
@@ -135,7 +135,7 @@
 		refuses int
 		status  int
 	}{
-		{name: "confirmed after a moment", refuses: 2, status: http.StatusOK},
+		{name: "confirmed after a moment", refuses: 5, status: http.StatusOK},
 		{name: "cut off", refuses: 1000, status: http.StatusServiceUnavailable},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/edge/entry/isolated.go
+++ b/internal/edge/entry/isolated.go
@@ -28,10 +28,10 @@
 
 func newIsolatedAgents() *isolatedAgents { return &isolatedAgents{} }
 
-// note takes in how an agent refused.
-func (i *isolatedAgents) note(hostID string, refusal *verdict.Refusal) {
+// note takes in how an agent refused, and returns whether it took itself for cut off.
+func (i *isolatedAgents) note(hostID string, refusal *verdict.Refusal) bool {
 	if refusal.Verdict != verdict.NotRun || refusal.Reason != verdict.ReasonIsolated {
-		return
+		return false
 	}
 	if i.since.IsZero() {
 		i.since = time.Now()
@@ -39,6 +39,7 @@
 	if !slices.Contains(i.hosts, hostID) {
 		i.hosts = append(i.hosts, hostID)
 	}
+	return true
 }
 
 // wait waits a moment and lets these agents be tried again; false if there are none, or they have had their time.
