A process closes its listener for others before it has ended

Cause: one of 24 runs of TestWeightsChange/weight_prefetched failed with "peerListen: bind: address already in use": the listener of an agent that was killed and started again at once was closed a moment after its end, by the end of a context. Change: the end of an agent, an entry and a gateway waits for it.

--- a/internal/program/process/agent.go
+++ b/internal/program/process/agent.go
@@ -115,6 +115,7 @@
 
 func (p *Agent) close() {
 	p.cancel()
+	closePeers(p.runtime.server, p.runtime.log)
 	p.agent.Wait()
 	p.admin.Wait()
 	p.freshness.wait()
--- a/internal/program/process/entry.go
+++ b/internal/program/process/entry.go
@@ -124,6 +124,7 @@
 
 func (p *Entry) close() {
 	p.cancel()
+	closePeers(p.runtime.server, p.runtime.log)
 	p.entry.Wait()
 	p.trainers.Wait()
 	p.weights.wait()
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -299,6 +299,7 @@
 
 func (g *Gateway) close() {
 	g.cancel()
+	closePeers(g.peers, g.log)
 	g.gateway.Wait()
 	g.jobs.Wait()
 	g.leader.Wait()
--- a/internal/program/process/runtime.go
+++ b/internal/program/process/runtime.go
@@ -98,6 +98,16 @@
 	return r.server, nil
 }
 
+// closePeers ends the serving of other processes.
+//
+// Guard: a process that is started again under the same address can't listen while its former listener is open, and the end of a context
+// closes that only a moment later.
+func closePeers(server *peer.Server, log zerolog.Logger) {
+	if err := server.Close(); err != nil {
+		log.Warn().Err(err).Msg("peer listener not closed")
+	}
+}
+
 // serveAdmin starts the operator's interface of a host that serves while the follower's view is fresh.
 func (r *runtime) serveAdmin(ctx context.Context, follower *configuration.Follower, dumps map[string]admin.Dump) (*admin.Server, error) {
 	l, err := listen(ctx, "adminListen", r.set.AdminListen)
