--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -105,25 +105,15 @@
 func (f *Follower) fetch(ctx context.Context, from netip.AddrPort, kind string) {
 	ctx, cancel := context.WithTimeout(ctx, partTimeout)
 	defer cancel()
-	part, known := f.view.Part(kind)
-	for {
-		answer, err := peer.Ask[PartRequest, PartAnswer](ctx, f.client, from, MethodPart, PartRequest{Kind: kind, Known: part.Revision})
-		if err != nil {
-			// The next beat tells of the newer revision again.
-			f.log.Debug().Err(err).Str("kind", kind).Stringer("entry", from).Msg("part not fetched")
-			return
-		}
-		if answer.Kind != kind {
-			return
-		}
-		if next, whole := part.updated(answer); whole {
-			f.view.Offer(next)
-			return
-		}
-		if !known {
-			return
-		}
-		part, known = Part{}, false
+	part, _ := f.view.Part(kind)
+	answer, err := peer.Ask[PartRequest, PartAnswer](ctx, f.client, from, MethodPart, PartRequest{Kind: kind, Known: part.Revision})
+	if err != nil {
+		// The next beat tells of the newer revision again.
+		f.log.Debug().Err(err).Str("kind", kind).Stringer("entry", from).Msg("part not fetched")
+		return
+	}
+	if answer.Kind == kind {
+		f.view.Offer(part.updated(answer))
 	}
 }
 
@@ -259,7 +249,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.view.Offer(Part{Kind: kind, Revision: uint64(revision), Objects: objects})
+	f.view.Offer(newPart(kind, uint64(revision), objects))
 	return revision, nil
 }
 
--- a/internal/edge/view/part.go
+++ b/internal/edge/view/part.go
@@ -8,11 +8,29 @@
 	"github.com/oleandershelf/oleandershelf/platform"
 )
 
-// Part is all objects of one kind as of a revision of the store.
+// removedMost is how many removals of a kind are remembered. An entry that is further behind gets the whole part.
+const removedMost = 256
+
+// removal is an object that was removed.
+type removal struct {
+	name string
+	// revision is one at which it was gone.
+	revision uint64
+}
+
+// Part is all objects of one kind as of a revision of the store. It never changes.
 type Part struct {
-	Kind     string           `msgpack:"k"`
-	Revision uint64           `msgpack:"r"`
-	Objects  []product.Object `msgpack:"o"`
+	Kind     string
+	Revision uint64
+	Objects  []product.Object
+	// removed are the removals after the revision floor.
+	removed []removal
+	floor   uint64
+}
+
+// newPart returns a part as it was read whole.
+func newPart(kind string, revision uint64, objects []product.Object) Part {
+	return Part{Kind: kind, Revision: revision, Objects: objects, floor: revision}
 }
 
 // PartRequest asks another entry for what changed of a kind since a revision; 0 asks for everything.
@@ -26,53 +44,84 @@
 type PartAnswer struct {
 	Kind     string `msgpack:"k"`
 	Revision uint64 `msgpack:"r"`
-	// Names are those of all objects, so that removed ones are noticed.
-	Names []string `msgpack:"n"`
-	// Changed are the objects that changed after the revision that the asking entry has.
+	// Whole says that Changed holds all objects of the kind, whatever the entry that asks had.
+	Whole   bool             `msgpack:"w"`
 	Changed []product.Object `msgpack:"c"`
+	Removed []string         `msgpack:"d"`
 }
 
 // since returns what changed after the revision.
 func (p Part) since(known uint64) PartAnswer {
 	answer := PartAnswer{Kind: p.Kind, Revision: p.Revision}
+	if known == 0 || known < p.floor {
+		answer.Whole = true
+		answer.Changed = p.Objects
+		return answer
+	}
 	for _, object := range p.Objects {
-		answer.Names = append(answer.Names, object.Name)
 		if uint64(object.Version) > known {
 			answer.Changed = append(answer.Changed, object)
 		}
 	}
+	for _, gone := range p.removed {
+		if gone.revision > known {
+			answer.Removed = append(answer.Removed, gone.name)
+		}
+	}
 	return answer
 }
 
-// updated returns the part as another entry has it; false if an object is missing here, so that the whole must be asked for.
-func (p Part) updated(answer PartAnswer) (Part, bool) {
-	objects := make(map[string]product.Object, len(p.Objects))
-	for _, object := range p.Objects {
-		objects[object.Name] = object
+// updated returns the part as another entry has it.
+func (p Part) updated(answer PartAnswer) Part {
+	if answer.Whole {
+		return newPart(answer.Kind, answer.Revision, answer.Changed)
 	}
-	for _, object := range answer.Changed {
-		objects[object.Name] = object
+	changes := platform.Changes{Revision: product.Version(answer.Revision)}
+	for _, name := range answer.Removed {
+		changes.Changes = append(changes.Changes, platform.Change{Object: product.Object{Name: name}, Removed: true})
 	}
-	next := Part{Kind: answer.Kind, Revision: answer.Revision}
-	for _, name := range answer.Names {
-		object, ok := objects[name]
-		if !ok {
-			return Part{}, false
-		}
-		next.Objects = append(next.Objects, object)
+	for _, object := range answer.Changed {
+		changes.Changes = append(changes.Changes, platform.Change{Object: object})
 	}
-	return next, true
+	return p.after(changes)
 }
 
-// after returns the part with the changes applied.
+// after returns the part with the changes applied, the last one of an object last.
 func (p Part) after(changes platform.Changes) Part {
-	next := Part{Kind: p.Kind, Revision: max(p.Revision, uint64(changes.Revision)), Objects: slices.Clone(p.Objects)}
+	next := Part{Kind: p.Kind, Revision: max(p.Revision, uint64(changes.Revision)), floor: p.floor}
+	last := map[string]platform.Change{}
 	for _, change := range changes.Changes {
-		next.Objects = slices.DeleteFunc(next.Objects, func(o product.Object) bool { return o.Name == change.Object.Name })
-		if !change.Removed {
+		last[change.Object.Name] = change
+	}
+	for _, object := range p.Objects {
+		if _, changed := last[object.Name]; !changed {
+			next.Objects = append(next.Objects, object)
+		}
+	}
+	for _, gone := range p.removed {
+		if _, changed := last[gone.name]; !changed {
+			next.removed = append(next.removed, gone)
+		}
+	}
+	for name, change := range last {
+		if change.Removed {
+			next.removed = append(next.removed, removal{name: name, revision: next.Revision})
+		} else {
 			next.Objects = append(next.Objects, change.Object)
 		}
 	}
 	slices.SortFunc(next.Objects, func(a, b product.Object) int { return cmp.Compare(a.Name, b.Name) })
+	next.forget()
 	return next
 }
+
+// forget drops the oldest removals beyond removedMost.
+func (p *Part) forget() {
+	over := len(p.removed) - removedMost
+	if over <= 0 {
+		return
+	}
+	slices.SortStableFunc(p.removed, func(a, b removal) int { return cmp.Compare(a.revision, b.revision) })
+	p.floor = p.removed[over-1].revision
+	p.removed = p.removed[over:]
+}
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -12,6 +12,7 @@
 
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
 	"github.com/oleandershelf/oleandershelf/internal/core/routing"
+	product "github.com/oleandershelf/oleandershelf/internal/edge/platform"
 	"github.com/oleandershelf/oleandershelf/platform"
 )
 
@@ -39,6 +40,15 @@
 	changed  chan struct{}
 	tableAt  time.Time
 	onChange []func(*Snapshot)
+	// read are the entries of servers as they were decoded.
+	read map[string]readServer
+}
+
+// readServer is a decoded entry of a server, or why it can't be read.
+type readServer struct {
+	version product.Version
+	server  backend.Server
+	err     error
 }
 
 // New returns a view that knows nothing. Each onChange is called with every new state, one state at a time.
@@ -138,12 +148,13 @@
 	}
 	next.Servers = nil
 	next.ServersKnown = true
+	v.readServers(part)
 	for _, object := range part.Objects {
-		server, err := platform.ReadServer(object.Name, object.Value)
-		if err != nil {
-			v.log.Warn().Err(err).Uint64("revision", uint64(object.Version)).Msg("server entry ignored")
+		read := v.read[object.Name]
+		if read.err != nil {
 			continue
 		}
+		server := read.server
 		next.Servers = append(next.Servers, server)
 		former, known := before[server.Key()]
 		delete(before, server.Key())
@@ -157,6 +168,23 @@
 	}
 }
 
+// readServers decodes the entries that changed; of 2,200 entries a few change at a time, several times a second.
+func (v *View) readServers(part Part) {
+	next := make(map[string]readServer, len(part.Objects))
+	for _, object := range part.Objects {
+		read, known := v.read[object.Name]
+		if !known || read.version != object.Version {
+			read = readServer{version: object.Version}
+			read.server, read.err = platform.ReadServer(object.Name, object.Value)
+			if read.err != nil {
+				v.log.Warn().Err(read.err).Uint64("revision", uint64(object.Version)).Msg("server entry ignored")
+			}
+		}
+		next[object.Name] = read
+	}
+	v.read = next
+}
+
 func (v *View) applyVersions(next *Snapshot, part Part) {
 	versions := map[string]int{}
 	for _, object := range part.Objects {
--- a/internal/edge/view/view_test.go
+++ b/internal/edge/view/view_test.go
@@ -76,36 +76,78 @@
 	}
 }
 
-// An entry that is behind asks another for what changed, and must have the very same part afterwards: with what was added, changed and
-// removed. One that lacks an object, since it heard nothing of that kind yet, is told so and asks for the whole.
+// names returns the objects of a part with their versions.
+func names(p Part) map[string]product.Version {
+	found := map[string]product.Version{}
+	for _, object := range p.Objects {
+		found[object.Name] = object.Version
+	}
+	return found
+}
+
+// An entry that is behind asks another for what changed, and must have the very same objects afterwards: with what was added, changed,
+// removed, and removed and made again. One that knows nothing, or is so far behind that removals are forgotten, gets everything.
 func TestWhatChangedMakesTheSamePart(t *testing.T) {
-	there := Part{Kind: platform.KindServers, Revision: 9, Objects: []product.Object{{Name: "a", Version: 2}, {Name: "b", Version: 7}, {Name: "d", Version: 9}}}
+	object := func(name string, version product.Version) product.Object {
+		return product.Object{Name: name, Version: version}
+	}
+	there := newPart(platform.KindServers, 4, []product.Object{object("a", 2), object("b", 4), object("c", 3), object("e", 1)})
+	for _, changes := range []platform.Changes{
+		{Revision: 6, Changes: []platform.Change{{Object: object("c", 6), Removed: true}, {Object: object("e", 6), Removed: true}}},
+		{Revision: 9, Changes: []platform.Change{{Object: object("b", 7)}, {Object: object("d", 8)}, {Object: object("e", 9)}}},
+		{Revision: 12, Changes: []platform.Change{{Object: object("f", 10)}, {Object: object("f", 11), Removed: true}}},
+	} {
+		there = there.after(changes)
+	}
 	for _, test := range []struct {
 		name    string
 		here    Part
-		changed int
 		whole   bool
+		changed int
 	}{
-		{name: "behind", here: Part{Revision: 5, Objects: []product.Object{{Name: "a", Version: 2}, {Name: "b", Version: 4}, {Name: "c", Version: 3}}}, changed: 2, whole: true},
-		{name: "without anything", changed: 3, whole: true},
-		{name: "lacking an object", here: Part{Revision: 5}, changed: 2},
+		{name: "as it was", here: newPart(platform.KindServers, 4, []product.Object{object("a", 2), object("b", 4), object("c", 3), object("e", 1)}), changed: 3},
+		{name: "since the removals", here: newPart(platform.KindServers, 7, []product.Object{object("a", 2), object("b", 7)}), changed: 2},
+		{name: "as it is", here: newPart(platform.KindServers, 12, there.Objects)},
+		{name: "without anything", whole: true, changed: 4},
+		{name: "from before the list", here: newPart(platform.KindServers, 3, []product.Object{object("z", 1)}), whole: true, changed: 4},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			answer := there.since(test.here.Revision)
-			if len(answer.Changed) != test.changed {
-				t.Errorf("%d objects go over the wire", len(answer.Changed))
+			if answer.Whole != test.whole || len(answer.Changed) != test.changed {
+				t.Errorf("whole %v, %d objects go over the wire", answer.Whole, len(answer.Changed))
 			}
-			got, whole := test.here.updated(answer)
-			if whole != test.whole {
-				t.Fatalf("whole: %v", whole)
+			next := test.here.updated(answer)
+			if diff := cmp.Diff(names(there), names(next)); diff != "" || next.Revision != 12 {
+				t.Errorf("revision %d: %s", next.Revision, diff)
 			}
-			if diff := cmp.Diff(there, got); whole && diff != "" {
-				t.Error(diff)
+			if again := there.updated(next.since(12)); len(again.Objects) != len(there.Objects) {
+				t.Errorf("the copy tells %v", names(again))
 			}
 		})
 	}
 }
 
+// Servers come and go all day. Removals are remembered for a while only, and one who asks for older ones must get everything, or it would keep
+// a server for ever that is gone.
+func TestForgottenRemovalsAreNotMissed(t *testing.T) {
+	there := newPart(platform.KindServers, 1, []product.Object{{Name: "first", Version: 1}})
+	here := there
+	for i := range 3 * removedMost {
+		revision := product.Version(i + 2)
+		there = there.after(platform.Changes{Revision: revision, Changes: []platform.Change{{Object: product.Object{Name: fmt.Sprint(i), Version: revision}}}})
+		there = there.after(platform.Changes{Revision: revision, Changes: []platform.Change{{Object: product.Object{Name: fmt.Sprint(i)}, Removed: true}}})
+		if i == 0 {
+			here = newPart(platform.KindServers, uint64(revision), []product.Object{{Name: "first", Version: 1}, {Name: "0", Version: revision}})
+		}
+	}
+	if len(there.removed) > removedMost {
+		t.Errorf("%d removals remembered", len(there.removed))
+	}
+	if diff := cmp.Diff(names(there), names(here.updated(there.since(here.Revision)))); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // fakeMembers are the entries that a follower hears of.
 type fakeMembers struct {
 	self   string
