A job is taken from the entry that hands it over

Change: a request to run a job names who asks, and that entry isn't taken for one that runs it; a job goes to its home first.

--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -41,12 +41,16 @@
 	leaves.Wait()
 }
 
-// handOver asks the other entries, in the order for the job, until one runs it.
+// handOver asks the other entries until one runs the job: its home first, then in the order for the job.
 func (m *Manager) handOver(ctx context.Context, j *job) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTime)
 	defer cancel()
-	for _, member := range m.ranked(j.spec.ID) {
-		q := RunRequest{Job: j.spec.ID, Organisation: j.spec.Organisation}
+	candidates := m.ranked(j.spec.ID)
+	if home := m.home(j.spec); home.HostID != m.members.Self().HostID {
+		candidates = append([]gossip.Member{home}, candidates...)
+	}
+	q := m.runRequest(j.spec)
+	for _, member := range candidates {
 		_, err := peer.Ask[RunRequest, RunAnswer](ctx, m.peers, member.Address, MethodRun, q)
 		m.log.Info().Str("request", j.spec.ID).Str("entry", member.HostID).AnErr("answer", err).Msg("batch job handed over")
 		if err == nil {
--- a/internal/edge/batchjob/home.go
+++ b/internal/edge/batchjob/home.go
@@ -54,7 +54,8 @@
 	m.work.Go(func() {
 		ctx, cancel := context.WithTimeout(m.ctx, homeTime)
 		defer cancel()
-		q := RunRequest{Job: spec.ID, Organisation: spec.Organisation, Fresh: fresh}
+		q := m.runRequest(spec)
+		q.Fresh = fresh
 		_, err := peer.Ask[RunRequest, RunAnswer](ctx, m.peers, home.Address, MethodRun, q)
 		m.log.Info().Str("request", spec.ID).Str("entry", home.HostID).Str("model", spec.Model).AnErr("answer", err).Msg("batch job given to its model's home")
 		if err != nil {
@@ -73,13 +74,21 @@
 	m.work.Go(func() {
 		ctx, cancel := context.WithTimeout(m.ctx, handoverTime)
 		defer cancel()
-		if err := m.take(ctx, spec.ID, spec.Organisation); err != nil {
+		if err := m.take(ctx, spec.ID, spec.Organisation, m.members.Self().HostID); err != nil {
 			m.log.Warn().Err(err).Str("request", spec.ID).Msg("accepted batch job not begun")
 		}
 	})
 }
 
+// runRequest asks another entry to run a job.
+func (m *Manager) runRequest(spec *batch.Job) RunRequest {
+	return RunRequest{Job: spec.ID, Organisation: spec.Organisation, From: m.members.Self().HostID}
+}
+
 // runFor runs a job for another entry that accepted it or leaves it.
+//
+// Guard: a leaving entry hands its jobs over before news of its leaving has come here. Taken for one that stays and runs the job, it was
+// left to run it, and the job stood still for more than a second until somebody asked for results.
 func (m *Manager) runFor(ctx context.Context, q RunRequest) error {
 	if j, ok := m.find(q.Job); ok && j.running() {
 		return nil
@@ -88,7 +97,7 @@
 		return errors.Errorf("job %s: this entry is leaving", q.Job)
 	}
 	if q.Fresh == nil {
-		return m.take(ctx, q.Job, q.Organisation)
+		return m.take(ctx, q.Job, q.Organisation, q.From)
 	}
 	var spec batch.Job
 	if err := json.Unmarshal(q.Fresh, &spec); err != nil {
--- a/internal/edge/batchjob/load.go
+++ b/internal/edge/batchjob/load.go
@@ -36,7 +36,7 @@
 // load reads a job with all its pages, and has it run if no entry is known to. No organisation stands for the system itself.
 func (m *Manager) load(ctx context.Context, id, organisation string) (*job, error) {
 	j, err := m.read(ctx, id, organisation)
-	if err != nil || j.over() || m.hasOwner(j.spec) {
+	if err != nil || j.over() || m.hasOwner(j.spec, m.members.Self().HostID) {
 		return j, err
 	}
 	if m.home(j.spec).HostID == m.members.Self().HostID {
@@ -47,10 +47,10 @@
 	return j, nil
 }
 
-// take reads a job and runs it here if no other entry is known to.
-func (m *Manager) take(ctx context.Context, id, organisation string) error {
+// take reads a job and runs it here if no entry but the one that asks is known to.
+func (m *Manager) take(ctx context.Context, id, organisation, asks string) error {
 	j, err := m.read(ctx, id, organisation)
-	if err == nil && !j.over() && !m.hasOwner(j.spec) {
+	if err == nil && !j.over() && !m.hasOwner(j.spec, asks) {
 		m.takeHere(j)
 	}
 	return err
@@ -84,13 +84,13 @@
 	return m.keep(j), nil
 }
 
-// hasOwner says whether a living entry that stays runs the job, or was given it a moment ago.
-func (m *Manager) hasOwner(spec *batch.Job) bool {
-	if owner, ok := m.owner(spec.ID); ok && !owner.Leaving {
+// hasOwner says whether a living entry that stays, other than except, runs the job or was given it a moment ago.
+func (m *Manager) hasOwner(spec *batch.Job, except string) bool {
+	if owner, ok := m.owner(spec.ID); ok && !owner.Leaving && owner.HostID != except {
 		return true
 	}
 	owner, ok := m.members.Find(time.Now(), spec.Owner)
-	return ok && !owner.Leaving && time.Since(spec.Accepted) < ownerGrace
+	return ok && !owner.Leaving && owner.HostID != except && time.Since(spec.Accepted) < ownerGrace
 }
 
 // takeHere runs a job here that another entry ran, or may still run.
--- a/internal/edge/batchjob/message.go
+++ b/internal/edge/batchjob/message.go
@@ -60,6 +60,8 @@
 type RunRequest struct {
 	Job          string `msgpack:"j"`
 	Organisation string `msgpack:"o"`
+	// From is the host that asks, and so doesn't run the job.
+	From string `msgpack:"h"`
 	// Fresh is the job as the store keeps it, in JSON, if it was accepted just now and has no page yet; else the entry reads the store.
 	Fresh []byte `msgpack:"f"`
 }
