News goes round in a few calls, partial output goes with a job, and jobs of entries that are back at once run again

Traced: the entry first in order for a job was one of the killed and knew nothing of it; unfinished items began anew, the longest with 5.6 s; a restarted entry was told the list of the others after two seconds. TestALeavingEntryIsKnownToAll failed in 3 of 40 runs: news came three places on in the ring with each call, and what was learned from a list first was not passed on as news. Change: an entry calls the next and two further on, at once while it has news; neighbours that fall silent are called before they are taken for dead; a restarted entry is told everything at its first call; entries try one after the other to have a lost job run; what was received of unfinished items is copied to the entry that would be the next home, and goes with a job that is handed over. Open: where entries leave or die within a second of each other, a job is taken over by several in turn.

--- a/internal/core/batch/output.go
+++ b/internal/core/batch/output.go
@@ -39,6 +39,25 @@
 	return true
 }
 
+// Partial is what was received of an item whose stream hasn't ended, as one entry tells it to another.
+type Partial struct {
+	Item     string `msgpack:"i"`
+	Last     int    `msgpack:"l"`
+	Versions []int  `msgpack:"v"`
+	Text     string `msgpack:"t"`
+}
+
+func (o *Output) partial(item string) Partial {
+	return Partial{Item: item, Last: o.Last, Versions: slices.Clone(o.Versions), Text: o.text.String()}
+}
+
+// outputOf returns the output of a partial, to go on from.
+func outputOf(p Partial) *Output {
+	o := &Output{Last: p.Last, Versions: slices.Clone(p.Versions)}
+	o.text.WriteString(p.Text)
+	return o
+}
+
 // Text returns the data of all events.
 func (o *Output) Text() string { return o.text.String() }
 
--- /dev/null
+++ b/internal/core/batch/partial.go
@@ -0,0 +1,57 @@
+package batch
+
+import "slices"
+
+// Figures of the copies of unfinished output.
+const (
+	// copyEvents is how many events must have come since the last copy of an item's output for another one, or half of what that copy
+	// held if that is more: all copies of an item together are then at most three times its text.
+	copyEvents = 15
+	copyPart   = 2
+)
+
+// Partials returns what was received of all items that have no result yet.
+func (p *Progress) Partials() []Partial {
+	return p.partials(func(*itemState) bool { return true })
+}
+
+// Copies returns what was received of the items of which much came since their last copy, and takes it for copied.
+//
+// Guard: an entry dies while the long items of a step are in their fourth second. Begun anew they end after the step's deadline, and its
+// trainer, who waits for them, is late with all that follows.
+func (p *Progress) Copies() []Partial {
+	copies := p.partials(func(state *itemState) bool {
+		return state.output.Last >= state.copied+max(copyEvents, state.copied/copyPart)
+	})
+	for _, each := range copies {
+		p.items[each.Item].copied = each.Last
+	}
+	return copies
+}
+
+func (p *Progress) partials(wanted func(*itemState) bool) []Partial {
+	var partials []Partial
+	for i := range p.job.Items {
+		state := p.items[p.job.Items[i].ID]
+		unfinished := state.phase == phaseWaiting || state.phase == phaseRunning
+		if unfinished && state.output.Last > 0 && wanted(state) {
+			partials = append(partials, state.output.partial(state.item.ID))
+		}
+	}
+	return partials
+}
+
+// Resume takes in what another entry had received of items that wait here, as far as the job may use it and it is more than is known.
+func (p *Progress) Resume(partials []Partial) {
+	for _, each := range partials {
+		state, known := p.items[each.Item]
+		if !known || state.phase != phaseWaiting || each.Last <= state.output.Last {
+			continue
+		}
+		output := outputOf(each)
+		if !output.Fits(p.job.MinVersion, p.job.SingleVersion) || slices.Contains(output.Versions, 0) {
+			continue
+		}
+		state.output = output
+	}
+}
--- a/internal/core/batch/progress.go
+++ b/internal/core/batch/progress.go
@@ -38,6 +38,8 @@
 	failures int
 	output   *Output
 	result   Result
+	// copied is the last event of the output that another entry has a copy of.
+	copied int
 }
 
 // groupState counts what is left of a group.
--- a/internal/core/roster/doc.go
+++ b/internal/core/roster/doc.go
@@ -6,8 +6,8 @@
 // Without it: each entry told every other one everything it knew, every two seconds. At 100 hosts that took 39% of a processor of each
 // entry and 1.9 MB/s, and at 300 nothing was served any more; control may take 1.2% and 15 KB/s.
 //
-// Entries stand in a ring in an order by hash that is the same for all. Each calls the few after it several times a second, watches those
-// and the few before it, and calls one of the others now and then. What changes (an entry joins, leaves, starts anew, falls silent) is
-// told as news, which each entry passes on for some seconds; the whole list goes only to one whose digest of the list differs.
-// A ring with three successors reaches 380 entries in four rounds, since each also answers the three before it.
+// Entries stand in a ring in an order by hash that is the same for all. Each calls the next one and two further on several times a second
+// (of 380 entries the 7th and the 52nd), watches those and the three that call it, and calls one of the others now and then. What changes
+// (an entry joins, leaves, starts anew, falls silent) is told as news, which each entry passes on for some seconds; the whole list goes
+// only to one whose digest of the list differs.
 package roster
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -14,10 +15,14 @@
 	// Interval is the time between two calls to the same neighbour. Both sides learn from each call; a withdrawn key that one entry
 	// knows of is known to 26 others within this time, and to 380 within four times as long.
 	Interval = 400 * time.Millisecond
+	// newsInterval is the time between two calls to the same neighbour while there is news that it hasn't got from here.
+	newsInterval = 100 * time.Millisecond
+	// suspectTime is the silence after which a neighbour that should call this entry is called by it: it may know another ring.
+	suspectTime = 2 * Interval
 	// AliveTime is how long a silent neighbour counts as alive: three calls and a pause of the processor may be lost.
 	AliveTime = 1500 * time.Millisecond
-	// neighbours is how many entries after its own in the ring an entry calls. All must die at once for a death among them to stay
-	// unnoticed, and the three before notice it as well.
+	// neighbours is how many entries further on in the ring an entry calls. All must die at once for a death among them to stay
+	// unnoticed, and as many before notice it as well.
 	neighbours = 3
 	// farInterval is the time between two calls to entries that are no neighbours. They mend what news missed, as after a partition.
 	farInterval = 500 * time.Millisecond
@@ -61,6 +66,14 @@
 
 func (k *known) alive() bool { return k.member.HostID != "" && !k.silent }
 
+// renew forgets what the entry was told if it was started anew; it knows nothing, and is told all at its first call.
+func (k *known) renew(member Member) {
+	if k.member.Incarnation != member.Incarnation {
+		k.digest = 0
+		k.agreed, k.listed = time.Time{}, time.Time{}
+	}
+}
+
 // told is news with the time of the change.
 type told struct {
 	news News
@@ -76,6 +89,8 @@
 	news   map[uint64]*told
 	// recent holds the news in the order in which it was learned.
 	recent []*told
+	// learned is when news came last.
+	learned time.Time
 	// alive is the sorted list of living members, byHost its index and digest its digest; nil if they must be made anew.
 	alive   []Member
 	byHost  map[string]Member
@@ -179,7 +194,7 @@
 		due = append(due, Due{Address: k.address, Member: member, Copies: k.after || slices.Contains(needed, k.address)})
 	}
 	for _, k := range r.others {
-		if !k.calling && now.Sub(k.called) >= r.interval(k, needed) {
+		if !k.calling && now.Sub(k.called) >= r.interval(now, k, needed) {
 			take(k)
 		}
 	}
@@ -194,12 +209,16 @@
 // never is the interval of entries that are called in turns.
 const never = time.Duration(1<<63 - 1)
 
-func (r *Roster) interval(k *known, needed []netip.AddrPort) time.Duration {
+func (r *Roster) interval(now time.Time, k *known, needed []netip.AddrPort) time.Duration {
 	switch {
 	case k.member.HostID == "":
 		return metInterval
+	case k.after && r.learned.After(k.called):
+		return newsInterval
 	case k.after:
 		return Interval
+	case !k.near.IsZero() && k.alive() && now.Sub(k.heard) >= suspectTime:
+		return Interval
 	case slices.Contains(needed, k.address):
 		return min(max(time.Duration(len(r.others))*neededShare, Interval), neededMost)
 	default:
@@ -265,13 +284,31 @@
 	ring := r.ring(now)
 	at := slices.Index(ring, r.self.Address)
 	after, before = map[netip.AddrPort]bool{}, map[netip.AddrPort]bool{}
-	for i := 1; i <= neighbours && i < len(ring); i++ {
-		after[ring[(at+i)%len(ring)]] = true
-		before[ring[(at-i+len(ring))%len(ring)]] = true
+	for _, far := range distances(len(ring)) {
+		after[ring[(at+far)%len(ring)]] = true
+		before[ring[(at-far+len(ring))%len(ring)]] = true
 	}
 	return after, before
 }
 
+// distances returns how far in a ring of so many the entries stand that one calls: the next one, and two more at distances that grow alike.
+//
+// Guard: news came three places on with each call where an entry called the three after it. Of 27 entries some heard after 1.5 s that
+// another was leaving, and of 380 it went by the calls to others in turn only.
+func distances(ring int) []int {
+	var found []int
+	for i := range neighbours {
+		far := int(math.Round(math.Pow(float64(ring), float64(i)/neighbours)))
+		if last := len(found) - 1; last >= 0 && far <= found[last] {
+			far = found[last] + 1
+		}
+		if far < ring {
+			found = append(found, far)
+		}
+	}
+	return found
+}
+
 // ring returns the addresses of all entries that may live, this one included, in one order for all. The order is by hash of the host,
 // so that neighbours mostly stand in different availability zones and entries which follow each other in other orders by that hash are
 // neighbours.
@@ -337,8 +374,10 @@
 		return Change{}, false
 	}
 	k := r.other(now, member.Address)
+	member.Leaving = member.Leaving || k.member.Leaving && k.member.Incarnation == member.Incarnation
 	change := Change{Former: k.member, Now: member}
 	changed := k.member != member || k.silent
+	k.renew(member)
 	k.heard = now
 	k.digest = digest
 	if digest == r.Digest() {
@@ -400,10 +439,11 @@
 // tell begins to tell news of this entry's own.
 func (r *Roster) tell(now time.Time, news News) {
 	news.ID = rand.Uint64()
-	r.remember(news, now)
+	r.remember(now, news, now)
 }
 
-func (r *Roster) remember(news News, at time.Time) {
+func (r *Roster) remember(now time.Time, news News, at time.Time) {
+	r.learned = now
 	t := &told{news: news, at: at, until: at.Add(newsTime)}
 	r.news[news.ID] = t
 	r.recent = append(r.recent, t)
@@ -434,7 +474,7 @@
 		}
 		at := since(now, news)
 		if change, changed := r.apply(now, at, news); changed {
-			r.remember(news, at)
+			r.remember(now, news, at)
 			changes = append(changes, change)
 		}
 	}
@@ -454,7 +494,9 @@
 		return Change{}, false
 	}
 	k := r.other(now, news.Member.Address)
-	if k.member.HostID != "" && !at.After(k.changed) {
+	// A run that leaves never stays again, so that its leaving counts whenever it comes.
+	leaves := news.Member.Leaving && !k.member.Leaving && k.member.Incarnation == news.Member.Incarnation
+	if k.member.HostID != "" && !at.After(k.changed) && !leaves {
 		return Change{}, false
 	}
 	if news.Silent {
@@ -481,6 +523,7 @@
 	}
 	change := Change{Former: k.member, Now: member}
 	changed := k.member != member || k.silent
+	k.renew(member)
 	k.member = member
 	k.silent = false
 	k.changed = at
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -71,13 +71,13 @@
 
 // tell is what a call or its answer carries.
 func (w *world) tell(from, to *Roster) {
+	news := from.News(w.now)
+	w.news += len(news)
+	w.note(to, to.Apply(w.now, news)...)
 	if list := from.ListFor(w.now, to.self.Address); len(list) > 0 {
 		w.lists++
 		w.note(to, to.Learn(w.now, list)...)
 	}
-	news := from.News(w.now)
-	w.news += len(news)
-	w.note(to, to.Apply(w.now, news)...)
 	if change, changed := to.Heard(w.now, from.self, from.Digest()); changed {
 		w.note(to, change)
 	}
@@ -214,6 +214,19 @@
 	}
 }
 
+// An entry that was started again calls a neighbour for the first time, and must hear of all others in its answer: until then it would send
+// work to nobody and take nothing over.
+func TestARestartedEntryIsToldAllAtOnce(t *testing.T) {
+	w := newWarmWorld(t, 27)
+	again := member(5)
+	again.Incarnation = 999
+	w.start(again)
+	w.run(500 * time.Millisecond)
+	if alive := len(w.rosters[again.Address].Alive()); alive != 26 {
+		t.Errorf("it knows of %d others after half a second", alive)
+	}
+}
+
 // An entry that leaves says so once, and all must stop giving it work within a second or two.
 func TestALeavingEntryIsKnownToAll(t *testing.T) {
 	w := newWorld(t, 27)
--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -50,6 +50,9 @@
 		candidates = append([]gossip.Member{home}, candidates...)
 	}
 	q := m.runRequest(j.spec)
+	j.mu.Lock()
+	q.Partials = j.progress.Partials()
+	j.mu.Unlock()
 	for _, member := range candidates {
 		_, err := peer.Ask[RunRequest, RunAnswer](ctx, m.peers, member.Address, MethodRun, q)
 		m.log.Info().Str("request", j.spec.ID).Str("entry", member.HostID).AnErr("answer", err).Msg("batch job handed over")
@@ -69,23 +72,65 @@
 	return members
 }
 
-// Orphaned takes jobs over that an entry ran which isn't heard of any more. Of the living entries the first in the order for
-// a job does; the trainer's own entry may be the one that is silent, so that nobody asks for results elsewhere for seconds.
+// Orphaned has jobs run that an entry ran whose run is over. The trainer's own entry may be the one that is silent, so that nobody
+// asks for results elsewhere for seconds.
+//
+// Guard: several entries die at once and are back in a moment. The first in the order for a job may be one of them, which knows nothing of
+// it, and the step stood still until its trainer asked. So the living entries try one after the other, until the job is known to run.
 func (m *Manager) Orphaned(gone gossip.Member) {
 	m.shareAll()
 	for _, id := range m.ownedBy(gone.HostID) {
-		if !m.first(id) {
-			continue
-		}
+		m.forgetOwner(id, gone.HostID)
+		turn := time.Duration(min(m.place(id), orphanTurns)) * orphanPause
 		m.work.Go(func() {
-			ctx, cancel := context.WithTimeout(m.ctx, handoverTime)
-			defer cancel()
-			_, err := m.load(ctx, id, "")
-			m.log.Info().Err(err).Str("request", id).Str("entry", gone.HostID).Msg("batch job of a silent entry")
+			if !sleep(m.ctx, turn) || m.isEnded(id) {
+				return
+			}
+			if _, runs := m.owner(id); !runs {
+				m.rerun(id, gone.HostID)
+			}
 		})
 	}
 }
 
+const (
+	// orphanPause is the time that each entry in the order for a job has to see that it runs again: a question and a beat.
+	orphanPause = 300 * time.Millisecond
+	// orphanTurns bounds the wait of the later ones; by then they have all heard of it.
+	orphanTurns = 7
+)
+
+// rerun has a job run again whose entry was gone.
+func (m *Manager) rerun(id, gone string) {
+	ctx, cancel := context.WithTimeout(m.ctx, handoverTime)
+	defer cancel()
+	_, err := m.load(ctx, id, "")
+	m.log.Info().Err(err).Str("request", id).Str("entry", gone).Msg("batch job of an entry that is gone")
+}
+
+// ownWas has jobs run again that others say this entry runs, though it was started a moment ago: its former run did.
+func (m *Manager) ownWas(id string) {
+	m.mu.Lock()
+	j, known := m.jobs[id]
+	asked := m.asked[id]
+	fresh := time.Since(m.started) < freshTime
+	m.asked[id] = true
+	m.mu.Unlock()
+	if fresh && !asked && (!known || !j.running() && !j.over()) && !m.isEnded(id) {
+		m.work.Go(func() { m.rerun(id, m.members.Self().HostID) })
+	}
+}
+
+// freshTime is how long after its start an entry believes that others speak of its former run.
+const freshTime = 5 * time.Second
+
+func (m *Manager) isEnded(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ended := m.ended[id]
+	return ended
+}
+
 // shareAll notes that an entry which can't be heard may take over what runs here.
 func (m *Manager) shareAll() {
 	m.mu.Lock()
@@ -109,13 +154,10 @@
 	return ids
 }
 
-// first says whether this entry comes first for the job among those that live.
-func (m *Manager) first(id string) bool {
+// place is how many living entries come before this one in the order for the job.
+func (m *Manager) place(id string) int {
 	own := xxhash.Sum64String(id + m.members.Self().HostID)
-	for _, member := range m.ranked(id) {
-		if xxhash.Sum64String(id+member.HostID) < own {
-			return false
-		}
-	}
-	return true
+	return slices.IndexFunc(append(m.ranked(id), m.members.Self()), func(member gossip.Member) bool {
+		return xxhash.Sum64String(id+member.HostID) >= own
+	})
 }
--- a/internal/edge/batchjob/home.go
+++ b/internal/edge/batchjob/home.go
@@ -17,9 +17,14 @@
 
 // home returns the entry that is to run a job: this one, or another that is heard of.
 func (m *Manager) home(spec *batch.Job) gossip.Member {
+	return m.homeAmong(spec, !m.isLeaving())
+}
+
+// homeAmong returns the home of a job among the other entries, and this one where withSelf is set. It is this one if there is no other.
+func (m *Manager) homeAmong(spec *batch.Job, withSelf bool) gossip.Member {
 	self := m.members.Self()
 	var runners []batch.Runner
-	if !m.isLeaving() {
+	if withSelf {
 		runners = append(runners, batch.Runner{HostID: self.HostID, Cores: self.Cores})
 	}
 	members := map[string]gossip.Member{}
@@ -74,7 +79,7 @@
 	m.work.Go(func() {
 		ctx, cancel := context.WithTimeout(m.ctx, handoverTime)
 		defer cancel()
-		if err := m.take(ctx, spec.ID, spec.Organisation, m.members.Self().HostID); err != nil {
+		if err := m.take(ctx, m.runRequest(spec)); err != nil {
 			m.log.Warn().Err(err).Str("request", spec.ID).Msg("accepted batch job not begun")
 		}
 	})
@@ -97,7 +102,7 @@
 		return errors.Errorf("job %s: this entry is leaving", q.Job)
 	}
 	if q.Fresh == nil {
-		return m.take(ctx, q.Job, q.Organisation, q.From)
+		return m.take(ctx, q)
 	}
 	var spec batch.Job
 	if err := json.Unmarshal(q.Fresh, &spec); err != nil {
--- a/internal/edge/batchjob/home_test.go
+++ b/internal/edge/batchjob/home_test.go
@@ -70,6 +70,7 @@
 			m := NewManager(ctx, Deps{
 				Store:   keptJob{spec: spec},
 				Book:    backend.NewBook("self", "north-a"),
+				Peers:   peer.NewClient(ctx, []byte("a secret of the tests")),
 				Members: entries{self: "self", others: []gossip.Member{{HostID: "leaving"}, {HostID: "third"}}},
 				Outage:  func(time.Time) bool { return false },
 				Demand:  func() batch.Demand { return batch.Demand{} },
@@ -91,3 +92,42 @@
 		})
 	}
 }
+
+// An entry died while the long items of a step were in their fourth second. The one that takes the job over has copies of what was received,
+// and the items go on from there; copies of another job, and those that are long out of date, are left aside.
+func TestItemsGoOnFromCopies(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	spec := batch.Job{ID: "j", Organisation: "north", Submission: batch.Submission{Items: []batch.Item{{ID: "a"}, {ID: "b"}}}}
+	m := NewManager(ctx, Deps{
+		Store:   keptJob{spec: spec},
+		Book:    backend.NewBook("self", "north-a"),
+		Peers:   peer.NewClient(ctx, []byte("a secret of the tests")),
+		Members: entries{self: "self"},
+		Outage:  func(time.Time) bool { return false },
+		Demand:  func() batch.Demand { return batch.Demand{} },
+		Metrics: NewMetrics(prometheus.NewRegistry()),
+		Log:     zerolog.Nop(),
+	}, peer.NewRegistry())
+	defer m.Wait()
+	defer cancel()
+	now := time.Now()
+	m.keepCopies(now.Add(-2*copyTime), KeepRequest{Job: "old", Partials: []batch.Partial{{Item: "a", Last: 1}}})
+	m.keepCopies(now, KeepRequest{Job: "j", Partials: []batch.Partial{{Item: "a", Last: 30, Versions: []int{1}, Text: "x"}}})
+	m.keepCopies(now, KeepRequest{Job: "j", Partials: []batch.Partial{{Item: "a", Last: 20, Versions: []int{1}, Text: "older"}}})
+	if kept := m.keptCopies("old"); len(kept) != 0 {
+		t.Errorf("kept for ever: %v", kept)
+	}
+	if err := m.runFor(ctx, RunRequest{Job: "j", Organisation: "north", From: "dead", Partials: []batch.Partial{{Item: "b", Last: 7, Versions: []int{1}, Text: "y"}}}); err != nil {
+		t.Fatal(err)
+	}
+	j, _ := m.find("j")
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	last := map[string]int{}
+	for _, each := range j.progress.Partials() {
+		last[each.Item] = each.Last
+	}
+	if last["a"] != 30 || last["b"] != 7 {
+		t.Errorf("items go on after %v", last)
+	}
+}
--- a/internal/edge/batchjob/load.go
+++ b/internal/edge/batchjob/load.go
@@ -40,7 +40,7 @@
 		return j, err
 	}
 	if m.home(j.spec).HostID == m.members.Self().HostID {
-		return m.takeHere(j), nil
+		return m.takeHere(ctx, j, nil), nil
 	}
 	// Entries that each know nobody who runs the job agree on its home, which may well run it already.
 	m.begin(j.spec, nil)
@@ -48,10 +48,10 @@
 }
 
 // take reads a job and runs it here if no entry but the one that asks is known to.
-func (m *Manager) take(ctx context.Context, id, organisation, asks string) error {
-	j, err := m.read(ctx, id, organisation)
-	if err == nil && !j.over() && !m.hasOwner(j.spec, asks) {
-		m.takeHere(j)
+func (m *Manager) take(ctx context.Context, q RunRequest) error {
+	j, err := m.read(ctx, q.Job, q.Organisation)
+	if err == nil && !j.over() && !m.hasOwner(j.spec, q.From) {
+		m.takeHere(ctx, j, q.Partials)
 	}
 	return err
 }
@@ -93,8 +93,9 @@
 	return ok && !owner.Leaving && owner.HostID != except && time.Since(spec.Accepted) < ownerGrace
 }
 
-// takeHere runs a job here that another entry ran, or may still run.
-func (m *Manager) takeHere(j *job) *job {
+// takeHere runs a job here that another entry ran, or may still run. Given is what that one had received of unfinished items.
+func (m *Manager) takeHere(ctx context.Context, j *job, given []batch.Partial) *job {
+	m.resume(ctx, j, given)
 	m.log.Info().Str("request", j.spec.ID).Str("owner", j.spec.Owner).Msg("batch job taken over")
 	j.share()
 	return m.runJob(j)
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -85,6 +85,11 @@
 	// keepers are entries that ran a job and still have its results.
 	keepers map[string]owner
 	ended   map[string]time.Time
+	// copies are unfinished outputs of jobs that others run.
+	copies map[string]*copies
+	// asked are jobs that others said a former run of this entry ran.
+	asked   map[string]bool
+	started time.Time
 	// leaving is set once the process hands its jobs over.
 	leaving bool
 }
@@ -121,6 +126,9 @@
 		owners:  map[string]owner{},
 		keepers: map[string]owner{},
 		ended:   map[string]time.Time{},
+		copies:  map[string]*copies{},
+		asked:   map[string]bool{},
+		started: time.Now(),
 	}
 	m.register(registry)
 	return m
@@ -156,6 +164,13 @@
 	peer.Handle(registry, MethodRun, func(ctx context.Context, q RunRequest) (RunAnswer, error) {
 		return RunAnswer{}, m.runFor(ctx, q)
 	})
+	peer.Handle(registry, MethodKeep, func(_ context.Context, q KeepRequest) (KeepAnswer, error) {
+		m.keepCopies(time.Now(), q)
+		return KeepAnswer{}, nil
+	})
+	peer.Handle(registry, MethodKept, func(_ context.Context, q KeptRequest) (KeptAnswer, error) {
+		return KeptAnswer{Partials: m.keptCopies(q.Job)}, nil
+	})
 }
 
 // readable makes sure that a read from the position can be answered by what is known here, if the job runs here or is over.
--- a/internal/edge/batchjob/message.go
+++ b/internal/edge/batchjob/message.go
@@ -13,6 +13,9 @@
 	MethodBody peer.Method = "batch.body"
 	MethodEnd  peer.Method = "batch.end"
 	MethodRun  peer.Method = "batch.run"
+	// MethodKeep gives an entry copies of unfinished output, and MethodKept asks for them.
+	MethodKeep peer.Method = "batch.keep"
+	MethodKept peer.Method = "batch.kept"
 )
 
 // ReadRequest asks the entry that runs a job for results.
@@ -64,6 +67,27 @@
 	From string `msgpack:"h"`
 	// Fresh is the job as the store keeps it, in JSON, if it was accepted just now and has no page yet; else the entry reads the store.
 	Fresh []byte `msgpack:"f"`
+	// Partials are what the entry that leaves the job had received of items that didn't end.
+	Partials []batch.Partial `msgpack:"p"`
+}
+
+// KeepRequest gives an entry copies of the unfinished output of a job.
+type KeepRequest struct {
+	Job      string          `msgpack:"j"`
+	Partials []batch.Partial `msgpack:"p"`
+}
+
+// KeepAnswer confirms a KeepRequest.
+type KeepAnswer struct{}
+
+// KeptRequest asks an entry for its copies of the unfinished output of a job.
+type KeptRequest struct {
+	Job string `msgpack:"j"`
+}
+
+// KeptAnswer holds the copies.
+type KeptAnswer struct {
+	Partials []batch.Partial `msgpack:"p"`
 }
 
 // RunAnswer confirms a RunRequest.
--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -151,7 +151,11 @@
 func (m *Manager) hearOwners(from gossip.Member, others map[string]string) {
 	self := m.members.Self().HostID
 	for id, hostID := range others {
-		if _, lives := m.owner(id); lives || hostID == self || hostID == from.HostID {
+		if hostID == self {
+			m.ownWas(id)
+			continue
+		}
+		if _, lives := m.owner(id); lives || hostID == from.HostID {
 			continue
 		}
 		m.mu.Lock()
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -46,6 +46,7 @@
 func (m *Manager) control(ctx context.Context, j *job) {
 	timer := time.NewTicker(checkPause)
 	defer timer.Stop()
+	copied := time.Now()
 	writing := false
 	written := make(chan bool, 1)
 	for ctx.Err() == nil {
@@ -58,6 +59,10 @@
 		if j.over() {
 			break
 		}
+		if now := time.Now(); now.Sub(copied) >= copyPause {
+			copied = now
+			j.work.Go(func() { m.copyOutput(ctx, j) })
+		}
 		select {
 		case <-ctx.Done():
 		case <-j.poke:
--- a/internal/edge/gossip/gossip.go
+++ b/internal/edge/gossip/gossip.go
@@ -159,13 +159,13 @@
 	g.heard(time.Now(), answer)
 }
 
-// heard takes in a beat, whether it came as a call or as an answer. News goes first: what an entry tells of itself is passed on as it
-// was told.
+// heard takes in a beat, whether it came as a call or as an answer. News goes first: only what wasn't known yet is passed on, and what
+// was learned from a list or from the entry itself would not be.
 func (g *Gossip) heard(now time.Time, beat Beat) {
 	var changes []roster.Change
 	g.locked(func(r *roster.Roster) {
-		changes = append(changes, r.Learn(now, beat.List)...)
 		changes = append(changes, r.Apply(now, beat.News)...)
+		changes = append(changes, r.Learn(now, beat.List)...)
 		if change, changed := r.Heard(now, beat.From, beat.Digest); changed {
 			changes = append(changes, change)
 		}
