--- a/internal/edge/batchjob/copies.go
+++ b/internal/edge/batchjob/copies.go
@@ -26,18 +26,18 @@
 	items map[string]batch.Partial
 }
 
-// understudy returns the entry that keeps copies of a job's unfinished output: the one that would be its home if this one weren't there.
-func (m *Manager) understudy(spec *batch.Job) (gossip.Member, bool) {
+// backup returns the entry that keeps copies of a job's unfinished output: the one that would be its home if this one weren't there.
+func (m *Manager) backup(spec *batch.Job) (gossip.Member, bool) {
 	home := m.homeAmong(spec, false)
 	return home, home.HostID != m.members.Self().HostID
 }
 
-// copyOutput gives copies of what the job's items received lately to the understudy.
+// copyOutput gives copies of what the job's items received lately to the backup.
 func (m *Manager) copyOutput(ctx context.Context, j *job) {
 	j.mu.Lock()
 	partials := j.progress.Copies()
 	j.mu.Unlock()
-	member, ok := m.understudy(j.spec)
+	member, ok := m.backup(j.spec)
 	if len(partials) == 0 || !ok {
 		return
 	}
@@ -79,7 +79,7 @@
 }
 
 // resume lets items of a job that is taken over go on from copies: those that came with the request, those here, and those at the
-// understudy, which has them if this entry ran the job before it was started again.
+// backup, which has them if this entry ran the job before it was started again.
 func (m *Manager) resume(ctx context.Context, j *job, given []batch.Partial) {
 	partials := append(slices.Clone(given), m.keptCopies(j.spec.ID)...)
 	if len(partials) == 0 {
@@ -94,7 +94,7 @@
 }
 
 func (m *Manager) askCopies(ctx context.Context, spec *batch.Job) []batch.Partial {
-	member, ok := m.understudy(spec)
+	member, ok := m.backup(spec)
 	if !ok {
 		return nil
 	}
--- a/internal/edge/batchjob/home_test.go
+++ b/internal/edge/batchjob/home_test.go
@@ -49,6 +49,20 @@
 	return product.Object{Name: name, Value: value}, err
 }
 
+// testManager returns a manager of an entry among others whose store holds the job.
+func testManager(ctx context.Context, spec batch.Job, members entries) *Manager {
+	return NewManager(ctx, Deps{
+		Store:   keptJob{spec: spec},
+		Book:    backend.NewBook("self", "north-a"),
+		Peers:   peer.NewClient(ctx, []byte("a secret of the tests")),
+		Members: members,
+		Outage:  func(time.Time) bool { return false },
+		Demand:  func() batch.Demand { return batch.Demand{} },
+		Metrics: NewMetrics(prometheus.NewRegistry()),
+		Log:     zerolog.Nop(),
+	}, peer.NewRegistry())
+}
+
 // An entry accepted a job, was told to stop a moment later and handed the job over, before anybody had heard that it leaves. The other one
 // took it for alive and left the job with it, and the items stood still for more than a second. Asked by a third one, it must leave a job
 // that a living entry runs where it is.
@@ -67,16 +81,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			spec := batch.Job{ID: "j", Organisation: "north", Accepted: time.Now(), Owner: "leaving", Submission: batch.Submission{Items: []batch.Item{{ID: "a"}}}}
-			m := NewManager(ctx, Deps{
-				Store:   keptJob{spec: spec},
-				Book:    backend.NewBook("self", "north-a"),
-				Peers:   peer.NewClient(ctx, []byte("a secret of the tests")),
-				Members: entries{self: "self", others: []gossip.Member{{HostID: "leaving"}, {HostID: "third"}}},
-				Outage:  func(time.Time) bool { return false },
-				Demand:  func() batch.Demand { return batch.Demand{} },
-				Metrics: NewMetrics(prometheus.NewRegistry()),
-				Log:     zerolog.Nop(),
-			}, peer.NewRegistry())
+			m := testManager(ctx, spec, entries{self: "self", others: []gossip.Member{{HostID: "leaving"}, {HostID: "third"}}})
 			defer m.Wait()
 			defer cancel()
 			if test.owner != "" {
@@ -98,16 +103,7 @@
 func TestItemsGoOnFromCopies(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	spec := batch.Job{ID: "j", Organisation: "north", Submission: batch.Submission{Items: []batch.Item{{ID: "a"}, {ID: "b"}}}}
-	m := NewManager(ctx, Deps{
-		Store:   keptJob{spec: spec},
-		Book:    backend.NewBook("self", "north-a"),
-		Peers:   peer.NewClient(ctx, []byte("a secret of the tests")),
-		Members: entries{self: "self"},
-		Outage:  func(time.Time) bool { return false },
-		Demand:  func() batch.Demand { return batch.Demand{} },
-		Metrics: NewMetrics(prometheus.NewRegistry()),
-		Log:     zerolog.Nop(),
-	}, peer.NewRegistry())
+	m := testManager(ctx, spec, entries{self: "self"})
 	defer m.Wait()
 	defer cancel()
 	now := time.Now()
