--- a/internal/edge/batchjob/home_test.go
+++ b/internal/edge/batchjob/home_test.go
@@ -51,6 +51,9 @@
 
 // testManager returns a manager of an entry among others whose store holds the job.
 func testManager(ctx context.Context, spec batch.Job, members entries) *Manager {
+	// Items that are given up would be written to the store.
+	spec.Accepted = time.Now()
+	spec.ItemTimeout = time.Hour
 	return NewManager(ctx, Deps{
 		Store:   keptJob{spec: spec},
 		Book:    backend.NewBook("self", "north-a"),
