Remember the jobs of a former run from the first seconds only

Cause: the set of jobs that others said an entry runs grew with each job of its own, for as long as it ran (found in reading the change). Test: a fresh entry and an old one that hear so three times.

--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -98,6 +98,8 @@
 	orphanPause = 300 * time.Millisecond
 	// orphanTurns bounds the wait of the later ones; by then they have all heard of it.
 	orphanTurns = 7
+	// freshTime is how long after its start an entry believes that others speak of its former run.
+	freshTime = 5 * time.Second
 )
 
 // rerun has a job run again whose entry was gone.
@@ -108,22 +110,22 @@
 	m.log.Info().Err(err).Str("request", id).Str("entry", gone).Msg("batch job of an entry that is gone")
 }
 
-// ownWas has jobs run again that others say this entry runs, though it was started a moment ago: its former run did.
-func (m *Manager) ownWas(id string) {
+// rerunOwn has a job run again that others say this entry runs, though it was started a moment ago: its former run did.
+func (m *Manager) rerunOwn(id string) {
+	if time.Since(m.started) > freshTime || m.isEnded(id) {
+		return
+	}
 	m.mu.Lock()
 	j, known := m.jobs[id]
-	asked := m.asked[id]
-	fresh := time.Since(m.started) < freshTime
-	m.asked[id] = true
+	again := m.rerunning[id]
+	m.rerunning[id] = true
 	m.mu.Unlock()
-	if fresh && !asked && (!known || !j.running() && !j.over()) && !m.isEnded(id) {
-		m.work.Go(func() { m.rerun(id, m.members.Self().HostID) })
+	if again || known && (j.running() || j.over()) {
+		return
 	}
+	m.work.Go(func() { m.rerun(id, m.members.Self().HostID) })
 }
 
-// freshTime is how long after its start an entry believes that others speak of its former run.
-const freshTime = 5 * time.Second
-
 func (m *Manager) isEnded(id string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/edge/batchjob/home_test.go
+++ b/internal/edge/batchjob/home_test.go
@@ -130,3 +130,38 @@
 		t.Errorf("items go on after %v", last)
 	}
 }
+
+// An entry was killed and is back at once. Others say that it runs a job, of which it knows nothing any more: it must run it again, once, and
+// an entry that has run for long must not take such word, which is older than what it knows itself, for a task.
+func TestAFreshEntryRunsItsFormerJobsAgain(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		age  time.Duration
+		runs bool
+	}{
+		{name: "a moment after its start", runs: true},
+		{name: "long after its start", age: 2 * freshTime},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			spec := batch.Job{ID: "j", Owner: "self", Submission: batch.Submission{Items: []batch.Item{{ID: "a"}}}}
+			m := testManager(ctx, spec, entries{self: "self", others: []gossip.Member{{HostID: "other"}}})
+			defer m.Wait()
+			defer cancel()
+			m.started = time.Now().Add(-test.age)
+			for range 3 {
+				m.Heard(gossip.Member{HostID: "other"}, nil, nil, map[string]string{"j": "self"})
+			}
+			found := false
+			for end := time.Now().Add(500 * time.Millisecond); !found && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				_, found = m.find("j")
+			}
+			if found != test.runs {
+				t.Errorf("taken up: %v", found)
+			}
+			if len(m.rerunning) > 1 {
+				t.Errorf("remembered: %v", m.rerunning)
+			}
+		})
+	}
+}
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -87,9 +87,9 @@
 	ended   map[string]time.Time
 	// copies are unfinished outputs of jobs that others run.
 	copies map[string]*copies
-	// asked are jobs that others said a former run of this entry ran.
-	asked   map[string]bool
-	started time.Time
+	// rerunning are jobs that others said a former run of this entry ran, from the first seconds after its start.
+	rerunning map[string]bool
+	started   time.Time
 	// leaving is set once the process hands its jobs over.
 	leaving bool
 }
@@ -112,23 +112,23 @@
 // NewManager returns a manager whose work ends with ctx; it serves other entries through the registry.
 func NewManager(ctx context.Context, deps Deps, registry *peer.Registry) *Manager {
 	m := &Manager{
-		ctx:     ctx,
-		store:   deps.Store,
-		book:    deps.Book,
-		servers: deps.Servers,
-		peers:   deps.Peers,
-		members: deps.Members,
-		outage:  deps.Outage,
-		demand:  deps.Demand,
-		metrics: deps.Metrics,
-		log:     deps.Log,
-		jobs:    map[string]*job{},
-		owners:  map[string]owner{},
-		keepers: map[string]owner{},
-		ended:   map[string]time.Time{},
-		copies:  map[string]*copies{},
-		asked:   map[string]bool{},
-		started: time.Now(),
+		ctx:       ctx,
+		store:     deps.Store,
+		book:      deps.Book,
+		servers:   deps.Servers,
+		peers:     deps.Peers,
+		members:   deps.Members,
+		outage:    deps.Outage,
+		demand:    deps.Demand,
+		metrics:   deps.Metrics,
+		log:       deps.Log,
+		jobs:      map[string]*job{},
+		owners:    map[string]owner{},
+		keepers:   map[string]owner{},
+		ended:     map[string]time.Time{},
+		copies:    map[string]*copies{},
+		rerunning: map[string]bool{},
+		started:   time.Now(),
 	}
 	m.register(registry)
 	return m
--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -152,7 +152,7 @@
 	self := m.members.Self().HostID
 	for id, hostID := range others {
 		if hostID == self {
-			m.ownWas(id)
+			m.rerunOwn(id)
 			continue
 		}
 		if _, lives := m.owner(id); lives || hostID == from.HostID {
