--- a/internal/core/roster/change.go
+++ b/internal/core/roster/change.go
@@ -58,6 +58,7 @@
 	}
 	k.heard = now
 	k.digest = digest
+	k.digested = now
 	if digest == r.Digest() {
 		k.agreed = now
 	}
--- a/internal/core/roster/news.go
+++ b/internal/core/roster/news.go
@@ -46,9 +46,12 @@
 
 // ListFor returns the whole list for the entry at the address if its own differs, and nothing otherwise. Right after a change the lists of
 // most entries differ for a moment; only one that was never told, or that news didn't bring in line, gets it.
+//
+// Guard: most entries are called once in a minute or two, and what such a one told last is long out of date. It was sent the whole list
+// though it had come to know it meanwhile; now only what it told just before counts.
 func (r *Roster) ListFor(now time.Time, address netip.AddrPort) []News {
 	k, ok := r.others[address]
-	if !ok || k.digest == 0 || k.digest == r.Digest() {
+	if !ok || k.digest == 0 || k.digest == r.Digest() || now.Sub(k.digested) > suspectTime {
 		return nil
 	}
 	if !k.listed.IsZero() && (now.Sub(k.listed) < listPause || now.Sub(k.agreed) < listPause) {
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -57,10 +57,10 @@
 	silent  bool
 	// changed is the time of the newest change that is known of it.
 	changed time.Time
-	// digest is that of the list that the entry has, as it told last, and 0 before; agreed is when it was this one's; listed is
-	// when the whole list was last sent there.
-	digest         uint64
-	agreed, listed time.Time
+	// digest is that of the list that the entry has, as it told last, and 0 before; digested is when it told so, agreed when it was this
+	// one's, and listed when the whole list was last sent there.
+	digest                   uint64
+	digested, agreed, listed time.Time
 }
 
 // become takes in what the entry is. A run that began anew knows nothing, and is told all at its first call.
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -325,3 +325,18 @@
 		t.Errorf("still %d", len(r.others))
 	}
 }
+
+// An entry that is called in turn told a minute ago that its list differs, and has learned the rest since. Calling it again must not send the
+// whole list; telling so again must.
+func TestOldWordOfADifferentListIsNoReasonForOne(t *testing.T) {
+	r := New(start, member(0))
+	r.Heard(start, member(1), 42)
+	now := start.Add(time.Minute)
+	if list := r.ListFor(now, member(1).Address); list != nil {
+		t.Errorf("%d members sent", len(list))
+	}
+	r.Heard(now, member(1), 42)
+	if list := r.ListFor(now, member(1).Address); len(list) != 2 {
+		t.Errorf("%d members sent", len(list))
+	}
+}
