Say on what ground a read of results found nothing

Before: the line of a read held its position and how many results there were, so that three hypotheses about a position that was read and is gone could not be told apart: an entry that takes itself for alone, a copy taken for the whole job, an older state of the store. Change: a read that finds nothing writes its ground (memory, store, unsure) with the state of the job; a counter by ground. Result: tests of the package green; no change of logic.

--- a/internal/edge/batchjob/metrics.go
+++ b/internal/edge/batchjob/metrics.go
@@ -6,8 +6,24 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// Metrics counts the runs of items and the pages written.
+// basis is the ground on which a read of results was answered.
+type basis string
+
+// The grounds of answers to reads.
+const (
+	// basisListed: results are listed at the position; they never change.
+	basisListed basis = "listed"
+	// basisMemory: nothing more is known here.
+	basisMemory basis = "memory"
+	// basisStore: the store was asked, and no page follows those known.
+	basisStore basis = "store"
+	// basisUnsure: the store could not be asked, and the read was refused.
+	basisUnsure basis = "unsure"
+)
+
+// Metrics counts the runs of items, the pages written and the reads of results.
 type Metrics struct {
+	reads *prometheus.CounterVec
 	runs  *prometheus.CounterVec
 	took  prometheus.Histogram
 	pages *prometheus.CounterVec
@@ -16,6 +32,10 @@
 // NewMetrics returns metrics that are shown by the registry.
 func NewMetrics(registry prometheus.Registerer) *Metrics {
 	m := &Metrics{
+		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oleandershelf_batch_reads_total",
+			Help: "Reads of results by the ground on which they were answered.",
+		}, []string{"basis"}),
 		runs: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "oleandershelf_batch_item_runs_total",
 			Help: "Runs of batch items at backend servers by outcome.",
@@ -30,7 +50,7 @@
 			Help: "Tries to write a page of results, and whether the store answered that it was written.",
 		}, []string{"outcome"}),
 	}
-	registry.MustRegister(m.runs, m.took, m.pages)
+	registry.MustRegister(m.reads, m.runs, m.took, m.pages)
 	return m
 }
 
@@ -39,6 +59,8 @@
 	m.took.Observe(took.Seconds())
 }
 
+func (m *Metrics) read(ground basis) { m.reads.WithLabelValues(string(ground)).Inc() }
+
 func (m *Metrics) written(ok bool) {
 	outcome := "written"
 	if !ok {
--- a/internal/edge/batchjob/read.go
+++ b/internal/edge/batchjob/read.go
@@ -41,16 +41,33 @@
 // the store is asked before an empty list is shown.
 func (m *Manager) answer(ctx context.Context, j *job, from int, wait time.Duration, maxBytes int) (int, []batch.Result, error) {
 	total, results := j.results(ctx, from, wait, maxBytes)
-	if len(results) > 0 || !j.isShared() {
+	if len(results) > 0 {
+		m.metrics.read(basisListed)
+		return total, results, nil
+	}
+	if !j.isShared() {
+		m.noteNothing(j, from, basisMemory)
 		return total, results, nil
 	}
 	if err := m.catchUp(ctx, j); err != nil {
+		m.noteNothing(j, from, basisUnsure)
 		return 0, nil, storeRefusal(err)
 	}
 	total, results = j.results(ctx, from, 0, maxBytes)
+	if len(results) == 0 {
+		m.noteNothing(j, from, basisStore)
+	}
 	return total, results, nil
 }
 
+// noteNothing logs on what ground a read was told that nothing is listed, or that this entry can't be sure.
+func (m *Manager) noteNothing(j *job, from int, ground basis) {
+	m.metrics.read(ground)
+	state := j.state()
+	m.log.Info().Str("request", state.ID).Int("from", from).Str("basis", string(ground)).Bool("runs", state.Runs).
+		Bool("ended", state.Ended).Int("listed", state.Listed).Int("pages", state.Pages).Msg("nothing to show at the position")
+}
+
 // Body returns the body of an item.
 func (m *Manager) Body(ctx context.Context, id, organisation, item string) ([]byte, error) {
 	if owner, ok := m.reader(id); ok {
--- a/internal/edge/batchjob/read_test.go
+++ b/internal/edge/batchjob/read_test.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
 	product "github.com/oleandershelf/oleandershelf/internal/edge/platform"
 )
@@ -45,7 +48,7 @@
 		{name: "maybe not alone, and the store can't be asked", shared: true, store: pages{down: true}, err: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			m := &Manager{store: test.store}
+			m := &Manager{store: test.store, metrics: NewMetrics(prometheus.NewRegistry()), log: zerolog.Nop()}
 			j := testJob()
 			j.runs = true
 			j.shared = test.shared
