--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -135,17 +135,7 @@
 }
 
 func (m *Manager) register(registry *peer.Registry) {
-	peer.Handle(registry, MethodRead, func(ctx context.Context, q ReadRequest) (ReadAnswer, error) {
-		j, ok := m.find(q.Job)
-		if !ok || j.spec.Organisation != q.Organisation {
-			return ReadAnswer{}, nil
-		}
-		if !m.readable(ctx, j, q.From) {
-			return ReadAnswer{}, nil
-		}
-		total, results, err := m.answer(ctx, j, q.From, q.Wait, q.MaxBytes)
-		return ReadAnswer{Known: err == nil, Total: total, Results: results}, err
-	})
+	peer.Handle(registry, MethodRead, m.readFor)
 	peer.Handle(registry, MethodBody, func(_ context.Context, q BodyRequest) (BodyAnswer, error) {
 		j, ok := m.find(q.Job)
 		if !ok || j.spec.Organisation != q.Organisation {
--- a/internal/edge/batchjob/read.go
+++ b/internal/edge/batchjob/read.go
@@ -34,6 +34,16 @@
 	return m.answer(ctx, j, from, wait, maxBytes)
 }
 
+// readFor answers a read for another entry, if the job is known here and runs here or is over.
+func (m *Manager) readFor(ctx context.Context, q ReadRequest) (ReadAnswer, error) {
+	j, ok := m.find(q.Job)
+	if !ok || j.spec.Organisation != q.Organisation || !m.readable(ctx, j, q.From) {
+		return ReadAnswer{}, nil
+	}
+	total, results, err := m.answer(ctx, j, q.From, q.Wait, q.MaxBytes)
+	return ReadAnswer{Known: err == nil, Total: total, Results: results}, err
+}
+
 // answer returns the results from a position on, from what is known here.
 //
 // Guard: two entries run one job after they lost sight of each other, and one of them has yet to learn of the other's pages. It
