Nothing is shown to a reader before the store has been asked

Seen by callers: 68 results of a job had been read, and another entry showed an empty list at position 67. Cause: an entry that ran a job took itself for the only one until it was told otherwise, and one that had ended it took its copy for whole eight seconds later. What nobody had told it was taken not to exist. An acceptance that reached a second entry late, a takeover while the first stood still, and a page written late each made the belief wrong. Change: core/batch decides what a read may be told: results that are listed, that all are listed, or nothing once the store, asked after the read's wait, has no further page. Beliefs about other entries (shared, final) are gone; a read that can't be confirmed is refused, at once in an outage, and ends before its trainer gives up. Why it holds: pages are created once each, under the next number, and nothing is shown before; so the store's own answer is the only proof that a position is empty.

--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -79,7 +79,6 @@
 // Guard: several entries die at once and are back in a moment. The first in the order for a job may be one of them, which knows nothing of
 // it, and the step stood still until its trainer asked. So the living entries try one after the other, until the job is known to run.
 func (m *Manager) Orphaned(gone gossip.Member) {
-	m.shareAll()
 	for _, id := range m.ownedBy(gone.HostID) {
 		m.forgetOwner(id, gone.HostID)
 		turn := time.Duration(min(m.place(id), orphanTurns)) * orphanPause
@@ -134,15 +133,6 @@
 	return ended
 }
 
-// shareAll notes that an entry which can't be heard may take over what runs here.
-func (m *Manager) shareAll() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, j := range m.jobs {
-		j.share()
-	}
-}
-
 // ownedBy returns the jobs that an entry was known to run.
 func (m *Manager) ownedBy(hostID string) []string {
 	m.mu.Lock()
--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -23,14 +23,11 @@
 	// changed is closed when results are listed or the job ends; poke wakes the runner.
 	changed chan struct{}
 	poke    chan struct{}
-	// shared is set once another process may run the job as well, and list results that this one doesn't know.
-	shared bool
+	// asked is when the store was last asked for a page after those known, and had none.
+	asked time.Time
 	// used is when the job was last used, for forgetting.
 	used time.Time
-	// endedAt is when the end of the job was learned; final says that all pages were read well after it.
-	endedAt time.Time
-	final   bool
-	work    conc.WaitGroup
+	work conc.WaitGroup
 }
 
 func newJob(spec *batch.Job, writer uint64) *job {
@@ -65,7 +62,6 @@
 		return
 	}
 	j.progress.End()
-	j.endedAt = time.Now()
 	if j.stop != nil {
 		j.stop()
 	}
@@ -97,19 +93,6 @@
 	return j.ran && j.progress.Complete() && !j.progress.Ended()
 }
 
-// share notes that another process may run the job as well.
-func (j *job) share() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.shared = true
-}
-
-func (j *job) isShared() bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.shared && j.runs
-}
-
 // over says that nothing is left to run.
 func (j *job) over() bool {
 	j.mu.Lock()
@@ -117,48 +100,51 @@
 	return j.progress.Ended() || j.progress.Complete()
 }
 
-// shows says that a read from the position can be answered by what is known here: a position never changes, so that results
-// that are there are right, but only the process that runs a job, or one that read all pages well after its end, knows that
-// there are no others.
-//
-// Guard: a copy that was read while the job ran, and heard of its end later, misses pages; taken for the whole job it would
-// show an empty list for positions that a trainer has read before.
+// shows says that a read from the position is best answered here: its results are known, or this process runs the job and hears of new
+// ones first.
 func (j *job) shows(from int) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.runs || j.final || j.progress.Complete() || from < j.progress.Listed()
+	return j.runs || j.progress.Complete() || from < j.progress.Listed()
 }
 
-// finalTime is how long after the end of a job a page may still be written: a call to the store may be carried out late.
-const finalTime = 8 * time.Second
+// caughtUp takes in that the store, asked at a time, had no page after those known.
+func (j *job) caughtUp(asked time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if asked.After(j.asked) {
+		j.asked = asked
+	}
+}
 
-// caughtUp takes in that there is no page after those known.
-func (j *job) caughtUp(now time.Time) {
+// show returns the number of items, and what a read that came in at a time may be told; false if the store must be asked first.
+func (j *job) show(came time.Time, from, maxBytes int) (int, []batch.Result, bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.final = j.progress.Ended() && now.Sub(j.endedAt) > finalTime
+	j.used = time.Now()
+	results, ok := j.progress.Show(from, maxBytes, !j.asked.Before(came))
+	return j.progress.Total(), results, ok
 }
 
-// results waits until there are results from the position on, for up to wait.
-func (j *job) results(ctx context.Context, from int, wait time.Duration, maxBytes int) (int, []batch.Result) {
-	timer := time.NewTimer(wait)
+// await waits until there are results from the position on, for up to wait, or the job is over.
+func (j *job) await(ctx context.Context, from int, wait time.Duration) {
+	timer := time.NewTimer(max(0, wait))
 	defer timer.Stop()
 	for {
 		j.mu.Lock()
 		j.used = time.Now()
-		total, results := j.progress.Total(), j.progress.Results(from, maxBytes)
-		over := j.progress.Ended() || from >= total
+		known := j.progress.Listed() > from || j.progress.Ended() || j.progress.Complete()
 		changed := j.changed
 		j.mu.Unlock()
-		if len(results) > 0 || over || wait <= 0 {
-			return total, results
+		if known || wait <= 0 {
+			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			wait = 0
+			return
 		case <-ctx.Done():
-			return total, results
+			return
 		}
 	}
 }
--- a/internal/edge/batchjob/load.go
+++ b/internal/edge/batchjob/load.go
@@ -100,7 +100,6 @@
 	}
 	m.resume(ctx, j, given)
 	m.log.Info().Str("request", j.spec.ID).Str("owner", j.spec.Owner).Msg("batch job taken over")
-	j.share()
 	return m.runJob(j)
 }
 
@@ -117,9 +116,10 @@
 		if complete {
 			return nil
 		}
+		asked := time.Now()
 		object, err := m.store.Get(ctx, KindPages, pageName(j.spec.ID, next))
 		if errors.Is(err, product.ErrNotFound) {
-			j.caughtUp(time.Now())
+			j.caughtUp(asked)
 			return nil
 		}
 		if err != nil {
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -163,21 +163,6 @@
 	})
 }
 
-// readable makes sure that a read from the position can be answered by what is known here, if the job runs here or is over.
-func (m *Manager) readable(ctx context.Context, j *job, from int) bool {
-	if j.shows(from) {
-		return true
-	}
-	if !j.over() {
-		return false
-	}
-	if err := m.catchUp(ctx, j); err != nil {
-		m.log.Info().Err(err).Str("request", j.spec.ID).Msg("pages not read for another entry")
-		return false
-	}
-	return true
-}
-
 // Wait returns once all goroutines have ended, after the context has.
 func (m *Manager) Wait() { m.work.Wait() }
 
@@ -192,6 +177,11 @@
 	return verdict.New(verdict.NotRun, 0, verdict.ReasonNotFound, 0, "%s is not known", id)
 }
 
+// outageRefusal tells a caller that the store is out of every entry's reach.
+func outageRefusal() error {
+	return verdict.New(verdict.NotRun, 0, verdict.ReasonPlatformUnavailable, outageRetry, "no entry reaches the store")
+}
+
 // storeRefusal tells a caller that the store could not be asked.
 func storeRefusal(err error) error {
 	outcome := verdict.NotRun
--- a/internal/edge/batchjob/metrics.go
+++ b/internal/edge/batchjob/metrics.go
@@ -13,9 +13,7 @@
 const (
 	// basisListed: results are listed at the position; they never change.
 	basisListed basis = "listed"
-	// basisMemory: nothing more is known here.
-	basisMemory basis = "memory"
-	// basisStore: the store was asked, and no page follows those known.
+	// basisStore: nothing is listed, since the store has no further page or all items are listed.
 	basisStore basis = "store"
 	// basisUnsure: the store could not be asked, and the read was refused.
 	basisUnsure basis = "unsure"
--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -122,9 +122,6 @@
 	for _, id := range running {
 		m.noteOwner(id, from.HostID)
 		j, ok := m.find(id)
-		if ok {
-			j.share()
-		}
 		// Two entries that both took a job over do its work twice until one of them yields.
 		if ok && j.running() && !from.Leaving && from.HostID < self.HostID {
 			m.log.Info().Str("request", id).Str("entry", from.HostID).Msg("batch job left to another entry")
--- a/internal/edge/batchjob/submit.go
+++ b/internal/edge/batchjob/submit.go
@@ -21,7 +21,7 @@
 	}
 	if m.outage(time.Now()) {
 		// To try would hold the trainer for seconds, and leave open whether the job was accepted.
-		return verdict.New(verdict.NotRun, 0, verdict.ReasonPlatformUnavailable, outageRetry, "no entry reaches the store")
+		return outageRefusal()
 	}
 	spec.Owner = m.home(spec).HostID
 	value, err := json.Marshal(spec)
