--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -120,6 +120,10 @@
 	m.hearOwners(from, others)
 	self := m.members.Self()
 	for _, id := range running {
+		if m.tellEnd(id) {
+			m.log.Info().Str("request", id).Str("entry", from.HostID).Msg("entry runs a job that has ended")
+			continue
+		}
 		m.noteOwner(id, from.HostID)
 		j, ok := m.find(id)
 		// Two entries that both took a job over do its work twice until one of them yields.
@@ -131,6 +135,19 @@
 	m.hearDropped(from, running)
 }
 
+// tellEnd has the others told once more that a job ended; false if it isn't known to have.
+//
+// Guard: an entry that was cut off while the end went round hears of it from nobody later, and runs the job on.
+func (m *Manager) tellEnd(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ended := m.ended[id]; !ended {
+		return false
+	}
+	m.ended[id] = time.Now()
+	return true
+}
+
 // hearDropped forgets jobs that an entry doesn't run any more, as it says itself. One that was given a job a moment ago may not name
 // it yet.
 func (m *Manager) hearDropped(from gossip.Member, running []string) {
