A submission without the store is left open, not said not to run

Change: without the store a submission is answered as open (502), as fast as before and with the time to come back. Statuses that say 'not run' are left to what is certain: submissions that can't be read, are too large, or whose id belongs to another organisation.

--- a/internal/edge/batchjob/submit.go
+++ b/internal/edge/batchjob/submit.go
@@ -15,13 +15,16 @@
 )
 
 // Submit accepts a job: it is kept whole from then on, whatever fails. A repeated submission is accepted again.
+//
+// Guard: without the store this entry can't tell a first submission from a repeat of one that another entry accepted, and whose job
+// runs. "Not run" would be untrue for the second, so that the answer leaves it open, at once and with the time to come back.
 func (m *Manager) Submit(ctx context.Context, spec *batch.Job) error {
 	if known, ok := m.find(spec.ID); ok {
 		return accepted(known.spec, spec.Organisation)
 	}
 	if m.outage(time.Now()) {
 		// To try would hold the trainer for seconds, and leave open whether the job was accepted.
-		return outageRefusal()
+		return verdict.New(verdict.MayHaveRun, 0, verdict.ReasonPlatformUnavailable, outageRetry, "no entry reaches the store")
 	}
 	spec.Owner = m.home(spec).HostID
 	value, err := json.Marshal(spec)
@@ -42,7 +45,7 @@
 		m.work.Go(func() { m.settle(spec) })
 		return verdict.New(verdict.MayHaveRun, 0, verdict.ReasonPlatformUnavailable, storeRetry, "the store's answer was lost")
 	case errors.Is(err, product.ErrUnavailable):
-		return verdict.New(verdict.NotRun, 0, verdict.ReasonPlatformUnavailable, storeRetry, "the store can't be reached")
+		return verdict.New(verdict.MayHaveRun, 0, verdict.ReasonPlatformUnavailable, storeRetry, "the store can't be reached")
 	default:
 		return verdict.New(verdict.NotRun, 0, verdict.ReasonTooLarge, 0, "job %s: %v", spec.ID, err)
 	}
