A page is marked by who wrote it, not by the process

Found while asking of each path whether it can contradict another: a process that forgets a job and runs it again counts its pages anew. A page of its former run, carried out late, had the mark of its first new one; it took the one for the other and listed other results than the store. Change: each run of a job draws its own mark.

--- a/internal/core/batch/progress.go
+++ b/internal/core/batch/progress.go
@@ -70,7 +70,7 @@
 	ended     bool
 }
 
-// NewProgress returns the progress of a job of which no page is known yet. Writer names this run of the process.
+// NewProgress returns the progress of a job of which no page is known yet. Writer names this progress; no other one of the job may have it.
 func NewProgress(job *Job, writer uint64) *Progress {
 	p := &Progress{
 		job:    job,
--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -30,10 +31,14 @@
 	work conc.WaitGroup
 }
 
-func newJob(spec *batch.Job, writer uint64) *job {
+// newJob returns a job of which no page is known yet.
+//
+// Guard: pages are marked with their writer, so that a page whose answer was lost is recognised. A process that forgets a job and runs it again
+// counts its pages anew; under the mark of the process it would take a former page, carried out late, for its new one.
+func newJob(spec *batch.Job) *job {
 	return &job{
 		spec:     spec,
-		progress: batch.NewProgress(spec, writer),
+		progress: batch.NewProgress(spec, rand.Uint64()),
 		changed:  make(chan struct{}),
 		poke:     make(chan struct{}, 1),
 		used:     time.Now(),
--- a/internal/edge/batchjob/job_test.go
+++ b/internal/edge/batchjob/job_test.go
@@ -9,7 +9,7 @@
 
 func testJob() *job {
 	items := []batch.Item{{ID: "a", Group: "g"}, {ID: "b", Group: "g"}}
-	return newJob(&batch.Job{ID: "j", Submission: batch.Submission{Items: items}}, 1)
+	return newJob(&batch.Job{ID: "j", Submission: batch.Submission{Items: items}})
 }
 
 // A copy of a job was read while the job ran elsewhere, and then heard of the job's end. It missed the last page. Taken for the whole
--- a/internal/edge/batchjob/load.go
+++ b/internal/edge/batchjob/load.go
@@ -30,7 +30,7 @@
 	if err := json.Unmarshal(object.Value, &spec); err != nil {
 		return nil, storeRefusal(errors.Wrapf(err, "job %s", id))
 	}
-	return newJob(&spec, m.members.Self().Incarnation), nil
+	return newJob(&spec), nil
 }
 
 // load reads a job with all its pages, and has it run if no entry is known to. No organisation stands for the system itself.
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -22,7 +22,7 @@
 
 // run runs a job here.
 func (m *Manager) run(spec *batch.Job) {
-	m.runJob(newJob(spec, m.members.Self().Incarnation))
+	m.runJob(newJob(spec))
 }
 
 // runJob runs a job.
