Entries that start read beside the lease which jobs were open

Seen by callers: after all entries were killed at once a job stood still until its trainer asked for results, 0.5 to 1.5 s after their return, and the trainer was late by as much from then on. Cause: what ran was known to living entries only. Change: the holder of the duties writes the names of the open jobs beside the lease, with each renewal and no call more; an entry that has just started runs those that no living entry runs, one after the other in the order for the job.

--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -81,15 +82,7 @@
 func (m *Manager) Orphaned(gone gossip.Member) {
 	for _, id := range m.ownedBy(gone.HostID) {
 		m.forgetOwner(id, gone.HostID)
-		turn := time.Duration(min(m.place(id), orphanTurns)) * orphanPause
-		m.work.Go(func() {
-			if !ticker.Sleep(m.ctx, turn) || m.isEnded(id) {
-				return
-			}
-			if _, runs := m.owner(id); !runs {
-				m.rerun(id, gone.HostID)
-			}
-		})
+		m.work.Go(func() { m.rerunInTurn(id, gone.HostID) })
 	}
 }
 
@@ -110,6 +103,71 @@
 	m.log.Info().Err(err).Str("request", id).Str("entry", gone).Msg("batch job of an entry that is gone")
 }
 
+const (
+	// reopenPause is the time in which an entry that has just started hears from the living ones who runs which job.
+	reopenPause = 400 * time.Millisecond
+	// openMost bounds the jobs that are named to entries that start later; eighteen trainers have two or three each.
+	openMost = 128
+)
+
+// Open returns the jobs that some entry is known to run, sorted, for entries that start later.
+func (m *Manager) Open() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	open := map[string]bool{}
+	for id, j := range m.jobs {
+		if j.running() && !j.over() {
+			open[id] = true
+		}
+	}
+	for id := range m.owners {
+		if _, ended := m.ended[id]; !ended {
+			open[id] = true
+		}
+	}
+	ids := slices.Sorted(maps.Keys(open))
+	return ids[:min(openMost, len(ids))]
+}
+
+// Reopen has jobs run again that were open a moment before this process was started, unless a living entry runs them.
+//
+// Guard: all entries are killed at once, and nobody is left who knows what ran. Each job stood still until its trainer asked for results, a
+// second or so later, and the trainer was late by as much from then on.
+func (m *Manager) Reopen(ids []string) {
+	if time.Since(m.started) > freshTime {
+		return
+	}
+	m.mu.Lock()
+	again := m.reopened
+	m.reopened = true
+	m.mu.Unlock()
+	if again {
+		return
+	}
+	for _, id := range ids {
+		m.work.Go(func() {
+			if ticker.Sleep(m.ctx, reopenPause) {
+				m.rerunInTurn(id, "")
+			}
+		})
+	}
+}
+
+// rerunInTurn has a job run again that nobody is known to run, once the entries that come before this one in its order had their turn.
+func (m *Manager) rerunInTurn(id, gone string) {
+	turn := time.Duration(min(m.place(id), orphanTurns)) * orphanPause
+	if !ticker.Sleep(m.ctx, turn) || m.isEnded(id) {
+		return
+	}
+	if _, runs := m.owner(id); runs {
+		return
+	}
+	if j, ok := m.find(id); ok && j.running() {
+		return
+	}
+	m.rerun(id, gone)
+}
+
 // rerunOwn has a job run again that others say this entry runs, though it was started a moment ago: its former run did.
 func (m *Manager) rerunOwn(id string) {
 	if time.Since(m.started) > freshTime || m.isEnded(id) {
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -90,6 +90,8 @@
 	// rerunning are jobs that others said a former run of this entry ran, from the first seconds after its start.
 	rerunning map[string]bool
 	started   time.Time
+	// reopened is set once the jobs that were open before this process was started have been looked into.
+	reopened bool
 	// leaving is set once the process hands its jobs over.
 	leaving bool
 }
--- a/internal/program/process/gateway_batch_test.go
+++ b/internal/program/process/gateway_batch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -226,6 +227,24 @@
 	d.checkResults(d.readAll(back, "j1", 8), 8, streamEvents)
 }
 
+// All entries are killed while a job runs, and another is started. Nobody asks for the job's results; it runs again all the same, since the
+// lease of the duties named it.
+func TestAnOpenJobRunsAgainThoughNobodyAsks(t *testing.T) {
+	d := newDeployment(t, 1)
+	for _, engine := range d.engines {
+		engine.SetStream(50, 100*time.Millisecond)
+	}
+	d.submit(d.gateways[0], "j1", submission(4, 4, 1))
+	d.eventually("the lease names the job", func() bool {
+		object, ok := d.store.Get("lease", "duties")
+		return ok && strings.Contains(string(object.Spec), `"j1"`)
+	})
+	d.gateways[0].kill()
+	before := len(d.engines[0].Seen()) + len(d.engines[1].Seen())
+	d.start("entry-9")
+	d.eventually("its items run again", func() bool { return len(d.engines[0].Seen())+len(d.engines[1].Seen()) > before })
+}
+
 // The entry that runs a job is terminated. What it finished is written, and another entry runs the rest without waiting for silence.
 func TestATerminatedEntryHandsItsJobsOver(t *testing.T) {
 	d := newDeployment(t, 2)
