An entry is a job's owner only as the run that was given it

Cause: the host that was given it is alive, and nothing told that its process had begun anew. Change: a job names the run of its owner's process. Result: the new case fails without it.

--- a/internal/core/batch/job.go
+++ b/internal/core/batch/job.go
@@ -46,8 +46,9 @@
 	ID           string    `json:"id"`
 	Organisation string    `json:"organisation"`
 	Accepted     time.Time `json:"accepted"`
-	// Owner is the host that accepted the job and runs it while it lives.
-	Owner string `json:"owner"`
+	// Owner is the host that is to run the job and runs it while it lives; OwnerRun is the incarnation of its process then.
+	Owner    string `json:"owner"`
+	OwnerRun uint64 `json:"ownerRun"`
 	Terms
 	Submission
 }
--- a/internal/edge/batchjob/home_test.go
+++ b/internal/edge/batchjob/home_test.go
@@ -74,16 +74,22 @@
 		name  string
 		asks  string
 		owner string
-		runs  bool
+		// anew is set if the entry that accepted the job has another incarnation now.
+		anew bool
+		runs bool
 	}{
 		{name: "its owner", asks: "leaving", owner: "leaving", runs: true},
 		{name: "the entry that accepted it a moment ago", asks: "leaving", runs: true},
 		{name: "another, while its owner lives", asks: "third", owner: "leaving"},
 		{name: "another, while the entry that accepted it lives", asks: "third"},
+		{name: "another, while the entry that accepted it was started anew", asks: "third", anew: true, runs: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			spec := batch.Job{ID: "j", Organisation: "north", Accepted: time.Now(), Owner: "leaving", Submission: batch.Submission{Items: []batch.Item{{ID: "a"}}}}
+			if test.anew {
+				spec.OwnerRun = 1
+			}
 			m := testManager(ctx, spec, entries{self: "self", others: []gossip.Member{{HostID: "leaving"}, {HostID: "third"}}})
 			defer m.Wait()
 			defer cancel()
--- a/internal/edge/batchjob/load.go
+++ b/internal/edge/batchjob/load.go
@@ -85,12 +85,15 @@
 }
 
 // hasOwner says whether a living entry that stays, other than except, runs the job or was given it a moment ago.
+//
+// Guard: an entry that is killed right after it was given a job is back at once, and knows nothing of it. Taken for its owner by its name it
+// was left to run the job for two seconds, in which nobody did.
 func (m *Manager) hasOwner(spec *batch.Job, except string) bool {
 	if owner, ok := m.owner(spec.ID); ok && !owner.Leaving && owner.HostID != except {
 		return true
 	}
 	owner, ok := m.members.Find(time.Now(), spec.Owner)
-	return ok && !owner.Leaving && owner.HostID != except && time.Since(spec.Accepted) < ownerGrace
+	return ok && !owner.Leaving && owner.HostID != except && owner.Incarnation == spec.OwnerRun && time.Since(spec.Accepted) < ownerGrace
 }
 
 // takeHere runs a job here that another entry ran, or may still run. Given is what that one had received of unfinished items.
--- a/internal/edge/batchjob/submit.go
+++ b/internal/edge/batchjob/submit.go
@@ -26,7 +26,8 @@
 		// To try would hold the trainer for seconds, and leave open whether the job was accepted.
 		return verdict.New(verdict.MayHaveRun, 0, verdict.ReasonPlatformUnavailable, outageRetry, "no entry reaches the store")
 	}
-	spec.Owner = m.home(spec).HostID
+	home := m.home(spec)
+	spec.Owner, spec.OwnerRun = home.HostID, home.Incarnation
 	value, err := json.Marshal(spec)
 	if err != nil {
 		return verdict.New(verdict.NotRun, 0, verdict.ReasonBadRequest, 0, "job %s: %v", spec.ID, err)
