--- /dev/null
+++ b/internal/edge/batchjob/slow_test.go
@@ -0,0 +1,69 @@
+package batchjob
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	product "github.com/oleandershelf/oleandershelf/internal/edge/platform"
+)
+
+// slowDoor is a door of a store that is slow: each read takes a third of a second, and ends with its context.
+type slowDoor struct{ *storeDoor }
+
+func (d slowDoor) Get(ctx context.Context, kind, name string) (product.Object, error) {
+	timer := time.NewTimer(330 * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return d.storeDoor.Get(ctx, kind, name)
+	case <-ctx.Done():
+		return product.Object{}, product.ErrUnavailable
+	}
+}
+
+// The store is slow, and the entry that ran a job of some pages is gone. What was read of it for one call must help the next one: a trainer that
+// asks again and again must be shown the job, and the job must be taken over.
+func TestAJobOfSomePagesIsReadFromASlowStore(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		call func(ctx context.Context, m *Manager, spec *batch.Job) bool
+	}{
+		{name: "read", call: func(ctx context.Context, m *Manager, spec *batch.Job) bool {
+			began := time.Now()
+			_, results, err := m.Results(ctx, spec.ID, spec.Organisation, 0, time.Second, 1<<20)
+			t.Logf("%d results, %v, after %v", len(results), err, time.Since(began))
+			return len(results) > 0
+		}},
+		{name: "taken over", call: func(_ context.Context, m *Manager, spec *batch.Job) bool {
+			m.rerun(spec.ID, "gone")
+			j, ok := m.find(spec.ID)
+			return ok && j.running()
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithCancel(t.Context())
+			spec := storedSpec()
+			spec.Accepted = time.Now().Add(-time.Minute)
+			store := newSharedStore()
+			for number := 1; number <= 8; number++ {
+				id := fmt.Sprint("item", number)
+				spec.Items = append(spec.Items, batch.Item{ID: id})
+				store.put(t, KindPages, pageName(spec.ID, number), batch.Page{Writer: 9, Serial: number, Results: []batch.Result{{ID: id}}})
+			}
+			store.put(t, KindJobs, spec.ID, spec)
+			m := entryOf(ctx, slowDoor{store.door()}, entries{self: "self"})
+			defer m.Wait()
+			defer cancel()
+			for range 4 {
+				if test.call(ctx, m, spec) {
+					return
+				}
+			}
+			t.Error("not in four tries")
+		})
+	}
+}
