A write of which one way is open stays open

Seen in a test only: a create that was sent through another entry without an answer was said to have had no effect once the next way was turned away. The end of a job, or its acceptance, would then be said not to have happened. Cause: the answer of the last way stood for all of them. Change: a write whose effect one way leaves open is open unless a way answers.

--- a/internal/edge/store/store.go
+++ b/internal/edge/store/store.go
@@ -73,27 +73,39 @@
 )
 
 // call carries a call straight to the store, or through another entry.
+//
+// Guard: a write may be tried on several ways, and each of them may have carried it out without an answer. Judged by the last way alone it was
+// said to have had no effect, while the job or the end that it wrote was there. So a write of which one way is open stays open.
 func (s *Store) call(ctx context.Context, call platform.Call) (platform.Reply, error) {
+	var open error
+	note := func(err error) {
+		if call.Writes() && errors.Is(err, product.ErrUnsettled) {
+			open = err
+		}
+	}
 	if s.Away(time.Now()) {
-		if reply, err := s.relay.Carry(ctx, call); err == nil && !turnedAway(reply) {
+		reply, err := s.relay.Carry(ctx, call)
+		if err == nil && !turnedAway(reply) {
 			return reply, nil
 		}
+		note(err)
 	}
 	reply, err := s.Direct(ctx, call)
 	if err == nil && !turnedAway(reply) {
 		s.noteReached()
 		return reply, nil
 	}
-	if ctx.Err() != nil || call.Wait > 0 {
-		return reply, err
-	}
-	s.noteAway(reply, err)
-	relayed, relayErr := s.relay.Carry(ctx, call)
-	if relayErr == nil && !turnedAway(relayed) {
-		return relayed, nil
+	note(err)
+	if ctx.Err() == nil && call.Wait == 0 {
+		s.noteAway(reply, err)
+		relayed, relayErr := s.relay.Carry(ctx, call)
+		if relayErr == nil && !turnedAway(relayed) {
+			return relayed, nil
+		}
+		note(relayErr)
 	}
-	if err == nil && call.Writes() && errors.Is(relayErr, product.ErrUnsettled) {
-		return relayed, relayErr
+	if open != nil {
+		return platform.Reply{}, open
 	}
 	return reply, err
 }
