What was read of a job, and its end, is remembered from call to call

Seen in tests only: a store that is slow (330 ms a call) took longer for eight pages than a read or a takeover lasts; each began anew, and the job was neither shown nor taken over. The time limit of reads had made it worse. And an end that was read from the store was not noted, so that a late request ran the job, and who ran it was not told. Change: a job is remembered before its pages are read, which is safe since a copy denies nothing; an end that is read counts like one that is heard; a takeover that fails is tried again, some times.

--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -95,12 +95,40 @@
 	freshTime = 5 * time.Second
 )
 
+const (
+	// rerunTries and rerunPause bound how long it is tried to have a job run again; outages of the store take some seconds.
+	rerunTries = 5
+	rerunPause = 500 * time.Millisecond
+)
+
 // rerun has a job run again whose entry was gone.
 func (m *Manager) rerun(id, gone string) {
+	for range rerunTries {
+		err := m.tryRerun(id)
+		m.log.Info().Err(err).Str("request", id).Str("entry", gone).Msg("batch job of an entry that is gone")
+		if err == nil || isNotFound(err) || !ticker.Sleep(m.ctx, rerunPause) || m.isCaredFor(id) {
+			return
+		}
+	}
+}
+
+func (m *Manager) tryRerun(id string) error {
 	ctx, cancel := context.WithTimeout(m.ctx, handoverTime)
 	defer cancel()
 	_, err := m.load(ctx, id, "")
-	m.log.Info().Err(err).Str("request", id).Str("entry", gone).Msg("batch job of an entry that is gone")
+	return err
+}
+
+// isCaredFor says that a job has ended, runs here, or is known to run elsewhere.
+func (m *Manager) isCaredFor(id string) bool {
+	if m.isEnded(id) {
+		return true
+	}
+	if _, runs := m.owner(id); runs {
+		return true
+	}
+	j, ok := m.find(id)
+	return ok && j.running()
 }
 
 const (
@@ -156,16 +184,9 @@
 // rerunInTurn has a job run again that nobody is known to run, once the entries that come before this one in its order had their turn.
 func (m *Manager) rerunInTurn(id, gone string) {
 	turn := time.Duration(min(m.place(id), orphanTurns)) * orphanPause
-	if !ticker.Sleep(m.ctx, turn) || m.isEnded(id) {
-		return
-	}
-	if _, runs := m.owner(id); runs {
-		return
-	}
-	if j, ok := m.find(id); ok && j.running() {
-		return
+	if ticker.Sleep(m.ctx, turn) && !m.isCaredFor(id) {
+		m.rerun(id, gone)
 	}
-	m.rerun(id, gone)
 }
 
 // rerunOwn has a job run again that others say this entry runs, though it was started a moment ago: its former run did.
--- a/internal/edge/batchjob/load.go
+++ b/internal/edge/batchjob/load.go
@@ -58,12 +58,9 @@
 
 // read reads a job with all its pages.
 func (m *Manager) read(ctx context.Context, id, organisation string) (*job, error) {
-	j, ok := m.find(id)
-	if !ok {
-		var err error
-		if j, err = m.peek(ctx, id); err != nil {
-			return nil, err
-		}
+	j, err := m.known(ctx, id)
+	if err != nil {
+		return nil, err
 	}
 	if organisation != "" && j.spec.Organisation != organisation {
 		return nil, notFound(id)
@@ -72,14 +69,39 @@
 		return nil, storeRefusal(err)
 	}
 	if j.over() {
-		return m.keep(j), nil
+		return j, nil
 	}
-	_, err := m.store.Get(ctx, KindEnds, id)
-	if err != nil && !errors.Is(err, product.ErrNotFound) {
+	ended, err := m.endInStore(ctx, id)
+	if err != nil {
 		return nil, storeRefusal(err)
 	}
-	if err == nil {
+	if ended {
 		j.end()
+		m.endHere(id)
+	}
+	return j, nil
+}
+
+// endInStore says whether the store holds the end of a job.
+func (m *Manager) endInStore(ctx context.Context, id string) (bool, error) {
+	_, err := m.store.Get(ctx, KindEnds, id)
+	if errors.Is(err, product.ErrNotFound) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// known returns a job that is in memory, or reads it without its pages and remembers it.
+//
+// Guard: a store that is slow takes longer for the pages of a job than a call lasts. Read from the first page at each call, the job was never
+// shown nor taken over; remembered, each call goes on where the one before ended.
+func (m *Manager) known(ctx context.Context, id string) (*job, error) {
+	if j, ok := m.find(id); ok {
+		return j, nil
+	}
+	j, err := m.peek(ctx, id)
+	if err != nil {
+		return nil, err
 	}
 	return m.keep(j), nil
 }
@@ -151,6 +173,11 @@
 func (m *Manager) keep(j *job) *job {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.keepLocked(j)
+}
+
+// keepLocked does what keep does. The caller holds the lock.
+func (m *Manager) keepLocked(j *job) *job {
 	if known, ok := m.jobs[j.spec.ID]; ok {
 		return known
 	}
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -179,6 +179,8 @@
 	return verdict.New(verdict.NotRun, 0, verdict.ReasonNotFound, 0, "%s is not known", id)
 }
 
+func isNotFound(err error) bool { return verdict.From(err).Reason == verdict.ReasonNotFound }
+
 // outageRefusal tells a caller that the store is out of every entry's reach.
 func outageRefusal() error {
 	return verdict.New(verdict.NotRun, 0, verdict.ReasonPlatformUnavailable, outageRetry, "no entry reaches the store")
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -30,13 +30,14 @@
 // Guard: the request to run a job may be overtaken by its end, which was heard of before the job was known here. Its items would
 // then run at servers until their time was up, long after the trainer was told that nothing of it runs.
 func (m *Manager) runJob(j *job) *job {
-	j = m.keep(j)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	j = m.keepLocked(j)
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if _, ended := m.ended[j.spec.ID]; ended {
 		j.progress.End()
+		j.tell()
 	}
 	if j.runs || m.leaving || j.progress.Ended() || m.ctx.Err() != nil {
 		return j
