--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -26,6 +26,8 @@
 	poke    chan struct{}
 	// asked is when the store was last asked for a page after those known, and had none.
 	asked time.Time
+	// asking is held by the reader that asks the store.
+	asking chan struct{}
 	// used is when the job was last used, for forgetting.
 	used time.Time
 	work conc.WaitGroup
@@ -41,6 +43,7 @@
 		progress: batch.NewProgress(spec, rand.Uint64()),
 		changed:  make(chan struct{}),
 		poke:     make(chan struct{}, 1),
+		asking:   make(chan struct{}, 1),
 		used:     time.Now(),
 	}
 }
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -146,13 +146,7 @@
 		body, found := j.body(q.Item)
 		return BodyAnswer{Known: true, Found: found, Body: body}, nil
 	})
-	peer.Handle(registry, MethodEnd, func(ctx context.Context, q EndRequest) (EndAnswer, error) {
-		j, ok := m.find(q.Job)
-		if !ok {
-			return EndAnswer{}, nil
-		}
-		return EndAnswer{Known: true}, m.endKnown(ctx, j, q.Organisation)
-	})
+	peer.Handle(registry, MethodEnd, m.endFor)
 	peer.Handle(registry, MethodRun, func(ctx context.Context, q RunRequest) (RunAnswer, error) {
 		return RunAnswer{}, m.runFor(ctx, q)
 	})
--- a/internal/edge/batchjob/message.go
+++ b/internal/edge/batchjob/message.go
@@ -29,6 +29,8 @@
 
 // ReadAnswer holds listed results. Known is false if the entry doesn't run the job.
 type ReadAnswer struct {
+	// Waited is set if the answer was given after the whole wait, right before which the store was asked.
+	Waited  bool           `msgpack:"w"`
 	Known   bool           `msgpack:"k"`
 	Total   int            `msgpack:"t"`
 	Results []batch.Result `msgpack:"r"`
@@ -52,6 +54,8 @@
 type EndRequest struct {
 	Job          string `msgpack:"j"`
 	Organisation string `msgpack:"o"`
+	// Written is set if the store holds the end already.
+	Written bool `msgpack:"w"`
 }
 
 // EndAnswer says that the job has ended. Known is false if the entry doesn't know it.
--- a/internal/edge/batchjob/read.go
+++ b/internal/edge/batchjob/read.go
@@ -43,9 +43,12 @@
 	if !ok {
 		return ReadAnswer{}, false
 	}
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+askTime)
+	defer cancel()
+	asked := time.Now()
 	answer, err := peer.Ask[ReadRequest, ReadAnswer](ctx, m.peers, owner.Address, MethodRead, q)
 	if err == nil && answer.Known {
-		return answer, true
+		return answer, answer.current(time.Since(asked))
 	}
 	m.log.Debug().Err(err).Str("request", q.Job).Str("entry", owner.HostID).Msg("results not had from the entry that runs the job")
 	if err == nil {
@@ -54,6 +57,17 @@
 	return ReadAnswer{}, false
 }
 
+// passTime is how old an empty list of another entry may be when it is passed on.
+const passTime = 900 * time.Millisecond
+
+// current says whether an answer that took so long may be passed on. Results never change.
+//
+// Guard: the entry that runs a job was told by the store that nothing is listed, and stood still before it answered. Meanwhile a result was listed
+// and shown. An answer that was confirmed after the wait can't be older than the rest of the time for the question.
+func (a ReadAnswer) current(took time.Duration) bool {
+	return len(a.Results) > 0 || a.Waited || took <= passTime
+}
+
 // readFor answers a read for another entry, if the job is known here and runs here or is over.
 func (m *Manager) readFor(ctx context.Context, q ReadRequest) (ReadAnswer, error) {
 	came := time.Now()
@@ -62,7 +76,8 @@
 		return ReadAnswer{}, nil
 	}
 	total, results, err := m.answer(ctx, j, q, came)
-	return ReadAnswer{Known: err == nil, Total: total, Results: results}, err
+	waited := q.Wait > 0 && time.Since(came) >= q.Wait
+	return ReadAnswer{Known: err == nil, Total: total, Results: results, Waited: waited}, err
 }
 
 // confirmedTime is how long an answer of the store that no page follows is good for: another entry may list more at any time.
@@ -77,14 +92,11 @@
 	if recent := time.Now().Add(-confirmedTime); recent.After(came) {
 		came = recent
 	}
-	total, results, ok := j.show(came, q.From, q.MaxBytes)
-	if !ok {
-		if err := m.ask(ctx, j); err != nil {
-			m.noteRead(j, q.From, basisUnsure)
-			return 0, nil, err
-		}
-		total, results, _ = j.show(came, q.From, q.MaxBytes)
+	if err := m.confirm(ctx, j, q, came); err != nil {
+		m.noteRead(j, q.From, basisUnsure)
+		return 0, nil, err
 	}
+	total, results, _ := j.show(came, q.From, q.MaxBytes)
 	if len(results) == 0 {
 		m.noteRead(j, q.From, basisStore)
 	} else {
@@ -93,11 +105,24 @@
 	return total, results, nil
 }
 
-// ask has the store asked for pages that follow those known. In an outage it is not tried: the reader would wait for nothing.
-func (m *Manager) ask(ctx context.Context, j *job) error {
+// confirm has the store asked for pages that follow those known, unless the read can be answered without. Readers of a job that come together
+// wait for one question. In an outage it is not tried: they would wait for nothing.
+func (m *Manager) confirm(ctx context.Context, j *job, q ReadRequest, came time.Time) error {
+	if _, _, ok := j.show(came, q.From, q.MaxBytes); ok {
+		return nil
+	}
 	if m.outage(time.Now()) {
 		return outageRefusal()
 	}
+	select {
+	case j.asking <- struct{}{}:
+		defer func() { <-j.asking }()
+	case <-ctx.Done():
+		return storeRefusal(ctx.Err())
+	}
+	if _, _, ok := j.show(came, q.From, q.MaxBytes); ok {
+		return nil
+	}
 	if err := m.catchUp(ctx, j); err != nil {
 		return storeRefusal(err)
 	}
@@ -112,21 +137,18 @@
 		Bool("ended", state.Ended).Int("listed", state.Listed).Int("pages", state.Pages).Msg("nothing to show at the position")
 }
 
-// Body returns the body of an item.
+// Body returns the body of an item. It is part of the job and never changes, so that it is taken from wherever it is had first.
 func (m *Manager) Body(ctx context.Context, id, organisation, item string) ([]byte, error) {
-	if owner, ok := m.reader(id); ok {
-		q := BodyRequest{Job: id, Organisation: organisation, Item: item}
-		answer, err := peer.Ask[BodyRequest, BodyAnswer](ctx, m.peers, owner.Address, MethodBody, q)
-		if err == nil && answer.Known && answer.Found {
-			return answer.Body, nil
+	ctx, cancel := context.WithTimeout(ctx, readTime)
+	defer cancel()
+	if _, ok := m.find(id); !ok {
+		if body, ok := m.askBody(ctx, id, organisation, item); ok {
+			return body, nil
 		}
 	}
-	j, ok := m.find(id)
-	if !ok {
-		var err error
-		if j, err = m.load(ctx, id, organisation); err != nil {
-			return nil, err
-		}
+	j, err := m.known(ctx, id)
+	if err != nil {
+		return nil, err
 	}
 	body, found := j.body(item)
 	if !found || j.spec.Organisation != organisation {
@@ -134,3 +156,16 @@
 	}
 	return body, nil
 }
+
+// askBody has the body of an item from the entry that runs the job or keeps its results.
+func (m *Manager) askBody(ctx context.Context, id, organisation, item string) ([]byte, bool) {
+	owner, ok := m.reader(id)
+	if !ok {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	q := BodyRequest{Job: id, Organisation: organisation, Item: item}
+	answer, err := peer.Ask[BodyRequest, BodyAnswer](ctx, m.peers, owner.Address, MethodBody, q)
+	return answer.Body, err == nil && answer.Known && answer.Found
+}
