A runner asks the store whether its job has ended

Seen in a test only: an entry that reaches the store and hears no other one ran a job on three seconds after its end, which was acknowledged elsewhere. Cause: the end was learned from other entries only, and no news was taken for no end. Change: a runner looks for the end each two seconds, not in an outage; one read of the store for a job in that time.

--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -18,6 +18,8 @@
 	checkPause = 100 * time.Millisecond
 	// writePause is the pause before a page is written again after a failure.
 	writePause = 300 * time.Millisecond
+	// endPause is how often a runner asks the store whether its job has ended; nothing of it may begin three seconds after the end.
+	endPause = 2 * time.Second
 )
 
 // run runs a job here.
@@ -54,7 +56,7 @@
 func (m *Manager) control(ctx context.Context, j *job) {
 	timer := time.NewTicker(checkPause)
 	defer timer.Stop()
-	copied := time.Now()
+	copied, checked := time.Now(), time.Now()
 	writing := false
 	written := make(chan bool, 1)
 	for ctx.Err() == nil {
@@ -71,6 +73,10 @@
 			copied = now
 			j.work.Go(func() { m.copyOutput(ctx, j) })
 		}
+		if now := time.Now(); now.Sub(checked) >= endPause {
+			checked = now
+			j.work.Go(func() { m.checkEnd(ctx, j) })
+		}
 		select {
 		case <-ctx.Done():
 		case <-j.poke:
@@ -88,6 +94,25 @@
 	m.log.Info().Str("request", j.spec.ID).Interface("job", j.state()).Msg("batch job not run any more here")
 }
 
+// checkEnd ends a job here whose end stands in the store.
+//
+// Guard: the entry at which a job was ended is cut off from the one that runs it, and both reach the store. No news of the end comes, and its items
+// would run on until their time is up.
+func (m *Manager) checkEnd(ctx context.Context, j *job) {
+	if j.over() || m.outage(time.Now()) {
+		return
+	}
+	ended, err := m.endInStore(ctx, j.spec.ID)
+	if err != nil {
+		m.log.Debug().Err(err).Str("request", j.spec.ID).Msg("end not looked for")
+		return
+	}
+	if ended {
+		m.log.Info().Str("request", j.spec.ID).Msg("end found in the store")
+		m.endHere(j.spec.ID)
+	}
+}
+
 // commit returns the page to write now.
 func (j *job) commit(now time.Time, writing bool) (batch.Page, bool) {
 	j.mu.Lock()
