Who is known to run a job says so itself

Seen in a test only: an entry asked to run a job believed that another one ran it, agreed, and nobody ran it; the asker noted it as the job's owner. Change: the entry that is known to run the job is asked, and runs it if nobody does; if it doesn't answer, the one that was asked first runs it. Test changed: in the cases in which a living entry runs the job that entry answers now; before, none could be asked, and the belief was enough.

--- a/internal/edge/batchjob/home_test.go
+++ b/internal/edge/batchjob/home_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -74,6 +76,8 @@
 		name  string
 		asks  string
 		owner string
+		// mute is set if the owner lives and doesn't answer.
+		mute bool
 		// anew is set if the entry that accepted the job has another incarnation now.
 		anew bool
 		runs bool
@@ -81,6 +85,7 @@
 		{name: "its owner", asks: "leaving", owner: "leaving", runs: true},
 		{name: "the entry that accepted it a moment ago", asks: "leaving", runs: true},
 		{name: "another, while its owner lives", asks: "third", owner: "leaving"},
+		{name: "another, while its owner lives and doesn't answer", asks: "third", owner: "leaving", mute: true, runs: true},
 		{name: "another, while the entry that accepted it lives", asks: "third"},
 		{name: "another, while the entry that accepted it was started anew", asks: "third", anew: true, runs: true},
 	} {
@@ -90,7 +95,11 @@
 			if test.anew {
 				spec.OwnerRun = 1
 			}
-			m := testManager(ctx, spec, entries{self: "self", others: []gossip.Member{{HostID: "leaving"}, {HostID: "third"}}})
+			owner := gossip.Member{HostID: "leaving"}
+			if !test.mute {
+				owner.Address = runsAll(ctx, t)
+			}
+			m := testManager(ctx, spec, entries{self: "self", others: []gossip.Member{owner, {HostID: "third"}}})
 			defer m.Wait()
 			defer cancel()
 			if test.owner != "" {
@@ -107,6 +116,19 @@
 	}
 }
 
+// runsAll is the address of an entry that runs each job that it is asked to run.
+func runsAll(ctx context.Context, t *testing.T) netip.AddrPort {
+	t.Helper()
+	registry := peer.NewRegistry()
+	peer.Handle(registry, MethodRun, func(context.Context, RunRequest) (RunAnswer, error) { return RunAnswer{}, nil })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = peer.NewServer(ctx, listener, registry, []byte("a secret of the tests"))
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
 // An entry died while the long items of a step were in their fourth second. The one that takes the job over has copies of what was received,
 // and the items go on from there; copies of another job, and those that are long out of date, are left aside.
 func TestItemsGoOnFromCopies(t *testing.T) {
--- a/internal/edge/batchjob/message.go
+++ b/internal/edge/batchjob/message.go
@@ -69,6 +69,8 @@
 	Organisation string `msgpack:"o"`
 	// From is the host that asks, and so doesn't run the job.
 	From string `msgpack:"h"`
+	// Sure is set if no other entry need be asked whether it runs the job.
+	Sure bool `msgpack:"s"`
 	// Fresh is the job as the store keeps it, in JSON, if it was accepted just now and has no page yet; else the entry reads the store.
 	Fresh []byte `msgpack:"f"`
 	// Partials are what the entry that leaves the job had received of items that didn't end.
