--- a/internal/edge/batchjob/contradiction_test.go
+++ b/internal/edge/batchjob/contradiction_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,7 +17,7 @@
 )
 
 // trialStepNames are the steps of a trial; those that stand first are drawn most.
-var trialStepNames = []string{"finish", "read", "give", "submit", "hear", "fault", "start", "late", "orphan", "body", "end"}
+var trialStepNames = []string{"finish", "read", "give", "submit", "hear", "fault", "start", "late", "orphan", "body", "end", "outage", "forget"}
 
 const (
 	trialEntries = 3
@@ -34,6 +35,8 @@
 	entries []*Manager
 	stops   []context.CancelFunc
 	spec    batch.Job
+	// outage is set while the entries take the store for out of reach.
+	outage atomic.Bool
 	// accepted is set once an entry said so; shown are the results that any entry has shown, by position.
 	accepted bool
 	shown    []batch.Result
@@ -73,6 +76,7 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	w.stops[number] = cancel
 	w.entries[number] = entryOf(ctx, w.doors[number], entries{self: hostOf(number), others: others})
+	w.entries[number].outage = func(time.Time) bool { return w.outage.Load() }
 }
 
 func (w *trial) stop() {
@@ -116,12 +120,9 @@
 		return
 	}
 	now := time.Now()
+	passed := rapid.IntRange(0, 2).Draw(w.t, "passed over")
 	j.mu.Lock()
-	item, waits := j.progress.Next()
-	if waits {
-		j.progress.Start(item.ID).Append(batch.Event{Number: 1, Data: "text of " + item.ID}, 1)
-		j.progress.Completed(now, item.ID)
-	}
+	completeOne(j.progress, now, passed)
 	page, due := j.progress.Flush(now)
 	j.mu.Unlock()
 	if !due {
@@ -134,6 +135,22 @@
 	m.tryWrite(w.ctx, j, page, value)
 }
 
+// completeOne completes an item that waits, but for those that are passed over: entries finish items in different orders.
+func completeOne(progress *batch.Progress, now time.Time, passed int) {
+	for range passed {
+		item, waits := progress.Next()
+		if !waits {
+			break
+		}
+		progress.Start(item.ID)
+		defer progress.Again(item.ID)
+	}
+	if item, waits := progress.Next(); waits {
+		progress.Start(item.ID).Append(batch.Event{Number: 1, Data: "text of " + item.ID}, 1)
+		progress.Completed(now, item.ID)
+	}
+}
+
 // read reads at an entry, as a trainer does or as another entry does for it.
 func (w *trial) read(m *Manager) {
 	from := rapid.IntRange(0, len(w.shown)).Draw(w.t, "position")
@@ -198,13 +215,17 @@
 	}
 }
 
-// end ends the job.
+// end ends the job; once that is acknowledged the store must hold it.
 func (w *trial) end(m *Manager) {
 	if !w.accepted {
 		return
 	}
 	if err := m.End(w.ctx, w.spec.ID, w.spec.Organisation); err != nil {
 		w.checkRefusal(err)
+		return
+	}
+	if _, err := w.store.door().Get(w.ctx, KindEnds, w.spec.ID); err != nil {
+		w.t.Fatalf("the end was acknowledged and isn't kept: %v", err)
 	}
 }
 
@@ -218,6 +239,15 @@
 	}
 }
 
+// forget has an entry drop the job from memory, if it doesn't run it.
+func (w *trial) forget(m *Manager) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if j, ok := m.jobs[w.spec.ID]; ok && !j.running() {
+		delete(m.jobs, w.spec.ID)
+	}
+}
+
 // hear lets an entry hear what another one tells.
 func (w *trial) hear(m *Manager) {
 	number := rapid.IntRange(0, trialEntries-1).Draw(w.t, "teller")
@@ -256,6 +286,10 @@
 		w.doors[number].set(rapid.SampledFrom(storeFaults).Draw(w.t, "fault"))
 	case "late":
 		w.store.carryOut()
+	case "outage":
+		w.outage.Store(!w.outage.Load())
+	case "forget":
+		w.forget(m)
 	}
 }
 
@@ -278,6 +312,7 @@
 
 // finalRead reads everything at an entry that has just started and reaches the store.
 func (w *trial) finalRead() {
+	w.outage.Store(false)
 	w.doors[0].set(faultNone)
 	w.start(0)
 	total, results, err := w.entries[0].Results(w.ctx, w.spec.ID, w.spec.Organisation, 0, 0, wholeList)
