--- a/internal/edge/batchjob/slow_test.go
+++ b/internal/edge/batchjob/slow_test.go
@@ -67,3 +67,71 @@
 		})
 	}
 }
+
+// stuckDoor is a door of a store whose reads end with their context only.
+type stuckDoor struct{ *storeDoor }
+
+func (d stuckDoor) Get(ctx context.Context, _, _ string) (product.Object, error) {
+	<-ctx.Done()
+	return product.Object{}, product.ErrUnavailable
+}
+
+// The store hangs. A trainer gives up 1.5 s after the wait that it allows, and must have an answer by then.
+func TestAReadEndsBeforeItsTrainerGivesUp(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		ctx, cancel := context.WithCancel(t.Context())
+		spec := storedSpec()
+		m := entryOf(ctx, stuckDoor{newSharedStore().door()}, entries{self: "self"})
+		if known {
+			m.run(spec)
+		}
+		const wait = 200 * time.Millisecond
+		began := time.Now()
+		_, _, err := m.Results(ctx, spec.ID, spec.Organisation, 0, wait, 1000)
+		if took := time.Since(began); err == nil || took > wait+1400*time.Millisecond {
+			t.Errorf("known %v: %v after %v", known, err, took)
+		}
+		cancel()
+		m.Wait()
+	}
+}
+
+// A read of the store takes a third of a second, and a page is written right after it found none. What the store said then must not answer a read
+// that comes in after the page was shown.
+func TestAnAnswerOfTheStoreIsAsOldAsItsQuestion(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	spec := storedSpec()
+	store := newSharedStore()
+	m := entryOf(ctx, slowDoor{store.door()}, entries{self: "self"})
+	j := newJob(spec)
+	asked := time.Now()
+	if err := m.catchUp(ctx, j); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, ok := j.show(asked.Add(100*time.Millisecond), 0, 1000); ok {
+		t.Error("a question that was asked before the read came in answers it")
+	}
+}
+
+// The answer to an acceptance was lost, and its trainer is gone. The job was accepted, so it is found and run.
+func TestALostAcceptanceIsFoundOut(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	spec := storedSpec()
+	store := newSharedStore()
+	door := store.door()
+	door.set(faultLost)
+	m := entryOf(ctx, door, entries{self: "self"})
+	defer m.Wait()
+	defer cancel()
+	if err := m.Submit(ctx, spec); err == nil {
+		t.Fatal("accepted without an answer of the store")
+	}
+	door.set(faultNone)
+	for end := time.Now().Add(4 * settlePause); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if j, ok := m.find(spec.ID); ok && j.running() {
+			return
+		}
+	}
+	t.Error("nobody runs the job")
+}
