Give refusals a reason of their own where the reason did not tell the status

The core named an HTTP status beside each reason, and ten of them did not follow from reason and verdict: badRequest was told as 400 and as 409, overloaded as 429 and as 503, serverLost as 502, 503 and 409, and so on. They have their own reasons now (conflict, noRoom, notReady, wrongPool, samplesLost, answerLost, answerTooLarge, undelivered, callerGone, defect); the statuses stay.

An agent that says that a call's answer was lost under its idempotency key is no longer counted as a failing server: it answered, and the loss was another call's.

--- a/internal/core/delivery/ask.go
+++ b/internal/core/delivery/ask.go
@@ -160,9 +160,9 @@
 	}
 	switch known := j.record; {
 	case e.Version < known.ModelVersion:
-		return refused(http.StatusConflict, verdict.ReasonBadRequest, 0, "version %d is older than %d", e.Version, known.ModelVersion)
+		return refused(http.StatusConflict, verdict.ReasonConflict, 0, "version %d is older than %d", e.Version, known.ModelVersion)
 	case e.Version == known.ModelVersion && e.Weights != known.Weights:
-		return refused(http.StatusConflict, verdict.ReasonBadRequest, 0, "version %d has other weights", e.Version)
+		return refused(http.StatusConflict, verdict.ReasonConflict, 0, "version %d has other weights", e.Version)
 	case e.Version == known.ModelVersion:
 		return outcome{result: VersionAccepted{Version: e.Version, Weights: e.Weights, Cursor: j.cursorAfter(e.Cursor)}}
 	}
@@ -216,7 +216,7 @@
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonPlatformUnavailable,
 			retryAfter, "trainer job %s waits for the platform", j.name)
 	}
-	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonDeadlinePassed,
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonNotReady,
 		retryAfter, "trainer job %s is not that far yet", j.name)
 }
 
--- a/internal/core/delivery/step.go
+++ b/internal/core/delivery/step.go
@@ -18,7 +18,7 @@
 	}
 	if step != nil && e.Step == step.Step {
 		if e.Digest != step.Digest {
-			return refused(http.StatusConflict, verdict.ReasonBadRequest, 0, "step %d was posted with another body", e.Step)
+			return refused(http.StatusConflict, verdict.ReasonConflict, 0, "step %d was posted with another body", e.Step)
 		}
 		return outcome{result: StepAccepted{Samples: step.Samples(), Batches: step.Batches(), Cursor: j.cursor()}}
 	}
@@ -59,7 +59,7 @@
 			return outcome{result: StepAccepted{Samples: past.Samples, Batches: past.Batches, Cursor: j.cursor()}}
 		}
 	}
-	return refused(http.StatusConflict, verdict.ReasonBadRequest, 0, "step %d is past", e.Step)
+	return refused(http.StatusConflict, verdict.ReasonConflict, 0, "step %d is past", e.Step)
 }
 
 // openStep returns the move to a new step. A step that the trainer's cursor names was accepted
@@ -75,7 +75,7 @@
 	opened.Delivered = NewBitmap(opened.Samples())
 	if learnt {
 		if e.Cursor.Digest != e.Digest {
-			return refused(http.StatusConflict, verdict.ReasonBadRequest, 0, "step %d was posted with another body", e.Step)
+			return refused(http.StatusConflict, verdict.ReasonConflict, 0, "step %d was posted with another body", e.Step)
 		}
 		if !opened.fits(e.Cursor) {
 			return cursorMisfit(e.Cursor)
@@ -97,7 +97,7 @@
 }
 
 func cursorMisfit(cursor *Cursor) outcome {
-	return refused(http.StatusConflict, verdict.ReasonBadRequest, 0,
+	return refused(http.StatusConflict, verdict.ReasonConflict, 0,
 		"the cursor of step %d, batch %d does not fit the step", cursor.Step, cursor.Batch)
 }
 
@@ -156,7 +156,7 @@
 	case step == nil || e.Step > step.Step:
 		return refused(http.StatusNotFound, verdict.ReasonNotFound, retrySoon, "step %d is unknown: post it first", e.Step)
 	case e.Step < step.Step || e.Batch < step.Batch:
-		return refused(http.StatusConflict, verdict.ReasonBadRequest, 0, "batch %d of step %d was acknowledged", e.Batch, e.Step)
+		return refused(http.StatusConflict, verdict.ReasonConflict, 0, "batch %d of step %d was acknowledged", e.Batch, e.Step)
 	case e.Batch < 1 || e.Batch > step.Batches():
 		return refused(http.StatusNotFound, verdict.ReasonNotFound, 0, "step %d has %d batches", e.Step, step.Batches())
 	case e.Batch == step.Batch:
@@ -183,7 +183,7 @@
 func (j *Job) repeatBatch(e BatchAsked) outcome {
 	step := j.record.Step
 	if step.Manifest == nil {
-		return refused(http.StatusConflict, verdict.ReasonBadRequest, 0,
+		return refused(http.StatusConflict, verdict.ReasonConflict, 0,
 			"batch %d of step %d was acknowledged by a cursor", e.Batch, e.Step)
 	}
 	return outcome{result: BatchReady{Step: step.Step, Manifest: *step.Manifest, Cursor: j.cursor()}}
--- a/internal/core/execution/keys.go
+++ b/internal/core/execution/keys.go
@@ -73,14 +73,14 @@
 		return none, false, verdict.New(verdict.MayHaveRun, http.StatusConflict, verdict.ReasonInProgress,
 			retryInProgress, "the call with this idempotency key is in progress")
 	default:
-		return none, false, verdict.New(verdict.MayHaveRun, http.StatusConflict, verdict.ReasonServerLost, 0,
+		return none, false, verdict.New(verdict.MayHaveRun, http.StatusConflict, verdict.ReasonAnswerLost, 0,
 			"the call with this idempotency key may have run; its answer was lost")
 	}
 }
 
 func (k *Keys[T]) reserve(now time.Time, key Key, digest Digest) error {
 	if len(k.runs) >= k.capacity {
-		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonOverloaded, retryWhenFull,
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonNoRoom, retryWhenFull,
 			"the record of idempotency keys is full")
 	}
 	k.runs[key] = &run[T]{digest: digest, since: now, state: Running}
--- a/internal/core/verdict/refusal.go
+++ b/internal/core/verdict/refusal.go
@@ -15,26 +15,44 @@
 
 // The reasons for which a request is refused.
 const (
-	ReasonBadRequest          Reason = "badRequest"
-	ReasonTooLarge            Reason = "tooLarge"
-	ReasonUnknownKey          Reason = "unknownKey"
-	ReasonKeyWithdrawn        Reason = "keyWithdrawn"
-	ReasonForbidden           Reason = "forbidden"
-	ReasonNotFound            Reason = "notFound"
-	ReasonRateLimited         Reason = "rateLimited"
-	ReasonOverloaded          Reason = "overloaded"
+	ReasonBadRequest Reason = "badRequest"
+	ReasonTooLarge   Reason = "tooLarge"
+	// ReasonConflict: the request contradicts one that was accepted before it.
+	ReasonConflict     Reason = "conflict"
+	ReasonUnknownKey   Reason = "unknownKey"
+	ReasonKeyWithdrawn Reason = "keyWithdrawn"
+	ReasonForbidden    Reason = "forbidden"
+	ReasonNotFound     Reason = "notFound"
+	ReasonRateLimited  Reason = "rateLimited"
+	ReasonOverloaded   Reason = "overloaded"
+	// ReasonNoRoom: a bounded list is full, or another organisation has the better claim to the place.
+	ReasonNoRoom              Reason = "noRoom"
 	ReasonDeadlineUnreachable Reason = "deadlineUnreachable"
 	ReasonDeadlinePassed      Reason = "deadlinePassed"
-	ReasonNoServer            Reason = "noServer"
-	ReasonLeaving             Reason = "leaving"
-	ReasonStaleView           Reason = "staleView"
-	ReasonIsolated            Reason = "isolated"
-	ReasonServerLost          Reason = "serverLost"
-	ReasonServerFailed        Reason = "serverFailed"
-	ReasonInProgress          Reason = "inProgress"
-	ReasonKeyReused           Reason = "idempotencyKeyReused"
-	ReasonFenced              Reason = "fenced"
-	ReasonCancelled           Reason = "cancelled"
+	// ReasonNotReady: what a trainer waits for did not come in its time; the work goes on.
+	ReasonNotReady Reason = "notReady"
+	ReasonNoServer Reason = "noServer"
+	// ReasonWrongPool: the agent that was asked serves another pool.
+	ReasonWrongPool    Reason = "wrongPool"
+	ReasonLeaving      Reason = "leaving"
+	ReasonStaleView    Reason = "staleView"
+	ReasonIsolated     Reason = "isolated"
+	ReasonServerLost   Reason = "serverLost"
+	ReasonServerFailed Reason = "serverFailed"
+	// ReasonSamplesLost: no host holds the samples of a batch any more; they are made again.
+	ReasonSamplesLost Reason = "samplesLost"
+	// ReasonAnswerLost: a call under this idempotency key ran or may have, and its answer is not kept.
+	ReasonAnswerLost Reason = "answerLost"
+	// ReasonAnswerTooLarge: the server's answer is longer than an entry holds.
+	ReasonAnswerTooLarge Reason = "answerTooLarge"
+	// ReasonUndelivered: the call ran, and its answer could not be handed on.
+	ReasonUndelivered Reason = "undelivered"
+	ReasonInProgress  Reason = "inProgress"
+	ReasonKeyReused   Reason = "idempotencyKeyReused"
+	ReasonFenced      Reason = "fenced"
+	ReasonCancelled   Reason = "cancelled"
+	// ReasonCallerGone: the caller hung up, so nobody receives the refusal.
+	ReasonCallerGone          Reason = "callerGone"
 	ReasonPlatformUnavailable Reason = "platformUnavailable"
 	ReasonTicketEarly         Reason = "ticketEarly"
 	ReasonTicketTaken         Reason = "ticketTaken"
@@ -42,6 +60,8 @@
 	ReasonNotLeader           Reason = "notHolder"
 	ReasonStaleSample         Reason = "staleSample"
 	ReasonInternal            Reason = "internal"
+	// ReasonDefect: the program itself is at fault, as where it can't encode what it made.
+	ReasonDefect Reason = "defect"
 )
 
 // Refusal is the error that ends a request without a whole answer.
--- a/internal/edge/agent/check.go
+++ b/internal/edge/agent/check.go
@@ -18,7 +18,7 @@
 		return ticket.Pool{}, isolated()
 	}
 	if q.Pool != a.config.Pool {
-		return ticket.Pool{}, verdict.New(verdict.NotRun, http.StatusNotFound, verdict.ReasonNoServer, retrySoon,
+		return ticket.Pool{}, verdict.New(verdict.NotRun, http.StatusNotFound, verdict.ReasonWrongPool, retrySoon,
 			"this agent serves pool %s, not %s", a.config.Pool, q.Pool)
 	}
 	pool, ok := view.Pool(q.Pool)
--- a/internal/edge/agent/control.go
+++ b/internal/edge/agent/control.go
@@ -243,7 +243,7 @@
 	answer := now.Add(c.limiter.Typical(j.q.Cost))
 	switch {
 	case j.deadline.IsZero() || !answer.After(j.deadline):
-		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonOverloaded,
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonNoRoom,
 			c.retryAfter(now, j), "the queue is full, and this organisation has the most work in it")
 	case now.Before(j.deadline):
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonDeadlineUnreachable,
--- a/internal/edge/agent/execute.go
+++ b/internal/edge/agent/execute.go
@@ -273,6 +273,6 @@
 	if ctx.Err() != nil {
 		return gone(ctx, verdict.Ran)
 	}
-	return verdict.New(verdict.Ran, http.StatusBadGateway, verdict.ReasonCancelled, 0,
+	return verdict.New(verdict.Ran, http.StatusBadGateway, verdict.ReasonUndelivered, 0,
 		"the call ran; its answer could not be handed on: %v", err)
 }
--- a/internal/edge/agent/outcome.go
+++ b/internal/edge/agent/outcome.go
@@ -37,7 +37,7 @@
 // replay sends the answer again.
 func (o *outcome) replay(out peer.Sink) error {
 	if o.omitted {
-		return verdict.New(verdict.Ran, http.StatusConflict, verdict.ReasonTooLarge, 0,
+		return verdict.New(verdict.Ran, http.StatusConflict, verdict.ReasonAnswerLost, 0,
 			"the call ran; its answer is too large to be repeated")
 	}
 	if err := out.Head(o.head); err != nil {
--- a/internal/edge/configuration/publisher.go
+++ b/internal/edge/configuration/publisher.go
@@ -214,7 +214,7 @@
 func (a *attempt) write(ctx context.Context, version platform.Version, change ticket.Change) (bool, error) {
 	value, err := change.Head.Value()
 	if err != nil {
-		return true, verdict.New(verdict.NotRun, http.StatusInternalServerError, verdict.ReasonInternal, 0, "%v", err)
+		return true, verdict.New(verdict.NotRun, http.StatusInternalServerError, verdict.ReasonDefect, 0, "%v", err)
 	}
 	began := a.publisher.clock()
 	for _, part := range change.Parts {
--- a/internal/edge/entry/dispatcher.go
+++ b/internal/edge/entry/dispatcher.go
@@ -163,8 +163,8 @@
 
 // finalReasons are refusals that every agent would give.
 var finalReasons = []verdict.Reason{
-	verdict.ReasonBadRequest, verdict.ReasonTooLarge, verdict.ReasonUnknownKey, verdict.ReasonKeyWithdrawn,
-	verdict.ReasonForbidden, verdict.ReasonNotFound, verdict.ReasonDeadlinePassed, verdict.ReasonCancelled,
+	verdict.ReasonBadRequest, verdict.ReasonTooLarge, verdict.ReasonAnswerTooLarge, verdict.ReasonUnknownKey, verdict.ReasonKeyWithdrawn,
+	verdict.ReasonForbidden, verdict.ReasonNotFound, verdict.ReasonDeadlinePassed, verdict.ReasonCancelled, verdict.ReasonCallerGone,
 }
 
 func mayRepeat(refusal *verdict.Refusal, idempotent bool) bool {
@@ -321,7 +321,7 @@
 	}
 	v := d.settle(ctx, server, ask)
 	if errors.Is(err, errReceiver) {
-		return verdict.New(v, statusClientClosed, verdict.ReasonCancelled, 0, "the caller hung up")
+		return verdict.New(v, statusClientClosed, verdict.ReasonCallerGone, 0, "the caller hung up")
 	}
 	if ctx.Err() != nil {
 		return verdict.New(v, http.StatusGatewayTimeout, verdict.ReasonDeadlinePassed, 0, "the deadline passed while the request was at agent %s", server.HostID)
--- a/internal/edge/entry/generator.go
+++ b/internal/edge/entry/generator.go
@@ -160,7 +160,7 @@
 	}
 	body, err := json.Marshal(asks)
 	if err != nil {
-		return nil, verdict.New(verdict.NotRun, http.StatusInternalServerError, verdict.ReasonInternal, 0, "encode scores: %v", err)
+		return nil, verdict.New(verdict.NotRun, http.StatusInternalServerError, verdict.ReasonDefect, 0, "encode scores: %v", err)
 	}
 	var answer wholeAnswer
 	err = s.dispatcher.run(ctx, call{
--- a/internal/edge/entry/recordkeeper.go
+++ b/internal/edge/entry/recordkeeper.go
@@ -225,7 +225,7 @@
 	case found.Answer != nil:
 		return *found.Answer, nil
 	case found.InDoubt || found.over(time.Now()):
-		return wholeAnswer{}, verdict.New(verdict.MayHaveRun, http.StatusConflict, verdict.ReasonServerLost, 0,
+		return wholeAnswer{}, verdict.New(verdict.MayHaveRun, http.StatusConflict, verdict.ReasonAnswerLost, 0,
 			"the first call with this idempotency key may have run; its answer was lost")
 	default:
 		return wholeAnswer{}, verdict.New(verdict.MayHaveRun, http.StatusConflict, verdict.ReasonInProgress, inProgressRetry,
--- a/internal/edge/entry/service.go
+++ b/internal/edge/entry/service.go
@@ -171,9 +171,14 @@
 	}
 }
 
+// capacityReasons are refusals that more servers would have spared.
+var capacityReasons = []verdict.Reason{
+	verdict.ReasonOverloaded, verdict.ReasonNoRoom, verdict.ReasonDeadlineUnreachable,
+}
+
 func isCapacityRefusal(err error) bool {
 	refusal, ok := verdict.As(err)
-	return ok && (refusal.Reason == verdict.ReasonOverloaded || refusal.Reason == verdict.ReasonDeadlineUnreachable)
+	return ok && slices.Contains(capacityReasons, refusal.Reason)
 }
 
 // readWhole holds an answer until its closing frame has confirmed length and checksum, so that
@@ -190,7 +195,7 @@
 			return wholeAnswer{}, err
 		}
 		if len(answer.Body) > maxAnswerBytes {
-			return wholeAnswer{}, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonTooLarge, 0, "the answer is longer than %d bytes", maxAnswerBytes)
+			return wholeAnswer{}, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonAnswerTooLarge, 0, "the answer is longer than %d bytes", maxAnswerBytes)
 		}
 	}
 }
--- a/internal/edge/peer/session.go
+++ b/internal/edge/peer/session.go
@@ -87,7 +87,7 @@
 	if !s.register(in) {
 		in.release()
 		return s.refuse(f.Stream, verdict.New(verdict.NotRun, http.StatusServiceUnavailable,
-			verdict.ReasonOverloaded, retrySoon, "%d requests run on this connection", s.settings.maxStreams))
+			verdict.ReasonNoRoom, retrySoon, "%d requests run on this connection", s.settings.maxStreams))
 	}
 	if !s.server.begin() {
 		s.unregister(in)
--- a/internal/edge/trainer/peer.go
+++ b/internal/edge/trainer/peer.go
@@ -104,7 +104,7 @@
 
 func (c *Coordinator) serveCopy(_ context.Context, message copyMessage) (copied, error) {
 	if err := c.shelf.put(message.Job, message.Sample); err != nil {
-		return copied{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonOverloaded,
+		return copied{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonNoRoom,
 			retryInterval, "copy: %v", err)
 	}
 	return copied{}, nil
--- a/internal/edge/trainer/route.go
+++ b/internal/edge/trainer/route.go
@@ -98,7 +98,7 @@
 	case delivery.Refused:
 		return Reply{}, e.Refusal
 	}
-	return Reply{}, verdict.New(verdict.MayHaveRun, http.StatusInternalServerError, verdict.ReasonInternal, 0, "no result")
+	return Reply{}, verdict.New(verdict.MayHaveRun, http.StatusInternalServerError, verdict.ReasonDefect, 0, "no result")
 }
 
 // ask waits for the job's answer; when the context ends the request is refused at once.
