--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"net/http"
 	"sync"
 	"time"
 
@@ -140,7 +139,7 @@
 	if !known || least <= ask.Remaining {
 		return nil
 	}
-	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonDeadlineUnreachable,
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonDeadlineUnreachable,
 		min(least-ask.Remaining, maxRetryAfter),
 		"requests take at least %v at present and %v remain", least.Round(time.Millisecond), ask.Remaining.Round(time.Millisecond))
 }
@@ -167,7 +166,7 @@
 }
 
 func refuse(reason verdict.Reason, after time.Duration, detail string) error {
-	return verdict.New(verdict.NotRun, http.StatusTooManyRequests, reason, after, "%s", detail)
+	return verdict.Refuse(verdict.NotRun, reason, after, "%s", detail)
 }
 
 // Done reports the end of an admitted request: how long it took, and whether the pool refused it for
--- a/internal/core/delivery/ask.go
+++ b/internal/core/delivery/ask.go
@@ -1,7 +1,6 @@
 package delivery
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
@@ -43,8 +42,8 @@
 
 func waiting() outcome { return outcome{} }
 
-func refused(status int, reason verdict.Reason, retryAfter time.Duration, format string, args ...any) outcome {
-	return outcome{result: Refused{verdict.New(verdict.NotRun, status, reason, retryAfter, format, args...)}}
+func refused(reason verdict.Reason, retryAfter time.Duration, format string, args ...any) outcome {
+	return outcome{result: Refused{verdict.Refuse(verdict.NotRun, reason, retryAfter, format, args...)}}
 }
 
 // answerOne answers one request or makes one move alone; it returns false when nothing is left to do.
@@ -141,10 +140,10 @@
 	case cursor == nil:
 		return outcome{}, true
 	case cursor.Job != j.name:
-		return refused(http.StatusBadRequest, verdict.ReasonBadRequest, 0, "the cursor is of trainer job %s", cursor.Job), false
+		return refused(verdict.ReasonBadRequest, 0, "the cursor is of trainer job %s", cursor.Job), false
 	case cursor.Fencing > j.fence():
 		// The trainer was served by a later holder of the lease: this one must not go on.
-		return refused(http.StatusServiceUnavailable, verdict.ReasonNotLeader, retrySoon, "a later coordinator serves the job"), false
+		return refused(verdict.ReasonNotLeader, retrySoon, "a later coordinator serves the job"), false
 	}
 	return outcome{}, true
 }
@@ -160,9 +159,9 @@
 	}
 	switch known := j.record; {
 	case e.Version < known.ModelVersion:
-		return refused(http.StatusConflict, verdict.ReasonConflict, 0, "version %d is older than %d", e.Version, known.ModelVersion)
+		return refused(verdict.ReasonConflict, 0, "version %d is older than %d", e.Version, known.ModelVersion)
 	case e.Version == known.ModelVersion && e.Weights != known.Weights:
-		return refused(http.StatusConflict, verdict.ReasonConflict, 0, "version %d has other weights", e.Version)
+		return refused(verdict.ReasonConflict, 0, "version %d has other weights", e.Version)
 	case e.Version == known.ModelVersion:
 		return outcome{result: VersionAccepted{Version: e.Version, Weights: e.Weights, Cursor: j.cursorAfter(e.Cursor)}}
 	}
@@ -213,10 +212,10 @@
 
 func (j *Job) expiry(retryAfter time.Duration) *verdict.Refusal {
 	if j.down {
-		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonPlatformUnavailable,
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonPlatformUnavailable,
 			retryAfter, "trainer job %s waits for the platform", j.name)
 	}
-	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonNotReady,
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonNotReady,
 		retryAfter, "trainer job %s is not that far yet", j.name)
 }
 
@@ -230,7 +229,7 @@
 
 func (j *Job) refuseAll() {
 	for _, a := range j.asks {
-		j.answer(a, Refused{verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonNotLeader,
+		j.answer(a, Refused{verdict.Refuse(verdict.NotRun, verdict.ReasonNotLeader,
 			retrySoon, "another coordinator serves trainer job %s", j.name)})
 	}
 	j.asks = nil
--- a/internal/core/delivery/job_test.go
+++ b/internal/core/delivery/job_test.go
@@ -259,7 +259,7 @@
 	s := newScript(t, 0)
 	cursor := Cursor{Job: "fees", Step: 5, Digest: "body", Batch: 1, Delivered: Bitmap{0b101}, Fencing: 9}
 	got := s.refusal(s.job.Handle(BatchAsked{ID: 1, Step: 5, Batch: 2, Cursor: &cursor}))
-	if got.Status != 404 {
+	if got.Reason != verdict.ReasonNotFound {
 		t.Errorf("%+v", got)
 	}
 	write := the[Write](s, s.job.Handle(StepAsked{
--- a/internal/core/delivery/step.go
+++ b/internal/core/delivery/step.go
@@ -1,10 +1,6 @@
 package delivery
 
-import (
-	"net/http"
-
-	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
-)
+import "github.com/oleandershelf/oleandershelf/internal/core/verdict"
 
 // tryStep accepts a step: the same body again is the same step, another body is refused, and a
 // new step acknowledges the last batch of the one before.
@@ -18,7 +14,7 @@
 	}
 	if step != nil && e.Step == step.Step {
 		if e.Digest != step.Digest {
-			return refused(http.StatusConflict, verdict.ReasonConflict, 0, "step %d was posted with another body", e.Step)
+			return refused(verdict.ReasonConflict, 0, "step %d was posted with another body", e.Step)
 		}
 		return outcome{result: StepAccepted{Samples: step.Samples(), Batches: step.Batches(), Cursor: j.cursor()}}
 	}
@@ -41,14 +37,14 @@
 		if cursor.Complete || cursor.Step >= e.Step {
 			return nil
 		}
-		open := refused(http.StatusConflict, verdict.ReasonInProgress, 0,
+		open := refused(verdict.ReasonInProgress, 0,
 			"batch %d is not the last one of step %d", cursor.Batch, cursor.Step)
 		return &open
 	}
 	if step == nil || step.Complete() {
 		return nil
 	}
-	open := refused(http.StatusConflict, verdict.ReasonInProgress, 0,
+	open := refused(verdict.ReasonInProgress, 0,
 		"step %d has %d batches and the newest is %d", step.Step, step.Batches(), step.Batch)
 	return &open
 }
@@ -59,7 +55,7 @@
 			return outcome{result: StepAccepted{Samples: past.Samples, Batches: past.Batches, Cursor: j.cursor()}}
 		}
 	}
-	return refused(http.StatusConflict, verdict.ReasonConflict, 0, "step %d is past", e.Step)
+	return refused(verdict.ReasonConflict, 0, "step %d is past", e.Step)
 }
 
 // openStep returns the move to a new step. A step that the trainer's cursor names was accepted
@@ -75,7 +71,7 @@
 	opened.Delivered = NewBitmap(opened.Samples())
 	if learnt {
 		if e.Cursor.Digest != e.Digest {
-			return refused(http.StatusConflict, verdict.ReasonConflict, 0, "step %d was posted with another body", e.Step)
+			return refused(verdict.ReasonConflict, 0, "step %d was posted with another body", e.Step)
 		}
 		if !opened.fits(e.Cursor) {
 			return cursorMisfit(e.Cursor)
@@ -97,7 +93,7 @@
 }
 
 func cursorMisfit(cursor *Cursor) outcome {
-	return refused(http.StatusConflict, verdict.ReasonConflict, 0,
+	return refused(verdict.ReasonConflict, 0,
 		"the cursor of step %d, batch %d does not fit the step", cursor.Step, cursor.Batch)
 }
 
@@ -154,15 +150,15 @@
 	step := j.record.Step
 	switch {
 	case step == nil || e.Step > step.Step:
-		return refused(http.StatusNotFound, verdict.ReasonNotFound, retrySoon, "step %d is unknown: post it first", e.Step)
+		return refused(verdict.ReasonNotFound, retrySoon, "step %d is unknown: post it first", e.Step)
 	case e.Step < step.Step || e.Batch < step.Batch:
-		return refused(http.StatusConflict, verdict.ReasonConflict, 0, "batch %d of step %d was acknowledged", e.Batch, e.Step)
+		return refused(verdict.ReasonConflict, 0, "batch %d of step %d was acknowledged", e.Batch, e.Step)
 	case e.Batch < 1 || e.Batch > step.Batches():
-		return refused(http.StatusNotFound, verdict.ReasonNotFound, 0, "step %d has %d batches", e.Step, step.Batches())
+		return refused(verdict.ReasonNotFound, 0, "step %d has %d batches", e.Step, step.Batches())
 	case e.Batch == step.Batch:
 		return j.repeatBatch(e)
 	case e.Batch > step.Batch+1:
-		return refused(http.StatusConflict, verdict.ReasonInProgress, 0, "batch %d comes next, not %d", step.Batch+1, e.Batch)
+		return refused(verdict.ReasonInProgress, 0, "batch %d comes next, not %d", step.Batch+1, e.Batch)
 	}
 	manifest := j.nextManifest()
 	if manifest == nil {
@@ -183,7 +179,7 @@
 func (j *Job) repeatBatch(e BatchAsked) outcome {
 	step := j.record.Step
 	if step.Manifest == nil {
-		return refused(http.StatusConflict, verdict.ReasonConflict, 0,
+		return refused(verdict.ReasonConflict, 0,
 			"batch %d of step %d was acknowledged by a cursor", e.Batch, e.Step)
 	}
 	return outcome{result: BatchReady{Step: step.Step, Manifest: *step.Manifest, Cursor: j.cursor()}}
--- a/internal/core/delivery/world_test.go
+++ b/internal/core/delivery/world_test.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"pgregory.net/rapid"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 )
 
 // fate is what becomes of a write.
@@ -354,7 +356,7 @@
 		w.accept(e)
 	case Refused:
 		// The trainer posts a step again that a successor does not know.
-		if e.Refusal.Status == 404 && w.posted {
+		if e.Refusal.Reason == verdict.ReasonNotFound && w.posted {
 			w.repost()
 		}
 	case VersionAccepted:
--- a/internal/core/execution/keys.go
+++ b/internal/core/execution/keys.go
@@ -1,7 +1,6 @@
 package execution
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
@@ -65,22 +64,22 @@
 	}
 	switch {
 	case known.digest != digest:
-		return none, false, verdict.New(verdict.NotRun, http.StatusUnprocessableEntity, verdict.ReasonKeyReused, 0,
+		return none, false, verdict.Refuse(verdict.NotRun, verdict.ReasonKeyReused, 0,
 			"the idempotency key was used for another call")
 	case known.state == Ran:
 		return known.outcome, true, nil
 	case known.state == Running:
-		return none, false, verdict.New(verdict.MayHaveRun, http.StatusConflict, verdict.ReasonInProgress,
+		return none, false, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonInProgress,
 			retryInProgress, "the call with this idempotency key is in progress")
 	default:
-		return none, false, verdict.New(verdict.MayHaveRun, http.StatusConflict, verdict.ReasonAnswerLost, 0,
+		return none, false, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonAnswerLost, 0,
 			"the call with this idempotency key may have run; its answer was lost")
 	}
 }
 
 func (k *Keys[T]) reserve(now time.Time, key Key, digest Digest) error {
 	if len(k.runs) >= k.capacity {
-		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonNoRoom, retryWhenFull,
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonNoRoom, retryWhenFull,
 			"the record of idempotency keys is full")
 	}
 	k.runs[key] = &run[T]{digest: digest, since: now, state: Running}
--- a/internal/core/execution/record.go
+++ b/internal/core/execution/record.go
@@ -11,7 +11,6 @@
 package execution
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -130,16 +129,16 @@
 	case Fenced:
 		return fenced(id)
 	case Queued, Running:
-		return verdict.New(verdict.MayHaveRun, http.StatusConflict, verdict.ReasonInProgress, retryInProgress,
+		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonInProgress, retryInProgress,
 			"request %s is in progress", id)
 	default:
-		return verdict.New(verdict.MayHaveRun, http.StatusConflict, verdict.ReasonFenced, 0,
+		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonFenced, 0,
 			"request %s was taken before", id)
 	}
 }
 
 func fenced(id request.ID) *verdict.Refusal {
-	return verdict.New(verdict.NotRun, http.StatusConflict, verdict.ReasonFenced, 0,
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonFenced, 0,
 		"request %s was recorded as never to be run", id)
 }
 
--- a/internal/core/execution/record_test.go
+++ b/internal/core/execution/record_test.go
@@ -152,7 +152,7 @@
 					t.Fatalf("%s was called ran and has not run", id)
 				}
 				if settled.Verdict == verdict.NotRun {
-					refused(t, id, verdict.New(verdict.NotRun, 0, "", 0, ""))
+					refused(t, id, verdict.Refuse(verdict.NotRun, "", 0, ""))
 				}
 			},
 			"time": func(t *rapid.T) {
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"container/heap"
-	"net/http"
 	"slices"
 	"time"
 
@@ -73,11 +72,11 @@
 	wait := q.wait(now, item)
 	remaining := item.Deadline.Sub(now)
 	if late := wait + q.service(item.Cost) - remaining; late > 0 {
-		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonDeadlineUnreachable, late,
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonDeadlineUnreachable, late,
 			"a wait of %v would miss the deadline by %v", wait.Round(time.Millisecond), late.Round(time.Millisecond))
 	}
 	if over := wait - remaining/waitPart; over > 0 {
-		return verdict.New(verdict.NotRun, http.StatusTooManyRequests, verdict.ReasonOverloaded, over,
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonOverloaded, over,
 			"a wait of %v is too long for the time that remains", wait.Round(time.Millisecond))
 	}
 	return nil
@@ -115,7 +114,7 @@
 // full refuses, to come back when half of what the organisation has in the queue is done.
 func (q *Queue[T]) full(target *lane[T], detail string) error {
 	after := q.pace.duration(q.ahead(target.start+target.cost/target.weight/2, target) + target.cost/2)
-	return verdict.New(verdict.NotRun, http.StatusTooManyRequests, verdict.ReasonOverloaded,
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonOverloaded,
 		max(after, time.Second), "%s", detail)
 }
 
--- a/internal/core/scenario/policy_test.go
+++ b/internal/core/scenario/policy_test.go
@@ -115,7 +115,7 @@
 	}
 	server, ok := c.entry.tracker.Choose(s.clock.now, probed, c.cost)
 	if !ok {
-		s.giveUp(c, verdict.New(verdict.NotRun, 503, verdict.ReasonNoServer, time.Second, "no server"))
+		s.giveUp(c, verdict.Refuse(verdict.NotRun, verdict.ReasonNoServer, time.Second, "no server"))
 		return
 	}
 	s.clock.after(3*hop, func() { s.byName[server.HostID].accept(c) })
@@ -184,7 +184,7 @@
 func (a *agent) pump() {
 	s := a.sim
 	for _, item := range a.queue.Expire(s.clock.now) {
-		s.giveUp(item.Value, verdict.New(verdict.NotRun, 503, verdict.ReasonDeadlinePassed,
+		s.giveUp(item.Value, verdict.Refuse(verdict.NotRun, verdict.ReasonDeadlinePassed,
 			max(time.Second, a.queue.Wait(s.clock.now, item.Organisation, item.Weight)-item.Value.patience), "late"))
 	}
 	for a.server.up && a.running < a.limiter.Limit() {
--- a/internal/core/verdict/refusal.go
+++ b/internal/core/verdict/refusal.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"math"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,12 +64,10 @@
 )
 
 // Refusal is the error that ends a request without a whole answer.
-// It travels between processes and is shown to the caller.
+// It travels between processes and is shown to the caller, under a status that the edge derives from reason and verdict.
 type Refusal struct {
 	// Verdict says whether the request may have run.
 	Verdict Verdict `msgpack:"v"`
-	// Status is the HTTP status that the caller receives.
-	Status int `msgpack:"s"`
 	// Reason is the stable code of the refusal.
 	Reason Reason `msgpack:"r"`
 	// Detail is a sentence for people; it never holds key material.
@@ -79,17 +76,21 @@
 	RetryAfter time.Duration `msgpack:"a"`
 }
 
-// New returns a refusal; retryAfter is zero where coming back cannot help.
-func New(v Verdict, status int, reason Reason, retryAfter time.Duration, format string, args ...any) *Refusal {
+// Refuse returns a refusal; retryAfter is zero where coming back cannot help.
+func Refuse(v Verdict, reason Reason, retryAfter time.Duration, format string, args ...any) *Refusal {
 	return &Refusal{
 		Verdict:    v,
-		Status:     status,
 		Reason:     reason,
 		Detail:     fmt.Sprintf(format, args...),
 		RetryAfter: retryAfter,
 	}
 }
 
+// New is Refuse for callers that name a number beside the reason, which nothing reads.
+func New(v Verdict, _ int, reason Reason, retryAfter time.Duration, format string, args ...any) *Refusal {
+	return Refuse(v, reason, retryAfter, format, args...)
+}
+
 // Error returns reason, verdict and detail in one line.
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("%s (%s): %s", r.Reason, r.Verdict, r.Detail)
@@ -131,5 +132,5 @@
 	if refusal, ok := As(err); ok {
 		return refusal
 	}
-	return New(MayHaveRun, http.StatusBadGateway, ReasonInternal, time.Second, "%v", err)
+	return Refuse(MayHaveRun, ReasonInternal, time.Second, "%v", err)
 }
--- a/internal/edge/agent/check.go
+++ b/internal/edge/agent/check.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
@@ -18,7 +17,7 @@
 		return ticket.Pool{}, isolated()
 	}
 	if q.Pool != a.config.Pool {
-		return ticket.Pool{}, verdict.New(verdict.NotRun, http.StatusNotFound, verdict.ReasonWrongPool, retrySoon,
+		return ticket.Pool{}, verdict.Refuse(verdict.NotRun, verdict.ReasonWrongPool, retrySoon,
 			"this agent serves pool %s, not %s", a.config.Pool, q.Pool)
 	}
 	pool, ok := view.Pool(q.Pool)
@@ -29,11 +28,11 @@
 		return pool, a.unknown(view, q, keyWithdrawn(verdict.NotRun))
 	}
 	if len(pool.Organisations) > 0 && !slices.Contains(pool.Organisations, q.Organisation) {
-		return pool, a.unknown(view, q, verdict.New(verdict.NotRun, http.StatusForbidden, verdict.ReasonForbidden, 0,
+		return pool, a.unknown(view, q, verdict.Refuse(verdict.NotRun, verdict.ReasonForbidden, 0,
 			"organisation %s may not use pool %s", q.Organisation, q.Pool))
 	}
 	if q.Remaining < 0 {
-		return pool, verdict.New(verdict.NotRun, http.StatusGatewayTimeout, verdict.ReasonDeadlinePassed, retrySoon,
+		return pool, verdict.Refuse(verdict.NotRun, verdict.ReasonDeadlinePassed, retrySoon,
 			"the deadline passed before the agent was reached")
 	}
 	return pool, nil
@@ -45,25 +44,25 @@
 	if view.Revision() >= q.Revision {
 		return refusal
 	}
-	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonStaleView, retrySoon,
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonStaleView, retrySoon,
 		"the agent is at revision %d, the entry at %d", view.Revision(), q.Revision)
 }
 
 func notFound(pool string) *verdict.Refusal {
-	return verdict.New(verdict.NotRun, http.StatusNotFound, verdict.ReasonNotFound, 0, "pool %s is unknown", pool)
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonNotFound, 0, "pool %s is unknown", pool)
 }
 
 func keyWithdrawn(v verdict.Verdict) *verdict.Refusal {
-	return verdict.New(v, http.StatusUnauthorized, verdict.ReasonKeyWithdrawn, 0, "the key was withdrawn")
+	return verdict.Refuse(v, verdict.ReasonKeyWithdrawn, 0, "the key was withdrawn")
 }
 
 func isolated() *verdict.Refusal { return isolatedWith(verdict.NotRun) }
 
 func isolatedWith(v verdict.Verdict) *verdict.Refusal {
-	return verdict.New(v, http.StatusServiceUnavailable, verdict.ReasonIsolated, retrySoon,
+	return verdict.Refuse(v, verdict.ReasonIsolated, retrySoon,
 		"the agent's configuration was not confirmed lately")
 }
 
 func cancelled(v verdict.Verdict) *verdict.Refusal {
-	return verdict.New(v, http.StatusServiceUnavailable, verdict.ReasonCancelled, 0, "the caller has gone")
+	return verdict.Refuse(v, verdict.ReasonCancelled, 0, "the caller has gone")
 }
--- a/internal/edge/agent/control.go
+++ b/internal/edge/agent/control.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/execution"
@@ -53,7 +52,7 @@
 // submit takes a request in; a refusal is handed to the job like a start.
 func (c *control) submit(now time.Time, j *job) {
 	if c.leaving || c.pause.holds(now) {
-		j.started <- verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonLeaving, retrySoon,
+		j.started <- verdict.Refuse(verdict.NotRun, verdict.ReasonLeaving, retrySoon,
 			"the backend server is leaving")
 		return
 	}
@@ -243,10 +242,10 @@
 	answer := now.Add(c.limiter.Typical(j.q.Cost))
 	switch {
 	case j.deadline.IsZero() || !answer.After(j.deadline):
-		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonNoRoom,
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonNoRoom,
 			c.retryAfter(now, j), "the queue is full, and this organisation has the most work in it")
 	case now.Before(j.deadline):
-		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonDeadlineUnreachable,
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonDeadlineUnreachable,
 			c.retryAfter(now, j), "the answer can't come before the deadline")
 	default:
 		return c.deadlinePassed(now, j)
@@ -259,7 +258,7 @@
 }
 
 func (c *control) deadlinePassed(now time.Time, j *job) error {
-	return verdict.New(verdict.NotRun, http.StatusGatewayTimeout, verdict.ReasonDeadlinePassed,
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonDeadlinePassed,
 		c.retryAfter(now, j), "the deadline passed in the queue")
 }
 
--- a/internal/edge/agent/execute.go
+++ b/internal/edge/agent/execute.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net/http"
 	"sync"
 	"time"
 
@@ -95,7 +94,7 @@
 	case errors.Is(cause, errIsolated):
 		return isolatedWith(v)
 	case errors.Is(cause, context.DeadlineExceeded):
-		return verdict.New(v, http.StatusGatewayTimeout, verdict.ReasonDeadlinePassed, retrySoon,
+		return verdict.Refuse(v, verdict.ReasonDeadlinePassed, retrySoon,
 			"the deadline passed")
 	case errors.Is(cause, peer.ErrCancelled):
 		return cancelled(v)
@@ -107,7 +106,7 @@
 // ended is the refusal of a request when the process or its connection ends. A queued one has not run: the control
 // goroutine, which alone starts requests, is gone.
 func ended(v verdict.Verdict) *verdict.Refusal {
-	return verdict.New(v, http.StatusServiceUnavailable, verdict.ReasonLeaving, retrySoon, "the agent has ended")
+	return verdict.Refuse(v, verdict.ReasonLeaving, retrySoon, "the agent has ended")
 }
 
 // runJob runs a started job and records its end, whatever it is.
@@ -255,7 +254,7 @@
 // failed turns a failure of the call into a refusal with a true verdict.
 func (r *run) failed(ctx context.Context, err error) error {
 	if errors.Is(err, ErrNotSent) {
-		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonNoServer, retrySoon,
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonNoServer, retrySoon,
 			"the backend server can't be reached")
 	}
 	if refusal, ok := verdict.As(err); ok {
@@ -264,7 +263,7 @@
 	if ctx.Err() != nil {
 		return gone(ctx, verdict.MayHaveRun)
 	}
-	return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonServerLost, retrySoon,
+	return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerLost, retrySoon,
 		"the connection to the backend server was lost")
 }
 
@@ -273,6 +272,6 @@
 	if ctx.Err() != nil {
 		return gone(ctx, verdict.Ran)
 	}
-	return verdict.New(verdict.Ran, http.StatusBadGateway, verdict.ReasonUndelivered, 0,
+	return verdict.Refuse(verdict.Ran, verdict.ReasonUndelivered, 0,
 		"the call ran; its answer could not be handed on: %v", err)
 }
--- a/internal/edge/agent/leave.go
+++ b/internal/edge/agent/leave.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/request"
@@ -28,7 +27,7 @@
 // an order that its successor has taken back.
 func (p *pause) set(now time.Time, q request.Leave) error {
 	if q.Fencing < p.fencing {
-		return verdict.New(verdict.NotRun, http.StatusConflict, verdict.ReasonFenced, 0, "fencing number %d is older than %d", q.Fencing, p.fencing)
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonFenced, 0, "fencing number %d is older than %d", q.Fencing, p.fencing)
 	}
 	p.fencing = q.Fencing
 	p.until = time.Time{}
--- a/internal/edge/agent/outcome.go
+++ b/internal/edge/agent/outcome.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"hash"
-	"net/http"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/execution"
 	"github.com/oleandershelf/oleandershelf/internal/core/request"
@@ -37,7 +36,7 @@
 // replay sends the answer again.
 func (o *outcome) replay(out peer.Sink) error {
 	if o.omitted {
-		return verdict.New(verdict.Ran, http.StatusConflict, verdict.ReasonAnswerLost, 0,
+		return verdict.Refuse(verdict.Ran, verdict.ReasonAnswerLost, 0,
 			"the call ran; its answer is too large to be repeated")
 	}
 	if err := out.Head(o.head); err != nil {
--- a/internal/edge/configuration/proposal.go
+++ b/internal/edge/configuration/proposal.go
@@ -1,7 +1,6 @@
 package configuration
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,17 +36,17 @@
 	case ticket.OrderEarly:
 		return n.decideEarly(head, now)
 	case ticket.OrderTaken:
-		return decision{}, verdict.New(verdict.NotRun, http.StatusConflict, verdict.ReasonTicketTaken, 0,
+		return decision{}, verdict.Refuse(verdict.NotRun, verdict.ReasonTicketTaken, 0,
 			"ticket %d was accepted with another content; the next number is %d", n.number, head.LastTicket+1)
 	case ticket.OrderForgotten:
 		if doubted {
 			return decision{}, n.unsettled(errSuperseded)
 		}
-		return decision{}, verdict.New(verdict.NotRun, http.StatusConflict, verdict.ReasonTicketTaken, 0,
+		return decision{}, verdict.Refuse(verdict.NotRun, verdict.ReasonTicketTaken, 0,
 			"ticket %d is older than the last %d, whose content is kept; whether it is the same can't be told; the next number is %d",
 			n.number, ticket.KeptDigests, head.LastTicket+1)
 	default:
-		return decision{}, verdict.New(verdict.NotRun, http.StatusBadRequest, verdict.ReasonBadRequest, 0,
+		return decision{}, verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0,
 			"ticket %d: numbers start at 1", n.number)
 	}
 }
@@ -56,12 +55,12 @@
 	if left := n.early.Sub(now); left > 0 {
 		return decision{wait: left}, nil
 	}
-	return decision{}, verdict.New(verdict.NotRun, http.StatusConflict, verdict.ReasonTicketEarly, retrySoon,
+	return decision{}, verdict.Refuse(verdict.NotRun, verdict.ReasonTicketEarly, retrySoon,
 		"ticket %d is early: ticket %d is expected", n.number, head.LastTicket+1)
 }
 
 func (n *numbered) unsettled(cause error) *verdict.Refusal {
-	return verdict.New(verdict.MayHaveRun, http.StatusServiceUnavailable, verdict.ReasonTicketUnsettled, retryLater,
+	return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonTicketUnsettled, retryLater,
 		"ticket %d may have been accepted; send the same ticket again: %v", n.number, cause)
 }
 
@@ -104,12 +103,12 @@
 		return decision{}, v.unsettled(errSuperseded)
 	}
 	if known && v.version.Version <= current.Version {
-		return decision{}, verdict.New(verdict.NotRun, http.StatusConflict, verdict.ReasonFenced, 0, "%v", err)
+		return decision{}, verdict.Refuse(verdict.NotRun, verdict.ReasonFenced, 0, "%v", err)
 	}
-	return decision{}, verdict.New(verdict.NotRun, http.StatusBadRequest, verdict.ReasonBadRequest, 0, "%v", err)
+	return decision{}, verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "%v", err)
 }
 
 func (v *versioned) unsettled(cause error) *verdict.Refusal {
-	return verdict.New(verdict.MayHaveRun, http.StatusServiceUnavailable, verdict.ReasonTicketUnsettled, retryLater,
+	return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonTicketUnsettled, retryLater,
 		"version %d of model %s may have been published; publish it again: %v", v.version.Version, v.version.Model, cause)
 }
--- a/internal/edge/configuration/publisher.go
+++ b/internal/edge/configuration/publisher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -99,7 +98,7 @@
 func validVersion(version ticket.ModelVersion) error {
 	single := ticket.Ticket{ModelVersions: []ticket.ModelVersion{version}}
 	if err := single.Validate(); err != nil {
-		return verdict.New(verdict.NotRun, http.StatusBadRequest, verdict.ReasonBadRequest, 0, "%v", err)
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "%v", err)
 	}
 	return nil
 }
@@ -162,7 +161,7 @@
 		return a.ended(ctx)
 	}
 	if !a.inDoubt {
-		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonPlatformUnavailable,
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonPlatformUnavailable,
 			retryLater, "nothing was written: %v", cause)
 	}
 	if a.publisher.clock().After(a.giveUp) || ctx.Err() != nil {
@@ -179,7 +178,7 @@
 	if a.inDoubt {
 		return a.proposal.unsettled(ctx.Err())
 	}
-	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonCancelled, retrySoon,
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonCancelled, retrySoon,
 		"nothing was written: %v", ctx.Err())
 }
 
@@ -214,7 +213,7 @@
 func (a *attempt) write(ctx context.Context, version platform.Version, change ticket.Change) (bool, error) {
 	value, err := change.Head.Value()
 	if err != nil {
-		return true, verdict.New(verdict.NotRun, http.StatusInternalServerError, verdict.ReasonDefect, 0, "%v", err)
+		return true, verdict.Refuse(verdict.NotRun, verdict.ReasonDefect, 0, "%v", err)
 	}
 	began := a.publisher.clock()
 	for _, part := range change.Parts {
@@ -338,5 +337,5 @@
 }
 
 func refuseTicket(number int, cause error) *verdict.Refusal {
-	return verdict.New(verdict.NotRun, http.StatusBadRequest, verdict.ReasonBadRequest, 0, "ticket %d: %v", number, cause)
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "ticket %d: %v", number, cause)
 }
--- a/internal/edge/configuration/publisher_test.go
+++ b/internal/edge/configuration/publisher_test.go
@@ -15,6 +15,7 @@
 	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
+	"github.com/oleandershelf/oleandershelf/internal/edge/refusal"
 	standin "github.com/oleandershelf/oleandershelf/internal/standin/platform"
 )
 
@@ -207,8 +208,8 @@
 	}
 	forgotten := apply(1, 1)
 	checkRefusal(t, forgotten, verdict.NotRun, verdict.ReasonTicketTaken)
-	if verdict.From(forgotten).Status != http.StatusConflict {
-		t.Errorf("status %d", verdict.From(forgotten).Status)
+	if status := refusal.Status(verdict.From(forgotten)); status != http.StatusConflict {
+		t.Errorf("status %d", status)
 	}
 }
 
--- a/internal/edge/configuration/status.go
+++ b/internal/edge/configuration/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -34,7 +33,7 @@
 		last = max(last, p.follower.View().LastTicket())
 	}
 	if err != nil && (number > last || p.follower == nil) {
-		return Status{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonPlatformUnavailable,
+		return Status{}, verdict.Refuse(verdict.NotRun, verdict.ReasonPlatformUnavailable,
 			retryLater, "ticket %d: %v", number, err)
 	}
 	status := Status{Number: number, LastTicket: last, Accepted: number >= 1 && number <= last}
--- a/internal/edge/entry/authenticate.go
+++ b/internal/edge/entry/authenticate.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -31,17 +30,17 @@
 // would go on serving it. Such a host refuses everything; Fresh bounds how long it may be unaware.
 func (e *Entry) authenticate(c fiber.Ctx) (caller, error) {
 	if !e.deps.Views.Fresh(time.Now()) {
-		return caller{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonIsolated, isolatedRetry,
+		return caller{}, verdict.Refuse(verdict.NotRun, verdict.ReasonIsolated, isolatedRetry,
 			"this host can't confirm that keys are still valid")
 	}
 	key, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), bearerPrefix)
 	if !ok || key == "" {
-		return caller{}, verdict.New(verdict.NotRun, http.StatusUnauthorized, verdict.ReasonUnknownKey, 0,
+		return caller{}, verdict.Refuse(verdict.NotRun, verdict.ReasonUnknownKey, 0,
 			"send the key as Authorization: Bearer KEY")
 	}
 	organisation, hash, ok := e.deps.Views.View().Authenticate(key)
 	if !ok {
-		return caller{}, verdict.New(verdict.NotRun, http.StatusUnauthorized, verdict.ReasonUnknownKey, 0,
+		return caller{}, verdict.Refuse(verdict.NotRun, verdict.ReasonUnknownKey, 0,
 			"the key is unknown or withdrawn")
 	}
 	return caller{organisation: organisation, key: key, keyHash: hash}, nil
@@ -52,6 +51,6 @@
 	if len(pool.Organisations) == 0 || slices.Contains(pool.Organisations, from.organisation.Name) {
 		return nil
 	}
-	return verdict.New(verdict.NotRun, http.StatusForbidden, verdict.ReasonForbidden, 0,
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonForbidden, 0,
 		"organisation %s may not use pool %s", from.organisation.Name, pool.Name)
 }
--- a/internal/edge/entry/dispatcher.go
+++ b/internal/edge/entry/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -154,11 +153,11 @@
 	if ctx.Err() == nil || last.Verdict != verdict.NotRun {
 		return last
 	}
-	return verdict.New(verdict.NotRun, http.StatusGatewayTimeout, verdict.ReasonDeadlinePassed, 0, "the deadline passed before a server was found")
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonDeadlinePassed, 0, "the deadline passed before a server was found")
 }
 
 func noServer(pool string) *verdict.Refusal {
-	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonNoServer, noServerRetry, "pool %s has no server to take the request", pool)
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonNoServer, noServerRetry, "pool %s has no server to take the request", pool)
 }
 
 // finalReasons are refusals that every agent would give.
@@ -317,17 +316,14 @@
 		return refusal
 	}
 	if errors.Is(err, peer.ErrUnsent) {
-		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonServerLost, noServerRetry, "agent %s can't be reached", server.HostID)
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonServerLost, noServerRetry, "agent %s can't be reached", server.HostID)
 	}
 	v := d.settle(ctx, server, ask)
 	if errors.Is(err, errReceiver) {
-		return verdict.New(v, statusClientClosed, verdict.ReasonCallerGone, 0, "the caller hung up")
+		return verdict.Refuse(v, verdict.ReasonCallerGone, 0, "the caller hung up")
 	}
 	if ctx.Err() != nil {
-		return verdict.New(v, http.StatusGatewayTimeout, verdict.ReasonDeadlinePassed, 0, "the deadline passed while the request was at agent %s", server.HostID)
+		return verdict.Refuse(v, verdict.ReasonDeadlinePassed, 0, "the deadline passed while the request was at agent %s", server.HostID)
 	}
-	return verdict.New(v, http.StatusBadGateway, verdict.ReasonServerLost, noServerRetry, "the connection to agent %s was lost", server.HostID)
+	return verdict.Refuse(v, verdict.ReasonServerLost, noServerRetry, "the connection to agent %s was lost", server.HostID)
 }
-
-// statusClientClosed is logged for callers that hung up; nobody receives it.
-const statusClientClosed = 499
--- a/internal/edge/entry/dispatcher_test.go
+++ b/internal/edge/entry/dispatcher_test.go
@@ -22,7 +22,7 @@
 }
 
 // errLostAnswer is an error without a verdict, which leaves the entry in doubt.
-var errLostAnswer = verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonServerLost, 0, "lost")
+var errLostAnswer = verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerLost, 0, "lost")
 
 // A tower clerk's charge is sent, and the connection to the agent is lost before the answer.
 // The agent can't rule out that the charge ran. Running it at another server as well would bill the airline
@@ -52,7 +52,7 @@
 // The caller must get the whole answer from the other, and the call must have run there once.
 func TestNotRunIsTriedElsewhere(t *testing.T) {
 	leaving := &fakeAgent{execute: func(context.Context, request.Execute, peer.Sink) (request.AnswerEnd, error) {
-		return request.AnswerEnd{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonLeaving, 0, "leaving")
+		return request.AnswerEnd{}, verdict.Refuse(verdict.NotRun, verdict.ReasonLeaving, 0, "leaving")
 	}}
 	ready := &fakeAgent{}
 	f := newFixture(t, leaving, ready)
@@ -120,7 +120,7 @@
 	var refused atomic.Int64
 	return &fakeAgent{execute: func(ctx context.Context, q request.Execute, out peer.Sink) (request.AnswerEnd, error) {
 		if refused.Add(1) <= int64(times) {
-			return request.AnswerEnd{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonIsolated, 0, "not confirmed")
+			return request.AnswerEnd{}, verdict.Refuse(verdict.NotRun, verdict.ReasonIsolated, 0, "not confirmed")
 		}
 		return echo(ctx, q, out)
 	}}
--- a/internal/edge/entry/generate.go
+++ b/internal/edge/entry/generate.go
@@ -50,7 +50,7 @@
 	model := c.Params("model")
 	pool, ok := e.deps.Views.View().ModelPool(model)
 	if !ok {
-		return verdict.New(verdict.NotRun, http.StatusNotFound, verdict.ReasonNotFound, 0, "no pool serves a model named %q", model)
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonNotFound, 0, "no pool serves a model named %q", model)
 	}
 	if err := permit(from, pool); err != nil {
 		return err
--- a/internal/edge/entry/generation.go
+++ b/internal/edge/entry/generation.go
@@ -65,7 +65,7 @@
 // the closing event counts; without it the generation resumes elsewhere.
 func (g *generation) consume(answer *peer.Answer[request.AnswerEnd]) error {
 	if status := answer.Head().Status; status != http.StatusOK {
-		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonServerFailed, noServerRetry, "the engine answered %d", status)
+		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerFailed, noServerRetry, "the engine answered %d", status)
 	}
 	before := len(g.tokens)
 	var pending []byte
@@ -87,7 +87,7 @@
 		}
 	}
 	if !done {
-		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonServerFailed, noServerRetry, "the engine's stream ended early")
+		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerFailed, noServerRetry, "the engine's stream ended early")
 	}
 	return nil
 }
@@ -115,10 +115,10 @@
 func (g *generation) event(payload []byte, before int) (done bool, err error) {
 	var event backendserver.Event
 	if err := json.Unmarshal(payload, &event); err != nil {
-		return false, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonServerFailed, noServerRetry, "the engine sent an unreadable event: %v", err)
+		return false, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerFailed, noServerRetry, "the engine sent an unreadable event: %v", err)
 	}
 	if event.Done && event.Tokens != len(g.tokens)-before {
-		return false, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonServerFailed, noServerRetry,
+		return false, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerFailed, noServerRetry,
 			"the engine sent %d tokens and says %d", len(g.tokens)-before, event.Tokens)
 	}
 	if event.Done {
--- a/internal/edge/entry/generator.go
+++ b/internal/edge/entry/generator.go
@@ -123,7 +123,7 @@
 func (s *SampleGenerator) keyHash(name string) (string, error) {
 	organisation, ok := s.view().Organisation(name)
 	if !ok || len(organisation.KeyHashes) == 0 {
-		return "", verdict.New(verdict.NotRun, http.StatusUnauthorized, verdict.ReasonKeyWithdrawn, 0, "organisation %s holds no key", name)
+		return "", verdict.Refuse(verdict.NotRun, verdict.ReasonKeyWithdrawn, 0, "organisation %s holds no key", name)
 	}
 	return organisation.KeyHashes[0], nil
 }
@@ -160,7 +160,7 @@
 	}
 	body, err := json.Marshal(asks)
 	if err != nil {
-		return nil, verdict.New(verdict.NotRun, http.StatusInternalServerError, verdict.ReasonDefect, 0, "encode scores: %v", err)
+		return nil, verdict.Refuse(verdict.NotRun, verdict.ReasonDefect, 0, "encode scores: %v", err)
 	}
 	var answer wholeAnswer
 	err = s.dispatcher.run(ctx, call{
@@ -192,7 +192,7 @@
 func readScores(answer wholeAnswer) ([]trainer.Score, error) {
 	var scores []backendserver.Score
 	if err := json.Unmarshal(answer.Body, &scores); err != nil || answer.Status != http.StatusOK {
-		return nil, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonServerFailed, noServerRetry, "the scoring service answered %d", answer.Status)
+		return nil, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerFailed, noServerRetry, "the scoring service answered %d", answer.Status)
 	}
 	converted := make([]trainer.Score, 0, len(scores))
 	for _, score := range scores {
--- a/internal/edge/entry/hangup_test.go
+++ b/internal/edge/entry/hangup_test.go
@@ -67,7 +67,7 @@
 		began <- struct{}{}
 		<-ctx.Done()
 		ended <- context.Cause(ctx)
-		return request.AnswerEnd{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonCancelled, 0, "gone")
+		return request.AnswerEnd{}, verdict.Refuse(verdict.NotRun, verdict.ReasonCancelled, 0, "gone")
 	}}, began, ended
 }
 
--- a/internal/edge/entry/harness_test.go
+++ b/internal/edge/entry/harness_test.go
@@ -181,7 +181,7 @@
 	})
 	peer.Handle(registry, agent.MethodSettle, func(_ context.Context, q request.Settle) (request.Settled, error) {
 		if a.settle == nil {
-			return request.Settled{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonNoServer, 0, "no record")
+			return request.Settled{}, verdict.Refuse(verdict.NotRun, verdict.ReasonNoServer, 0, "no record")
 		}
 		return a.settle(q), nil
 	})
--- a/internal/edge/entry/recordkeeper.go
+++ b/internal/edge/entry/recordkeeper.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -202,7 +201,7 @@
 }
 
 func platformRefusal(err error) error {
-	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonPlatformUnavailable, noServerRetry,
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonPlatformUnavailable, noServerRetry,
 		"the record for the idempotency key can't be written: %v", err)
 }
 
@@ -211,7 +210,7 @@
 	object, err := k.store.Get(ctx, name)
 	if err != nil {
 		// This repeat hasn't run, but the first call may have.
-		return wholeAnswer{}, verdict.New(verdict.MayHaveRun, http.StatusServiceUnavailable, verdict.ReasonPlatformUnavailable, noServerRetry,
+		return wholeAnswer{}, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonPlatformUnavailable, noServerRetry,
 			"a call with this idempotency key was made before, and its record can't be read")
 	}
 	var found record
@@ -220,15 +219,15 @@
 	}
 	switch {
 	case found.Digest != mine.Digest:
-		return wholeAnswer{}, verdict.New(verdict.NotRun, http.StatusUnprocessableEntity, verdict.ReasonKeyReused, 0,
+		return wholeAnswer{}, verdict.Refuse(verdict.NotRun, verdict.ReasonKeyReused, 0,
 			"the idempotency key was used for another call")
 	case found.Answer != nil:
 		return *found.Answer, nil
 	case found.InDoubt || found.over(time.Now()):
-		return wholeAnswer{}, verdict.New(verdict.MayHaveRun, http.StatusConflict, verdict.ReasonAnswerLost, 0,
+		return wholeAnswer{}, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonAnswerLost, 0,
 			"the first call with this idempotency key may have run; its answer was lost")
 	default:
-		return wholeAnswer{}, verdict.New(verdict.MayHaveRun, http.StatusConflict, verdict.ReasonInProgress, inProgressRetry,
+		return wholeAnswer{}, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonInProgress, inProgressRetry,
 			"a call with this idempotency key is running")
 	}
 }
--- a/internal/edge/entry/recordkeeper_test.go
+++ b/internal/edge/entry/recordkeeper_test.go
@@ -83,7 +83,7 @@
 			agent.execute = func(ctx context.Context, q request.Execute, out peer.Sink) (request.AnswerEnd, error) {
 				if !failed {
 					failed = true
-					return request.AnswerEnd{}, verdict.New(test.first, http.StatusBadGateway, verdict.ReasonServerLost, 0, "lost")
+					return request.AnswerEnd{}, verdict.Refuse(test.first, verdict.ReasonServerLost, 0, "lost")
 				}
 				return echo(ctx, q, out)
 			}
--- a/internal/edge/entry/refuse.go
+++ b/internal/edge/entry/refuse.go
@@ -1,43 +1,29 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 
 	"github.com/gofiber/fiber/v3"
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/callerconn"
+	"github.com/oleandershelf/oleandershelf/internal/edge/refusal"
 )
 
 // onError turns every error of a handler into a refusal with its verdict.
 func (e *Entry) onError(c fiber.Ctx, err error) error {
-	refusal := refusalOf(err)
-	e.metrics.refused(refusal)
-	if refusal.Reason == verdict.ReasonTooLarge {
+	refused := refusal.Of(err)
+	e.metrics.refused(refused)
+	if refused.Reason == verdict.ReasonTooLarge {
 		callerconn.Linger(c.RequestCtx().Conn())
 	}
-	return writeRefusal(c, refusal)
-}
-
-func refusalOf(err error) *verdict.Refusal {
-	var fiberError *fiber.Error
-	if !errors.As(err, &fiberError) {
-		return verdict.From(err)
-	}
-	// fiber refuses before any handler of ours has passed the request on.
-	reason := verdict.ReasonBadRequest
-	switch fiberError.Code {
-	case http.StatusRequestEntityTooLarge:
-		reason = verdict.ReasonTooLarge
-	case http.StatusNotFound:
-		reason = verdict.ReasonNotFound
-	}
-	return verdict.New(verdict.NotRun, fiberError.Code, reason, 0, "%s", fiberError.Message)
+	c.Set(fiber.HeaderRetryAfter, strconv.Itoa(refused.RetryAfterSeconds()))
+	return c.Status(refusal.StatusOf(err)).JSON(refused)
 }
 
 // refuseMethods answers requests of a method that the HTTP library doesn't know: its own answer has no verdict.
@@ -63,15 +49,10 @@
 	if coding == "" || strings.EqualFold(coding, "identity") {
 		return c.Next()
 	}
-	return verdict.New(verdict.NotRun, http.StatusUnsupportedMediaType, verdict.ReasonBadRequest, 0,
-		"send the body without the Content-Encoding %.80q", coding)
-}
-
-func writeRefusal(c fiber.Ctx, refusal *verdict.Refusal) error {
-	c.Set(fiber.HeaderRetryAfter, strconv.Itoa(refusal.RetryAfterSeconds()))
-	return c.Status(refusal.Status).JSON(refusal)
+	return fiber.NewError(http.StatusUnsupportedMediaType,
+		fmt.Sprintf("send the body without the Content-Encoding %.80q", coding))
 }
 
 func badRequest(format string, args ...any) *verdict.Refusal {
-	return verdict.New(verdict.NotRun, http.StatusBadRequest, verdict.ReasonBadRequest, 0, format, args...)
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, format, args...)
 }
--- a/internal/edge/entry/service.go
+++ b/internal/edge/entry/service.go
@@ -76,7 +76,7 @@
 func (e *Entry) servicePool(name string, from caller) (ticket.Pool, error) {
 	pool, ok := e.deps.Views.View().Pool(name)
 	if !ok || pool.Kind != ticket.KindService {
-		return ticket.Pool{}, verdict.New(verdict.NotRun, http.StatusNotFound, verdict.ReasonNotFound, 0, "no plain service named %q", name)
+		return ticket.Pool{}, verdict.Refuse(verdict.NotRun, verdict.ReasonNotFound, 0, "no plain service named %q", name)
 	}
 	return pool, permit(from, pool)
 }
@@ -195,7 +195,7 @@
 			return wholeAnswer{}, err
 		}
 		if len(answer.Body) > maxAnswerBytes {
-			return wholeAnswer{}, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonAnswerTooLarge, 0, "the answer is longer than %d bytes", maxAnswerBytes)
+			return wholeAnswer{}, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonAnswerTooLarge, 0, "the answer is longer than %d bytes", maxAnswerBytes)
 		}
 	}
 }
--- a/internal/edge/entry/ticket.go
+++ b/internal/edge/entry/ticket.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"net/http"
 	"strconv"
 	"strings"
 
@@ -69,5 +68,5 @@
 			return nil
 		}
 	}
-	return verdict.New(verdict.NotRun, http.StatusUnauthorized, verdict.ReasonUnknownKey, 0, "tickets need an operator's key")
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonUnknownKey, 0, "tickets need an operator's key")
 }
--- a/internal/edge/gateway/batch.go
+++ b/internal/edge/gateway/batch.go
@@ -17,14 +17,14 @@
 // submit accepts a batch job.
 func (g *Gateway) submit(c fiber.Ctx, a asked) error {
 	if c.Method() != fiber.MethodPost {
-		return verdict.New(verdict.NotRun, 0, verdict.ReasonBadRequest, 0, "batch jobs are submitted by POST")
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "batch jobs are submitted by POST")
 	}
 	if a.caller.RequestID == "" {
-		return verdict.New(verdict.NotRun, 0, verdict.ReasonBadRequest, 0, "a batch job needs the id of its request")
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "a batch job needs the id of its request")
 	}
 	submission, err := platform.ReadSubmission(c.Request().Body())
 	if err != nil {
-		return verdict.New(verdict.NotRun, 0, verdict.ReasonBadRequest, 0, "%v", err)
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "%v", err)
 	}
 	job := &batch.Job{
 		ID:           a.caller.RequestID,
@@ -51,7 +51,7 @@
 // batch answers a call on an accepted job.
 func (g *Gateway) batch(c fiber.Ctx, a asked, call platform.BatchCall) error {
 	if !a.table.HasHost(string(c.Request().Host())) {
-		return verdict.New(verdict.NotRun, 0, verdict.ReasonNotFound, 0, "no route")
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonNotFound, 0, "no route")
 	}
 	organisation, ok := a.table.Organisation(a.caller.Key)
 	if !ok {
--- a/internal/edge/gateway/forward.go
+++ b/internal/edge/gateway/forward.go
@@ -15,6 +15,7 @@
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/callerconn"
 	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
+	"github.com/oleandershelf/oleandershelf/internal/edge/refusal"
 	"github.com/oleandershelf/oleandershelf/platform"
 )
 
@@ -78,9 +79,9 @@
 		line.Msg("request answered")
 		return
 	}
-	refusal := refusalOf(err)
-	line.Stringer("verdict", refusal.Verdict).Str("reason", string(refusal.Reason)).Str("detail", refusal.Detail).
-		Dur("retryAfter", refusal.RetryAfter).Int("status", platform.Status(refusal)).Msg("request refused")
+	refused := refusal.Of(err)
+	line.Stringer("verdict", refused.Verdict).Str("reason", string(refused.Reason)).Str("detail", refused.Detail).
+		Dur("retryAfter", refused.RetryAfter).Int("status", platform.Status(refused)).Msg("request refused")
 }
 
 // tries are the attempts at one request.
@@ -194,7 +195,7 @@
 	case last.outcome == verdict.Ran:
 		return last, nil
 	case t.sent > 0:
-		return last, verdict.New(verdict.MayHaveRun, 0, verdict.ReasonServerLost, 0, "server %s: %v", last.server.ID, last.cause)
+		return last, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerLost, 0, "server %s: %v", last.server.ID, last.cause)
 	case ctx.Err() != nil:
 		return last, t.expired(last)
 	default:
@@ -204,9 +205,9 @@
 
 func (t *tries) noServer(last *attempt) error {
 	if last == nil {
-		return verdict.New(verdict.NotRun, 0, verdict.ReasonNoServer, fullRetry, "pool %s has no server", t.pool)
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonNoServer, fullRetry, "pool %s has no server", t.pool)
 	}
-	return verdict.New(verdict.NotRun, 0, verdict.ReasonOverloaded, fullRetry, "pool %s has no free place; server %s: %v", t.pool, last.server.ID, last.cause)
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonOverloaded, fullRetry, "pool %s has no free place; server %s: %v", t.pool, last.server.ID, last.cause)
 }
 
 func (t *tries) expired(last *attempt) error {
@@ -214,7 +215,7 @@
 	if t.sent > 0 {
 		outcome = verdict.MayHaveRun
 	}
-	return verdict.New(outcome, 0, verdict.ReasonDeadlinePassed, 0, "the time is over; server %s: %v", last.server.ID, last.cause)
+	return verdict.Refuse(outcome, verdict.ReasonDeadlinePassed, 0, "the time is over; server %s: %v", last.server.ID, last.cause)
 }
 
 // attempt sends the request to a server once and reads the whole answer.
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/oleandershelf/oleandershelf/internal/edge/batchjob"
 	"github.com/oleandershelf/oleandershelf/internal/edge/callerconn"
 	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
+	"github.com/oleandershelf/oleandershelf/internal/edge/refusal"
 	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 	"github.com/oleandershelf/oleandershelf/internal/edge/view"
 	"github.com/oleandershelf/oleandershelf/platform"
@@ -115,7 +116,7 @@
 	}
 	a := asked{caller: platform.ReadCaller(&c.Request().Header), arrived: time.Now()}
 	if a.table = g.deps.View.Now().Table; a.table == nil {
-		return verdict.New(verdict.NotRun, 0, verdict.ReasonIsolated, unknownRetry, "no configuration is known here yet")
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonIsolated, unknownRetry, "no configuration is known here yet")
 	}
 	path := string(c.Request().URI().PathOriginal())
 	if call, ok := platform.ReadBatchCall(c.Method(), path, c.Request().URI().QueryArgs()); ok {
@@ -123,7 +124,7 @@
 	}
 	route, ok := a.table.Match(string(c.Request().Host()), path)
 	if !ok {
-		return verdict.New(verdict.NotRun, 0, verdict.ReasonNotFound, 0, "no route")
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonNotFound, 0, "no route")
 	}
 	a.route = route
 	if a.table.NeedsKey(route) {
@@ -156,23 +157,23 @@
 func (a asked) pool() string { return a.route.Pool(rand.Float64()) }
 
 func unknownKey() error {
-	return verdict.New(verdict.NotRun, 0, verdict.ReasonUnknownKey, 0, "the key is not known")
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonUnknownKey, 0, "the key is not known")
 }
 
 // onError turns every error of a handler into a refusal with its verdict.
 func (g *Gateway) onError(c fiber.Ctx, err error) error {
-	refusal := refusalOf(err)
-	if refusal.Reason == verdict.ReasonTooLarge {
+	refused := refusal.Of(err)
+	if refused.Reason == verdict.ReasonTooLarge {
 		callerconn.Linger(c.RequestCtx().Conn())
 	}
-	status := platform.Status(refusal)
+	status := platform.Status(refused)
 	if known, ok := c.Locals(logged{}).(bool); !ok || !known {
-		g.logRefusal(c, refusal, status)
+		g.logRefusal(c, refused, status)
 	}
-	g.deps.Metrics.refused(refusal)
+	g.deps.Metrics.refused(refused)
 	platform.EchoRequestID(&c.Response().Header, platform.ReadCaller(&c.Request().Header).RequestID)
-	platform.SetRetryAfter(&c.Response().Header, refusal.RetryAfter)
-	return c.Status(status).JSON(refusal)
+	platform.SetRetryAfter(&c.Response().Header, refused.RetryAfter)
+	return c.Status(status).JSON(refused)
 }
 
 // logRefusal writes the line of a request that was refused before it was sent anywhere.
--- a/internal/edge/peer/answer.go
+++ b/internal/edge/peer/answer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -81,7 +80,7 @@
 		return nil, errors.Wrapf(ErrUnsent, "encode method %s: %v", m, err)
 	}
 	if len(payload)+frameOverhead > c.settings.maxFrame {
-		return nil, verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, verdict.ReasonTooLarge, 0,
+		return nil, verdict.Refuse(verdict.NotRun, verdict.ReasonTooLarge, 0,
 			"message of %d bytes, %d allowed", len(payload), c.settings.maxFrame-frameOverhead)
 	}
 	return payload, nil
--- a/internal/edge/peer/failure_test.go
+++ b/internal/edge/peer/failure_test.go
@@ -260,7 +260,7 @@
 		}
 	})
 	refusal := askUntilRefused(t, b)
-	want := verdict.New(verdict.NotRun, 503, verdict.ReasonLeaving, retrySoon, "the process is leaving")
+	want := verdict.Refuse(verdict.NotRun, verdict.ReasonLeaving, retrySoon, "the process is leaving")
 	if diff := cmp.Diff(want, refusal); diff != "" {
 		t.Error(diff)
 	}
--- a/internal/edge/peer/registry.go
+++ b/internal/edge/peer/registry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"net/http"
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -39,7 +38,7 @@
 	r.handlers[m] = func(ctx context.Context, body []byte, out Sink) ([]byte, error) {
 		var q Q
 		if err := msgpack.Unmarshal(body, &q); err != nil {
-			return nil, verdict.New(verdict.NotRun, http.StatusBadRequest, verdict.ReasonBadRequest, 0,
+			return nil, verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0,
 				"message of method %s: %v", m, err)
 		}
 		end, err := h(ctx, q, out)
@@ -55,6 +54,6 @@
 	if h, ok := r.handlers[m]; ok {
 		return h, nil
 	}
-	return nil, verdict.New(verdict.NotRun, http.StatusNotFound, verdict.ReasonNotFound, 0,
+	return nil, verdict.Refuse(verdict.NotRun, verdict.ReasonNotFound, 0,
 		"method %s is not served here", m)
 }
--- a/internal/edge/peer/session.go
+++ b/internal/edge/peer/session.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -86,12 +85,12 @@
 	in := newInbound(s, f.Stream, c.Remaining)
 	if !s.register(in) {
 		in.release()
-		return s.refuse(f.Stream, verdict.New(verdict.NotRun, http.StatusServiceUnavailable,
+		return s.refuse(f.Stream, verdict.Refuse(verdict.NotRun,
 			verdict.ReasonNoRoom, retrySoon, "%d requests run on this connection", s.settings.maxStreams))
 	}
 	if !s.server.begin() {
 		s.unregister(in)
-		return s.refuse(f.Stream, verdict.New(verdict.NotRun, http.StatusServiceUnavailable,
+		return s.refuse(f.Stream, verdict.Refuse(verdict.NotRun,
 			verdict.ReasonLeaving, retrySoon, "the process is leaving"))
 	}
 	s.wg.Go(func() { in.serve(h, c.Body) })
--- a/internal/edge/trainer/answer.go
+++ b/internal/edge/trainer/answer.go
@@ -142,7 +142,7 @@
 	contents, err := c.contents(ctx, r.job, e.Step, e.Manifest)
 	if err != nil {
 		r.post(ctx, missingMessage{step: e.Step, batch: e.Manifest.Batch})
-		return Reply{}, verdict.New(verdict.MayHaveRun, http.StatusServiceUnavailable, verdict.ReasonSamplesLost,
+		return Reply{}, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonSamplesLost,
 			retryInterval, "batch %d: %v", e.Manifest.Batch, err)
 	}
 	body := batchReply{
--- a/internal/edge/trainer/http.go
+++ b/internal/edge/trainer/http.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -16,6 +15,7 @@
 
 	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+	"github.com/oleandershelf/oleandershelf/internal/edge/refusal"
 )
 
 const (
@@ -56,11 +56,11 @@
 	}
 }
 
-func writeRefusal(f fiber.Ctx, refusal *verdict.Refusal) error {
-	if refusal.RetryAfter > 0 {
-		f.Set(fiber.HeaderRetryAfter, strconv.Itoa(refusal.RetryAfterSeconds()))
+func writeRefusal(f fiber.Ctx, refused *verdict.Refusal) error {
+	if refused.RetryAfter > 0 {
+		f.Set(fiber.HeaderRetryAfter, strconv.Itoa(refused.RetryAfterSeconds()))
 	}
-	return f.Status(refusal.Status).JSON(refusal)
+	return f.Status(refusal.Status(refused)).JSON(refused)
 }
 
 func (c *Coordinator) handle(f fiber.Ctx, action Action) (Reply, error) {
@@ -100,13 +100,13 @@
 // authorise lets only the job's organisation through.
 func (c *Coordinator) authorise(key, job string) error {
 	if !c.fresh(time.Now()) {
-		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonIsolated, retryInterval,
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonIsolated, retryInterval,
 			"this host can't confirm that keys are still valid")
 	}
 	view := c.deps.View()
 	organisation, _, ok := view.Authenticate(key)
 	if key == "" || !ok {
-		return verdict.New(verdict.NotRun, http.StatusUnauthorized, verdict.ReasonUnknownKey, 0, "the key is not known")
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonUnknownKey, 0, "the key is not known")
 	}
 	return authoriseJob(view, organisation, job)
 }
@@ -114,10 +114,10 @@
 func authoriseJob(view Configuration, organisation ticket.Organisation, job string) error {
 	configured, ok := view.TrainerJob(job)
 	if !ok {
-		return verdict.New(verdict.NotRun, http.StatusNotFound, verdict.ReasonNotFound, 0, "there is no trainer job %s", job)
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonNotFound, 0, "there is no trainer job %s", job)
 	}
 	if configured.Organisation != organisation.Name {
-		return verdict.New(verdict.NotRun, http.StatusForbidden, verdict.ReasonForbidden, 0,
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonForbidden, 0,
 			"trainer job %s belongs to another organisation", job)
 	}
 	return nil
--- a/internal/edge/trainer/peer.go
+++ b/internal/edge/trainer/peer.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -104,7 +103,7 @@
 
 func (c *Coordinator) serveCopy(_ context.Context, message copyMessage) (copied, error) {
 	if err := c.shelf.put(message.Job, message.Sample); err != nil {
-		return copied{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonNoRoom,
+		return copied{}, verdict.Refuse(verdict.NotRun, verdict.ReasonNoRoom,
 			retryInterval, "copy: %v", err)
 	}
 	return copied{}, nil
--- a/internal/edge/trainer/refusal.go
+++ b/internal/edge/trainer/refusal.go
@@ -1,7 +1,6 @@
 package trainer
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
@@ -11,15 +10,15 @@
 const retryInterval = time.Second
 
 func refusalNotHolder(job string) *verdict.Refusal {
-	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonNotLeader, retryInterval,
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonNotLeader, retryInterval,
 		"no coordinator of trainer job %s is known here", job)
 }
 
 func refusalLeaving(job string) *verdict.Refusal {
-	return verdict.New(verdict.MayHaveRun, http.StatusServiceUnavailable, verdict.ReasonLeaving, retryInterval,
+	return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonLeaving, retryInterval,
 		"the coordinator of trainer job %s is leaving", job)
 }
 
 func refusalBadRequest(format string, args ...any) *verdict.Refusal {
-	return verdict.New(verdict.NotRun, http.StatusBadRequest, verdict.ReasonBadRequest, 0, format, args...)
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, format, args...)
 }
--- a/internal/edge/trainer/route.go
+++ b/internal/edge/trainer/route.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/delivery"
@@ -98,7 +97,7 @@
 	case delivery.Refused:
 		return Reply{}, e.Refusal
 	}
-	return Reply{}, verdict.New(verdict.MayHaveRun, http.StatusInternalServerError, verdict.ReasonDefect, 0, "no result")
+	return Reply{}, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonDefect, 0, "no result")
 }
 
 // ask waits for the job's answer; when the context ends the request is refused at once.
--- a/internal/program/cmd/ticket.go
+++ b/internal/program/cmd/ticket.go
@@ -110,9 +110,9 @@
 	}
 	var dial *net.OpError
 	if errors.As(err, &dial) && dial.Op == "dial" {
-		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.ReasonNoServer, 0, "ticket %d was not sent: %v", number, err)
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonNoServer, 0, "ticket %d was not sent: %v", number, err)
 	}
-	return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonTicketUnsettled, time.Second,
+	return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonTicketUnsettled, time.Second,
 		"ticket %d: %v; apply it again with the same number and content, which is harmless", number, err)
 }
 
@@ -126,7 +126,7 @@
 	if err := json.Unmarshal(body, &answer); err != nil {
 		return errors.Errorf("the entry answered %d: %s", status, body)
 	}
-	return verdict.New(answer.Verdict, status, answer.Reason, time.Duration(answer.RetryAfterSeconds)*time.Second, "%s", answer.Detail)
+	return verdict.Refuse(answer.Verdict, answer.Reason, time.Duration(answer.RetryAfterSeconds)*time.Second, "%s", answer.Detail)
 }
 
 func numberArgument(c *cli.Command) (int, error) {
