Fold a listener that stood thrice, and spans and counts that stood twice

Entry, gateway and operators' interface each served and shut down their listener with the same guard; callerconn.Serve holds it now. The entry joined tokens to spans as core/delivery does, with types of the same JSON, and core/backend counted running requests in two loops of the same shape.

--- a/internal/core/backend/book.go
+++ b/internal/core/backend/book.go
@@ -166,28 +166,25 @@
 
 // Running returns how many requests this entry runs at each server that has any.
 func (b *Book) Running() map[string]int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	running := map[string]int{}
-	for id, state := range b.servers {
-		if state.running > 0 {
-			running[id] = state.running
-		}
-	}
-	return running
+	return b.count(func(s *serverState) int { return s.running })
 }
 
 // RunningAnywhere returns how many requests all entries are known to run at each server that has any.
 func (b *Book) RunningAnywhere() map[string]int {
+	return b.count(func(s *serverState) int { return s.running + s.others })
+}
+
+// count returns the servers with their counts, but for those that have none.
+func (b *Book) count(of func(*serverState) int) map[string]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	running := map[string]int{}
+	counts := map[string]int{}
 	for id, state := range b.servers {
-		if count := state.running + state.others; count > 0 {
-			running[id] = count
+		if count := of(state); count > 0 {
+			counts[id] = count
 		}
 	}
-	return running
+	return counts
 }
 
 // Release ends the count of a request that Acquire began.
--- a/internal/edge/admin/admin.go
+++ b/internal/edge/admin/admin.go
@@ -15,7 +15,10 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/callerconn"
 )
 
 const shutdownTime = time.Second
@@ -55,17 +58,8 @@
 	s.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	s.app.Get("/readyz", s.readyz)
 	s.app.Get("/debug/state", s.state)
-	s.work.Go(func() {
-		_ = s.app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
-	})
-	s.work.Go(func() {
-		<-ctx.Done()
-		// An admin request still open after the time limit is cut: it changes nothing.
-		_ = s.app.ShutdownWithTimeout(shutdownTime)
-		// Guard: a shutdown that comes before the server accepts connections does nothing, and the process would
-		// never end; without its listener the server ends when it begins.
-		_ = l.Close()
-	})
+	// An admin request still open after the time limit is cut: it changes nothing.
+	callerconn.Serve(ctx, &s.work, s.app, l, shutdownTime, zerolog.Nop())
 	return s
 }
 
--- a/internal/edge/callerconn/hangup.go
+++ b/internal/edge/callerconn/hangup.go
@@ -1,4 +1,5 @@
-// Package callerconn watches callers' connections: whether the caller is still there, and that a refusal reaches one who is still sending.
+// Package callerconn serves callers' connections and watches them: whether the caller is still there, and that a refusal reaches one who is
+// still sending.
 package callerconn
 
 import (
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -102,18 +102,7 @@
 		WriteTimeout: MaxRequestTimeout,
 	})
 	e.routes()
-	e.work.Go(func() {
-		if err := e.app.Listener(callerconn.Listener{Listener: l}, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
-			deps.Log.Error().Err(err).Msg("caller listener ended")
-		}
-	})
-	e.work.Go(func() {
-		<-ctx.Done()
-		_ = e.app.ShutdownWithTimeout(keepAliveGrace)
-		// Guard: a shutdown that comes before the server accepts connections does nothing, and the process would
-		// never end; without its listener the server ends when it begins.
-		_ = l.Close()
-	})
+	callerconn.Serve(ctx, &e.work, e.app, callerconn.Listener{Listener: l}, keepAliveGrace, deps.Log)
 	e.work.Go(func() { e.followOrganisations(ctx) })
 	return e
 }
--- a/internal/edge/entry/eventqueue.go
+++ b/internal/edge/entry/eventqueue.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"sync"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/delivery"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/backendserver"
 )
@@ -20,9 +21,9 @@
 
 // doneEvent closes a stream; a stream without it was cut.
 type doneEvent struct {
-	Done   bool   `json:"done"`
-	Tokens int    `json:"tokens"`
-	Spans  []span `json:"spans"`
+	Done   bool            `json:"done"`
+	Tokens int             `json:"tokens"`
+	Spans  []delivery.Span `json:"spans"`
 }
 
 // eventQueue carries the tokens of one generation to the writer of its stream.
--- a/internal/edge/entry/generate.go
+++ b/internal/edge/entry/generate.go
@@ -13,6 +13,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/delivery"
 	"github.com/oleandershelf/oleandershelf/internal/core/request"
 	"github.com/oleandershelf/oleandershelf/internal/core/ticket"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
@@ -38,7 +39,7 @@
 	Text   string `json:"text"`
 	Tokens int    `json:"tokens"`
 	// Spans name the weight versions that produced the tokens.
-	Spans []span `json:"spans"`
+	Spans []delivery.Span `json:"spans"`
 }
 
 // generate runs a model for a caller. Generation is idempotent: a lost stream resumes elsewhere from its tokens.
--- a/internal/edge/entry/generation.go
+++ b/internal/edge/entry/generation.go
@@ -9,19 +9,13 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/delivery"
 	"github.com/oleandershelf/oleandershelf/internal/core/request"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/backendserver"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 )
 
-// span is a run of tokens, from inclusive to exclusive, that one weight version produced.
-type span struct {
-	Version int `json:"version"`
-	From    int `json:"from"`
-	To      int `json:"to"`
-}
-
 // generation collects the tokens of one generation over all its tries.
 type generation struct {
 	sampleID  string
@@ -137,18 +131,5 @@
 	for _, token := range g.tokens {
 		text.WriteString(token.Text)
 	}
-	return generateAnswer{Text: text.String(), Tokens: len(g.tokens), Spans: spans(g.tokens)}
-}
-
-func spans(tokens []backendserver.Token) []span {
-	result := []span{}
-	for i, token := range tokens {
-		last := len(result) - 1
-		if last >= 0 && result[last].Version == token.Version {
-			result[last].To = i + 1
-			continue
-		}
-		result = append(result, span{Version: token.Version, From: i, To: i + 1})
-	}
-	return result
+	return generateAnswer{Text: text.String(), Tokens: len(g.tokens), Spans: delivery.Spans(sampleTokens(g.tokens))}
 }
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -35,6 +35,8 @@
 	idleTimeout = time.Minute
 	// unknownRetry is when to come back to a host that knows no configuration yet.
 	unknownRetry = 300 * time.Millisecond
+	// keepAliveGrace is how long connections may stay open at the end of the process.
+	keepAliveGrace = time.Second
 	// drainPoll is how often a drain looks for running requests.
 	drainPoll = 20 * time.Millisecond
 )
@@ -81,18 +83,7 @@
 	g.app.Server().NoDefaultContentType = true
 	g.app.Server().NoDefaultServerHeader = true
 	g.app.Server().NoDefaultDate = true
-	g.work.Go(func() {
-		if err := g.app.Listener(callerconn.Listener{Listener: l}, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
-			deps.Log.Error().Err(err).Msg("caller listener ended")
-		}
-	})
-	g.work.Go(func() {
-		<-ctx.Done()
-		_ = g.app.ShutdownWithTimeout(time.Second)
-		// Guard: a shutdown that comes before the server accepts connections does nothing, and the process would
-		// never end; without its listener the server ends when it begins.
-		_ = l.Close()
-	})
+	callerconn.Serve(ctx, &g.work, g.app, callerconn.Listener{Listener: l}, keepAliveGrace, deps.Log)
 	return g
 }
 
