Name the promise where the demo waits for nothing

The demo ended with a timeout where usage, an order of weights or an emptied host did not come, and said nothing of what was received. It goes on and names the broken promises.

--- a/internal/program/demo/player.go
+++ b/internal/program/demo/player.go
@@ -207,23 +207,23 @@
 func (p *player) retire(ctx context.Context) error {
 	const host = "disk-host"
 	p.stage.store.Retire(host)
-	err := until(ctx, "host reported as empty", retireLimit, func() bool { return p.stage.store.Retired(host) })
-	p.seen.Retired = err == nil
-	p.tell("a host to be emptied was reported as empty")
-	return err
+	p.seen.Retired = until(ctx, "host reported as empty", retireLimit, func() bool { return p.stage.store.Retired(host) }) == nil
+	p.tell("a host to be emptied was reported as empty: %t", p.seen.Retired)
+	return ctx.Err()
 }
 
 // reportUsage waits until the platform has as much as ran of the caller's calls, and adds the reports up.
 func (p *player) reportUsage(ctx context.Context) error {
 	caller := p.deployment.Caller
 	ran := uint64(p.runs(func(r platformtest.Request) bool { return r.Organisation() == caller }))
-	err := until(ctx, "usage reported", usageLimit, func() bool {
+	// What is not reported in time is named among the promises.
+	_ = until(ctx, "usage reported", usageLimit, func() bool {
 		p.seen.Usage = usageSeen(caller, p.stage.duties.Reports())
 		p.seen.Usage.Ran = ran
 		return p.seen.Usage.Reported >= ran
 	})
 	p.tell("usage of %s reported: %d of %d calls", caller, p.seen.Usage.Reported, ran)
-	return err
+	return ctx.Err()
 }
 
 // usageSeen adds up the windows of an organisation; a window that came again counts once.
--- a/internal/program/demo/training.go
+++ b/internal/program/demo/training.go
@@ -150,7 +150,8 @@
 func (p *player) changeWeights(ctx context.Context) error {
 	sent := time.Now()
 	p.stage.store.NameVersion(p.deployment.Model, secondVersion)
-	err := until(ctx, "engine ordered to load new weights", orderLimit, func() bool {
+	// An engine that is not ordered in time is named among the promises.
+	_ = until(ctx, "engine ordered to load new weights", orderLimit, func() bool {
 		return slices.ContainsFunc(p.stage.engines, func(engine *platformtest.Server) bool { return len(engine.Orders()) > 0 })
 	})
 	for _, engine := range p.stage.engines {
@@ -160,6 +161,6 @@
 			p.stage.store.Register(engine, false)
 		}
 	}
-	p.tell("%d engine(s) ordered to load new weights, the first %v after they were named", len(p.seen.Orders), time.Since(sent).Round(time.Millisecond))
-	return err
+	p.tell("%d engine(s) ordered to load new weights within %v", len(p.seen.Orders), time.Since(sent).Round(time.Millisecond))
+	return ctx.Err()
 }
