--- a/internal/core/execution/record_test.go
+++ b/internal/core/execution/record_test.go
@@ -152,7 +152,7 @@
 					t.Fatalf("%s was called ran and has not run", id)
 				}
 				if settled.Verdict == verdict.NotRun {
-					refused(t, id, verdict.New(verdict.NotRun, 0, "", 0, ""))
+					refused(t, id, verdict.Refuse(verdict.NotRun, "", 0, ""))
 				}
 			},
 			"time": func(t *rapid.T) {
@@ -195,7 +195,7 @@
 				known := model[key]
 				switch {
 				case known == nil && err != nil:
-					if refusal, ok := verdict.As(err); !ok || refusal.Reason != verdict.ReasonOverloaded || len(model) < 3 {
+					if refusal, ok := verdict.As(err); !ok || refusal.Reason != verdict.ReasonNoRoom || len(model) < 3 {
 						t.Fatalf("new key: %v", err)
 					}
 				case known == nil:
--- a/internal/edge/batchjob/end.go
+++ b/internal/edge/batchjob/end.go
@@ -67,7 +67,7 @@
 	}
 	value, err := json.Marshal(end{Accepted: known.spec.Accepted})
 	if err != nil {
-		return verdict.New(verdict.MayHaveRun, 0, verdict.ReasonInternal, 0, "end of %s: %v", id, err)
+		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonInternal, 0, "end of %s: %v", id, err)
 	}
 	_, err = m.store.Create(ctx, KindEnds, id, value)
 	m.log.Info().Str("request", id).AnErr("store", err).Msg("batch job ended by its trainer")
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -170,14 +170,14 @@
 }
 
 func notFound(id string) error {
-	return verdict.New(verdict.NotRun, 0, verdict.ReasonNotFound, 0, "%s is not known", id)
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonNotFound, 0, "%s is not known", id)
 }
 
 func isNotFound(err error) bool { return verdict.From(err).Reason == verdict.ReasonNotFound }
 
 // outageRefusal tells a caller that the store is out of every entry's reach.
 func outageRefusal() error {
-	return verdict.New(verdict.NotRun, 0, verdict.ReasonPlatformUnavailable, outageRetry, "no entry reaches the store")
+	return verdict.Refuse(verdict.NotRun, verdict.ReasonPlatformUnavailable, outageRetry, "no entry reaches the store")
 }
 
 // storeRefusal tells a caller that the store could not be asked.
@@ -186,5 +186,5 @@
 	if errors.Is(err, product.ErrUnsettled) {
 		outcome = verdict.MayHaveRun
 	}
-	return verdict.New(outcome, 0, verdict.ReasonPlatformUnavailable, storeRetry, "%v", err)
+	return verdict.Refuse(outcome, verdict.ReasonPlatformUnavailable, storeRetry, "%v", err)
 }
--- a/internal/edge/batchjob/submit.go
+++ b/internal/edge/batchjob/submit.go
@@ -24,13 +24,13 @@
 	}
 	if m.outage(time.Now()) {
 		// To try would hold the trainer for seconds, and leave open whether the job was accepted.
-		return verdict.New(verdict.MayHaveRun, 0, verdict.ReasonPlatformUnavailable, outageRetry, "no entry reaches the store")
+		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonPlatformUnavailable, outageRetry, "no entry reaches the store")
 	}
 	home := m.home(spec)
 	spec.Owner, spec.OwnerRun = home.HostID, home.Incarnation
 	value, err := json.Marshal(spec)
 	if err != nil {
-		return verdict.New(verdict.NotRun, 0, verdict.ReasonBadRequest, 0, "job %s: %v", spec.ID, err)
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "job %s: %v", spec.ID, err)
 	}
 	_, err = m.store.Create(ctx, KindJobs, spec.ID, value)
 	m.log.Info().Str("request", spec.ID).Str("organisation", spec.Organisation).Str("model", spec.Model).
@@ -44,11 +44,11 @@
 		return m.submittedBefore(ctx, spec, err)
 	case errors.Is(err, product.ErrUnsettled):
 		m.work.Go(func() { m.settle(spec) })
-		return verdict.New(verdict.MayHaveRun, 0, verdict.ReasonPlatformUnavailable, storeRetry, "the store's answer was lost")
+		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonPlatformUnavailable, storeRetry, "the store's answer was lost")
 	case errors.Is(err, product.ErrUnavailable):
-		return verdict.New(verdict.MayHaveRun, 0, verdict.ReasonPlatformUnavailable, storeRetry, "the store can't be reached")
+		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonPlatformUnavailable, storeRetry, "the store can't be reached")
 	default:
-		return verdict.New(verdict.NotRun, 0, verdict.ReasonTooLarge, 0, "job %s: %v", spec.ID, err)
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonTooLarge, 0, "job %s: %v", spec.ID, err)
 	}
 }
 
@@ -56,11 +56,11 @@
 func (m *Manager) submittedBefore(ctx context.Context, spec *batch.Job, conflict error) error {
 	kept, err := m.conflicting(ctx, KindJobs, spec.ID, conflict)
 	if err != nil {
-		return verdict.New(verdict.MayHaveRun, 0, verdict.ReasonPlatformUnavailable, storeRetry, "the job exists, and can't be read: %v", err)
+		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonPlatformUnavailable, storeRetry, "the job exists, and can't be read: %v", err)
 	}
 	var known batch.Job
 	if err := json.Unmarshal(kept, &known); err != nil {
-		return verdict.New(verdict.MayHaveRun, 0, verdict.ReasonInternal, storeRetry, "the job exists, and can't be read: %v", err)
+		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonInternal, storeRetry, "the job exists, and can't be read: %v", err)
 	}
 	if err := accepted(&known, spec.Organisation); err != nil {
 		return err
@@ -84,7 +84,7 @@
 // accepted says whether a repeated submission is of the organisation that the job belongs to.
 func accepted(known *batch.Job, organisation string) error {
 	if known.Organisation != organisation {
-		return verdict.New(verdict.NotRun, 0, verdict.ReasonForbidden, 0, "the job's id is taken")
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonForbidden, 0, "the job's id is taken")
 	}
 	return nil
 }
--- a/internal/edge/entry/generation.go
+++ b/internal/edge/entry/generation.go
@@ -9,19 +9,13 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/delivery"
 	"github.com/oleandershelf/oleandershelf/internal/core/request"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/backendserver"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 )
 
-// span is a run of tokens, from inclusive to exclusive, that one weight version produced.
-type span struct {
-	Version int `json:"version"`
-	From    int `json:"from"`
-	To      int `json:"to"`
-}
-
 // generation collects the tokens of one generation over all its tries.
 type generation struct {
 	sampleID  string
@@ -65,7 +59,7 @@
 // the closing event counts; without it the generation resumes elsewhere.
 func (g *generation) consume(answer *peer.Answer[request.AnswerEnd]) error {
 	if status := answer.Head().Status; status != http.StatusOK {
-		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonServerFailed, noServerRetry, "the engine answered %d", status)
+		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerFailed, noServerRetry, "the engine answered %d", status)
 	}
 	before := len(g.tokens)
 	var pending []byte
@@ -87,7 +81,7 @@
 		}
 	}
 	if !done {
-		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonServerFailed, noServerRetry, "the engine's stream ended early")
+		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerFailed, noServerRetry, "the engine's stream ended early")
 	}
 	return nil
 }
@@ -115,10 +109,10 @@
 func (g *generation) event(payload []byte, before int) (done bool, err error) {
 	var event backendserver.Event
 	if err := json.Unmarshal(payload, &event); err != nil {
-		return false, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonServerFailed, noServerRetry, "the engine sent an unreadable event: %v", err)
+		return false, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerFailed, noServerRetry, "the engine sent an unreadable event: %v", err)
 	}
 	if event.Done && event.Tokens != len(g.tokens)-before {
-		return false, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.ReasonServerFailed, noServerRetry,
+		return false, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerFailed, noServerRetry,
 			"the engine sent %d tokens and says %d", len(g.tokens)-before, event.Tokens)
 	}
 	if event.Done {
@@ -137,18 +131,5 @@
 	for _, token := range g.tokens {
 		text.WriteString(token.Text)
 	}
-	return generateAnswer{Text: text.String(), Tokens: len(g.tokens), Spans: spans(g.tokens)}
-}
-
-func spans(tokens []backendserver.Token) []span {
-	result := []span{}
-	for i, token := range tokens {
-		last := len(result) - 1
-		if last >= 0 && result[last].Version == token.Version {
-			result[last].To = i + 1
-			continue
-		}
-		result = append(result, span{Version: token.Version, From: i, To: i + 1})
-	}
-	return result
+	return generateAnswer{Text: text.String(), Tokens: len(g.tokens), Spans: delivery.Spans(sampleTokens(g.tokens))}
 }
