Let a server's stall count no longer than its service times do

A server stands still for some seconds while a call waits at its agent, and works on. The pace of the queue is measured while calls wait only, so that one gap of 4 s stayed most of what it knew, and fades with waiting time alone: later bursts were refused with 429 for a wait of seconds with a slot's turn of milliseconds.

While fewer calls wait than there are slots, and the pace rests on an earlier wait or mostly on one gap, the wait counts no longer than the longest item that runs or waits, by its service time or its age. TestStallIsOutlived fails before (refused for a wait of 4 s) and passes after, and wants a server that stays slow to refuse still.

--- a/internal/core/queue/leave.go
+++ b/internal/core/queue/leave.go
@@ -59,7 +59,35 @@
 		own = q.ownAhead(now, found, item)
 		start = max(found.start, q.clock) + own/item.Weight
 	}
-	return q.pace.duration(max(own+q.ahead(start, found), q.pace.typicalCost()))
+	wait := q.pace.duration(max(own+q.ahead(start, found), q.pace.typicalCost()))
+	if q.pace.sure() {
+		return wait
+	}
+	if turn, known := q.turn(now); known {
+		return min(wait, turn)
+	}
+	return wait
+}
+
+// turn bounds a new item's wait at a server that works as it did of late: while fewer items wait than there are slots, it is no
+// longer than the longest item that runs or waits. false if more wait or the service time of one isn't known.
+//
+// Failure: the server stands still for some seconds while an item waits, and works on. The pace is measured while items wait only,
+// so that in a queue that is seldom used the stall remains most of what it knows: minutes later calls were refused for a wait of
+// seconds that would have taken a fraction of one. The service time is learnt from each item that ends, whether others wait or
+// not; and a server that stands still now shows in the age of its items.
+func (q *Queue[T]) turn(now time.Time) (time.Duration, bool) {
+	if q.slots == nil || q.length >= q.slots() {
+		return 0, false
+	}
+	longest, known := q.running.longest(now, q.service)
+	for _, lane := range q.heap {
+		for i := range lane.items {
+			took := q.service(lane.items[i].item.Cost)
+			longest, known = max(longest, took), known && took > 0
+		}
+	}
+	return longest, known
 }
 
 // ownAhead is the work of the item's lane that goes before it. Long items that may not start now don't: a
--- a/internal/core/queue/pace.go
+++ b/internal/core/queue/pace.go
@@ -22,10 +22,17 @@
 	// cost is the average logarithm of the costs.
 	logCost float64
 	seen    float64
+	// longest is the longest gap in busy, and fades with it.
+	longest float64
+	// current says that an item has left since the queue was empty.
+	current bool
 }
 
 // waiting marks that an item began to wait in an empty queue.
-func (p *pace) waiting(now time.Time) { p.since = now }
+func (p *pace) waiting(now time.Time) {
+	p.since = now
+	p.current = false
+}
 
 // left takes in an item that left the queue for the server.
 func (p *pace) left(now, enqueued time.Time, cost float64) {
@@ -38,8 +45,13 @@
 	fade := math.Exp(-gap.Seconds() / paceTime.Seconds())
 	p.work = p.work*fade + cost
 	p.busy = p.busy*fade + gap.Seconds()
+	p.longest = max(p.longest*fade, gap.Seconds())
+	p.current = true
 }
 
+// sure says that the pace was measured in the present wait, and that no single gap is most of the measurement.
+func (p *pace) sure() bool { return p.current && p.longest <= p.busy/2 }
+
 // rate is the work a second; 0 if it isn't known yet.
 func (p *pace) rate() float64 {
 	if p.busy <= 0 {
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -25,6 +25,8 @@
 	// long counts the long items that run; shortSeen is when a short one came last.
 	long      int
 	shortSeen time.Time
+	// running are the items at the server; they are kept with WithSlots only.
+	running running
 }
 
 // New returns an empty queue.
@@ -163,6 +165,9 @@
 		item.long = true
 		q.long++
 	}
+	if q.slots != nil {
+		q.running.began(now, item.Cost)
+	}
 	return item, true
 }
 
@@ -171,6 +176,7 @@
 	if item.long {
 		q.long = max(0, q.long-1)
 	}
+	q.running.ended(item.Cost)
 }
 
 // longFull says that long items have all slots they may have while there are short items.
--- a/internal/core/queue/queue_test.go
+++ b/internal/core/queue/queue_test.go
@@ -208,6 +208,54 @@
 	}
 }
 
+// A server stands still for 4 s with all slots taken while a call waits, and works on. A minute later, of eight calls at once the last
+// are refused with 429 for a wait of seconds, though a call takes 60 ms. Cause: the pace of the queue is measured only
+// while calls wait, so that the stall is all it knows, however long ago. A server that stays slow must still refuse.
+func TestStallIsOutlived(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		service time.Duration
+		refused bool
+	}{
+		{name: "the server works on", service: 60 * time.Millisecond},
+		{name: "the server stays slow", service: 4 * time.Second, refused: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			q := New[string](WithSlots(func() int { return 4 }), WithServiceTime(func(float64) time.Duration { return test.service }))
+			if err := serve(q, start, 5, 4*time.Second); err != nil {
+				t.Fatalf("before the stall: %v", err)
+			}
+			if err := serve(q, start.Add(time.Minute), 8, test.service); (err != nil) != test.refused {
+				t.Errorf("refused: %v", err)
+			}
+		})
+	}
+}
+
+// serve lets calls arrive at once at a server of four slots, each of which takes so long, and returns the refusal of the last.
+func serve(q *Queue[string], now time.Time, calls int, each time.Duration) error {
+	var refusal error
+	var running []Item[string]
+	for range calls {
+		refusal = q.Push(now, Item[string]{Organisation: "a", Cost: 20, Deadline: now.Add(10 * time.Second)})
+		if len(running) < 4 {
+			next, _ := q.Pop(now)
+			running = append(running, next)
+		}
+	}
+	for len(running) > 0 {
+		now = now.Add(each)
+		for range len(running) {
+			q.Finished(running[0])
+			running = running[1:]
+			if next, ok := q.Pop(now); ok {
+				running = append(running, next)
+			}
+		}
+	}
+	return refusal
+}
+
 // TestEveryItemLeavesOnce drives a queue at random: each item accepted leaves by exactly one way.
 func TestEveryItemLeavesOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
