Repeat a batch of an outage after another entry has taken the job

A batch handed out in an outage, and not written before another entry holds the lease, was known by its manifest to the former coordinator only. Asked for it again by the trainer that has it, the successor refused for good: 409 "batch 2 of step 1 was acknowledged by a cursor".

The manifest is now a content under its digest, like a sample: put on the coordinator's own shelf and copied to a second host before the batch goes out (at most 500 ms, only where the manifest could not be written), and named with its hosts in the signed cursor. A successor without it fetches it there in the request's own goroutine and asks the job again with it. It does not become part of the record, since a version accepted meanwhile may make its samples too old to be written. Where no host can be reached the answer is 503 to come back, no refusal for good.

The two new tests fail before (409) and pass after. What is left: a step that is posted again with an older cursor in the middle of an outage is answered with a cursor that names no manifest.

--- a/internal/core/delivery/ask.go
+++ b/internal/core/delivery/ask.go
@@ -181,10 +181,20 @@
 	if step == nil || sent != nil && sent.Step > step.Step {
 		return nil
 	}
-	cursor := j.cursor()
+	cursor := j.cursorFor(sent)
 	return &cursor
 }
 
+// cursorFor is the cursor for an answer to a trainer that sent one. What that says of a manifest goes on with it: the
+// trainer takes over the cursor of each answer, and may ask for its batch again.
+func (j *Job) cursorFor(sent *Cursor) Cursor {
+	cursor := j.cursor()
+	if sent != nil && sent.Step == cursor.Step && sent.Batch == cursor.Batch && sent.Delivered.Equal(cursor.Delivered) {
+		cursor.Kept = sent.Kept
+	}
+	return cursor
+}
+
 // cursor returns the cursor that goes out with the newest batch.
 func (j *Job) cursor() Cursor {
 	step := j.record.Step
--- a/internal/core/delivery/cursor.go
+++ b/internal/core/delivery/cursor.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/json"
+	"net/netip"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,18 @@
 	ModelVersion int `json:"modelVersion"`
 	// Fencing is the fencing number of the coordinator's lease.
 	Fencing uint64 `json:"fencing"`
+	// Kept is where the manifest of Batch is, if it was not in the job object when the batch was handed out.
+	Kept *Kept `json:"kept,omitempty"`
+}
+
+// Kept names a manifest that hosts hold as a content.
+//
+// Failure: a batch is handed out in an outage, and another coordinator takes the job before the batch is written. The
+// samples are on two hosts, but which of them the batch has, with which scores, was known to the former coordinator only:
+// asked for the batch again, the successor could but refuse for good. The manifest itself is too long for a header.
+type Kept struct {
+	Digest string           `json:"digest"`
+	Hosts  []netip.AddrPort `json:"hosts"`
 }
 
 // Sign returns the header value: the cursor's JSON and its HMAC-SHA-256, in URL-safe base64.
--- a/internal/core/delivery/event.go
+++ b/internal/core/delivery/event.go
@@ -32,6 +32,8 @@
 		Step   int
 		Batch  int
 		Cursor *Cursor
+		// Manifest is what the cursor's Kept names, once it was found.
+		Manifest *Manifest
 	}
 	// VersionAsked posts a model version.
 	VersionAsked struct {
@@ -188,6 +190,13 @@
 		Step     int
 		Manifest Manifest
 		Cursor   Cursor
+		// Unwritten says that the manifest is not in the job object: it has to be kept before the batch is handed out.
+		Unwritten bool
+	}
+	// BatchKept answers BatchAsked: the manifest is to be found, and the batch asked for with it.
+	BatchKept struct {
+		Step int
+		Kept Kept
 	}
 	// VersionAccepted answers VersionAsked.
 	VersionAccepted struct {
@@ -202,5 +211,6 @@
 
 func (StepAccepted) result()    {}
 func (BatchReady) result()      {}
+func (BatchKept) result()       {}
 func (VersionAccepted) result() {}
 func (Refused) result()         {}
--- a/internal/core/delivery/job.go
+++ b/internal/core/delivery/job.go
@@ -27,9 +27,9 @@
 //
 // What remains open: a coordinator that is cut off together with most of the hosts that judge of an
 // outage may move alone with a version that a successor has just replaced; and a batch that was handed
-// out alone and not written before another coordinator takes the job, after the outage or the first
-// one's death, is not repeated byte for byte: it is made anew under its number for a trainer whose cursor
-// shows that it never had it, and refused to one whose cursor shows that it had.
+// out alone and not written before another coordinator takes the job is made anew under its number for a
+// trainer whose cursor shows that it never had it. One whose cursor shows that it had is given the same
+// batch again, for as long as a host has the manifest that the cursor names; see Kept.
 type Job struct {
 	name  string
 	self  netip.AddrPort
--- a/internal/core/delivery/step.go
+++ b/internal/core/delivery/step.go
@@ -20,7 +20,7 @@
 		if e.Digest != step.Digest {
 			return refused(http.StatusConflict, verdict.ReasonBadRequest, 0, "step %d was posted with another body", e.Step)
 		}
-		return outcome{result: StepAccepted{Samples: step.Samples(), Batches: step.Batches(), Cursor: j.cursor()}}
+		return outcome{result: StepAccepted{Samples: step.Samples(), Batches: step.Batches(), Cursor: j.cursorFor(e.Cursor)}}
 	}
 	learnt := e.Cursor != nil && e.Cursor.Step == e.Step
 	if open := j.openBefore(e); open != nil && !learnt {
@@ -56,7 +56,7 @@
 func (j *Job) tryPastStep(e StepAsked) outcome {
 	for _, past := range j.record.Past {
 		if past.Step == e.Step && past.Digest == e.Digest {
-			return outcome{result: StepAccepted{Samples: past.Samples, Batches: past.Batches, Cursor: j.cursor()}}
+			return outcome{result: StepAccepted{Samples: past.Samples, Batches: past.Batches, Cursor: j.cursorFor(e.Cursor)}}
 		}
 	}
 	return refused(http.StatusConflict, verdict.ReasonBadRequest, 0, "step %d is past", e.Step)
@@ -183,8 +183,20 @@
 func (j *Job) repeatBatch(e BatchAsked) outcome {
 	step := j.record.Step
 	if step.Manifest == nil {
+		return j.repeatKept(e)
+	}
+	return outcome{result: BatchReady{Step: step.Step, Manifest: *step.Manifest, Cursor: j.cursor(), Unwritten: j.unwritten}}
+}
+
+// repeatKept repeats a batch that an earlier coordinator handed out without writing it. The manifest does not
+// become part of the record: a version may have been accepted since that makes its samples too old to be written.
+func (j *Job) repeatKept(e BatchAsked) outcome {
+	if e.Cursor == nil || e.Cursor.Kept == nil {
 		return refused(http.StatusConflict, verdict.ReasonBadRequest, 0,
 			"batch %d of step %d was acknowledged by a cursor", e.Batch, e.Step)
 	}
-	return outcome{result: BatchReady{Step: step.Step, Manifest: *step.Manifest, Cursor: j.cursor()}}
+	if e.Manifest == nil {
+		return outcome{result: BatchKept{Step: e.Step, Kept: *e.Cursor.Kept}}
+	}
+	return outcome{result: BatchReady{Step: e.Step, Manifest: *e.Manifest, Cursor: j.cursorFor(e.Cursor)}}
 }
--- a/internal/edge/trainer/answer.go
+++ b/internal/edge/trainer/answer.go
@@ -145,6 +145,9 @@
 		return Reply{}, verdict.New(verdict.MayHaveRun, http.StatusServiceUnavailable, verdict.ReasonServerLost,
 			retryInterval, "batch %d: %v", e.Manifest.Batch, err)
 	}
+	if e.Unwritten {
+		e.Cursor.Kept = c.keep(ctx, r.job, e.Step, e.Manifest)
+	}
 	body := batchReply{
 		Job:          r.job,
 		Step:         e.Step,
--- a/internal/edge/trainer/failure_test.go
+++ b/internal/edge/trainer/failure_test.go
@@ -241,6 +241,61 @@
 	}
 }
 
+// A trainer that asks again for a batch that it has would be refused for good, and stand idle. A hands out batch 2 in an
+// outage, without writing it; the platform comes back, B takes the lease before A has written the batch, and A may die.
+// The trainer, whose cursor came with batch 2, asks for it again, and once more when A holds the job again. Cause: the manifest
+// is in A's memory only, and the cursor names the samples that came but not in which batch.
+func TestBatchOfAnOutageIsRepeatedBySuccessors(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		killed bool
+	}{
+		{name: "the first coordinator lives"},
+		{name: "the first coordinator dies", killed: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w, _ := worldInOutage(t)
+			first := w.getBatch(hostA, 1, 2, w.withCursor())
+			w.batch(first)
+			if test.killed {
+				w.kill(hostA)
+				w.start(hostA, hostB, w.store)
+			}
+			w.lease.take(hostB, false)
+			w.store.Outage(false)
+			for _, holder := range []netip.AddrPort{hostB, hostA} {
+				w.lease.take(holder, false)
+				if again := w.getBatch(holder, 1, 2, w.withCursor()); again.body != first.body {
+					t.Errorf("batch 2 was\n%s\nand is at %v\n%d %s", first.body, holder, again.status, again.body)
+				}
+			}
+		})
+	}
+}
+
+// A trainer would be told that its batch is gone for good while the host that holds it is only out of reach. A hands out batch 2
+// in an outage, while no other host takes a copy; B takes the lease and can't reach A for a time.
+func TestBatchOfAnOutageWaitsForItsHolder(t *testing.T) {
+	w, _ := worldInOutage(t)
+	b, _ := w.peers.at(hostB)
+	w.peers.set(hostB, nil)
+	first := w.getBatch(hostA, 1, 2, w.withCursor())
+	w.batch(first)
+	w.peers.set(hostB, b)
+	a, _ := w.peers.at(hostA)
+	w.peers.set(hostA, nil)
+	w.lease.take(hostB, false)
+	w.store.Outage(false)
+	got := w.getBatch(hostB, 1, 2, w.withCursor())
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || !strings.Contains(got.body, "serverLost") {
+		t.Errorf("%d %v %s", got.status, got.header, got.body)
+	}
+	w.peers.set(hostA, a)
+	if again := w.getBatch(hostB, 1, 2, w.withCursor()); again.body != first.body {
+		t.Errorf("batch 2 was\n%s\nand is\n%d %s", first.body, again.status, again.body)
+	}
+}
+
 // A trainer without a cursor might get samples twice when the platform is back. The platform goes
 // down after batch 1; the trainer asks for batch 2 without a cursor. Cause: nothing but the job
 // object can tell what such a trainer has, so it has to wait, and is told when to come back.
--- a/internal/edge/trainer/route.go
+++ b/internal/edge/trainer/route.go
@@ -88,6 +88,9 @@
 		return Reply{}, err
 	}
 	result := r.ask(ctx, ask)
+	if kept, ok := result.(delivery.BatchKept); ok {
+		result = c.askWithManifest(ctx, r, request, kept)
+	}
 	switch e := result.(type) {
 	case delivery.StepAccepted:
 		return c.reply(stepReply{Step: request.Step, Samples: e.Samples, Batches: e.Batches}, &e.Cursor)
