--- a/internal/program/faults/rules_test.go
+++ b/internal/program/faults/rules_test.go
@@ -8,17 +8,14 @@
 ` + "`go test ./internal/program/faults -update`" + ` from the table in that package, and a test holds it to it. A T names a test that runs in CI and
 brings the fault about at that step; it says nothing of faults that the test doesn't bring about.
 
-Six subtests of TestBatchesUnderFaults, "woken before the effect while the platform is down", stand in KNOWN-RED.txt (2 of 240 loaded runs failed). The cell "sample
-batched", woken while the platform is down, is counted as proved below by the test's other subtests and by other tests; that one sequence is not.
-
 How to read some cells: "frozen" is a real stop and continue signal in ` + "`program/e2e`" + ` and held bytes or a gated store elsewhere. Answers crossed at weights and hosts are
 sent twice on one connection, and the guard against surplus answers was not shown to be needed there. "Server order prepared" is disturbed at a stand-in for the gathering of
 loads, but for short answers, which are cut on real connections. The
 requests' "platform down" cells run load through an outage and don't hold a call at each step. "Usage counted" killed or cut short is shown at the ledgers.
 
 Random schedules that passed, each run once on its last form unless said otherwise: lease 100,000; racing operators 20,000; freshness with cuts 50,000 after its last change
-of timing; usage closing 5,000 on its last form, and 30,000 and 6,000 on former ones; delivery of samples 60,000 after each of two changes of behaviour and 45,000 after
-the last. Fuzzing found nothing: frames 1.2 million inputs and handshakes 0.6 million, both before the handshake gained the process id; tickets 2.2
+of timing; usage closing 5,000 on its last form, and 30,000 and 6,000 on former ones; delivery of samples 60,000 after each of two changes of behaviour, 45,000 after
+the next and 60,000 after the last. Fuzzing found nothing: frames 1.2 million inputs and handshakes 0.6 million, both before the handshake gained the process id; tickets 2.2
 million; settings 3.5 million. Faults that tests found, with their words, stand in the commits; seeds that show one are kept under testdata.
 
 `
