Bound an unsure wait by whole turns of the slots

The bound of a wait after a stall held only while fewer calls waited than there are slots.

The bound now counts whole turns of the slots. The test's new case, two slots, failed before.

--- a/internal/core/queue/leave.go
+++ b/internal/core/queue/leave.go
@@ -63,21 +63,21 @@
 	if q.pace.sure() {
 		return wait
 	}
-	if turn, known := q.turn(now); known {
-		return min(wait, turn)
+	if turns, known := q.turns(now); known {
+		return min(wait, turns)
 	}
 	return wait
 }
 
-// turn bounds a new item's wait at a server that works as it did of late: while fewer items wait than there are slots, it is no
-// longer than the longest item that runs or waits. false if more wait or the service time of one isn't known.
+// turns bounds a new item's wait at a server that works as it did of late: with each turn of the slots, which takes as long as the
+// longest item that runs or waits, as many start as there are slots. false if the service time of one isn't known.
 //
 // Failure: the server stands still for some seconds while an item waits, and works on. The pace is measured while items wait only,
 // so that in a queue that is seldom used the stall remains most of what it knows: minutes later calls were refused for a wait of
 // seconds that would have taken a fraction of one. The service time is learnt from each item that ends, whether others wait or
 // not; and a server that stands still now shows in the age of its items.
-func (q *Queue[T]) turn(now time.Time) (time.Duration, bool) {
-	if q.slots == nil || q.length >= q.slots() {
+func (q *Queue[T]) turns(now time.Time) (time.Duration, bool) {
+	if q.slots == nil {
 		return 0, false
 	}
 	longest, known := q.running.longest(now, q.service)
@@ -87,7 +87,8 @@
 			longest, known = max(longest, took), known && took > 0
 		}
 	}
-	return longest, known
+	turns := q.length/max(1, q.slots()) + 1
+	return time.Duration(turns) * longest, known
 }
 
 // ownAhead is the work of the item's lane that goes before it. Long items that may not start now don't: a
--- a/internal/core/queue/queue_test.go
+++ b/internal/core/queue/queue_test.go
@@ -214,15 +214,17 @@
 func TestStallIsOutlived(t *testing.T) {
 	for _, test := range []struct {
 		name    string
+		slots   int
 		service time.Duration
 		refused bool
 	}{
-		{name: "the server works on", service: 60 * time.Millisecond},
-		{name: "the server stays slow", service: 4 * time.Second, refused: true},
+		{name: "the server works on", slots: 4, service: 60 * time.Millisecond},
+		{name: "the server works on with fewer slots than calls that wait", slots: 2, service: 60 * time.Millisecond},
+		{name: "the server stays slow", slots: 4, service: 4 * time.Second, refused: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			q := New[string](WithSlots(func() int { return 4 }), WithServiceTime(func(float64) time.Duration { return test.service }))
-			if err := serve(q, start, 5, 4*time.Second); err != nil {
+			q := New[string](WithSlots(func() int { return test.slots }), WithServiceTime(func(float64) time.Duration { return test.service }))
+			if err := serve(q, start, test.slots+1, 4*time.Second); err != nil {
 				t.Fatalf("before the stall: %v", err)
 			}
 			if err := serve(q, start.Add(time.Minute), 8, test.service); (err != nil) != test.refused {
@@ -232,13 +234,13 @@
 	}
 }
 
-// serve lets calls arrive at once at a server of four slots, each of which takes so long, and returns the refusal of the last.
+// serve lets calls arrive at once at a server, each of which takes so long, and returns the refusal of the last.
 func serve(q *Queue[string], now time.Time, calls int, each time.Duration) error {
 	var refusal error
 	var running []Item[string]
 	for range calls {
 		refusal = q.Push(now, Item[string]{Organisation: "a", Cost: 20, Deadline: now.Add(10 * time.Second)})
-		if len(running) < 4 {
+		if len(running) < q.slots() {
 			next, _ := q.Pop(now)
 			running = append(running, next)
 		}
