--- a/internal/edge/entry/dispatcher.go
+++ b/internal/edge/entry/dispatcher.go
@@ -142,7 +142,7 @@
 		}
 		last = verdict.From(err)
 		if !isolated.note(server.HostID, last) {
-			// Tries at agents that take themselves for cut off are bounded by time.
+			// Others are bounded by time.
 			attempts++
 		}
 		if !mayRepeat(last, c.idempotent) || ctx.Err() != nil {
--- a/internal/edge/entry/dispatcher_test.go
+++ b/internal/edge/entry/dispatcher_test.go
@@ -153,6 +153,23 @@
 	}
 }
 
+// An agent is started again in an outage and takes itself for cut off; the other one is full for a moment. A rider waited 1.5 s and was
+// refused with 503 as the first agent was asked again and again, though the other had been idle for a second. Cause: an agent that refused
+// for want of room counted as tried for good.
+func TestFullAgentIsAskedAgainBesideAnIsolatedOne(t *testing.T) {
+	var refused atomic.Int64
+	full := &fakeAgent{execute: func(ctx context.Context, q request.Execute, out peer.Sink) (request.AnswerEnd, error) {
+		if refused.Add(1) == 1 {
+			return request.AnswerEnd{}, verdict.New(verdict.NotRun, http.StatusTooManyRequests, verdict.ReasonOverloaded, 0, "full")
+		}
+		return echo(ctx, q, out)
+	}}
+	f := newFixture(t, full, takesItselfForIsolated(1000))
+	if have := f.send(http.MethodPost, "/v1/services/billdesk/charge", "once"); have.status != http.StatusOK || have.body != "once" {
+		t.Errorf("%+v", have)
+	}
+}
+
 // A rider's call is lost with its agent, and is refused with 502 though an idle agent would take it. Moments before, in an outage, one
 // agent was full and the other took itself for cut off; a few calls asked that again and again, each time from the entry's budget
 // of retries, until it was empty. Cause: waiting for an agent that will soon know of the outage counts as retries of failed calls.
