Soak: no answer to a trainer may contradict what any entry has shown

Cause: one goroutine read a job at one entry at a time, with one view, so the soak could not see that one entry denies what another one has shown.

Change: a record per job of all that any answer has shown, with the time at which it came. Three readers beside each trainer and two that look at any earlier job read at all entries, over kept and new connections, from the start, between, the last position shown, after it and the end; they read bodies, repeat submissions and ends. A request that is sent after an answer came must not be told otherwise. Trainers end a part of their jobs early and another when whole; no item may start 3 s after the acknowledged end, unless a process was isolated then.

--- a/internal/program/soak/load_test.go
+++ b/internal/program/soak/load_test.go
@@ -1,61 +1,98 @@
 package soak
 
 import (
-	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 	"github.com/oleandershelf/oleandershelf/platform/platformtest"
 )
 
-// call is what became of a caller's request.
-type call struct {
-	id, path, key string
-	sent          time.Time
-	// status is 0 if no answer came.
-	status int
-	body   string
+const (
+	// patience is how long callers and trainers wait for an answer, as they tell the entry.
+	patience = 3 * time.Second
+	// callPause is the pause between two calls of one caller.
+	callPause = 10 * time.Millisecond
+)
+
+// load is what callers and trainers do.
+type load struct {
+	w *world
+	// kept uses its connections until the process is gone, fresh opens one for each request.
+	kept, fresh *http.Client
+	ledger      *ledger
+	readers     conc.WaitGroup
+
+	mu    sync.Mutex
+	calls []call
+	jobs  []*job
 }
 
-// job is a batch job with what its trainer read.
-type job struct {
-	id         string
-	minVersion int
-	accepted   bool
-	mu         sync.Mutex
-	read       []platformtest.Result
+func newLoad(w *world) *load {
+	const givenUp = patience + time.Second
+	return &load{
+		w:      w,
+		kept:   &http.Client{Timeout: givenUp, Transport: &http.Transport{MaxIdleConnsPerHost: 32}},
+		fresh:  &http.Client{Timeout: givenUp, Transport: &http.Transport{DisableKeepAlives: true}},
+		ledger: newLedger(),
+	}
 }
 
-// load is what callers and trainers did.
-type load struct {
-	w      *world
-	client *http.Client
-	mu     sync.Mutex
-	calls  []call
-	jobs   []*job
-	faults []string
+// question is a request to an entry.
+type question struct {
+	method, path, key, id, body string
+	// wait is how long the entry may hold a read back.
+	wait time.Duration
+	// fresh wants a new connection.
+	fresh bool
 }
 
-func (l *load) violated(format string, args ...any) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.faults = append(l.faults, fmt.Sprintf(format, args...))
+// reply is what came of a question.
+type reply struct {
+	// status is 0 if no answer came.
+	status     int
+	body       string
+	entry      string
+	sent, came time.Time
 }
 
-// do sends one request to a process; connections are kept and used until the process is gone.
-func (l *load) do(p *process, method, path, key, id, body string) (int, string) {
-	request, err := http.NewRequest(method, p.callers+path, bytes.NewBufferString(body))
+// String describes the answer but for its body.
+func (r reply) String() string {
+	return fmt.Sprintf("sent to %s at %s was answered %d at %s", r.entry, clock(r.sent), r.status, clock(r.came))
+}
+
+// clock writes a time as the logs of the processes do.
+func clock(t time.Time) string { return t.UTC().Format("15:04:05.000") }
+
+// ask sends one request to a process.
+func (l *load) ask(p *process, q question) reply {
+	r := reply{entry: p.name, sent: time.Now()}
+	r.status, r.body = l.send(p, q)
+	r.came = time.Now()
+	return r
+}
+
+func (l *load) send(p *process, q question) (int, string) {
+	request, err := http.NewRequest(q.method, p.callers+q.path, strings.NewReader(q.body))
 	if err != nil {
 		return 0, ""
 	}
 	request.Host = hostName
-	platformtest.Ask(request, id, key, 3*time.Second)
-	platformtest.Wait(request, 300*time.Millisecond)
-	response, err := l.client.Do(request)
+	platformtest.Ask(request, q.id, q.key, patience)
+	platformtest.Wait(request, q.wait)
+	client := l.kept
+	if q.fresh {
+		client = l.fresh
+	}
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, ""
 	}
@@ -67,100 +104,26 @@
 	return response.StatusCode, string(read)
 }
 
-// keepCalling sends calls until stop.
-func (l *load) keepCalling(number int, stop <-chan struct{}) {
-	for n := 0; !stopped(stop); n++ {
-		c := call{id: fmt.Sprintf("c%d-%d", number, n), path: []string{"/once/x", "/safe/x"}[n%2], key: l.w.currentKey(), sent: time.Now()}
+// call is a caller's request with what became of it.
+type call struct {
+	id, path, key string
+	reply         reply
+}
+
+// keepCalling sends calls until ctx ends.
+func (l *load) keepCalling(ctx context.Context, number int) {
+	for n := 0; ctx.Err() == nil; n++ {
+		c := call{id: fmt.Sprintf("c%d-%d", number, n), path: []string{"/once/x", "/safe/x"}[n%2], key: l.w.currentKey()}
 		if n%10 == 9 {
 			c.key = fmt.Sprintf("key-%d", 1+rand.IntN(9))
 		}
-		p := l.w.processes[rand.IntN(processes)]
-		c.status, c.body = l.do(p, http.MethodPost, c.path, c.key, c.id, "body of "+c.id)
+		c.reply = l.ask(l.w.any(), question{method: http.MethodPost, path: c.path, key: c.key, id: c.id, body: "body of " + c.id})
 		l.mu.Lock()
 		l.calls = append(l.calls, c)
 		l.mu.Unlock()
-		time.Sleep(10 * time.Millisecond)
+		ticker.Sleep(ctx, callPause)
 	}
 }
 
-func stopped(stop <-chan struct{}) bool {
-	select {
-	case <-stop:
-		return true
-	default:
-		return false
-	}
-}
-
-const jobItems = 8
-
-// keepTraining hands jobs in, one after the other, and reads each until it is whole or for some seconds.
-func (l *load) keepTraining(number int, stop <-chan struct{}) {
-	for n := 0; !stopped(stop); n++ {
-		l.w.mu.Lock()
-		minVersion := max(1, l.w.weights-n%2)
-		l.w.mu.Unlock()
-		j := &job{id: fmt.Sprintf("j%d-%d", number, n), minVersion: minVersion}
-		l.mu.Lock()
-		l.jobs = append(l.jobs, j)
-		l.mu.Unlock()
-		l.submit(j, stop)
-		for end := time.Now().Add(4 * time.Second); j.accepted && time.Now().Before(end) && !stopped(stop) && !l.whole(j); {
-			l.readOn(j, l.w.processes[rand.IntN(processes)])
-		}
-	}
-}
-
-func (l *load) submit(j *job, stop <-chan struct{}) {
-	var items []platformtest.Item
-	for i := range jobItems {
-		items = append(items, platformtest.Item{ID: fmt.Sprintf("%s-%d", j.id, i), Path: fmt.Sprintf("/job/%d", i), Group: fmt.Sprint(i / 2)})
-	}
-	body := platformtest.Submission("m", j.minVersion, jobItems/2, items)
-	for !stopped(stop) {
-		status, _ := l.do(l.w.processes[rand.IntN(processes)], http.MethodPost, "/job/"+j.id, l.w.currentKey(), j.id, body)
-		if status == http.StatusAccepted {
-			j.accepted = true
-			return
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-}
-
-func (l *load) whole(j *job) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return len(j.read) >= jobItems
-}
-
-// readOn reads a job from a position that is known, and checks that what was read before hasn't changed.
-func (l *load) readOn(j *job, p *process) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	from := len(j.read)
-	if from > 0 && rand.IntN(3) == 0 {
-		from = rand.IntN(from)
-	}
-	status, body := l.do(p, http.MethodGet, platformtest.JobTarget(j.id, from), l.w.currentKey(), "", "")
-	if status == http.StatusNotFound || status == http.StatusGone {
-		l.violated("job %s: status %d for an accepted job at %s", j.id, status, p.name)
-	}
-	if status != http.StatusOK {
-		time.Sleep(50 * time.Millisecond)
-		return
-	}
-	got, err := platformtest.ReadResults(body)
-	if err != nil || got.Total != jobItems || got.Next != from+len(got.Results) {
-		l.violated("job %s: answer %.100s", j.id, body)
-		return
-	}
-	for i, each := range got.Results {
-		position := from + i
-		switch {
-		case position < len(j.read) && (j.read[position].ID != each.ID || j.read[position].Text != each.Text):
-			l.violated("job %s: position %d held %s, and holds %s", j.id, position, j.read[position].ID, each.ID)
-		case position == len(j.read):
-			j.read = append(j.read, each)
-		}
-	}
-}
+// any returns one of the processes.
+func (w *world) any() *process { return w.processes[rand.IntN(len(w.processes))] }
--- a/internal/program/soak/trouble_test.go
+++ b/internal/program/soak/trouble_test.go
@@ -1,11 +1,13 @@
 package soak
 
 import (
+	"context"
 	"net/http"
-	"strings"
+	"slices"
 	"syscall"
 	"time"
 
+	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 	"github.com/oleandershelf/oleandershelf/platform/platformtest"
 )
 
@@ -15,8 +17,34 @@
 	platformtest.Repeat,
 }
 
+// isolating are the disturbances during which a process can't hear what the others or the store say.
+var isolating = []trouble{troublePause, troubleTurnAway, troubleSilence}
+
+// span is the time of a disturbance.
+type span struct{ from, to time.Time }
+
+// isolate notes that a process is isolated from now on, until the function that it returns is called.
+func (w *world) isolate() (end func()) {
+	from := time.Now()
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.isolated = append(w.isolated, span{from: from, to: time.Now()})
+	}
+}
+
+// wasIsolated says whether a process was isolated at the time, or a short time before.
+func (w *world) wasIsolated(at time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.isolated, func(s span) bool { return !at.Before(s.from) && at.Before(s.to.Add(startsTime)) })
+}
+
 // disturb carries out one disturbance and mends it.
 func (w *world) disturb(e entry) {
+	if slices.Contains(isolating, e.what) {
+		defer w.isolate()()
+	}
 	p := w.processes[e.target%len(w.processes)]
 	switch e.what {
 	case troubleKill:
@@ -107,14 +135,9 @@
 }
 
 // followEngines registers the weights that engines have loaded, as they do themselves.
-func (w *world) followEngines(stop <-chan struct{}) {
+func (w *world) followEngines(ctx context.Context) {
 	known := map[string]int{}
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(poll):
-		}
+	for ticker.Sleep(ctx, poll) {
 		for _, engine := range w.engines {
 			if orders := len(engine.Orders()); orders != known[engine.ID] {
 				known[engine.ID] = orders
@@ -140,6 +163,3 @@
 		w.until(p.name+" is ready after the last disturbance", func() bool { return isReady(p) })
 	}
 }
-
-// isJob says whether a request at a server is an item of a batch job.
-func isJob(r platformtest.Request) bool { return strings.HasPrefix(r.Target, "/job/") }
--- a/internal/program/soak/world_test.go
+++ b/internal/program/soak/world_test.go
@@ -24,6 +24,9 @@
 	// mendTime is how long a run may take until all is well again after its last disturbance.
 	mendTime = 40 * time.Second
 	poll     = 50 * time.Millisecond
+	// itemEvents is how many events the output of an item has, eventPause the time between two of them.
+	itemEvents = 12
+	eventPause = 15 * time.Millisecond
 )
 
 // process is one gateway as a process of its own; it starts again at the same addresses.
@@ -51,6 +54,8 @@
 	// keys are those in force for the organisation north, with the time of their withdrawal in retired.
 	key     string
 	retired map[string]time.Time
+	// isolated are the times at which a process could not hear the others or the store.
+	isolated []span
 }
 
 func newWorld(t *testing.T) *world {
@@ -58,7 +63,7 @@
 	for i := range servers {
 		w.services = append(w.services, platformtest.NewServer(t, fmt.Sprintf("desk-%d", i), "desk", nil))
 		w.engines = append(w.engines, platformtest.NewServer(t, fmt.Sprintf("engine-%d", i), "engines", map[string]int{"m": 1}))
-		w.engines[i].SetStream(6, 15*time.Millisecond)
+		w.engines[i].SetStream(itemEvents, eventPause)
 	}
 	w.newKey()
 	for _, server := range w.all() {
