Soak: engines break off streams and repeat an event where one goes on, without any disturbance

Change: undisturbed engines break off one of 15 streams, and repeat an event in one of two that go on there.

--- a/internal/program/soak/trouble.go
+++ b/internal/program/soak/trouble.go
@@ -116,21 +116,42 @@
 func (w *world) disturbServer(e entry) {
 	server := w.all()[e.target%len(w.all())]
 	behaviour := serverBehaviours[int(e.draw*float64(len(serverBehaviours)))]
+	server.Behave(func(n int, _ platformtest.Request) platformtest.Behaviour {
+		if n%disturbedPart == 0 {
+			return behaviour
+		}
+		return platformtest.Answer
+	})
+	ticker.Sleep(w.ctx, e.lasts)
+	w.calm(server)
+}
+
+// An engine that nobody disturbs breaks off one of so many streams, and repeats an event in one of so many that go on there. Where it did so
+// in each, no item would ever end: an entry leaves a stream with a repeated event.
+const (
+	cutPart    = 15
+	repeatPart = 2
+)
+
+// calm has a server behave as it does when nobody disturbs it.
+//
+// Engines break off some streams even then, and repeat an event where a stream goes on: an entry that takes the repeated event in
+// shows it twice in a result, and too few streams go on for this to be found by the disturbances alone.
+func (w *world) calm(server *platformtest.Server) {
+	if !slices.Contains(w.engines, server) {
+		server.Behave(nil)
+		return
+	}
 	server.Behave(func(n int, r platformtest.Request) platformtest.Behaviour {
 		switch {
-		case behaviour == platformtest.Repeat && r.Resumed():
+		case r.Resumed() && n%repeatPart == 0:
 			return platformtest.Repeat
-		case n%disturbedPart != 0:
-			return platformtest.Answer
-		case behaviour == platformtest.Repeat:
-			// An event is repeated only where a stream goes on, so some must break off.
+		case n%cutPart == 0:
 			return platformtest.Cut
 		default:
-			return behaviour
+			return platformtest.Answer
 		}
 	})
-	ticker.Sleep(w.ctx, e.lasts)
-	server.Behave(nil)
 }
 
 // disturbedPart: a disturbed server does what it does wrong to one of so many requests.
@@ -163,7 +184,7 @@
 func (w *world) mend() {
 	w.store.SetFault(nil)
 	for _, server := range w.all() {
-		server.Behave(nil)
+		w.calm(server)
 		w.store.Register(server, false)
 	}
 	for _, p := range w.processes {
--- a/internal/program/soak/world.go
+++ b/internal/program/soak/world.go
@@ -69,6 +69,7 @@
 	}
 	w.newKey()
 	for _, server := range w.all() {
+		w.calm(server)
 		w.store.Register(server, false)
 	}
 	seed := platformtest.Address()
