Soak: a subtest for each promise, and services that answer wrongly without any disturbance

Cause: one known violation would have had the whole soak listed as known red.

Change: each promise is a subtest of its seed, so that KNOWN-RED.txt names promises and all others count. Undisturbed services answer for another request in one of 40, and break off after they carried out another one.

--- a/internal/program/soak/promise.go
+++ b/internal/program/soak/promise.go
@@ -32,13 +32,16 @@
 )
 
 // tally counts how often a promise was checked and broken.
-type tally struct{ checks, violations int }
+type tally struct {
+	checks, violations int
+	// found describes the first violations.
+	found []string
+}
 
 // ledger holds what was checked.
 type ledger struct {
-	mu         sync.Mutex
-	tallies    map[promise]*tally
-	violations []string
+	mu      sync.Mutex
+	tallies map[promise]*tally
 }
 
 func newLedger() *ledger { return &ledger{tallies: map[promise]*tally{}} }
@@ -59,7 +62,7 @@
 	}
 	l.tallies[p].violations++
 	if l.tallies[p].violations <= told {
-		l.violations = append(l.violations, fmt.Sprintf("%s: %s", p, fmt.Sprintf(format, args...)))
+		l.tallies[p].found = append(l.tallies[p].found, fmt.Sprintf(format, args...))
 	}
 }
 
@@ -69,7 +72,7 @@
 	defer l.mu.Unlock()
 	var sums []Tally
 	for p, each := range l.tallies {
-		sums = append(sums, Tally{Promise: string(p), Checks: each.checks, Violations: each.violations})
+		sums = append(sums, Tally{Promise: string(p), Checks: each.checks, Violations: each.violations, Found: each.found})
 	}
 	slices.SortFunc(sums, func(a, b Tally) int { return cmp.Compare(a.Promise, b.Promise) })
 	return sums
--- a/internal/program/soak/report.go
+++ b/internal/program/soak/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -12,21 +13,23 @@
 type Tally struct {
 	Promise            string
 	Checks, Violations int
+	// Found describes the first violations.
+	Found []string
 }
 
 // Report is what a run found.
 type Report struct {
-	Seed     uint64
-	Length   time.Duration
-	Schedule []string
-	Promises []Tally
-	// Violations describes the first violations of each promise.
-	Violations []string
-	Latencies  []Latency
+	Seed      uint64
+	Length    time.Duration
+	Schedule  []string
+	Promises  []Tally
+	Latencies []Latency
 }
 
 // Broken says whether a promise was broken.
-func (r *Report) Broken() bool { return len(r.Violations) > 0 }
+func (r *Report) Broken() bool {
+	return slices.ContainsFunc(r.Promises, func(t Tally) bool { return t.Violations > 0 })
+}
 
 // Write writes the report as a page.
 func (r *Report) Write(out io.Writer) error {
@@ -51,8 +54,10 @@
 	if r.Broken() {
 		line("\nViolations, the first of each promise\n")
 	}
-	for _, each := range r.Violations {
-		line("%s", each)
+	for _, each := range r.Promises {
+		for _, found := range each.Found {
+			line("%s: %s", each.Promise, found)
+		}
 	}
 	if err := table.Flush(); err != nil {
 		return err
--- a/internal/program/soak/report_test.go
+++ b/internal/program/soak/report_test.go
@@ -22,7 +22,7 @@
 	kept.check(promiseOnce, false, "call %s ran %d times", "c1", 2)
 	report := Report{
 		Seed: 7, Length: 2 * time.Second, Schedule: []string{"1s: kill of entry-0 for 2s, draw 0.500"},
-		Promises: kept.sums(), Violations: kept.violations, Latencies: l.summary(),
+		Promises: kept.sums(), Latencies: l.summary(),
 	}
 	var page strings.Builder
 	if err := report.Write(&page); err != nil || !report.Broken() {
--- a/internal/program/soak/soak.go
+++ b/internal/program/soak/soak.go
@@ -127,7 +127,7 @@
 
 // report sums up what was found.
 func (l *load) report(p Plan, schedule []entry) *Report {
-	r := &Report{Seed: p.Seed, Length: p.Length, Promises: l.ledger.sums(), Violations: l.ledger.violations, Latencies: l.latencies.summary()}
+	r := &Report{Seed: p.Seed, Length: p.Length, Promises: l.ledger.sums(), Latencies: l.latencies.summary()}
 	for _, e := range schedule {
 		r.Schedule = append(r.Schedule, e.String())
 	}
--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// play plays a plan, and keeps the logs of its processes if it fails.
+// play plays a plan, has a subtest for each promise, and keeps the logs of the processes if one fails.
 func play(t *testing.T, p Plan) {
 	program, err := binary.Path()
 	if err != nil {
@@ -69,13 +69,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, violation := range report.Violations {
-		t.Error(violation)
-	}
 	for _, each := range report.Promises {
-		t.Logf("checked: %6d times %s, %d violations", each.Checks, each.Promise, each.Violations)
+		t.Run(each.Promise, func(t *testing.T) {
+			t.Logf("checked: %6d times %s, %d violations", each.Checks, each.Promise, each.Violations)
+			for _, found := range each.Found {
+				t.Error(found)
+			}
+		})
 	}
-	if report.Broken() {
+	if t.Failed() {
 		keepLogs(t, folder)
 	}
 }
--- a/internal/program/soak/trouble.go
+++ b/internal/program/soak/trouble.go
@@ -126,27 +126,30 @@
 	w.calm(server)
 }
 
-// An engine that nobody disturbs breaks off one of so many streams, and repeats an event in one of so many that go on there. Where it did so
-// in each, no item would ever end: an entry leaves a stream with a repeated event.
+// What servers do wrong though nobody disturbs them: an engine breaks off one of so many streams, and repeats an event in one of so many
+// that go on there; a service answers for another request in one of so many, and carries out another one and breaks off. An entry leaves a
+// stream with a repeated event, so that no item would ever end where every stream has one.
 const (
 	cutPart    = 15
 	repeatPart = 2
+	faultPart  = 40
 )
 
 // calm has a server behave as it does when nobody disturbs it.
 //
-// Engines break off some streams even then, and repeat an event where a stream goes on: an entry that takes the repeated event in
-// shows it twice in a result, and too few streams go on for this to be found by the disturbances alone.
+// Few streams go on, and few answers come from a disturbed server, so the disturbances alone would seldom find an entry that takes in an
+// event twice, passes on the answer to another request, or sends a call again that may have run.
 func (w *world) calm(server *platformtest.Server) {
-	if !slices.Contains(w.engines, server) {
-		server.Behave(nil)
-		return
-	}
+	engine := slices.Contains(w.engines, server)
 	server.Behave(func(n int, r platformtest.Request) platformtest.Behaviour {
 		switch {
-		case r.Resumed() && n%repeatPart == 0:
+		case engine && r.Resumed() && n%repeatPart == 0:
 			return platformtest.Repeat
-		case n%cutPart == 0:
+		case engine && n%cutPart == 0:
+			return platformtest.Cut
+		case !engine && n%faultPart == 0:
+			return platformtest.Foreign
+		case !engine && n%faultPart == 1:
 			return platformtest.Cut
 		default:
 			return platformtest.Answer
