--- a/internal/program/soak/job.go
+++ b/internal/program/soak/job.go
@@ -54,7 +54,7 @@
 const groupSize = 2
 
 func (j *job) submission() string {
-	return platformtest.Submission("m", j.minVersion, len(j.items)/groupSize, j.items)
+	return platformtest.Submission(model, j.minVersion, len(j.items)/groupSize, j.items)
 }
 
 // listed returns how many positions were shown.
@@ -72,12 +72,14 @@
 
 func (j *job) whole() bool { return j.listed() == len(j.shown) }
 
-func (j *job) isAccepted() bool {
+func (j *job) acceptedAt() time.Time {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return !j.accepted.IsZero()
+	return j.accepted
 }
 
+func (j *job) isAccepted() bool { return !j.acceptedAt().IsZero() }
+
 func (j *job) endWasSent() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -215,9 +217,3 @@
 		j.ledger.check(promiseBody, listed || ended, "item %s of job %s, accepted at %s, %v", denied.item, j.id, clock(j.accepted), denied.reply)
 	}
 }
-
-func (j *job) acceptedAt() time.Time {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.accepted
-}
--- a/internal/program/soak/trouble.go
+++ b/internal/program/soak/trouble.go
@@ -165,9 +165,9 @@
 	w.weights++
 	version := w.weights
 	w.mu.Unlock()
-	w.store.NameVersion("m", version)
+	w.store.NameVersion(model, version)
 	// The list says of one engine that it has the weights, and the engine has not: it was started again with those from before.
-	w.store.Claim(w.engines[version%len(w.engines)], "m", version)
+	w.store.Claim(w.engines[version%len(w.engines)], model, version)
 }
 
 // followEngines registers the weights that engines have loaded, as they do themselves.
