--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -78,12 +79,18 @@
 		})
 	}
 	if t.Failed() {
-		keepLogs(t, folder)
+		keepLogs(t, folder, report)
 	}
 }
 
-// keepLogs copies the logs of a failed run to where they outlive the test.
-func keepLogs(t *testing.T, folder string) {
+// keepLogs copies the logs of a failed run, and its page, to where they outlive the test.
+func keepLogs(t *testing.T, folder string, report *Report) {
+	kept := filepath.Join(os.TempDir(), "soak-"+filepath.Base(t.Name())+"-")
+	var page strings.Builder
+	if err := report.Write(&page); err != nil {
+		t.Error(err)
+	}
+	t.Logf("page: %spage.txt (%v)", kept, os.WriteFile(kept+"page.txt", []byte(page.String()), 0o600))
 	logs, err := filepath.Glob(filepath.Join(folder, "*.log"))
 	if err != nil {
 		t.Error(err)
@@ -94,7 +101,6 @@
 			t.Error(err)
 			continue
 		}
-		path := filepath.Join(os.TempDir(), "soak-"+filepath.Base(t.Name())+"-"+filepath.Base(log))
-		t.Logf("log: %s (%v)", path, os.WriteFile(path, content, 0o600))
+		t.Logf("log: %s (%v)", kept+filepath.Base(log), os.WriteFile(kept+filepath.Base(log), content, 0o600))
 	}
 }
