--- a/internal/program/demo/stage.go
+++ b/internal/program/demo/stage.go
@@ -84,7 +84,7 @@
 }
 
 // newStage starts the stand-ins: a plain service and an engine in each availability zone.
-func newStage(t platformtest.TB, d Deployment) *stage {
+func newStage(t platformtest.Cleaner, d Deployment) *stage {
 	s := &stage{deployment: d, store: platformtest.NewStore(t), duties: platformtest.NewDuties(t)}
 	for _, zone := range d.AvailabilityZones {
 		s.services = append(s.services, platformtest.NewServer(t, d.Service+"-"+zone, d.Service, nil))
@@ -108,7 +108,7 @@
 }
 
 // startGateways starts a gateway in each availability zone and waits until all are ready.
-func (s *stage) startGateways(ctx context.Context, t platformtest.TB, log zerolog.Logger) error {
+func (s *stage) startGateways(ctx context.Context, t platformtest.Cleaner, log zerolog.Logger) error {
 	addresses := loopback.Addresses()
 	for _, zone := range s.deployment.AvailabilityZones {
 		set, err := s.settings(zone, s.store.NewDoor(t).URL(), addresses)
--- a/internal/program/soak/schedule_test.go
+++ b/internal/program/soak/schedule.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -22,6 +23,11 @@
 	troubleOutage  trouble = "outage"
 	troubleLose    trouble = "lose"
 	troubleCompact trouble = "compact"
+	// The connections from the other processes are delayed, reset, pass one way only, or fall silent.
+	troubleLinkDelay   trouble = "linkDelay"
+	troubleLinkReset   trouble = "linkReset"
+	troubleLinkOneWay  trouble = "linkOneWay"
+	troubleLinkSilence trouble = "linkSilence"
 	// A server refuses, breaks off, fails, or answers for another request.
 	troubleServer trouble = "server"
 	troubleDrain  trouble = "drain"
@@ -32,28 +38,32 @@
 
 var troubles = []trouble{
 	troubleKill, troublePause, troubleTerminate, troubleHangUp, troubleTurnAway, troubleSilence, troubleOutage, troubleLose,
-	troubleCompact, troubleServer, troubleDrain, troubleKey, troubleVersion,
+	troubleCompact, troubleLinkDelay, troubleLinkReset, troubleLinkOneWay, troubleLinkSilence, troubleServer, troubleDrain, troubleKey, troubleVersion,
 }
 
 // entry is one disturbance of a schedule.
 type entry struct {
 	at, lasts time.Duration
 	what      trouble
-	// target picks the process or server.
+	// target picks the process or server among those that there are.
 	target int
 	// draw picks a variant.
 	draw float64
 }
 
-// newSchedule draws the disturbances of a run; the same seed gives the same ones.
-func newSchedule(seed uint64, length time.Duration) []entry {
-	random := rand.New(rand.NewPCG(seed, seed))
+// newSchedule draws the disturbances of a run; the same plan gives the same ones.
+func newSchedule(p Plan) []entry {
+	kinds := p.kinds
+	if len(kinds) == 0 {
+		kinds = troubles
+	}
+	random := rand.New(rand.NewPCG(p.Seed, p.Seed))
 	var entries []entry
-	for at := time.Second; at < length; at += time.Duration(200+random.IntN(1400)) * time.Millisecond {
+	for at := time.Second; at < p.Length; at += time.Duration(200+random.IntN(1400)) * time.Millisecond {
 		entries = append(entries, entry{
 			at:     at,
 			lasts:  time.Duration(300+random.IntN(4000)) * time.Millisecond,
-			what:   troubles[random.IntN(len(troubles))],
+			what:   kinds[random.IntN(len(kinds))],
 			target: random.IntN(1 << 16),
 			draw:   random.Float64(),
 		})
@@ -61,3 +71,25 @@
 	slices.SortStableFunc(entries, func(a, b entry) int { return int(a.at - b.at) })
 	return entries
 }
+
+// String describes a disturbance.
+func (e entry) String() string {
+	return fmt.Sprintf("%v: %s of %s for %v, draw %.3f", e.at, e.what, e.aim(), e.lasts, e.draw)
+}
+
+// aim names what is disturbed.
+func (e entry) aim() string {
+	switch e.what {
+	case troubleOutage, troubleLose, troubleCompact:
+		return "the store"
+	case troubleKey, troubleVersion:
+		return "the configuration"
+	case troubleServer, troubleDrain:
+		if n := e.target % (servers + servers); n >= servers {
+			return engineName(n - servers)
+		}
+		return serviceName(e.target % (servers + servers))
+	default:
+		return entryName(e.target % processes)
+	}
+}
