Soak: what the platform's pages allow is no violation

Empty lists at shown positions, and refusals by entries that know a configuration, are checked as before.

--- a/internal/program/soak/job.go
+++ b/internal/program/soak/job.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/platform/platformtest"
 )
 
@@ -96,12 +98,18 @@
 	return status >= http.StatusBadRequest && status < http.StatusInternalServerError && status != http.StatusUnauthorized && !saysNotRun(status)
 }
 
+// knowsNoConfiguration says whether an entry refused since it has just started and can't tell yet what the request is. It refuses everything as
+// not run then, as the platform's rules ask.
+func knowsNoConfiguration(r reply) bool {
+	return r.status == http.StatusServiceUnavailable && strings.Contains(r.body, string(verdict.ReasonIsolated))
+}
+
 // noteSubmission takes in the answer to a submission.
 func (j *job) noteSubmission(r reply) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if known := !j.accepted.IsZero() && r.sent.After(j.accepted); known {
-		j.ledger.check(promiseRepeat, !saysNotRun(r.status), "job %s was accepted at %s; its submission %v", j.id, clock(j.accepted), r)
+		j.ledger.check(promiseRepeat, !saysNotRun(r.status) || knowsNoConfiguration(r), "job %s was accepted at %s; its submission %v", j.id, clock(j.accepted), r)
 		j.ledger.check(promiseAccepted, !saysUnknown(r.status), "job %s was accepted at %s; its submission %v", j.id, clock(j.accepted), r)
 	}
 	j.maybe = j.maybe || !saysNotRun(r.status)
@@ -140,16 +148,19 @@
 	if !sound || got.Next > len(j.shown) {
 		return
 	}
-	j.checkMissing(from, got.Next, r)
+	if len(got.Results) == 0 {
+		j.checkEmpty(from, r)
+	}
 	for i, each := range got.Results {
 		j.show(from+i, each, r)
 	}
 }
 
-// checkMissing checks that no position that was shown before the read was sent is missing from its list.
-func (j *job) checkMissing(from, next int, r reply) {
+// checkEmpty checks that no position from there on was shown before the read was sent. A list with results may be short: its reader
+// asks on from its end.
+func (j *job) checkEmpty(from int, r reply) {
 	missing := -1
-	for position := next; position < len(j.shown) && missing < 0; position++ {
+	for position := from; position < len(j.shown) && missing < 0; position++ {
 		if known := j.shown[position]; !known.at.IsZero() && known.at.Before(r.sent) {
 			missing = position
 		}
@@ -158,12 +169,8 @@
 	if missing >= 0 {
 		known = j.shown[missing]
 	}
-	p := promiseShorter
-	if next == from {
-		p = promiseEmpty
-	}
-	j.ledger.check(p, missing < 0, "job %s: %s showed position %d at %s; a read from %d %v and listed %d",
-		j.id, known.entry, missing, clock(known.at), from, r, next-from)
+	j.ledger.check(promiseEmpty, missing < 0, "job %s: %s showed position %d at %s; a read from %d %v and listed nothing",
+		j.id, known.entry, missing, clock(known.at), from, r)
 }
 
 // show takes in one result.
