--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -131,56 +130,6 @@
 	return ok && j.running()
 }
 
-const (
-	// reopenPause is the time in which an entry that has just started hears from the living ones who runs which job.
-	reopenPause = 400 * time.Millisecond
-	// openMost bounds the jobs that are named to entries that start later; eighteen trainers have two or three each.
-	openMost = 128
-)
-
-// Open returns the jobs that some entry is known to run, sorted, for entries that start later.
-func (m *Manager) Open() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	open := map[string]bool{}
-	for id, j := range m.jobs {
-		if j.running() && !j.over() {
-			open[id] = true
-		}
-	}
-	for id := range m.owners {
-		if _, ended := m.ended[id]; !ended {
-			open[id] = true
-		}
-	}
-	ids := slices.Sorted(maps.Keys(open))
-	return ids[:min(openMost, len(ids))]
-}
-
-// Reopen has jobs run again that were open a moment before this process was started, unless a living entry runs them.
-//
-// Guard: all entries are killed at once, and nobody is left who knows what ran. Each job stood still until its trainer asked for results, a
-// second or so later, and the trainer was late by as much from then on.
-func (m *Manager) Reopen(ids []string) {
-	if time.Since(m.started) > freshTime {
-		return
-	}
-	m.mu.Lock()
-	again := m.reopened
-	m.reopened = true
-	m.mu.Unlock()
-	if again {
-		return
-	}
-	for _, id := range ids {
-		m.work.Go(func() {
-			if ticker.Sleep(m.ctx, reopenPause) {
-				m.rerunInTurn(id, "")
-			}
-		})
-	}
-}
-
 // rerunInTurn has a job run again that nobody is known to run, once the entries that come before this one in its order had their turn.
 func (m *Manager) rerunInTurn(id, gone string) {
 	turn := time.Duration(min(m.place(id), orphanTurns)) * orphanPause
