Open jobs are notes of the lease, not fields put into its JSON on the way

The store's adapter took the lease's value apart and put it together again at each write and read. The record has a field for notes now, and the keeper an option. The test of the adapter is replaced by one of the keeper, which also wants a former holder's notes to be gone.

--- a/internal/core/lease/holder.go
+++ b/internal/core/lease/holder.go
@@ -25,6 +25,8 @@
 	Released bool `json:"released,omitempty"`
 	// Past are the hosts that held the duty before, the last one last.
 	Past []Tenure `json:"past,omitempty"`
+	// Notes are what the holder tells whoever reads the object; the lease itself makes nothing of them.
+	Notes []string `json:"notes,omitempty"`
 }
 
 // Tenure is the end of a host's time as the holder.
--- a/internal/edge/duty/keeper.go
+++ b/internal/edge/duty/keeper.go
@@ -69,6 +69,15 @@
 	return func(k *Keeper) { k.oneProcess = true }
 }
 
+// WithNotes keeps notes with the lease, which cost no call of their own. Write returns those that go with each write; read takes in those of the
+// holder with each read of the object, but for none.
+func WithNotes(write func() []string, read func(notes []string)) Option {
+	return func(k *Keeper) {
+		k.writeNotes = write
+		k.readNotes = read
+	}
+}
+
 // WithClock replaces the clock, which must return times with a monotonic reading or not at all.
 func WithClock(clock func() time.Time) Option {
 	return func(k *Keeper) { k.clock = clock }
@@ -85,6 +94,8 @@
 	// oneProcess is set where a host runs one process at a time.
 	oneProcess bool
 	clock      func() time.Time
+	writeNotes func() []string
+	readNotes  func(notes []string)
 	start      time.Time
 	machine    *lease.Machine
 	current    atomic.Pointer[snapshot]
@@ -135,6 +146,9 @@
 		may:     func() bool { return true },
 		clock:   time.Now,
 		settled: make(chan struct{}),
+
+		writeNotes: func() []string { return nil },
+		readNotes:  func([]string) {},
 	}
 	for _, opt := range opts {
 		opt(k)
--- a/internal/edge/duty/keeper_test.go
+++ b/internal/edge/duty/keeper_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/lease"
@@ -209,3 +210,30 @@
 		}
 	})
 }
+
+// A host that starts reads with the lease what its holder knew at its last renewal, also if the holder is gone by then. The lease itself must be
+// the same with notes and without: the next host takes it over, and its own notes replace the former ones.
+func TestNotesGoWithTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := standin.NewMemory()
+		var open atomic.Pointer[[]string]
+		open.Store(&[]string{"j1"})
+		first, stopFirst := start(t, memory, holder("entry-1", 1), WithNotes(func() []string { return *open.Load() }, func([]string) {}))
+		eventually(t, "first holds", func() bool { return held(first) })
+		open.Store(&[]string{"j1", "j2"})
+		<-time.After(2 * quick().Renew)
+		stopFirst()
+		var read atomic.Pointer[[]string]
+		second, stopSecond := start(t, memory, holder("entry-2", 2),
+			WithNotes(func() []string { return nil }, func(notes []string) { read.Store(&notes) }))
+		eventually(t, "second has read the notes", func() bool { return read.Load() != nil })
+		if diff := cmp.Diff([]string{"j1", "j2"}, *read.Load()); diff != "" {
+			t.Errorf("notes: %s", diff)
+		}
+		eventually(t, "second holds", func() bool { return held(second) })
+		stopSecond()
+		third, _ := start(t, memory, holder("entry-3", 3),
+			WithNotes(func() []string { return nil }, func(notes []string) { t.Errorf("notes of a former holder: %v", notes) }))
+		eventually(t, "third holds", func() bool { return held(third) })
+	})
+}
--- a/internal/edge/duty/run.go
+++ b/internal/edge/duty/run.go
@@ -79,13 +79,18 @@
 		first = told.first
 	}
 	k.machine.ObservedSince(first, uint64(object.Version), record)
+	if len(record.Notes) > 0 {
+		k.readNotes(record.Notes)
+	}
 	return nil
 }
 
 // write carries out a write and tells the machine its fate. Only errors that exclude an effect count
 // as not written; any other leaves the machine in doubt until it has read the object.
 func (k *Keeper) write(ctx context.Context, step lease.Step) error {
-	value, err := json.Marshal(step.Record)
+	record := step.Record
+	record.Notes = k.writeNotes()
+	value, err := json.Marshal(record)
 	if err != nil {
 		k.machine.NotWritten(false)
 		return errors.Wrap(err, k.object)
--- a/internal/edge/store/lease.go
+++ b/internal/edge/store/lease.go
@@ -18,31 +18,12 @@
 	store *Store
 	// holderHeard says whether the holder of the lease is heard of by other means than the lease.
 	holderHeard func() bool
-	// openJobs returns the batch jobs that are to be kept beside the lease; readJobs takes in those that a holder kept there.
-	openJobs func() []string
-	readJobs func(ids []string)
-}
-
-// LeasesOption changes leases under construction.
-type LeasesOption func(*Leases)
-
-// WithOpenJobs keeps the names of the open batch jobs beside the lease, with each of its writes, so that they cost no call of their own.
-// Open returns them; read takes in, with each read of the lease, those that its holder knew of at its last renewal.
-func WithOpenJobs(open func() []string, read func(ids []string)) LeasesOption {
-	return func(l *Leases) {
-		l.openJobs = open
-		l.readJobs = read
-	}
 }
 
 // NewLeases returns the leases in the store; holderHeard says whether the holder of the lease in question is alive, as far as
 // other entries know.
-func NewLeases(store *Store, holderHeard func() bool, options ...LeasesOption) Leases {
-	l := Leases{store: store, holderHeard: holderHeard}
-	for _, option := range options {
-		option(&l)
-	}
-	return l
+func NewLeases(store *Store, holderHeard func() bool) Leases {
+	return Leases{store: store, holderHeard: holderHeard}
 }
 
 func split(name string) (kind, rest string) {
@@ -53,42 +34,7 @@
 // Get reads the object.
 func (l Leases) Get(ctx context.Context, name string) (product.Object, error) {
 	kind, rest := split(name)
-	object, err := l.store.Get(ctx, kind, rest)
-	if err == nil {
-		l.takeJobs(object.Value)
-	}
-	return object, err
-}
-
-// fieldOpenJobs is the field of the object, beside those of the lease, that names the open batch jobs.
-const fieldOpenJobs = "openJobs"
-
-// addJobs adds the names of the open batch jobs to the value of a lease.
-func (l Leases) addJobs(value json.RawMessage) (json.RawMessage, error) {
-	if l.openJobs == nil {
-		return value, nil
-	}
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(value, &fields); err != nil {
-		return nil, errors.Wrap(err, "lease")
-	}
-	jobs, err := json.Marshal(l.openJobs())
-	if err != nil {
-		return nil, errors.Wrap(err, "open batch jobs")
-	}
-	fields[fieldOpenJobs] = jobs
-	return json.Marshal(fields)
-}
-
-// takeJobs hands on the names of batch jobs in the value of a lease. One that was written without them has none.
-func (l Leases) takeJobs(value json.RawMessage) {
-	var fields struct {
-		OpenJobs []string `json:"openJobs"`
-	}
-	if l.readJobs == nil || json.Unmarshal(value, &fields) != nil || len(fields.OpenJobs) == 0 {
-		return
-	}
-	l.readJobs(fields.OpenJobs)
+	return l.store.Get(ctx, kind, rest)
 }
 
 // List reads the objects whose names start with the prefix.
@@ -109,10 +55,6 @@
 
 // Put writes the value if the object's version is still ifVersion; 0: if there is none.
 func (l Leases) Put(ctx context.Context, name string, value json.RawMessage, ifVersion product.Version) (product.Version, error) {
-	value, err := l.addJobs(value)
-	if err != nil {
-		return 0, err
-	}
 	kind, rest := split(name)
 	if ifVersion == 0 {
 		return l.store.Create(ctx, kind, rest, value)
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -212,8 +212,10 @@
 func (g *Gateway) startDuties(ctx context.Context, self gossip.Member, reports store.Carrier, serverCalls *exchange.Client) {
 	holder := duty.Holder{HostID: self.HostID, Address: self.Address, Incarnation: self.Incarnation}
 	heard := func() bool { return !g.contends() || g.heard(g.duties.Load()) }
-	leases := store.NewLeases(g.store, heard, store.WithOpenJobs(g.jobs.Open, g.jobs.Reopen))
+	leases := store.NewLeases(g.store, heard)
 	g.keeper = duty.NewKeeper(ctx, leases, leader.Lease, holder, duty.WithTiming(leader.Timing()), duty.WithOneProcess(),
+		// Entries that start read there which batch jobs were open.
+		duty.WithNotes(g.jobs.Open, g.jobs.Reopen),
 		// A holder that is heard of renews its lease; to try for it would cost two calls each term.
 		duty.WithContendIf(func() bool { return !heard() }))
 	g.duties.Store(g.keeper)
