A job in memory is not a job that runs

Found on reading the change again: an entry whose acceptance got no answer looks for the job until it is in memory. Since a body that is read keeps the job there without having it run, the entry stopped looking and nobody ran it. Change: it looks until the job has ended, runs here, or is known to run elsewhere. Result: the new case of TestALostAcceptanceIsFoundOut failed before.

--- a/internal/edge/batchjob/slow_test.go
+++ b/internal/edge/batchjob/slow_test.go
@@ -114,24 +114,33 @@
 	}
 }
 
-// The answer to an acceptance was lost, and its trainer is gone. The job was accepted, so it is found and run.
+// The answer to an acceptance was lost, and its trainer is gone. The job was accepted, so it is found and run; that somebody reads the body of an
+// item here meanwhile, and the job is in memory by that, doesn't mean that anybody runs it.
 func TestALostAcceptanceIsFoundOut(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	spec := storedSpec()
-	store := newSharedStore()
-	door := store.door()
-	door.set(faultLost)
-	m := entryOf(ctx, door, entries{self: "self"})
-	defer m.Wait()
-	defer cancel()
-	if err := m.Submit(ctx, spec); err == nil {
-		t.Fatal("accepted without an answer of the store")
-	}
-	door.set(faultNone)
-	for end := time.Now().Add(4 * settlePause); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if j, ok := m.find(spec.ID); ok && j.running() {
-			return
+	for _, read := range []bool{false, true} {
+		ctx, cancel := context.WithCancel(t.Context())
+		spec := storedSpec()
+		door := newSharedStore().door()
+		door.set(faultLost)
+		m := entryOf(ctx, door, entries{self: "self"})
+		if err := m.Submit(ctx, spec); err == nil {
+			t.Fatal("accepted without an answer of the store")
 		}
+		door.set(faultNone)
+		if read {
+			if _, err := m.Body(ctx, spec.ID, spec.Organisation, "a"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		runs := false
+		for end := time.Now().Add(4 * settlePause); !runs && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			j, ok := m.find(spec.ID)
+			runs = ok && j.running()
+		}
+		if !runs {
+			t.Errorf("read %v: nobody runs the job", read)
+		}
+		cancel()
+		m.Wait()
 	}
-	t.Error("nobody runs the job")
 }
--- a/internal/edge/batchjob/submit.go
+++ b/internal/edge/batchjob/submit.go
@@ -93,7 +93,7 @@
 func (m *Manager) settle(spec *batch.Job) {
 	end := time.Now().Add(settleTime)
 	for time.Now().Before(end) && ticker.Sleep(m.ctx, settlePause) {
-		if _, ok := m.find(spec.ID); ok {
+		if m.isCaredFor(spec.ID) {
 			return
 		}
 		_, err := m.store.Get(m.ctx, KindJobs, spec.ID)
