--- a/internal/edge/batchjob/end.go
+++ b/internal/edge/batchjob/end.go
@@ -13,10 +13,6 @@
 	product "github.com/oleandershelf/oleandershelf/internal/edge/platform"
 )
 
-// askTime bounds a question to another entry on a caller's behalf, beside the wait that it asks for: entries answer within milliseconds, and
-// an entry that is frozen and not noticed yet must leave time to answer without it.
-const askTime = 600 * time.Millisecond
-
 // End ends a job: what isn't listed need not be run any more. Repeats are harmless.
 func (m *Manager) End(ctx context.Context, id, organisation string) error {
 	owner, owned := m.reader(id)
--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -46,9 +46,11 @@
 func (m *Manager) handOver(ctx context.Context, j *job) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTime)
 	defer cancel()
+	home := m.home(j.spec).HostID
 	candidates := m.ranked(j.spec.ID)
-	if home := m.home(j.spec); home.HostID != m.members.Self().HostID {
-		candidates = append([]gossip.Member{home}, candidates...)
+	if at := slices.IndexFunc(candidates, func(member gossip.Member) bool { return member.HostID == home }); at > 0 {
+		first := candidates[at]
+		candidates = slices.Insert(slices.Delete(candidates, at, at+1), 0, first)
 	}
 	q := m.runRequest(j.spec)
 	j.mu.Lock()
@@ -90,8 +92,6 @@
 	orphanPause = 300 * time.Millisecond
 	// orphanTurns bounds the wait of the later ones; by then they have all heard of it.
 	orphanTurns = 7
-	// freshTime is how long after its start an entry believes that others speak of its former run.
-	freshTime = 5 * time.Second
 )
 
 const (
@@ -138,22 +138,6 @@
 	}
 }
 
-// rerunOwn has a job run again that others say this entry runs, though it was started a moment ago: its former run did.
-func (m *Manager) rerunOwn(id string) {
-	if time.Since(m.started) > freshTime || m.isEnded(id) {
-		return
-	}
-	m.mu.Lock()
-	j, known := m.jobs[id]
-	again := m.rerunning[id]
-	m.rerunning[id] = true
-	m.mu.Unlock()
-	if again || known && (j.running() || j.over()) {
-		return
-	}
-	m.work.Go(func() { m.rerun(id, m.members.Self().HostID) })
-}
-
 func (m *Manager) isEnded(id string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/edge/batchjob/home_test.go
+++ b/internal/edge/batchjob/home_test.go
@@ -187,8 +187,8 @@
 			if found != test.runs {
 				t.Errorf("taken up: %v", found)
 			}
-			if len(m.rerunning) > 1 {
-				t.Errorf("remembered: %v", m.rerunning)
+			if len(m.reopened) > 1 {
+				t.Errorf("remembered: %v", m.reopened)
 			}
 		})
 	}
--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -66,6 +66,11 @@
 func (j *job) end() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.endLocked()
+}
+
+// endLocked does what end does. The caller holds the lock.
+func (j *job) endLocked() {
 	if j.progress.Ended() {
 		return
 	}
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -47,6 +47,9 @@
 	// settleTime bounds how long a lost answer to an acceptance is looked into; the store may carry a call out seconds late.
 	settleTime  = 8 * time.Second
 	settlePause = 500 * time.Millisecond
+	// askTime bounds a question to another entry on a caller's behalf, beside the wait that it asks for: entries answer within milliseconds,
+	// and an entry that is frozen and not noticed yet must leave time to answer without it.
+	askTime = 600 * time.Millisecond
 )
 
 // Store is the platform's store as far as batch jobs need it.
@@ -87,11 +90,9 @@
 	ended   map[string]time.Time
 	// copies are unfinished outputs of jobs that others run.
 	copies map[string]*copies
-	// rerunning are jobs that others said a former run of this entry ran, from the first seconds after its start.
-	rerunning map[string]bool
-	started   time.Time
-	// reopened is set once the jobs that were open before this process was started have been looked into.
-	reopened bool
+	// reopened are jobs that were open before this process was started and have been looked into, in the first seconds after that.
+	reopened map[string]bool
+	started  time.Time
 	// leaving is set once the process hands its jobs over.
 	leaving bool
 }
@@ -114,23 +115,23 @@
 // NewManager returns a manager whose work ends with ctx; it serves other entries through the registry.
 func NewManager(ctx context.Context, deps Deps, registry *peer.Registry) *Manager {
 	m := &Manager{
-		ctx:       ctx,
-		store:     deps.Store,
-		book:      deps.Book,
-		servers:   deps.Servers,
-		peers:     deps.Peers,
-		members:   deps.Members,
-		outage:    deps.Outage,
-		demand:    deps.Demand,
-		metrics:   deps.Metrics,
-		log:       deps.Log,
-		jobs:      map[string]*job{},
-		owners:    map[string]owner{},
-		keepers:   map[string]owner{},
-		ended:     map[string]time.Time{},
-		copies:    map[string]*copies{},
-		rerunning: map[string]bool{},
-		started:   time.Now(),
+		ctx:      ctx,
+		store:    deps.Store,
+		book:     deps.Book,
+		servers:  deps.Servers,
+		peers:    deps.Peers,
+		members:  deps.Members,
+		outage:   deps.Outage,
+		demand:   deps.Demand,
+		metrics:  deps.Metrics,
+		log:      deps.Log,
+		jobs:     map[string]*job{},
+		owners:   map[string]owner{},
+		keepers:  map[string]owner{},
+		ended:    map[string]time.Time{},
+		copies:   map[string]*copies{},
+		reopened: map[string]bool{},
+		started:  time.Now(),
 	}
 	m.register(registry)
 	return m
--- a/internal/edge/batchjob/reopen.go
+++ b/internal/edge/batchjob/reopen.go
@@ -13,6 +13,8 @@
 	reopenPause = 400 * time.Millisecond
 	// openMost bounds the jobs that are named to entries that start later; eighteen trainers have two or three each.
 	openMost = 128
+	// freshTime is how long after its start an entry believes what others know of jobs that were open before.
+	freshTime = 5 * time.Second
 )
 
 // Open returns the jobs that some entry is known to run, sorted, for entries that start later.
@@ -39,21 +41,31 @@
 // Guard: all entries are killed at once, and nobody is left who knows what ran. Each job stood still until its trainer asked for results, a
 // second or so later, and the trainer was late by as much from then on.
 func (m *Manager) Reopen(ids []string) {
-	if time.Since(m.started) > freshTime {
-		return
-	}
-	m.mu.Lock()
-	again := m.reopened
-	m.reopened = true
-	m.mu.Unlock()
-	if again {
-		return
-	}
 	for _, id := range ids {
-		m.work.Go(func() {
+		m.reopen(id, func() {
 			if ticker.Sleep(m.ctx, reopenPause) {
 				m.rerunInTurn(id, "")
 			}
 		})
 	}
 }
+
+// rerunOwn has a job run again that others say this entry runs, though it was started a moment ago: its former run did.
+func (m *Manager) rerunOwn(id string) {
+	m.reopen(id, func() { m.rerun(id, m.members.Self().HostID) })
+}
+
+// reopen has work begin on a job that was open before this process was started, once, unless somebody cares for the job. Later on such word is
+// older than what this process knows itself.
+func (m *Manager) reopen(id string, work func()) {
+	if time.Since(m.started) > freshTime || m.isCaredFor(id) {
+		return
+	}
+	m.mu.Lock()
+	again := m.reopened[id]
+	m.reopened[id] = true
+	m.mu.Unlock()
+	if !again {
+		m.work.Go(work)
+	}
+}
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -38,8 +38,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if _, ended := m.ended[j.spec.ID]; ended {
-		j.progress.End()
-		j.tell()
+		j.endLocked()
 	}
 	if j.runs || m.leaving || j.progress.Ended() || m.ctx.Err() != nil {
 		return j
--- a/internal/edge/batchjob/submit.go
+++ b/internal/edge/batchjob/submit.go
@@ -24,7 +24,7 @@
 	}
 	if m.outage(time.Now()) {
 		// To try would hold the trainer for seconds, and leave open whether the job was accepted.
-		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonPlatformUnavailable, outageRetry, "no entry reaches the store")
+		return leftOpen(outageRetry, "no entry reaches the store")
 	}
 	home := m.home(spec)
 	spec.Owner, spec.OwnerRun = home.HostID, home.Incarnation
@@ -44,9 +44,9 @@
 		return m.submittedBefore(ctx, spec, err)
 	case errors.Is(err, product.ErrUnsettled):
 		m.work.Go(func() { m.settle(spec) })
-		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonPlatformUnavailable, storeRetry, "the store's answer was lost")
+		return leftOpen(storeRetry, "the store's answer was lost")
 	case errors.Is(err, product.ErrUnavailable):
-		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonPlatformUnavailable, storeRetry, "the store can't be reached")
+		return leftOpen(storeRetry, "the store can't be reached")
 	default:
 		return verdict.Refuse(verdict.NotRun, verdict.ReasonTooLarge, 0, "job %s: %v", spec.ID, err)
 	}
@@ -56,7 +56,7 @@
 func (m *Manager) submittedBefore(ctx context.Context, spec *batch.Job, conflict error) error {
 	kept, err := m.conflicting(ctx, KindJobs, spec.ID, conflict)
 	if err != nil {
-		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonPlatformUnavailable, storeRetry, "the job exists, and can't be read: %v", err)
+		return leftOpen(storeRetry, "the job exists, and can't be read: "+err.Error())
 	}
 	var known batch.Job
 	if err := json.Unmarshal(kept, &known); err != nil {
@@ -71,6 +71,11 @@
 	return nil
 }
 
+// leftOpen tells a trainer that it isn't known whether the job was accepted, and when to come back.
+func leftOpen(retry time.Duration, detail string) error {
+	return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonPlatformUnavailable, retry, "%s", detail)
+}
+
 // conflicting returns the value of the object that stood in the way of a create.
 func (m *Manager) conflicting(ctx context.Context, kind, name string, err error) (json.RawMessage, error) {
 	var conflict *platform.ConflictError
