--- a/internal/edge/batchjob/deny_test.go
+++ b/internal/edge/batchjob/deny_test.go
@@ -52,10 +52,8 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
-			spec := &batch.Job{
-				ID: "j", Organisation: "north", Owner: "other", Accepted: time.Now(), Terms: batch.Terms{ItemTimeout: time.Hour},
-				Submission: batch.Submission{Items: []batch.Item{{ID: "a"}, {ID: "b"}}},
-			}
+			spec := storedSpec()
+			spec.Owner = "other"
 			store := newSharedStore()
 			store.put(t, KindJobs, spec.ID, spec)
 			m := entryOf(ctx, store.door(), entries{self: "self", others: []gossip.Member{{HostID: "other"}}})
--- a/internal/edge/batchjob/end_test.go
+++ b/internal/edge/batchjob/end_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -20,7 +19,7 @@
 	for _, fresh := range []bool{true, false} {
 		ctx, cancel := context.WithCancel(t.Context())
 		spec := batch.Job{ID: "j", Organisation: "north", Owner: "other", Submission: batch.Submission{Items: []batch.Item{{ID: "a"}}}}
-		m := testManager(ctx, spec, entries{self: "self", others: []gossip.Member{{HostID: "other"}}})
+		m := testManager(ctx, t, spec, entries{self: "self", others: []gossip.Member{{HostID: "other"}}})
 		m.Heard(gossip.Member{HostID: "other"}, nil, []string{"j"}, nil)
 		q := RunRequest{Job: "j", Organisation: "north", From: "other"}
 		if fresh {
@@ -45,7 +44,7 @@
 // end again, and not be taken for the job's owner.
 func TestAnEndIsToldAgainToWhoRunsTheJob(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
-	m := testManager(ctx, batch.Job{ID: "j"}, entries{self: "self", others: []gossip.Member{{HostID: "other"}}})
+	m := testManager(ctx, t, batch.Job{ID: "j"}, entries{self: "self", others: []gossip.Member{{HostID: "other"}}})
 	defer m.Wait()
 	defer cancel()
 	m.endHere("j")
@@ -102,12 +101,7 @@
 			told.Add(1)
 			return EndAnswer{Known: true}, nil
 		})
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		_ = peer.NewServer(ctx, l, registry, []byte("a secret of the tests"))
-		owner := gossip.Member{HostID: "other", Address: l.Addr().(*net.TCPAddr).AddrPort()}
+		owner := gossip.Member{HostID: "other", Address: served(ctx, t, registry)}
 		m := entryOf(ctx, store.door(), entries{self: "self", others: []gossip.Member{owner}})
 		if read {
 			if _, err := m.read(ctx, spec.ID, spec.Organisation); err != nil {
--- a/internal/edge/batchjob/home_test.go
+++ b/internal/edge/batchjob/home_test.go
@@ -2,72 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net"
 	"net/netip"
 	"testing"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rs/zerolog"
-
-	"github.com/oleandershelf/oleandershelf/internal/core/backend"
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
-	product "github.com/oleandershelf/oleandershelf/internal/edge/platform"
 )
 
-// entries are a host and those that it hears of.
-type entries struct {
-	self   string
-	others []gossip.Member
-}
-
-func (e entries) Self() gossip.Member { return gossip.Member{HostID: e.self} }
-
-func (e entries) Alive(time.Time) []gossip.Member { return append([]gossip.Member(nil), e.others...) }
-
-func (e entries) Find(_ time.Time, hostID string) (gossip.Member, bool) {
-	for _, member := range e.others {
-		if member.HostID == hostID {
-			return member, true
-		}
-	}
-	return gossip.Member{}, false
-}
-
-// keptJob is a store that holds one job without pages and end.
-type keptJob struct {
-	Store
-	spec batch.Job
-}
-
-func (k keptJob) Get(_ context.Context, kind, name string) (product.Object, error) {
-	if kind != KindJobs || name != k.spec.ID {
-		return product.Object{}, product.ErrNotFound
-	}
-	value, err := json.Marshal(k.spec)
-	return product.Object{Name: name, Value: value}, err
-}
-
-// testManager returns a manager of an entry among others whose store holds the job.
-func testManager(ctx context.Context, spec batch.Job, members entries) *Manager {
-	// Items that are given up would be written to the store.
-	spec.Accepted = time.Now()
-	spec.ItemTimeout = time.Hour
-	return NewManager(ctx, Deps{
-		Store:   keptJob{spec: spec},
-		Book:    backend.NewBook("self", "north-a"),
-		Peers:   peer.NewClient(ctx, []byte("a secret of the tests")),
-		Members: members,
-		Outage:  func(time.Time) bool { return false },
-		Demand:  func() batch.Demand { return batch.Demand{} },
-		Metrics: NewMetrics(prometheus.NewRegistry()),
-		Log:     zerolog.Nop(),
-	}, peer.NewRegistry())
-}
-
 // An entry accepted a job, was told to stop a moment later and handed the job over, before anybody had heard that it leaves. The other one
 // took it for alive and left the job with it, and the items stood still for more than a second. Asked by a third one, it must leave a job
 // that a living entry runs where it is.
@@ -99,7 +42,7 @@
 			if !test.mute {
 				owner.Address = runsAll(ctx, t)
 			}
-			m := testManager(ctx, spec, entries{self: "self", others: []gossip.Member{owner, {HostID: "third"}}})
+			m := testManager(ctx, t, spec, entries{self: "self", others: []gossip.Member{owner, {HostID: "third"}}})
 			defer m.Wait()
 			defer cancel()
 			if test.owner != "" {
@@ -121,12 +64,7 @@
 	t.Helper()
 	registry := peer.NewRegistry()
 	peer.Handle(registry, MethodRun, func(context.Context, RunRequest) (RunAnswer, error) { return RunAnswer{}, nil })
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = peer.NewServer(ctx, listener, registry, []byte("a secret of the tests"))
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+	return served(ctx, t, registry)
 }
 
 // An entry died while the long items of a step were in their fourth second. The one that takes the job over has copies of what was received,
@@ -134,7 +72,7 @@
 func TestItemsGoOnFromCopies(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	spec := batch.Job{ID: "j", Organisation: "north", Submission: batch.Submission{Items: []batch.Item{{ID: "a"}, {ID: "b"}}}}
-	m := testManager(ctx, spec, entries{self: "self"})
+	m := testManager(ctx, t, spec, entries{self: "self"})
 	defer m.Wait()
 	defer cancel()
 	now := time.Now()
@@ -173,7 +111,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			spec := batch.Job{ID: "j", Owner: "self", Submission: batch.Submission{Items: []batch.Item{{ID: "a"}}}}
-			m := testManager(ctx, spec, entries{self: "self", others: []gossip.Member{{HostID: "other"}}})
+			m := testManager(ctx, t, spec, entries{self: "self", others: []gossip.Member{{HostID: "other"}}})
 			defer m.Wait()
 			defer cancel()
 			m.started = time.Now().Add(-test.age)
--- a/internal/edge/batchjob/owner_test.go
+++ b/internal/edge/batchjob/owner_test.go
@@ -9,23 +9,12 @@
 	"testing"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rs/zerolog"
-
-	"github.com/oleandershelf/oleandershelf/internal/core/backend"
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 	product "github.com/oleandershelf/oleandershelf/internal/edge/platform"
 )
 
-func storedSpec() *batch.Job {
-	return &batch.Job{
-		ID: "j", Organisation: "north", Owner: "gone", Accepted: time.Now(), Terms: batch.Terms{ItemTimeout: time.Hour},
-		Submission: batch.Submission{Items: []batch.Item{{ID: "a", Body: []byte("x")}, {ID: "b", Body: []byte("y")}}},
-	}
-}
-
 // An entry learned from the store that a job has ended. A request to run it that comes late must not run it, and who says that it runs it
 // must be told.
 func TestAnEndReadFromTheStoreIsRemembered(t *testing.T) {
@@ -153,15 +142,11 @@
 	frozen  atomic.Bool
 }
 
-func stoppable(ctx context.Context, t *testing.T, secret []byte) *stopped {
+func stoppable(ctx context.Context, t *testing.T) *stopped {
 	t.Helper()
 	registry := peer.NewRegistry()
 	peer.Handle(registry, MethodRead, func(context.Context, ReadRequest) (ReadAnswer, error) { return ReadAnswer{}, nil })
-	behind, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = peer.NewServer(ctx, behind, registry, secret)
+	behind := served(ctx, t, registry)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -187,7 +172,7 @@
 			if err != nil {
 				return
 			}
-			to, err := net.Dial("tcp", behind.Addr().String())
+			to, err := net.Dial("tcp", behind.String())
 			if err != nil {
 				return
 			}
@@ -212,7 +197,6 @@
 // The entry that runs a job is frozen, and not noticed yet. A body and results that are in the store, or here, must reach who asks before he
 // gives up, 1.5 s after the wait that he allows.
 func TestAFrozenOwnerHoldsNobodyUp(t *testing.T) {
-	secret := []byte("a secret of the tests")
 	for _, test := range []struct {
 		name string
 		call func(ctx context.Context, m *Manager, spec *batch.Job) error
@@ -241,7 +225,7 @@
 			store := newSharedStore()
 			store.put(t, KindJobs, spec.ID, spec)
 			store.put(t, KindPages, pageName(spec.ID, 1), batch.Page{Writer: 9, Results: []batch.Result{{ID: "a"}}})
-			owner := stoppable(ctx, t, secret)
+			owner := stoppable(ctx, t)
 			m := entryOf(ctx, patientDoor{store.door()}, entries{self: "self", others: []gossip.Member{{HostID: "frozen", Address: owner.address}}})
 			defer m.Wait()
 			defer cancel()
@@ -275,19 +259,7 @@
 		time.Sleep(1500 * time.Millisecond)
 		return ReadAnswer{Known: true, Total: 2}, nil
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := l.Addr().(*net.TCPAddr).AddrPort()
-	secret := []byte("a secret of the tests")
-	_ = peer.NewServer(ctx, l, registry, secret)
-	m := NewManager(ctx, Deps{
-		Store: store.door(), Book: backend.NewBook("self", "north-a"), Peers: peer.NewClient(ctx, secret),
-		Members: entries{self: "self", others: []gossip.Member{{HostID: "other", Address: address}}},
-		Outage:  func(time.Time) bool { return false }, Demand: func() batch.Demand { return batch.Demand{} },
-		Metrics: NewMetrics(prometheus.NewRegistry()), Log: zerolog.Nop(),
-	}, peer.NewRegistry())
+	m := entryOf(ctx, store.door(), entries{self: "self", others: []gossip.Member{{HostID: "other", Address: served(ctx, t, registry)}}})
 	defer m.Wait()
 	defer cancel()
 	m.noteOwner(spec.ID, "other")
--- a/internal/edge/batchjob/reopen_test.go
+++ b/internal/edge/batchjob/reopen_test.go
@@ -26,7 +26,7 @@
 			t.Parallel()
 			ctx, cancel := context.WithCancel(t.Context())
 			spec := batch.Job{ID: "j", Owner: "self", Submission: batch.Submission{Items: []batch.Item{{ID: "a"}}}}
-			m := testManager(ctx, spec, entries{self: "self", others: []gossip.Member{{HostID: "other"}}})
+			m := testManager(ctx, t, spec, entries{self: "self", others: []gossip.Member{{HostID: "other"}}})
 			defer m.Wait()
 			defer cancel()
 			test.before(m)
--- a/internal/edge/batchjob/world_test.go
+++ b/internal/edge/batchjob/world_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -12,11 +14,15 @@
 
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 	product "github.com/oleandershelf/oleandershelf/internal/edge/platform"
 	"github.com/oleandershelf/oleandershelf/platform"
 )
 
+// testSecret is the secret of the entries of a test.
+const testSecret = "a secret of the tests"
+
 // storeFault is what the store does with the calls of one entry.
 type storeFault string
 
@@ -141,12 +147,31 @@
 	return product.ErrUnavailable
 }
 
+// entries are a host and those that it hears of.
+type entries struct {
+	self   string
+	others []gossip.Member
+}
+
+func (e entries) Self() gossip.Member { return gossip.Member{HostID: e.self} }
+
+func (e entries) Alive(time.Time) []gossip.Member { return append([]gossip.Member(nil), e.others...) }
+
+func (e entries) Find(_ time.Time, hostID string) (gossip.Member, bool) {
+	for _, member := range e.others {
+		if member.HostID == hostID {
+			return member, true
+		}
+	}
+	return gossip.Member{}, false
+}
+
 // entryOf returns the manager of an entry whose calls to others all fail, and whose servers run nothing.
 func entryOf(ctx context.Context, store Store, members Members) *Manager {
 	return NewManager(ctx, Deps{
 		Store:   store,
 		Book:    backend.NewBook("self", "north-a"),
-		Peers:   peer.NewClient(ctx, []byte("a secret of the tests")),
+		Peers:   peer.NewClient(ctx, []byte(testSecret)),
 		Members: members,
 		Outage:  func(time.Time) bool { return false },
 		Demand:  func() batch.Demand { return batch.Demand{} },
@@ -154,3 +179,33 @@
 		Log:     zerolog.Nop(),
 	}, peer.NewRegistry())
 }
+
+// testManager returns a manager of an entry among others whose store holds the job, accepted a moment ago.
+func testManager(ctx context.Context, t *testing.T, spec batch.Job, members entries) *Manager {
+	t.Helper()
+	// Items that are given up would be written to the store.
+	spec.Accepted = time.Now()
+	spec.ItemTimeout = time.Hour
+	store := newSharedStore()
+	store.put(t, KindJobs, spec.ID, spec)
+	return entryOf(ctx, store.door(), members)
+}
+
+// storedSpec is a job of two items that an entry which is gone accepted a moment ago.
+func storedSpec() *batch.Job {
+	return &batch.Job{
+		ID: "j", Organisation: "north", Owner: "gone", Accepted: time.Now(), Terms: batch.Terms{ItemTimeout: time.Hour},
+		Submission: batch.Submission{Items: []batch.Item{{ID: "a", Body: []byte("x")}, {ID: "b", Body: []byte("y")}}},
+	}
+}
+
+// served serves the methods as another entry, and returns its address.
+func served(ctx context.Context, t *testing.T, registry *peer.Registry) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = peer.NewServer(ctx, listener, registry, []byte(testSecret))
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
