--- a/internal/program/e2e/trainer_test.go
+++ b/internal/program/e2e/trainer_test.go
@@ -87,8 +87,8 @@
 	return response.StatusCode, content
 }
 
-// must repeats a request until it is answered well.
-func (r *trainer) must(method, path, body string) []byte {
+// must repeats a request until it is answered well. What other answers ask for is done before each repetition.
+func (r *trainer) must(method, path, body string, answered func(status int, content string)) []byte {
 	started := time.Now()
 	last := ""
 	for time.Since(started) < batchLimit {
@@ -98,6 +98,7 @@
 			return content
 		}
 		last = fmt.Sprintf("%d %s", status, content)
+		answered(status, last)
 		time.Sleep(100 * time.Millisecond)
 	}
 	r.c.t.Fatalf("%s %s: %s", method, path, last)
@@ -118,33 +119,23 @@
 		r.c.t.Fatal(err)
 	}
 	r.steps[step] = string(body)
-	r.must(http.MethodPost, fmt.Sprintf("/steps/%d", step), string(body))
+	r.must(http.MethodPost, fmt.Sprintf("/steps/%d", step), string(body), func(int, string) {})
 }
 
 // mustBatch asks for a batch until it comes. A coordinator that doesn't know the step asks for it: the one before was lost in an outage before it
 // could write the step. The trainer posts it again, as docs/REFERENCE.md tells trainers to; without an outage no step may be lost.
 func (r *trainer) mustBatch(step, number int) []byte {
 	path := fmt.Sprintf("/steps/%d/batches/%d", step, number)
-	started := time.Now()
-	last := ""
-	for time.Since(started) < batchLimit {
-		status, content := r.try(http.MethodGet, path, "")
-		if status == http.StatusOK {
-			r.longest = max(r.longest, time.Since(started))
-			return content
+	return r.must(http.MethodGet, path, "", func(status int, content string) {
+		if status != http.StatusNotFound || !strings.Contains(content, "post it first") {
+			return
 		}
-		last = fmt.Sprintf("%d %s", status, content)
-		if status == http.StatusNotFound && strings.Contains(last, "post it first") {
-			if !r.outage {
-				r.c.t.Fatalf("GET %s: step lost without an outage: %s", path, last)
-			}
-			r.reposted++
-			r.try(http.MethodPost, fmt.Sprintf("/steps/%d", step), r.steps[step])
+		if !r.outage {
+			r.c.t.Fatalf("GET %s: step lost without an outage: %s", path, content)
 		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	r.c.t.Fatalf("GET %s: %s", path, last)
-	return nil
+		r.reposted++
+		r.try(http.MethodPost, fmt.Sprintf("/steps/%d", step), r.steps[step])
+	})
 }
 
 // postVersion publishes the next weights once; the trainer goes on without if the platform is down.
