--- a/internal/core/backend/book.go
+++ b/internal/core/backend/book.go
@@ -21,20 +21,20 @@
 	otherZone = 0.05
 	// refusedTime is how long a server that refused for want of a place is asked last, or, by work that can wait, not at all. It
 	// doubles with each refusal in a row up to refusedMost: an engine refuses all while it loads weights, for about a second, and
-	// items that asked it again at once made up more than half of all that reached the engines.
+	// items that ask it again at once would be most of what reaches the engines.
 	refusedTime = 80 * time.Millisecond
 	refusedMost = 320 * time.Millisecond
 	// lostTime is how long a server is asked last after a connection to it failed; one that crashed disappears from
 	// the list after seconds.
 	lostTime = time.Second
-	// moveFactor is how much slower than at the median server a stream must be to go on elsewhere. A full engine is 1.4 times as
-	// slow as an empty one, and slow engines were 2.6 to 3.9 times as slow as others.
+	// moveFactor is how much slower than at the median server a stream must be to go on elsewhere: above what a full engine is slower than an
+	// empty one, and below what an engine in trouble is.
 	moveFactor = 1.9
 	// leastPaces is how many other servers must be known to call one slow.
 	leastPaces = 2
 	// subsetSize is how many servers that may run a request an entry looks at first, in an order of its own by hash, and leastFit how many
-	// of them must have a place to look no further. It bounds the connections of an entry and of a server, and the work of a choice: of
-	// 2,700 servers a choice among all took longer than the request.
+	// of them must have a place to look no further. It bounds the connections of an entry and of a server, and the work of a choice, which
+	// among thousands of servers would take longer than the request.
 	subsetSize = 32
 	leastFit   = 4
 	// paceShare is the part of a new span of a stream in the pace of its server: the last few spans count.
--- a/internal/core/batch/home.go
+++ b/internal/core/batch/home.go
@@ -9,12 +9,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// leastShare is the part of the largest entry's processor time that an entry must have to run jobs while others have more: entries of
-// 0.14 and 0.8 cores stand side by side, and the home of a model with 90 places took 0.05 of a core on a quiet day.
+// leastShare is the part of the largest entry's processor time that an entry must have to run jobs while others have more; entries with a
+// fifth of others' stand beside them.
 const leastShare = 0.5
 
-// homeSlots is how many places of engines one home runs items on: somewhat more than the 90 that were measured at 0.05 of a core, with entries
-// of a third of a core and busy days in view.
+// homeSlots is how many places of engines one home runs items on, so that its work stays well below a third of a core on a busy day.
 const homeSlots = 128
 
 // Demand is what is trained.
@@ -42,8 +41,8 @@
 //
 // Load pattern: trainers hand in a step each few seconds, each at another entry, and a model's engines run nothing else.
 //
-// Without it: every step opens connections to all engines of its model anew, since the entry that ran the step before is another one. In a
-// minute of 27 entries, 45 engines and three trainers that were 2,058 connections for 4,500 requests, and 734 with it.
+// Without it: every step opens connections to all engines of its model anew, since the entry that ran the step before is another one; that is
+// several times as many connections.
 //
 // Models with one home are dealt out one after the other, each to the first in its own order by hash among the entries that have fewest
 // so far, so that two don't share an entry while another has none; few move when an entry comes or goes. A model whose engines need more
--- a/internal/core/queue/pace.go
+++ b/internal/core/queue/pace.go
@@ -49,7 +49,7 @@
 	p.current = true
 }
 
-// sure says that the pace was measured in the present wait, and that no single gap is most of the measurement.
+// sure says that the pace stems from the present wait, and that no single gap makes up most of the time it is known from.
 func (p *pace) sure() bool { return p.current && p.longest <= p.busy/2 }
 
 // rate is the work a second; 0 if it isn't known yet.
--- a/internal/core/roster/doc.go
+++ b/internal/core/roster/doc.go
@@ -3,8 +3,7 @@
 // Load pattern: up to 380 entries that all must know who lives, within two seconds of a death, since each runs jobs and counts usage that
 // others must take over; 16 hosts fail and 160 are restarted on an ordinary day, so that almost always nothing has changed.
 //
-// Without it: each entry told every other one everything it knew, every two seconds. At 100 hosts an entry took 39% of a processor and 1.9 MB/s,
-// its requests included (12% and 0.3 MB/s with it), and at 300 nothing was served any more.
+// Without it: each entry tells every other one everything it knows, and what an entry receives grows with the square of their number.
 //
 // Entries stand in a ring in an order by hash that is the same for all. Each calls the next one and two further on several times a second
 // (of 380 entries the 7th and the 52nd), watches those and the three that call it, and calls one of the others now and then. What changes
--- a/internal/core/roster/ring.go
+++ b/internal/core/roster/ring.go
@@ -56,8 +56,8 @@
 
 // distances returns how far in a ring of so many the entries stand that one calls: the next one, and two more at distances that grow alike.
 //
-// Guard: news came three places on with each call where an entry called the three after it. Of 27 entries some heard after 1.5 s that
-// another was leaving, and of 380 it went by the calls to others in turn only.
+// Guard: where an entry calls the three that follow it, news comes three places on with each call. Among some dozens of entries some hear
+// after more than a second that another leaves, and among hundreds it goes by the calls to others in turn only.
 func distances(ring int) []int {
 	var found []int
 	for i := range neighbours {
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -256,7 +256,7 @@
 // pieceWatch measures the pace of a stream over spans of pieces.
 //
 // Guard: single gaps mislead. An entry that is short of processor time reads pieces late and then many at once, and a change of
-// weights stops a stream for a second; both looked like slow servers, and an entry moved 190 streams in half a second. A span evens
+// weights stops a stream for a second; both look like slow servers, and an entry would move hundreds of streams at once. A span evens
 // out the first, and two slow spans in a row are wanted because of the second.
 type pieceWatch struct {
 	book   *backend.Book
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -41,8 +41,8 @@
 	// keepTime is how long a job that isn't run or read stays in memory. Results are read again for minutes after a job's
 	// end, and to have them anew costs a call to the store for each page.
 	keepTime = 2 * time.Minute
-	// keepMost is how many jobs that are over stay in memory at most, bodies included: of eighteen jobs of half a minute, 47 reads of the store
-	// were for bodies alone while these were dropped.
+	// keepMost is how many jobs that are over stay in memory at most, bodies included. Bodies are asked for until the end of a job, and had anew
+	// they cost a read of the store each.
 	keepMost = 24
 	// settleTime bounds how long a lost answer to an acceptance is looked into; the store may carry a call out seconds late.
 	settleTime  = 8 * time.Second
--- a/internal/edge/view/contacts.go
+++ b/internal/edge/view/contacts.go
@@ -22,8 +22,8 @@
 	// if all followers are cut off right before it: the next ones begin after this time, and news takes half a second to spread.
 	contactTime = time.Second
 	// standbys is how many entries, in order, begin after contactTime; the others begin after contactMost. News of a follower's
-	// contact takes up to two intervals of the gossip to the farthest of some dozen entries, and those began to follow again and again: 490
-	// watches in a minute with 27 entries. The standbys are neighbours of the followers, and hear from them directly.
+	// contact takes up to two intervals of the gossip to the farthest of some dozen entries, which would begin to follow again and again. The
+	// standbys are neighbours of the followers, and hear from them directly.
 	standbys    = 4
 	contactMost = 1800 * time.Millisecond
 	// outageTime is how long no entry reached the store when it is taken for down: some probes in a row failed everywhere.
--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -200,8 +200,8 @@
 
 // begins says whether a fresh entry is to read the store itself.
 //
-// Guard: all entries of a deployment start within moments; each would read and watch everything, a third of all calls of a minute
-// with 27 entries. So a fresh entry waits for what the others tell it, and the first in order read for all.
+// Guard: all entries of a deployment start within moments; each would read and watch everything, which is a good part of all calls of some
+// dozens of entries. So a fresh entry waits for what the others tell it, and the first in order read for all.
 func (f *Follower) begins(now time.Time) bool {
 	waited := now.Sub(f.started)
 	return waited >= beginMost || waited >= beginWait && f.place(now) < standbys
