Reward calls are a stage of an item's life

Cause: the request that a trainer names as an item's scorer was not read, so results were listed without a score, and no step counted. Change: the adapter decodes it; core/batch holds a whole text back until it is scored, counts failures of the call over attempts and takeovers, and loses the item at once where they reach the route's attempts; the call goes the way of callers' requests, which becomes the package edge/call (choice of server, verdict, hedge, attempts). It leaves a place of each server to callers, for up to a second. Servers are compared by how much longer than usual for the route their calls take, since reward calls take eight times as long as the others.

--- a/internal/core/backend/book.go
+++ b/internal/core/backend/book.go
@@ -50,6 +50,8 @@
 	// Within is set for work that can wait: it isn't sent to servers that have as many requests of all known callers as slots, or that
 	// just refused.
 	Within bool
+	// Spare is how many places of a server work that can wait leaves free for others.
+	Spare int
 	// Avoid are servers that this request isn't sent to again.
 	Avoid map[string]bool
 }
@@ -84,7 +86,9 @@
 	tracker *placement.Tracker
 	servers map[string]*serverState
 	// pools holds the servers of each pool in this entry's order.
-	pools   map[string][]*serverState
+	pools map[string][]*serverState
+	// usual is the logarithm of the seconds that calls of a route usually take.
+	usual   map[string]float64
 	changed chan struct{}
 }
 
@@ -96,6 +100,7 @@
 		// All servers are weighed, since nothing has to be asked for it.
 		tracker: placement.NewTracker(placement.WithChoices(1<<20), placement.WithCacheSaving(0)),
 		servers: map[string]*serverState{},
+		usual:   map[string]float64{},
 		changed: make(chan struct{}),
 	}
 }
--- a/internal/core/backend/choose.go
+++ b/internal/core/backend/choose.go
@@ -64,7 +64,7 @@
 	if !need.Within {
 		return true
 	}
-	return !now.Before(state.lastUntil) && state.running+state.others < max(1, state.server.Slots)
+	return !now.Before(state.lastUntil) && state.running+state.others < max(1, state.server.Slots-need.Spare)
 }
 
 // late puts servers behind that just refused or could not be reached.
--- a/internal/core/batch/doc.go
+++ b/internal/core/batch/doc.go
@@ -9,6 +9,8 @@
 // repeats work that was received; a write for each item makes some hundred writes for a step, and one at the end
 // loses a whole step with its process.
 //
+// An item with a reward call goes through two stages: its text is generated, then scored. Only a scored text is a result.
+//
 // Results are kept as a log of pages in the store, each created under the next number. Of two processes that run the
 // same job by mistake one loses each create, takes over the page it finds and drops what that page lists, so that a
 // position never changes hands and no lease is needed. Nothing is shown to a trainer before its page is written.
--- a/internal/core/batch/job.go
+++ b/internal/core/batch/job.go
@@ -17,6 +17,17 @@
 	Group string `json:"group"`
 	// ExpectedTokens is the caller's estimate of the output; 0 if there is none. It is right at the median only.
 	ExpectedTokens int `json:"expectedTokens"`
+	// Reward scores the item's text; nil if the text is the whole result.
+	Reward *RewardCall `json:"reward,omitempty"`
+}
+
+// RewardCall is a request that scores an item once its text is whole. It may run more than once.
+type RewardCall struct {
+	ID string `json:"id"`
+	// Host and Path select the route.
+	Host string `json:"host"`
+	Path string `json:"path"`
+	Body []byte `json:"body"`
 }
 
 // Submission is what a trainer hands in.
@@ -75,6 +86,8 @@
 	Text string `json:"text"`
 	// Versions are all weight versions that made an event of the text, in order of first use.
 	Versions []int `json:"versions"`
+	// Score is the signature of the answer to the item's reward call; empty if the item has none or was given up.
+	Score string `json:"score,omitempty"`
 }
 
 // Page is one entry of a job's log of results.
--- a/internal/core/batch/output.go
+++ b/internal/core/batch/output.go
@@ -45,10 +45,11 @@
 	Last     int    `msgpack:"l"`
 	Versions []int  `msgpack:"v"`
 	Text     string `msgpack:"t"`
-}
-
-func (o *Output) partial(item string) Partial {
-	return Partial{Item: item, Last: o.Last, Versions: slices.Clone(o.Versions), Text: o.text.String()}
+	// Whole is set once the text is complete and waits to be scored.
+	Whole bool `msgpack:"w"`
+	// Failures and RewardFailures are how often servers failed the item and its reward call.
+	Failures       int `msgpack:"f"`
+	RewardFailures int `msgpack:"r"`
 }
 
 // outputOf returns the output of a partial, to go on from.
--- a/internal/core/batch/partial.go
+++ b/internal/core/batch/partial.go
@@ -12,7 +12,7 @@
 
 // Partials returns what was received of all items that have no result yet.
 func (p *Progress) Partials() []Partial {
-	return p.partials(func(*itemState) bool { return true })
+	return p.partials(func(state *itemState) bool { return state.output.Last > 0 || state.failed() > 0 })
 }
 
 // Copies returns what was received of the items of which much came since their last copy, and takes it for copied.
@@ -21,10 +21,12 @@
 // trainer, who waits for them, is late with all that follows.
 func (p *Progress) Copies() []Partial {
 	copies := p.partials(func(state *itemState) bool {
-		return state.output.Last >= state.copied+max(copyEvents, state.copied/copyPart)
+		grown := !state.textWhole() && state.output.Last >= state.copied+max(copyEvents, state.copied/copyPart)
+		return grown || state.failed() > state.copiedFailures
 	})
 	for _, each := range copies {
-		p.items[each.Item].copied = each.Last
+		state := p.items[each.Item]
+		state.copied, state.copiedFailures = each.Last, state.failed()
 	}
 	return copies
 }
@@ -33,9 +35,8 @@
 	var partials []Partial
 	for i := range p.job.Items {
 		state := p.items[p.job.Items[i].ID]
-		unfinished := state.phase == phaseWaiting || state.phase == phaseRunning
-		if unfinished && state.output.Last > 0 && wanted(state) {
-			partials = append(partials, state.output.partial(state.item.ID))
+		if state.unfinished() && wanted(state) {
+			partials = append(partials, state.partial())
 		}
 	}
 	return partials
@@ -45,7 +46,12 @@
 func (p *Progress) Resume(partials []Partial) {
 	for _, each := range partials {
 		state, known := p.items[each.Item]
-		if !known || state.phase != phaseWaiting || each.Last <= state.output.Last {
+		if !known || state.phase != phaseWaiting {
+			continue
+		}
+		state.failures = max(state.failures, each.Failures)
+		state.rewardFailures = max(state.rewardFailures, each.RewardFailures)
+		if each.Last <= state.output.Last {
 			continue
 		}
 		output := outputOf(each)
@@ -53,5 +59,21 @@
 			continue
 		}
 		state.output = output
+		if each.Whole && state.item.Reward != nil {
+			p.queueReward(state)
+		}
+	}
+}
+
+// partial returns what is known of an item that has no result.
+func (s *itemState) partial() Partial {
+	return Partial{
+		Item:           s.item.ID,
+		Last:           s.output.Last,
+		Versions:       slices.Clone(s.output.Versions),
+		Text:           s.output.Text(),
+		Whole:          s.textWhole(),
+		Failures:       s.failures,
+		RewardFailures: s.rewardFailures,
 	}
 }
--- a/internal/core/batch/progress.go
+++ b/internal/core/batch/progress.go
@@ -24,6 +24,9 @@
 const (
 	phaseWaiting phase = iota
 	phaseRunning
+	// phaseUnscored items have their whole text and wait for their reward call; phaseScoring items are being scored.
+	phaseUnscored
+	phaseScoring
 	// phaseDone items have a result that no page holds yet.
 	phaseDone
 	// phaseListed items stand in a page.
@@ -32,16 +35,28 @@
 
 // itemState is what is known of an item.
 type itemState struct {
-	item     *Item
-	group    *groupState
-	phase    phase
-	failures int
-	output   *Output
-	result   Result
+	item  *Item
+	group *groupState
+	phase phase
+	// failures counts failed runs, rewardFailures failed reward calls.
+	failures       int
+	rewardFailures int
+	// rewardDue is when the reward call first came first in its queue; zero before.
+	rewardDue time.Time
+	output    *Output
+	result    Result
 	// copied is the last event of the output that another entry has a copy of.
 	copied int
+	// copiedFailures is how many failures that copy names.
+	copiedFailures int
 }
 
+func (s *itemState) failed() int { return s.failures + s.rewardFailures }
+
+func (s *itemState) unfinished() bool { return s.phase < phaseDone }
+
+func (s *itemState) textWhole() bool { return s.phase == phaseUnscored || s.phase == phaseScoring }
+
 // groupState counts what is left of a group.
 type groupState struct {
 	size int
@@ -57,8 +72,10 @@
 	writer uint64
 	items  map[string]*itemState
 	// order holds the items to run, first come first.
-	order  []*itemState
-	groups map[string]*groupState
+	order []*itemState
+	// unscored holds the items whose reward call is to be sent, first come first.
+	unscored []*itemState
+	groups   map[string]*groupState
 	// positions are the listed results in order; pages is the number of the last page taken in.
 	positions []Result
 	pages     int
@@ -216,19 +233,28 @@
 	p.Again(id)
 }
 
-// Completed takes in that the item's whole output was received.
+// Completed takes in that the item's whole output was received. It is a result unless it has to be scored.
 func (p *Progress) Completed(now time.Time, id string) {
 	state := p.items[id]
-	if state.phase != phaseRunning {
-		return
+	switch {
+	case state.phase != phaseRunning:
+	case state.item.Reward != nil:
+		p.queueReward(state)
+	default:
+		p.completed(now, state, "")
 	}
-	p.done(now, state, Result{ID: id, State: StateCompleted, Text: state.output.Text(), Versions: state.output.Versions})
+}
+
+func (p *Progress) completed(now time.Time, state *itemState, score string) {
+	p.done(now, state, Result{
+		ID: state.item.ID, State: StateCompleted, Text: state.output.Text(), Versions: state.output.Versions, Score: score,
+	})
 }
 
 // Lost gives an item up.
 func (p *Progress) Lost(now time.Time, id string) {
 	state := p.items[id]
-	if state.phase == phaseDone || state.phase == phaseListed {
+	if !state.unfinished() {
 		return
 	}
 	p.done(now, state, Result{ID: id, State: StateLost, Versions: []int{}})
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -192,7 +192,7 @@
 		r.cause = errors.New("status 500")
 		book.Failed(now, r.server.ID)
 		return outcomeFailed, false
-	case answer.Status != fasthttp.StatusOK || !answer.Signed:
+	case answer.Status != fasthttp.StatusOK || !answer.Signed():
 		r.cause = errors.Errorf("status %d", answer.Status)
 		book.Failed(now, r.server.ID)
 		return outcomeCut, false
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -16,7 +16,9 @@
 
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/core/routing"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+	"github.com/oleandershelf/oleandershelf/internal/edge/call"
 	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
@@ -73,6 +75,8 @@
 	store   Store
 	book    *backend.Book
 	servers *exchange.Client
+	calls   *call.Sender
+	route   func(host, path string) (routing.Route, bool)
 	peers   *peer.Client
 	members Members
 	outage  func(now time.Time) bool
@@ -102,6 +106,9 @@
 	Store   Store
 	Book    *backend.Book
 	Servers *exchange.Client
+	// Calls sends reward calls, and Route finds the route of one in the configuration in force.
+	Calls   *call.Sender
+	Route   func(host, path string) (routing.Route, bool)
 	Peers   *peer.Client
 	Members Members
 	// Outage says whether the store is known to be out of every entry's reach.
@@ -119,6 +126,8 @@
 		store:    deps.Store,
 		book:     deps.Book,
 		servers:  deps.Servers,
+		calls:    deps.Calls,
+		route:    deps.Route,
 		peers:    deps.Peers,
 		members:  deps.Members,
 		outage:   deps.Outage,
--- a/internal/edge/batchjob/metrics.go
+++ b/internal/edge/batchjob/metrics.go
@@ -19,12 +19,29 @@
 	basisUnsure basis = "unsure"
 )
 
+// rewardOutcome is how a reward call ended.
+type rewardOutcome string
+
+// The ends of reward calls.
+const (
+	rewardScored rewardOutcome = "scored"
+	// rewardFailed: the server answered with a failure.
+	rewardFailed rewardOutcome = "failed"
+	// rewardNoAnswer: no server ran the call, or no answer came whole.
+	rewardNoAnswer rewardOutcome = "noAnswer"
+	// rewardNoRoute: no route serves the call.
+	rewardNoRoute rewardOutcome = "noRoute"
+)
+
 // Metrics counts the runs of items, the pages written and the reads of results.
 type Metrics struct {
 	reads *prometheus.CounterVec
 	runs  *prometheus.CounterVec
 	took  prometheus.Histogram
 	pages *prometheus.CounterVec
+	// rewards counts reward calls, rewardTook is their time.
+	rewards    *prometheus.CounterVec
+	rewardTook prometheus.Histogram
 }
 
 // NewMetrics returns metrics that are shown by the registry.
@@ -48,7 +65,16 @@
 			Help: "Tries to write a page of results, and whether the store answered that it was written.",
 		}, []string{"outcome"}),
 	}
-	registry.MustRegister(m.reads, m.runs, m.took, m.pages)
+	m.rewards = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "oleandershelf_batch_reward_calls_total",
+		Help: "Reward calls of batch items by outcome.",
+	}, []string{"outcome"})
+	m.rewardTook = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name:    "oleandershelf_batch_reward_call_seconds",
+		Help:    "Time of reward calls over all their attempts.",
+		Buckets: prometheus.ExponentialBuckets(0.02, 2, 9),
+	})
+	registry.MustRegister(m.reads, m.runs, m.took, m.pages, m.rewards, m.rewardTook)
 	return m
 }
 
@@ -57,6 +83,10 @@
 	m.took.Observe(took.Seconds())
 }
 
+func (m *Metrics) scored(got rewardOutcome) { m.rewards.WithLabelValues(string(got)).Inc() }
+
+func (m *Metrics) scoring(took time.Duration) { m.rewardTook.Observe(took.Seconds()) }
+
 func (m *Metrics) read(ground basis) { m.reads.WithLabelValues(string(ground)).Inc() }
 
 func (m *Metrics) written(ok bool) {
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -61,6 +61,7 @@
 	for ctx.Err() == nil {
 		changed := m.book.Changed()
 		m.startItems(ctx, j)
+		m.startRewards(ctx, j)
 		if page, ok := j.commit(time.Now(), writing); ok {
 			writing = true
 			j.work.Go(func() { written <- m.write(ctx, j, page) })
--- a/internal/edge/batchjob/state.go
+++ b/internal/edge/batchjob/state.go
@@ -15,7 +15,9 @@
 	Listed  int    `json:"listed"`
 	Running int    `json:"running"`
 	Waiting int    `json:"waiting"`
-	Pages   int    `json:"pages"`
+	// Scoring counts the items that have their whole text and no score.
+	Scoring int `json:"scoring"`
+	Pages   int `json:"pages"`
 }
 
 // State returns the jobs in memory for the dump, sorted by id.
@@ -46,6 +48,7 @@
 		Listed:  j.progress.Listed(),
 		Running: j.progress.Running(),
 		Waiting: j.progress.Waiting(),
+		Scoring: j.progress.Scoring(),
 		Pages:   j.progress.Pages(),
 	}
 }
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -13,12 +13,11 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
-	"github.com/oleandershelf/oleandershelf/internal/core/backend"
 	"github.com/oleandershelf/oleandershelf/internal/core/routing"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/batchjob"
+	"github.com/oleandershelf/oleandershelf/internal/edge/call"
 	"github.com/oleandershelf/oleandershelf/internal/edge/callerconn"
-	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
 	"github.com/oleandershelf/oleandershelf/internal/edge/refusal"
 	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 	"github.com/oleandershelf/oleandershelf/internal/edge/view"
@@ -50,8 +49,7 @@
 // Deps is what a gateway stands on.
 type Deps struct {
 	View    *view.View
-	Book    *backend.Book
-	Servers *exchange.Client
+	Calls   *call.Sender
 	Jobs    *batchjob.Manager
 	Usage   Usage
 	Metrics *Metrics
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -20,9 +20,11 @@
 
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/core/routing"
 	"github.com/oleandershelf/oleandershelf/internal/core/usage"
 	"github.com/oleandershelf/oleandershelf/internal/edge/admin"
 	"github.com/oleandershelf/oleandershelf/internal/edge/batchjob"
+	"github.com/oleandershelf/oleandershelf/internal/edge/call"
 	"github.com/oleandershelf/oleandershelf/internal/edge/duty"
 	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
 	"github.com/oleandershelf/oleandershelf/internal/edge/gateway"
@@ -67,6 +69,7 @@
 	follower *view.Follower
 	store    *store.Store
 	book     *backend.Book
+	calls    *call.Sender
 	ledger   *usage.Ledger
 	jobs     *batchjob.Manager
 	keeper   *duty.Keeper
@@ -141,10 +144,13 @@
 	store.Serve(g.registry, g.store)
 	members := &lateMembers{self: self}
 	g.follower = view.NewFollower(ctx, members, g.view, g.store, g.client, g.registry, g.log)
+	g.calls = call.NewSender(g.book, serverCalls, g.log)
 	g.jobs = batchjob.NewManager(ctx, batchjob.Deps{
 		Store:   g.store,
 		Book:    g.book,
 		Servers: serverCalls,
+		Calls:   g.calls,
+		Route:   g.route,
 		Peers:   g.client,
 		Members: members,
 		Outage:  g.follower.Outage,
@@ -156,7 +162,7 @@
 	relay.set(store.NewRelay(g.client, g.gossip, g.follower.Reaches))
 	members.set(g.gossip)
 	g.gossip.Meet(g.set.Seeds...)
-	if err := g.serve(ctx, metrics, serverCalls); err != nil {
+	if err := g.serve(ctx, metrics); err != nil {
 		return err
 	}
 	g.work.Go(func() { g.register(ctx, self) })
@@ -171,7 +177,7 @@
 }
 
 // serve opens the listeners.
-func (g *Gateway) serve(ctx context.Context, metrics *prometheus.Registry, serverCalls *exchange.Client) error {
+func (g *Gateway) serve(ctx context.Context, metrics *prometheus.Registry) error {
 	options, err := peerOptions(g.set)
 	if err != nil {
 		return err
@@ -188,8 +194,7 @@
 	}
 	g.gateway = gateway.New(ctx, callers, g.set.BodyLimitBytes, gateway.Deps{
 		View:    g.view,
-		Book:    g.book,
-		Servers: serverCalls,
+		Calls:   g.calls,
 		Jobs:    g.jobs,
 		Usage:   g.news,
 		Metrics: gateway.NewMetrics(metrics),
@@ -274,6 +279,15 @@
 	return demand
 }
 
+// route returns the route of a request in the configuration in force.
+func (g *Gateway) route(host, path string) (routing.Route, bool) {
+	table := g.view.Now().Table
+	if table == nil {
+		return routing.Route{}, false
+	}
+	return table.Match(host, path)
+}
+
 // reload takes over what may change while the process runs.
 func (g *Gateway) reload(set settings.Settings) {
 	g.gossip.Meet(set.Seeds...)
