Copies of unfinished items stand in the pages of their job

Hypothesis: what was received survives in the store at the price of some pages. Change: pages carry copies of unfinished items under the rule that bounded the copies at another entry (15 events or half as much again), alone at most every 900 ms; an entry that takes a job over goes on from them. The copies at another entry, their two calls between entries and the question for them are gone.

--- a/internal/core/batch/job.go
+++ b/internal/core/batch/job.go
@@ -96,6 +96,8 @@
 	Writer  uint64   `json:"writer"`
 	Serial  int      `json:"serial"`
 	Results []Result `json:"results"`
+	// Partials are what was received of items that have no result. They are shown to nobody; an entry that takes the job over goes on from them.
+	Partials []Partial `json:"partials,omitempty"`
 }
 
 // Same says whether two pages are the same write.
--- a/internal/core/batch/output.go
+++ b/internal/core/batch/output.go
@@ -39,17 +39,17 @@
 	return true
 }
 
-// Partial is what was received of an item whose stream hasn't ended, as one entry tells it to another.
+// Partial is what is known of an item that has no result, as it is kept in a page and told to another entry.
 type Partial struct {
-	Item     string `msgpack:"i"`
-	Last     int    `msgpack:"l"`
-	Versions []int  `msgpack:"v"`
-	Text     string `msgpack:"t"`
+	Item     string `json:"item" msgpack:"i"`
+	Last     int    `json:"last" msgpack:"l"`
+	Versions []int  `json:"versions" msgpack:"v"`
+	Text     string `json:"text" msgpack:"t"`
 	// Whole is set once the text is complete and waits to be scored.
-	Whole bool `msgpack:"w"`
+	Whole bool `json:"whole,omitempty" msgpack:"w"`
 	// Failures and RewardFailures are how often servers failed the item and its reward call.
-	Failures       int `msgpack:"f"`
-	RewardFailures int `msgpack:"r"`
+	Failures       int `json:"failures,omitempty" msgpack:"f"`
+	RewardFailures int `json:"rewardFailures,omitempty" msgpack:"r"`
 }
 
 // outputOf returns the output of a partial, to go on from.
--- a/internal/core/batch/partial.go
+++ b/internal/core/batch/partial.go
@@ -15,18 +15,36 @@
 	return p.partials(func(state *itemState) bool { return state.output.Last > 0 || state.failed() > 0 })
 }
 
-// Copies returns what was received of the items of which much came since their last copy, and takes it for copied.
+// grown says that enough is known of the item beyond its last copy for another one.
+func (s *itemState) grown() bool {
+	more := !s.textWhole() && s.output.Last >= s.copied+max(copyEvents, s.copied/copyPart)
+	return more || s.failed() > s.copiedFailures
+}
+
+// copyDue says that some item is worth another copy.
+func (p *Progress) copyDue() bool {
+	for _, state := range p.items {
+		if state.unfinished() && state.grown() {
+			return true
+		}
+	}
+	return false
+}
+
+// copies returns what is known of the items that are worth another copy, as far as their text stays below maxBytes, and takes it for copied.
 //
-// Guard: an entry dies while the long items of a step are in their fourth second. Begun anew they end after the step's deadline, and its
-// trainer, who waits for them, is late with all that follows.
-func (p *Progress) Copies() []Partial {
-	copies := p.partials(func(state *itemState) bool {
-		grown := !state.textWhole() && state.output.Last >= state.copied+max(copyEvents, state.copied/copyPart)
-		return grown || state.failed() > state.copiedFailures
-	})
-	for _, each := range copies {
+// Guard: all entries lose power while the long items of a step are in their fourth second. Begun anew they end after the step's deadline, and
+// its trainer, who waits for them, is late with all that follows.
+func (p *Progress) copies(maxBytes int) []Partial {
+	var copies []Partial
+	size := 0
+	for _, each := range p.partials((*itemState).grown) {
+		if size += len(each.Text) + resultOverhead; size > maxBytes {
+			break
+		}
 		state := p.items[each.Item]
 		state.copied, state.copiedFailures = each.Last, state.failed()
+		copies = append(copies, each)
 	}
 	return copies
 }
--- a/internal/core/batch/partial_test.go
+++ b/internal/core/batch/partial_test.go
@@ -54,13 +54,14 @@
 	}
 }
 
-// Copies go to another entry all the time an item runs. They must be few, and their text together at most some three times the item's.
+// Guards against copies that cost more than the work which they save: they must be few, and their text together at most some three times the
+// item's.
 func TestCopiesAreFew(t *testing.T) {
 	p := partialJob(1, false)
 	copied, copies := 0, 0
 	for events := 1; events <= 140; events++ {
 		received(p, "a", events, 1)
-		for _, each := range p.Copies() {
+		for _, each := range p.copies(maxPageBytes) {
 			copies++
 			copied += each.Last
 		}
@@ -68,7 +69,66 @@
 	if copies > 8 || copied > 3*140 {
 		t.Errorf("%d copies of %d events together", copies, copied)
 	}
-	if again := p.Copies(); len(again) != 0 {
+	if again := p.copies(maxPageBytes); len(again) != 0 {
 		t.Errorf("copied again: %+v", again)
 	}
 }
+
+// Guards against a page beyond the store's limit: copies that find no room go with the next page.
+func TestCopiesStayBelowTheBound(t *testing.T) {
+	p := partialJob(1, false)
+	for _, item := range []string{"a", "b", "c"} {
+		received(p, item, 40, 1)
+	}
+	first := p.copies(2 * (80 + resultOverhead))
+	if second := p.copies(maxPageBytes); len(first) != 2 || len(second) != 1 {
+		t.Errorf("%d copies, then %d", len(first), len(second))
+	}
+}
+
+// Load pattern: all entries lose power in the middle of a step, again and again. Guards against a step that never ends because each start
+// begins its long items anew: what was received is written after a second, at a bounded number of writes.
+func TestAStepOutlivesThePowerOfAllEntries(t *testing.T) {
+	const (
+		events = 140
+		pace   = 40 * time.Millisecond
+		life   = 3 * time.Second
+	)
+	job := newTestJob(1, 1)
+	var log []Page
+	now := start
+	lives := 0
+	for ; lives < 10; lives++ {
+		p := NewProgress(job, uint64(lives))
+		for _, page := range log {
+			p.Absorb(page)
+		}
+		if p.Complete() {
+			break
+		}
+		running := map[string]*Output{}
+		for item, ok := p.Next(); ok; item, ok = p.Next() {
+			running[item.ID] = p.Start(item.ID)
+		}
+		for end := now.Add(life); now.Before(end); now = now.Add(pace) {
+			for id, output := range running {
+				output.Append(Event{Number: output.Last + 1, Data: "x"}, 1)
+				if output.Last == events {
+					p.Completed(now, id)
+					delete(running, id)
+				}
+			}
+			if page, ok := p.Commit(now); ok {
+				p.Wrote(now, page)
+				log = append(log, page)
+			}
+		}
+	}
+	// Of each life at most a second and the time to the next copy are lost.
+	if most := 4; lives > most {
+		t.Errorf("the step took %d lives of %v; its items take %v", lives, life, events*pace)
+	}
+	if most := 4 * lives; len(log) > most {
+		t.Errorf("%d pages in %d lives", len(log), lives)
+	}
+}
--- a/internal/core/batch/progress.go
+++ b/internal/core/batch/progress.go
@@ -14,6 +14,8 @@
 	// partPause bounds how long a finished item of a group that isn't whole stays unwritten; that much work is repeated
 	// after a crash.
 	partPause = 2500 * time.Millisecond
+	// copyPause is the least time between two writes for copies of unfinished items alone.
+	copyPause = 900 * time.Millisecond
 	// maxPageBytes keeps a page's text well below the store's limit of one megabyte a value.
 	maxPageBytes = 512 << 10
 )
@@ -178,6 +180,7 @@
 		state.result = Result{}
 		p.positions = append(p.positions, result)
 	}
+	p.Resume(page.Partials)
 }
 
 // Next returns the item to run next without starting it; false if none waits.
@@ -284,9 +287,9 @@
 }
 
 // Commit returns the page to write now, and false if it is better to wait. All groups that the trainer waits for, or
-// all items, are written at once; other whole groups after a pause; parts of groups after a longer one.
+// all items, are written at once; other whole groups after a pause, parts of groups after a longer one, and copies of unfinished items between.
 func (p *Progress) Commit(now time.Time) (Page, bool) {
-	if p.ended || p.doneSince.IsZero() || !p.due(now) {
+	if p.ended || !p.due(now) {
 		return Page{}, false
 	}
 	return p.page(now)
@@ -302,13 +305,15 @@
 
 func (p *Progress) due(now time.Time) bool {
 	switch {
+	case p.doneSince.IsZero():
 	case p.finished() || p.wanted():
 		return true
 	case p.wholeNow > 0 && now.Sub(p.wroteAt) >= groupPause:
 		return true
-	default:
-		return now.Sub(p.doneSince) >= partPause
+	case now.Sub(p.doneSince) >= partPause:
+		return true
 	}
+	return now.Sub(p.wroteAt) >= copyPause && p.copyDue()
 }
 
 // finished says that every item has a result.
@@ -340,14 +345,8 @@
 			states = append(states, state)
 		}
 	}
-	if len(states) == 0 {
-		p.settle()
-		return Page{}, false
-	}
 	slices.SortStableFunc(states, func(a, b *itemState) int { return cmp.Compare(rank(a), rank(b)) })
-	p.serial++
-	p.wroteAt = now
-	page := Page{Writer: p.writer, Serial: p.serial}
+	var page Page
 	size := 0
 	for _, state := range states {
 		size += len(state.result.Text) + resultOverhead
@@ -356,6 +355,14 @@
 		}
 		page.Results = append(page.Results, state.result)
 	}
+	page.Partials = p.copies(maxPageBytes - size)
+	if len(page.Results)+len(page.Partials) == 0 {
+		p.settle()
+		return Page{}, false
+	}
+	p.serial++
+	p.wroteAt = now
+	page.Writer, page.Serial = p.writer, p.serial
 	return page, true
 }
 
--- a/internal/core/batch/reward_test.go
+++ b/internal/core/batch/reward_test.go
@@ -153,11 +153,11 @@
 	p.Unscored(start, "0a", 1, 4)
 	p.Start("0b")
 	p.Failed(start, "0b")
-	copies := p.Copies()
+	copies := p.copies(maxPageBytes)
 	if len(copies) != 2 || copies[0].RewardFailures != 1 || copies[1].Failures != 1 {
 		t.Errorf("%+v", copies)
 	}
-	if again := p.Copies(); len(again) != 0 {
+	if again := p.copies(maxPageBytes); len(again) != 0 {
 		t.Errorf("copied again: %+v", again)
 	}
 	to := NewProgress(newScoredJob(1, 1), 2)
--- a/internal/edge/batchjob/end.go
+++ b/internal/edge/batchjob/end.go
@@ -97,7 +97,6 @@
 		m.keepers[id] = owner{hostID: known.hostID, since: time.Now()}
 		delete(m.owners, id)
 	}
-	delete(m.copies, id)
 	j, ok := m.jobs[id]
 	m.mu.Unlock()
 	if ok {
--- a/internal/edge/batchjob/home.go
+++ b/internal/edge/batchjob/home.go
@@ -15,16 +15,11 @@
 // homeTime bounds the question to the home of a model whether it runs a job; entries answer within milliseconds, and a trainer waits.
 const homeTime = 700 * time.Millisecond
 
-// home returns the entry that is to run a job: this one, or another that is heard of.
+// home returns the entry that is to run a job: this one, unless it leaves, or another that is heard of.
 func (m *Manager) home(spec *batch.Job) gossip.Member {
-	return m.homeAmong(spec, !m.isLeaving())
-}
-
-// homeAmong returns the home of a job among the other entries, and this one where withSelf is set. It is this one if there is no other.
-func (m *Manager) homeAmong(spec *batch.Job, withSelf bool) gossip.Member {
 	self := m.members.Self()
 	var runners []batch.Runner
-	if withSelf {
+	if !m.isLeaving() {
 		runners = append(runners, batch.Runner{HostID: self.HostID, Cores: self.Cores})
 	}
 	members := map[string]gossip.Member{}
--- a/internal/edge/batchjob/home_test.go
+++ b/internal/edge/batchjob/home_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
@@ -67,22 +69,23 @@
 	return served(ctx, t, registry)
 }
 
-// An entry died while the long items of a step were in their fourth second. The one that takes the job over has copies of what was received,
-// and the items go on from there; copies of another job, and those that are long out of date, are left aside.
-func TestItemsGoOnFromCopies(t *testing.T) {
+// Guards against items that begin anew after the death of all entries: what was received of them stands in the pages.
+func TestItemsGoOnFromPages(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
-	spec := batch.Job{ID: "j", Organisation: "north", Submission: batch.Submission{Items: []batch.Item{{ID: "a"}, {ID: "b"}}}}
-	m := testManager(ctx, t, spec, entries{self: "self"})
+	spec := batch.Job{ID: "j", Organisation: "north", Accepted: time.Now(), Terms: batch.Terms{ItemTimeout: time.Hour}, Submission: batch.Submission{
+		MinVersion: 1, Items: []batch.Item{{ID: "a"}, {ID: "b"}, {ID: "c"}},
+	}}
+	store := newSharedStore()
+	store.put(t, KindJobs, "j", spec)
+	store.put(t, KindPages, pageName("j", 1), batch.Page{Writer: 1, Serial: 1, Partials: []batch.Partial{
+		{Item: "a", Last: 20, Versions: []int{1}, Text: "older"}, {Item: "c", Last: 9, Versions: []int{0}, Text: "of unknown weights"},
+	}})
+	store.put(t, KindPages, pageName("j", 2), batch.Page{Writer: 1, Serial: 2, Partials: []batch.Partial{{Item: "a", Last: 30, Versions: []int{1}, Text: "x"}}})
+	m := entryOf(ctx, store.door(), entries{self: "self"})
 	defer m.Wait()
 	defer cancel()
-	now := time.Now()
-	m.keepCopies(now.Add(-2*copyTime), KeepRequest{Job: "old", Partials: []batch.Partial{{Item: "a", Last: 1}}})
-	m.keepCopies(now, KeepRequest{Job: "j", Partials: []batch.Partial{{Item: "a", Last: 30, Versions: []int{1}, Text: "x"}}})
-	m.keepCopies(now, KeepRequest{Job: "j", Partials: []batch.Partial{{Item: "a", Last: 20, Versions: []int{1}, Text: "older"}}})
-	if kept := m.keptCopies("old"); len(kept) != 0 {
-		t.Errorf("kept for ever: %v", kept)
-	}
-	if err := m.runFor(ctx, RunRequest{Job: "j", Organisation: "north", From: "dead", Partials: []batch.Partial{{Item: "b", Last: 7, Versions: []int{1}, Text: "y"}}}); err != nil {
+	given := []batch.Partial{{Item: "b", Last: 7, Versions: []int{1}, Text: "y"}}
+	if err := m.runFor(ctx, RunRequest{Job: "j", Organisation: "north", From: "dead", Partials: given}); err != nil {
 		t.Fatal(err)
 	}
 	j, _ := m.find("j")
@@ -92,8 +95,8 @@
 	for _, each := range j.progress.Partials() {
 		last[each.Item] = each.Last
 	}
-	if last["a"] != 30 || last["b"] != 7 {
-		t.Errorf("items go on after %v", last)
+	if diff := cmp.Diff(map[string]int{"a": 30, "b": 7}, last); diff != "" {
+		t.Errorf("items go on after %s", diff)
 	}
 }
 
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -88,7 +88,8 @@
 			Int("lastEvent", output.Last).Int("expectedTokens", item.ExpectedTokens).Dur("took", time.Since(started)).Msg("item completed")
 	} else if ctx.Err() == nil {
 		m.log.Info().Str("request", j.spec.ID).Str("item", item.ID).Str("server", server.ID).Stringer("outcome", got).
-			Int("fromEvent", from).Int("lastEvent", output.Last).Int("version", r.version).AnErr("cause", r.cause).Msg("item goes on elsewhere")
+			Int("fromEvent", from).Int("lastEvent", output.Last).Int("version", r.version).Dur("took", time.Since(started)).AnErr("cause", r.cause).
+			Msg("item goes on elsewhere")
 	}
 	if got == outcomeRefused || got == outcomeFailed {
 		ticker.Sleep(ctx, refusedPause)
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -92,8 +92,6 @@
 	// keepers are entries that ran a job and still have its results.
 	keepers map[string]owner
 	ended   map[string]time.Time
-	// copies are unfinished outputs of jobs that others run.
-	copies map[string]*copies
 	// reopened are jobs that were open before this process was started and have been looked into, in the first seconds after that.
 	reopened map[string]bool
 	started  time.Time
@@ -138,7 +136,6 @@
 		owners:   map[string]owner{},
 		keepers:  map[string]owner{},
 		ended:    map[string]time.Time{},
-		copies:   map[string]*copies{},
 		reopened: map[string]bool{},
 		started:  time.Now(),
 	}
@@ -160,13 +157,6 @@
 	peer.Handle(registry, MethodRun, func(ctx context.Context, q RunRequest) (RunAnswer, error) {
 		return RunAnswer{}, m.runFor(ctx, q)
 	})
-	peer.Handle(registry, MethodKeep, func(_ context.Context, q KeepRequest) (KeepAnswer, error) {
-		m.keepCopies(time.Now(), q)
-		return KeepAnswer{}, nil
-	})
-	peer.Handle(registry, MethodKept, func(_ context.Context, q KeptRequest) (KeptAnswer, error) {
-		return KeptAnswer{Partials: m.keptCopies(q.Job)}, nil
-	})
 }
 
 // Wait returns once all goroutines have ended, after the context has.
--- a/internal/edge/batchjob/message.go
+++ b/internal/edge/batchjob/message.go
@@ -13,9 +13,6 @@
 	MethodBody peer.Method = "batch.body"
 	MethodEnd  peer.Method = "batch.end"
 	MethodRun  peer.Method = "batch.run"
-	// MethodKeep gives an entry copies of unfinished output, and MethodKept asks for them.
-	MethodKeep peer.Method = "batch.keep"
-	MethodKept peer.Method = "batch.kept"
 )
 
 // ReadRequest asks the entry that runs a job for results.
@@ -77,24 +74,5 @@
 	Partials []batch.Partial `msgpack:"p"`
 }
 
-// KeepRequest gives an entry copies of the unfinished output of a job.
-type KeepRequest struct {
-	Job      string          `msgpack:"j"`
-	Partials []batch.Partial `msgpack:"p"`
-}
-
-// KeepAnswer confirms a KeepRequest.
-type KeepAnswer struct{}
-
-// KeptRequest asks an entry for its copies of the unfinished output of a job.
-type KeptRequest struct {
-	Job string `msgpack:"j"`
-}
-
-// KeptAnswer holds the copies.
-type KeptAnswer struct {
-	Partials []batch.Partial `msgpack:"p"`
-}
-
 // RunAnswer confirms a RunRequest.
 type RunAnswer struct{}
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -55,7 +55,7 @@
 func (m *Manager) control(ctx context.Context, j *job) {
 	timer := time.NewTicker(checkPause)
 	defer timer.Stop()
-	copied, checked := time.Now(), time.Now()
+	checked := time.Now()
 	writing := false
 	written := make(chan bool, 1)
 	for ctx.Err() == nil {
@@ -69,10 +69,6 @@
 		if j.over() {
 			break
 		}
-		if now := time.Now(); now.Sub(copied) >= copyPause {
-			copied = now
-			j.work.Go(func() { m.copyOutput(ctx, j) })
-		}
 		if now := time.Now(); now.Sub(checked) >= endPause {
 			checked = now
 			j.work.Go(func() { m.checkEnd(ctx, j) })
@@ -182,7 +178,7 @@
 		m.log.Warn().Err(err).Str("request", j.spec.ID).Int("page", number).Msg("page not written yet")
 		return false
 	}
-	m.log.Info().Str("request", j.spec.ID).Int("page", number).Int("results", len(page.Results)).AnErr("store", err).Msg("page settled")
+	m.log.Info().Str("request", j.spec.ID).Int("page", number).Int("results", len(page.Results)).Int("partials", len(page.Partials)).AnErr("store", err).Msg("page settled")
 	return true
 }
 
--- a/internal/edge/batchjob/takeover.go
+++ b/internal/edge/batchjob/takeover.go
@@ -19,7 +19,7 @@
 		return j, nil
 	}
 	if m.home(j.spec).HostID == m.members.Self().HostID {
-		return m.takeHere(ctx, j, nil), nil
+		return m.takeHere(j, nil), nil
 	}
 	// Entries that each know nobody who runs the job agree on its home, which may well run it already.
 	m.begin(j.spec, nil)
@@ -38,7 +38,7 @@
 	if owned && !q.Sure && m.askRun(ctx, owner, q) {
 		return nil
 	}
-	m.takeHere(ctx, j, q.Partials)
+	m.takeHere(j, q.Partials)
 	return nil
 }
 
@@ -70,12 +70,15 @@
 }
 
 // takeHere runs a job here that another entry ran, or may still run. Given is what that one had received of unfinished items.
-func (m *Manager) takeHere(ctx context.Context, j *job, given []batch.Partial) *job {
+func (m *Manager) takeHere(j *job, given []batch.Partial) *job {
 	if j.running() {
 		return j
 	}
-	m.resume(ctx, j, given)
-	m.log.Info().Str("request", j.spec.ID).Str("owner", j.spec.Owner).Msg("batch job taken over")
+	j.mu.Lock()
+	j.progress.Resume(given)
+	goOn := len(j.progress.Partials())
+	j.mu.Unlock()
+	m.log.Info().Str("request", j.spec.ID).Str("owner", j.spec.Owner).Int("given", len(given)).Int("itemsGoOn", goOn).Msg("batch job taken over")
 	return m.runJob(j)
 }
 
--- a/internal/program/process/gateway_batch_test.go
+++ b/internal/program/process/gateway_batch_test.go
@@ -245,6 +245,32 @@
 	d.eventually("its items run again", func() bool { return len(d.engines[0].Seen())+len(d.engines[1].Seen()) > before })
 }
 
+// Guards against items that begin anew when all entries die at once.
+func TestItemsGoOnAfterTheDeathOfAllEntries(t *testing.T) {
+	const events, pace = 60, 40 * time.Millisecond
+	d := newDeployment(t, 2)
+	for _, engine := range d.engines {
+		engine.SetStream(events, pace)
+	}
+	d.submit(d.gateways[0], "j1", submission(2, 2, 1))
+	d.eventually("a page holds what was received", func() bool { return len(d.store.Names("pages")) > 0 })
+	d.gateways[0].kill()
+	d.gateways[1].kill()
+	d.start("entry-9")
+	d.checkResults(d.readAll(d.gateways[2], "j1", 4), 4, events)
+	resumed := 0
+	for _, engine := range d.engines {
+		for _, seen := range engine.Seen() {
+			if seen.Resumed() {
+				resumed++
+			}
+		}
+	}
+	if resumed == 0 {
+		t.Error("all items began anew")
+	}
+}
+
 // The entry that runs a job is terminated. What it finished is written, and another entry runs the rest without waiting for silence.
 func TestATerminatedEntryHandsItsJobsOver(t *testing.T) {
 	d := newDeployment(t, 2)
