Reward calls in the soak and the demo

Cause: the stage was proved by tests of one fault each, not among others. Change: every item of the soak and the demo is scored; readers of the soak hold scores against each other, and each score against what the services answered after an engine had sent the whole text.

--- a/internal/program/demo/training.go
+++ b/internal/program/demo/training.go
@@ -35,14 +35,26 @@
 	var items []platformtest.Item
 	for group := range groupsPerStep {
 		for i := range itemsPerGroup {
+			id := fmt.Sprintf("%s-%d-%d", step, group, i)
 			items = append(items, platformtest.Item{
-				ID: fmt.Sprintf("%s-%d-%d", step, group, i), Path: fmt.Sprintf("/%s/%d", p.deployment.Steps, group), Group: fmt.Sprint(group),
+				ID: id, Path: fmt.Sprintf("/%s/%d", p.deployment.Steps, group), Group: fmt.Sprint(group),
+				Reward: &platformtest.Reward{ID: rewardOf(id), Host: p.deployment.Host, Path: fmt.Sprintf("/%s/%s", p.deployment.Lookup, id)},
 			})
 		}
 	}
 	return items
 }
 
+// rewardOf is the id of an item's reward call.
+func rewardOf(item string) string { return "score-" + item }
+
+// isScored says whether a result has the signature of a service for its reward call as its score.
+func (p *player) isScored(result platformtest.Result) bool {
+	return slices.ContainsFunc(p.stage.services, func(service *platformtest.Server) bool {
+		return result.Score == platformtest.Signature(service.ID, rewardOf(result.ID))
+	})
+}
+
 // step hands a step in at all gateways, as a trainer does that lost the first answer, and reads its results at each.
 func (p *player) step(ctx context.Context, number, minVersion int) error {
 	started := time.Now()
@@ -63,6 +75,11 @@
 		lists = append(lists, list)
 	}
 	seen := stepSeen(name, items, lists[0], minVersion)
+	for _, result := range lists[0] {
+		if !p.isScored(result) {
+			seen.Unscored++
+		}
+	}
 	seen.Same = !slices.ContainsFunc(lists, func(list []platformtest.Result) bool { return !reflect.DeepEqual(list, lists[0]) })
 	p.seen.Steps = append(p.seen.Steps, seen)
 	p.tell("%s: %d items, made by version %d or newer, in %v", name, seen.Items, seen.Oldest, time.Since(started).Round(time.Millisecond))
--- a/internal/program/demo/transcript.go
+++ b/internal/program/demo/transcript.go
@@ -60,6 +60,8 @@
 	MinVersion int `json:"minVersion"`
 	// Same says that all gateways list the same results.
 	Same bool `json:"same"`
+	// Unscored counts items that have not their own score.
+	Unscored int `json:"unscored"`
 }
 
 // OrderSeen is an order of new weights that an engine accepted.
@@ -101,6 +103,7 @@
 	for _, step := range t.Steps {
 		say(step.Twice != 0, "%s: %d items came twice", step.Step, step.Twice)
 		say(step.Missing != 0, "%s: %d items never came", step.Step, step.Missing)
+		say(step.Unscored != 0, "%s: %d items have not their own score", step.Step, step.Unscored)
 		say(step.Wrong != 0, "%s: %d items have not their own output", step.Step, step.Wrong)
 		say(step.Oldest < step.MinVersion, "%s: made by version %d, which is older than %d", step.Step, step.Oldest, step.MinVersion)
 		say(!step.Same, "%s: gateways list different results", step.Step)
--- a/internal/program/demo/transcript_test.go
+++ b/internal/program/demo/transcript_test.go
@@ -36,6 +36,7 @@
 		"1 items came twice":                     func(s *Transcript) { s.Steps[0].Twice = 1 },
 		"1 items never came":                     func(s *Transcript) { s.Steps[0].Missing = 1 },
 		"1 items have not their own output":      func(s *Transcript) { s.Steps[0].Wrong = 1 },
+		"1 items have not their own score":       func(s *Transcript) { s.Steps[0].Unscored = 1 },
 		"which is older than 2":                  func(s *Transcript) { s.Steps[0].Oldest = firstVersion },
 		"gateways list different results":        func(s *Transcript) { s.Steps[0].Same = false },
 		"no engine was ordered":                  func(s *Transcript) { s.Orders = nil },
--- a/internal/program/soak/check.go
+++ b/internal/program/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -17,6 +18,10 @@
 	for _, server := range l.w.all() {
 		for _, request := range server.Seen() {
 			id := request.ID()
+			if item, ok := strings.CutPrefix(id, rewardPrefix); ok {
+				l.checkReward(jobs[jobOf(item)], request, server.ID)
+				continue
+			}
 			sound := request.Organisation() == organisation && request.Key() == "" && (isJob(request) || request.Body == "body of "+id)
 			l.ledger.check(promiseServer, sound, "server %s was sent %v with the body %q", server.ID, request.Header, request.Body)
 			if request.Did == platformtest.Shed {
@@ -31,6 +36,33 @@
 	return ran
 }
 
+// checkReward checks what a server was sent as a reward call, and when.
+func (l *load) checkReward(j *job, request platformtest.Request, server string) {
+	sound := request.Organisation() == "" && request.Key() == "" && request.Body == platformtest.RewardBody
+	l.ledger.check(promiseServer, sound, "server %s was sent the reward call %v with the body %q", server, request.Header, request.Body)
+	if request.Did != platformtest.Shed {
+		l.checkStart(j, request, server)
+	}
+}
+
+// isScored says whether a score is the signature of a service's answer to the item's reward call that came after an engine had sent all of the
+// item.
+func (l *load) isScored(item, score string) bool {
+	whole, ok := l.w.whole(item)
+	if !ok {
+		return false
+	}
+	for _, service := range l.w.services {
+		if score != platformtest.Signature(service.ID, rewardPrefix+item) {
+			continue
+		}
+		return slices.ContainsFunc(service.Seen(), func(request platformtest.Request) bool {
+			return request.ID() == rewardPrefix+item && request.Did == platformtest.Answer && request.At.After(whole)
+		})
+	}
+	return false
+}
+
 // isJob says whether a request at a server is an item of a batch job.
 func isJob(r platformtest.Request) bool { return strings.HasPrefix(r.Target, pathJobs) }
 
@@ -81,7 +113,7 @@
 }
 
 func (l *load) checkJob(j *job, ran map[string]int) {
-	j.checkItems()
+	j.checkItems(l.isScored)
 	j.checkDenials(l.w.whole)
 	if j.maybe {
 		return
@@ -111,7 +143,7 @@
 		l.checkJob(j, ran)
 	}
 	l.checkReports()
-	for _, p := range []promise{promiseWhole, promiseItem, promiseReport} {
+	for _, p := range []promise{promiseWhole, promiseItem, promiseScore, promiseReport} {
 		l.ledger.check(promiseComesRight, l.ledger.checked(p) > 0, "never checked: %s", p)
 	}
 }
--- a/internal/program/soak/job.go
+++ b/internal/program/soak/job.go
@@ -47,11 +47,18 @@
 func newJob(id string, items, minVersion int, kept *ledger) *job {
 	j := &job{id: id, minVersion: minVersion, ledger: kept, shown: make([]shown, items)}
 	for i := range items {
-		j.items = append(j.items, platformtest.Item{ID: fmt.Sprintf("%s-%d", id, i), Path: fmt.Sprintf("%s%d", pathJobs, i), Group: fmt.Sprint(i / groupSize)})
+		item := fmt.Sprintf("%s-%d", id, i)
+		j.items = append(j.items, platformtest.Item{
+			ID: item, Path: fmt.Sprintf("%s%d", pathJobs, i), Group: fmt.Sprint(i / groupSize),
+			Reward: &platformtest.Reward{ID: rewardPrefix + item, Host: hostName, Path: pathSafe + item},
+		})
 	}
 	return j
 }
 
+// rewardPrefix begins the ids of reward calls; the id of the item follows.
+const rewardPrefix = "score-"
+
 // groupSize is how many items make a group.
 const groupSize = 2
 
@@ -181,7 +188,7 @@
 		return
 	}
 	same := known.result.ID == result.ID && known.result.State == result.State && known.result.Text == result.Text &&
-		slices.Equal(known.result.Versions, result.Versions)
+		slices.Equal(known.result.Versions, result.Versions) && known.result.Score == result.Score
 	j.ledger.check(promisePosition, same, "job %s: position %d was %v, shown by %s at %s; a read %v with %v",
 		j.id, position, known.result, known.entry, clock(known.at), r, result)
 }
@@ -198,8 +205,9 @@
 	}
 }
 
-// checkItems checks what the job listed in the end.
-func (j *job) checkItems() {
+// checkItems checks what the job listed in the end. Scored says whether a score is the signature of an answer to the item's reward call that came
+// after its text was whole.
+func (j *job) checkItems(scored func(item, score string) bool) {
 	seen := map[string]bool{}
 	for _, each := range j.shown {
 		if each.at.IsZero() {
@@ -212,6 +220,7 @@
 		j.ledger.check(promiseItem, !seen[result.ID] && whole && allowed, "job %s, of weights %d or newer, lists %v; listed before: %v",
 			j.id, j.minVersion, result, seen[result.ID])
 		seen[result.ID] = true
+		j.ledger.check(promiseScore, scored(result.ID, result.Score), "job %s lists %s with the score %q", j.id, result.ID, result.Score)
 	}
 }
 
