--- a/internal/core/queue/queue_test.go
+++ b/internal/core/queue/queue_test.go
@@ -330,3 +330,36 @@
 		})
 	}
 }
+
+// Guards against calls refused for a wait of seconds by an agent that was cut off while its slots were busy: the item that ended first tells that
+// the server works again, while the age of the others still tells of the pause.
+func TestAPauseIsOverOnceAnItemEnds(t *testing.T) {
+	const service, pause, patience = 50 * time.Millisecond, 2611 * time.Millisecond, 10 * time.Second
+	at := start
+	q := New[int](WithSlots(func() int { return 2 }), WithServiceTime(func(float64) time.Duration { return service }))
+	push := func(organisation string) error {
+		return q.Push(at, Item[int]{Organisation: organisation, Cost: 1, Deadline: at.Add(patience)})
+	}
+	var running []Item[int]
+	for range 2 {
+		if err := push("a"); err != nil {
+			t.Fatal(err)
+		}
+		item, _ := q.Pop(at)
+		running = append(running, item)
+	}
+	for _, organisation := range []string{"a", "b"} {
+		if err := push(organisation); err != nil {
+			t.Fatal(err)
+		}
+	}
+	at = at.Add(pause)
+	q.Finished(running[0])
+	if _, ok := q.Pop(at); !ok {
+		t.Fatal("nothing started after the pause")
+	}
+	at = at.Add(time.Millisecond)
+	if err := push("c"); err != nil {
+		t.Errorf("refused %v after the pause: %v", time.Millisecond, err)
+	}
+}
--- a/internal/core/queue/running.go
+++ b/internal/core/queue/running.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -26,15 +27,21 @@
 }
 
 // longest is the longest time that an item takes, by the service time of its cost or by its age; false if the service time of
-// one isn't known.
+// one isn't known. Ages count only while the server starts nothing for as long as an item takes: once it does, the pause that they tell of is
+// over.
 func (r running) longest(now time.Time, service func(cost float64) time.Duration) (time.Duration, bool) {
-	longest := time.Duration(0)
+	longest, oldest, newest := time.Duration(0), time.Duration(0), time.Duration(math.MaxInt64)
 	for _, s := range r {
 		took := service(s.cost)
 		if took <= 0 {
 			return 0, false
 		}
-		longest = max(longest, took, now.Sub(s.since))
+		longest = max(longest, took)
+		oldest = max(oldest, now.Sub(s.since))
+		newest = min(newest, now.Sub(s.since))
+	}
+	if newest >= longest {
+		longest = max(longest, oldest)
 	}
 	return longest, true
 }
