--- a/internal/core/backend/book.go
+++ b/internal/core/backend/book.go
@@ -86,9 +86,7 @@
 	tracker *placement.Tracker
 	servers map[string]*serverState
 	// pools holds the servers of each pool in this entry's order.
-	pools map[string][]*serverState
-	// usual is the logarithm of the seconds that calls of a route usually take.
-	usual   map[string]float64
+	pools   map[string][]*serverState
 	changed chan struct{}
 }
 
@@ -100,7 +98,6 @@
 		// All servers are weighed, since nothing has to be asked for it.
 		tracker: placement.NewTracker(placement.WithChoices(1<<20), placement.WithCacheSaving(0)),
 		servers: map[string]*serverState{},
-		usual:   map[string]float64{},
 		changed: make(chan struct{}),
 	}
 }
--- a/internal/edge/batchjob/reward.go
+++ b/internal/edge/batchjob/reward.go
@@ -95,8 +95,7 @@
 	}
 	end := time.Now().Add(rewardTime * objective)
 	return &call.Request{
-		ID:    reward.ID,
-		Route: route.Name,
+		ID: reward.ID,
 		Pool: func() (string, bool) {
 			now, ok := m.route(reward.Host, reward.Path)
 			return now.Pool(rand.Float64()), ok
--- a/internal/edge/call/attempt.go
+++ b/internal/edge/call/attempt.go
@@ -22,7 +22,7 @@
 	done := &Attempt{Server: server, Sent: time.Now(), Outcome: verdict.MayHaveRun}
 	defer s.book.Release(server.ID)
 	s.exchange(ctx, req, done, request.ID)
-	s.learn(ctx, done, request.Route)
+	s.learn(ctx, done)
 	if done.Outcome != verdict.NotRun && request.Ran != nil {
 		request.Ran(done.Sent)
 	}
@@ -71,14 +71,14 @@
 }
 
 // learn tells the book what an attempt showed of its server.
-func (s *Sender) learn(ctx context.Context, done *Attempt, route string) {
+func (s *Sender) learn(ctx context.Context, done *Attempt) {
 	now, id := time.Now(), done.Server.ID
 	if done.Answer.Load >= 0 && done.Answer.Status != 0 {
 		s.book.Reported(now, id, done.Answer.Load)
 	}
 	switch {
 	case done.Outcome == verdict.Ran && done.Answer.Status < fasthttp.StatusInternalServerError:
-		s.book.Called(now, id, route, now.Sub(done.Sent))
+		s.book.Served(now, id, now.Sub(done.Sent))
 	case done.Outcome == verdict.NotRun && done.Answer.Status != 0:
 		s.book.Refused(now, id)
 	case ctx.Err() != nil:
--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -19,8 +19,6 @@
 type Request struct {
 	// ID names the request; an answer that bears another id is not its answer.
 	ID string
-	// Route names the route, whose requests take alike.
-	Route string
 	// Pool returns the pool that serves the request at this moment; false if there is none.
 	Pool func() (string, bool)
 	// Build fills in the request for a server. It is never called by two goroutines at a time.
--- a/internal/edge/gateway/forward.go
+++ b/internal/edge/gateway/forward.go
@@ -46,9 +46,8 @@
 func (g *Gateway) request(from *fasthttp.Request, a asked) *call.Request {
 	pool := a.pool()
 	return &call.Request{
-		ID:    a.caller.RequestID,
-		Route: a.route.Name,
-		Pool:  func() (string, bool) { return pool, true },
+		ID:   a.caller.RequestID,
+		Pool: func() (string, bool) { return pool, true },
 		Build: func(to *fasthttp.Request, server backend.Server) {
 			platform.FromCaller(to, from, platform.Hop{Server: server, Organisation: a.organisation.Name, Remaining: time.Until(a.end)})
 		},
