Reward calls that servers deny, or no route serves, are repeated seldom and logged once a job

Change: both wait half a second, and a job writes one line. Result: the test of two denied items sees at most 8 calls in 1.2 s.

--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -21,6 +21,8 @@
 	runs bool
 	ran  bool
 	stop context.CancelFunc
+	// routeMissing is set once no route served a reward call of the job.
+	routeMissing bool
 	// changed is closed when results are listed or the job ends; poke wakes the runner.
 	changed chan struct{}
 	poke    chan struct{}
--- a/internal/edge/batchjob/reward.go
+++ b/internal/edge/batchjob/reward.go
@@ -28,8 +28,8 @@
 	rewardPatience = time.Second
 	// rewardPause is the pause before a reward call that brought no score is sent again.
 	rewardPause = 60 * time.Millisecond
-	// routePause is the pause while no route serves a reward call.
-	routePause = 500 * time.Millisecond
+	// deniedPause is the pause while no route serves a reward call, or servers deny it.
+	deniedPause = 500 * time.Millisecond
 )
 
 // startRewards sends the reward calls of items whose text is whole, as long as servers have places.
@@ -49,7 +49,8 @@
 	route, ok := m.route(item.Reward.Host, item.Reward.Path)
 	if !ok {
 		j.progress.StartReward(item.ID)
-		j.work.Go(func() { m.postponeReward(ctx, j, item) })
+		m.noteNoRoute(j, item)
+		j.work.Go(func() { j.postponeReward(ctx, item) })
 		return true
 	}
 	server, ok := m.book.Acquire(time.Now(), backend.Need{Pool: route.Pool(rand.Float64()), Within: waited < rewardPatience, Spare: rewardSpare})
@@ -61,12 +62,20 @@
 	return true
 }
 
-// postponeReward puts an item back that no route serves: the configuration here may be old, or the next one may bring the route back.
-func (m *Manager) postponeReward(ctx context.Context, j *job, item *batch.Item) {
+// noteNoRoute logs the first reward call of a job that no route serves, and counts all. The caller holds the job's lock.
+func (m *Manager) noteNoRoute(j *job, item *batch.Item) {
 	m.metrics.scored(rewardNoRoute)
+	if j.routeMissing {
+		return
+	}
+	j.routeMissing = true
 	m.log.Warn().Str("request", j.spec.ID).Str("item", item.ID).Str("reward", item.Reward.ID).Str("host", item.Reward.Host).
 		Str("path", item.Reward.Path).Msg("reward call has no route")
-	ticker.Sleep(ctx, routePause)
+}
+
+// postponeReward puts an item back that no route serves: the configuration here may be old, or the next one may bring the route back.
+func (j *job) postponeReward(ctx context.Context, item *batch.Item) {
+	ticker.Sleep(ctx, deniedPause)
 	j.unscored(time.Now(), item.ID, 0, 0)
 }
 
@@ -83,7 +92,11 @@
 		j.scored(time.Now(), item.ID, score)
 		return
 	}
-	ticker.Sleep(ctx, rewardPause)
+	pause := rewardPause
+	if err == nil && tally.Failed == 0 {
+		pause = deniedPause
+	}
+	ticker.Sleep(ctx, pause)
 	j.unscored(time.Now(), item.ID, tally.Failed, route.MaxAttempts)
 }
 
--- a/internal/program/process/gateway_reward_test.go
+++ b/internal/program/process/gateway_reward_test.go
@@ -88,7 +88,7 @@
 }
 
 // Guards against a score that is no signature of a whole answer to the item's own call, and against an item that is lost by a fault that a
-// second server mends.
+// second server makes up for.
 func TestRewardCallsThatGoWrong(t *testing.T) {
 	for _, fault := range []struct {
 		name string
@@ -154,6 +154,22 @@
 	}
 }
 
+// Guards against servers that are asked without end for a score that they deny.
+func TestADeniedRewardCallIsRepeatedSeldom(t *testing.T) {
+	const watched = 1200 * time.Millisecond
+	d := newDeployment(t, 1)
+	for _, desk := range d.services {
+		desk.Behave(func(int, platformtest.Request) platformtest.Behaviour { return platformtest.Impossible })
+	}
+	d.submit(d.gateways[0], "j1", scoredSubmission(1))
+	d.eventually("items are being scored", func() bool { return len(d.rewardCalls()) >= 2 })
+	time.Sleep(watched)
+	// Two items, each at once and then after each pause of half a second.
+	if calls := len(d.rewardCalls()); calls > 8 {
+		t.Errorf("%d reward calls of two items in %v", calls, watched)
+	}
+}
+
 // Guards against scores that die with the entry that waits for them.
 func TestAnotherEntryScoresWhatIsLeft(t *testing.T) {
 	for _, test := range []struct {
