--- a/internal/edge/leader/weights.go
+++ b/internal/edge/leader/weights.go
@@ -80,9 +80,11 @@
 
 // outcomes of orders, by server.
 type given struct {
-	order  weights.Order
-	answer platform.OrderAnswer
-	err    error
+	order weights.Order
+	// accepted is the count of accepted orders that was sent with this order.
+	accepted int
+	answer   platform.OrderAnswer
+	err      error
 }
 
 // give sends orders to different servers side by side.
@@ -107,7 +109,7 @@
 	switch {
 	case result.answer == platform.OrderAccepted:
 		planner.Ordered(now, result.order)
-		w.accepted[key]++
+		w.accepted[key] = result.accepted + 1
 	case result.answer == platform.OrderHolds:
 		planner.Ordered(now, result.order)
 	case result.err != nil:
@@ -146,6 +148,7 @@
 		}
 		accepted = state.Accepted
 	}
+	result.accepted = accepted
 	call, err := platform.LoadWeights(who, order.Server.ID, platform.WeightOrder{Model: order.Model, Version: order.Version, Accepted: accepted})
 	if err != nil {
 		result.err = err
--- /dev/null
+++ b/internal/edge/leader/weights_test.go
@@ -0,0 +1,47 @@
+package leader
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/backend"
+	"github.com/oleandershelf/oleandershelf/internal/core/weights"
+	"github.com/oleandershelf/oleandershelf/internal/edge/duty"
+	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
+	"github.com/oleandershelf/oleandershelf/internal/edge/store"
+	"github.com/oleandershelf/oleandershelf/platform"
+	"github.com/oleandershelf/oleandershelf/platform/platformtest"
+)
+
+// Guards against a new lease holder counting only its own accepted orders: the server then refuses the holder's second order because
+// the count omits orders accepted from earlier holders.
+func TestOrdersAcceptedAfterHolderChange(t *testing.T) {
+	engine := platformtest.NewServer(t, "engine-0", "engines", map[string]int{"m": 1})
+	client := exchange.NewClient()
+	t.Cleanup(client.Close)
+	server := backend.Server{ID: "engine-0", Address: engine.Address()}
+	version := 1
+	for holder := range 3 {
+		keeper := &fakeKeeper{held: true, fence: duty.Fence{Number: 1, Deadline: time.Now().Add(time.Minute)}}
+		deps := Deps{
+			HostID: "h1", Keeper: keeper, Log: zerolog.Nop(),
+			Engines: func(backend.Server) store.Carrier { return store.NewHTTP(server.Address, client) },
+		}
+		orders := newWeightOrders(deps, newTurn(deps))
+		for range 3 {
+			version++
+			order := weights.Order{Server: server, Model: "m", Version: version}
+			accepted, known := orders.accepted[server.Key()]
+			result := orders.send(t.Context(), order, accepted, known)
+			if result.err != nil || result.answer != platform.OrderAccepted {
+				t.Errorf("holder %d, version %d: answer = %d, error = %v, want accepted", holder, version, result.answer, result.err)
+			}
+			orders.take(time.Now(), weights.NewPlanner(), result)
+		}
+	}
+	if got := len(engine.Orders()); got != version-1 {
+		t.Errorf("accepted orders = %d, want %d", got, version-1)
+	}
+}
