--- a/internal/core/batch/home.go
+++ b/internal/core/batch/home.go
@@ -72,6 +72,18 @@
 	return "", false
 }
 
+// StoreReader returns the entry that loads a job from the store on behalf of all entries when none is known to have it in memory. It
+// returns false if there are no runners.
+//
+// Guards against every entry loading the same jobs and pages from the store after a full restart.
+func StoreReader(job string, runners []Runner) (string, bool) {
+	able := ableRunners(runners)
+	if len(able) == 0 {
+		return "", false
+	}
+	return first(job, able, nil), true
+}
+
 // first returns the entry that comes first in the order of the name among those that were dealt fewest models.
 func first(name string, able []Runner, dealt map[string]int) string {
 	return slices.MinFunc(able, func(a, b Runner) int {
--- a/internal/core/batch/home_test.go
+++ b/internal/core/batch/home_test.go
@@ -128,3 +128,35 @@
 		})
 	}
 }
+
+// Guards against several entries loading the same job from the store, against an uneven spread of jobs, and against jobs without a reader
+// after an entry is lost.
+func TestStoreReaderIsUniqueForEachJob(t *testing.T) {
+	runners := entries(88)
+	reversed := slices.Clone(runners)
+	slices.Reverse(reversed)
+	jobs := map[string]int{}
+	for i := range 440 {
+		job := fmt.Sprintf("job-%d", i)
+		reader, ok := StoreReader(job, runners)
+		if other, _ := StoreReader(job, reversed); !ok || other != reader {
+			t.Fatalf("%s: got readers %q and %q for the same entries in different order", job, reader, other)
+		}
+		jobs[reader]++
+		left := slices.DeleteFunc(slices.Clone(runners), func(r Runner) bool { return r.HostID == reader })
+		if next, ok := StoreReader(job, left); !ok || next == reader {
+			t.Errorf("%s: no other reader after the loss of %s", job, reader)
+		}
+	}
+	for reader, count := range jobs {
+		if count > 30 {
+			t.Errorf("%s is the reader of %d of 440 jobs", reader, count)
+		}
+	}
+	if len(jobs) < 40 {
+		t.Errorf("%d of the 44 entries with enough cores are readers", len(jobs))
+	}
+	if _, ok := StoreReader("job", nil); ok {
+		t.Error("got a reader for an empty list of entries")
+	}
+}
--- a/internal/core/roster/call.go
+++ b/internal/core/roster/call.go
@@ -45,6 +45,8 @@
 
 func (r *Roster) interval(now time.Time, k *known, needed []netip.AddrPort) time.Duration {
 	switch {
+	case k.member.HostID == "" && now.Sub(r.started) < slowFrom && len(r.Alive()) == 0:
+		return seedInterval
 	case k.member.HostID == "":
 		return metInterval
 	case k.after && r.learned.After(k.called):
--- /dev/null
+++ b/internal/core/roster/order.go
@@ -0,0 +1,49 @@
+package roster
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// settledTime is how long after its start an entry that knows others takes its list as complete: they answer its first call within
+	// 100 ms. isolatedTime is how long an entry that knows no other living one waits before it takes itself for the only one.
+	settledTime  = 300 * time.Millisecond
+	isolatedTime = 700 * time.Millisecond
+)
+
+// Settled reports whether an entry has run long enough to rely on its list of living members for its place among them.
+//
+// Guards against every entry taking the first place and reading the store when all start at once.
+func Settled(running time.Duration, members []Member) bool {
+	if len(members) == 0 {
+		return running >= isolatedTime
+	}
+	return running >= settledTime
+}
+
+// Predecessors returns the members that are not leaving and precede the host in an order by hash that is the same at all entries.
+func Predecessors(hostID string, members []Member) []Member {
+	own := xxhash.Sum64String(hostID)
+	var predecessors []Member
+	for _, member := range members {
+		if !member.Leaving && xxhash.Sum64String(member.HostID) < own {
+			predecessors = append(predecessors, member)
+		}
+	}
+	return predecessors
+}
+
+// leastShare is the fraction of the largest member's cores that WithMostCores requires.
+const leastShare = 0.5
+
+// WithMostCores returns the members with at least half as many cores as the largest one.
+func WithMostCores(members []Member) []Member {
+	most := 0.0
+	for _, member := range members {
+		most = max(most, member.Cores)
+	}
+	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Cores < leastShare*most })
+}
--- /dev/null
+++ b/internal/core/roster/order_test.go
@@ -0,0 +1,61 @@
+package roster
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against entries that disagree about the order, and against leaving entries that are counted in it.
+func TestAllEntriesAgreeOnTheirOrder(t *testing.T) {
+	const count = 40
+	all := membersExcept(count, -1)
+	places := map[int]bool{}
+	for i, member := range all {
+		places[len(Predecessors(member.HostID, membersExcept(count, i)))] = true
+	}
+	if len(places) != count {
+		t.Errorf("%d places for %d entries", len(places), count)
+	}
+	for i := range all {
+		all[i].Leaving = true
+	}
+	if predecessors := Predecessors("entry-x", all); len(predecessors) != 0 {
+		t.Errorf("%d leaving entries are predecessors", len(predecessors))
+	}
+}
+
+// Guards against several fresh entries that each take the first place because they know no other living one yet.
+func TestAFreshEntryWaitsForItsPlaceInTheOrder(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		running time.Duration
+		members []Member
+		want    bool
+	}{
+		{name: "just started", running: settledTime - 1, members: membersExcept(3, 0)},
+		{name: "knows others", running: settledTime, members: membersExcept(3, 0), want: true},
+		{name: "isolated", running: settledTime},
+		{name: "isolated for long", running: isolatedTime, want: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := Settled(test.running, test.members); got != test.want {
+				t.Errorf("Settled = %v", got)
+			}
+		})
+	}
+}
+
+// Guards against fetches from entries with little processor time after a common start.
+func TestEntriesWithMostCores(t *testing.T) {
+	members := []Member{{HostID: "a", Cores: 0.144}, {HostID: "b", Cores: 0.8}, {HostID: "c", Cores: 0.4}, {HostID: "d"}}
+	var got string
+	for _, member := range WithMostCores(members) {
+		got += member.HostID
+	}
+	if got != "bc" {
+		t.Errorf("got members %q", got)
+	}
+	if same := WithMostCores(membersExcept(3, -1)); len(same) != 3 {
+		t.Errorf("got %d of 3 members with unknown cores", len(same))
+	}
+}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -29,6 +29,8 @@
 	neededMost  = 2600 * time.Millisecond
 	// metInterval is the time between two calls to an address of which nothing is known.
 	metInterval = time.Second
+	// seedInterval is used instead of metInterval for slowFrom after the start while no other living entry is known.
+	seedInterval = 150 * time.Millisecond
 	// slowFrom is the silence after which an entry counts no more in the ring; it may be gone for good.
 	slowFrom = 5 * time.Second
 	// forgetTime is how long a silent entry is called at all.
@@ -78,9 +80,11 @@
 
 // Roster is the list of the other entries. It is not safe for concurrent use.
 type Roster struct {
-	self   Member
-	others map[netip.AddrPort]*known
-	news   map[uint64]*told
+	self Member
+	// started is when the roster was created.
+	started time.Time
+	others  map[netip.AddrPort]*known
+	news    map[uint64]*told
 	// recent holds the news in the order in which it was learned.
 	recent []*told
 	// learned is when news came last, refuted when this entry last told that it lives though others took it for dead.
@@ -97,7 +101,7 @@
 
 // New returns a roster of an entry that knows no other and tells that it is there.
 func New(now time.Time, self Member) *Roster {
-	r := &Roster{self: self, others: map[netip.AddrPort]*known{}, news: map[uint64]*told{}}
+	r := &Roster{self: self, started: now, others: map[netip.AddrPort]*known{}, news: map[uint64]*told{}}
 	r.tell(now, News{Member: self})
 	return r
 }
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -340,3 +340,31 @@
 		t.Errorf("%d members sent", len(list))
 	}
 }
+
+// Guards against a start that is delayed by metInterval because its seeds were not listening yet at the first call.
+func TestAFreshEntryCallsItsSeedsAgainSoon(t *testing.T) {
+	now := time.Now()
+	seed := member(2)
+	r := New(now, member(1))
+	r.Meet(now, seed.Address)
+	calls := 0
+	for at := now; at.Before(now.Add(slowFrom)); at = at.Add(50 * time.Millisecond) {
+		for _, due := range r.Due(at) {
+			calls++
+			r.Called(due.Address)
+		}
+	}
+	if most := int(slowFrom/seedInterval) + 1; calls < most-3 || calls > most {
+		t.Errorf("%d calls in the first %v", calls, slowFrom)
+	}
+	calls = 0
+	for at := now.Add(slowFrom); at.Before(now.Add(slowFrom + 10*time.Second)); at = at.Add(50 * time.Millisecond) {
+		for _, due := range r.Due(at) {
+			calls++
+			r.Called(due.Address)
+		}
+	}
+	if calls > 11 {
+		t.Errorf("%d calls in the following ten seconds", calls)
+	}
+}
--- a/internal/edge/batchjob/home.go
+++ b/internal/edge/batchjob/home.go
@@ -17,6 +17,18 @@
 
 // home returns the entry that is to run a job: this one, unless it leaves, or another that is heard of.
 func (m *Manager) home(spec *batch.Job) gossip.Member {
+	return m.chooseEntry(func(runners []batch.Runner) (string, bool) {
+		return batch.Home(spec.ID, spec.Model, m.demand(), runners)
+	})
+}
+
+// storeReader returns the entry that loads a job from the store on behalf of all entries.
+func (m *Manager) storeReader(id string) gossip.Member {
+	return m.chooseEntry(func(runners []batch.Runner) (string, bool) { return batch.StoreReader(id, runners) })
+}
+
+// chooseEntry calls pick with the entries that are not leaving and returns the one that it selects, or this one if it selects none.
+func (m *Manager) chooseEntry(pick func(runners []batch.Runner) (string, bool)) gossip.Member {
 	self := m.members.Self()
 	var runners []batch.Runner
 	if !m.isLeaving() {
@@ -29,8 +41,8 @@
 			runners = append(runners, batch.Runner{HostID: member.HostID, Cores: member.Cores})
 		}
 	}
-	home, _ := batch.Home(spec.ID, spec.Model, m.demand(), runners)
-	if member, ok := members[home]; ok {
+	chosen, _ := pick(runners)
+	if member, ok := members[chosen]; ok {
 		return member
 	}
 	return self
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -145,14 +145,7 @@
 
 func (m *Manager) register(registry *peer.Registry) {
 	peer.Handle(registry, MethodRead, m.readFor)
-	peer.Handle(registry, MethodBody, func(_ context.Context, q BodyRequest) (BodyAnswer, error) {
-		j, ok := m.find(q.Job)
-		if !ok || j.spec.Organisation != q.Organisation {
-			return BodyAnswer{}, nil
-		}
-		body, found := j.body(q.Item)
-		return BodyAnswer{Known: true, Found: found, Body: body}, nil
-	})
+	peer.Handle(registry, MethodBody, m.bodyFor)
 	peer.Handle(registry, MethodEnd, m.endFor)
 	peer.Handle(registry, MethodRun, func(ctx context.Context, q RunRequest) (RunAnswer, error) {
 		return RunAnswer{}, m.runFor(ctx, q)
--- a/internal/edge/batchjob/message.go
+++ b/internal/edge/batchjob/message.go
@@ -22,6 +22,8 @@
 	From         int           `msgpack:"f"`
 	Wait         time.Duration `msgpack:"w"`
 	MaxBytes     int           `msgpack:"m"`
+	// Load asks the entry to load the job from the store if it isn't in memory.
+	Load bool `msgpack:"l"`
 }
 
 // ReadAnswer holds listed results. Known is false if the entry doesn't run the job.
@@ -38,6 +40,8 @@
 	Job          string `msgpack:"j"`
 	Organisation string `msgpack:"o"`
 	Item         string `msgpack:"i"`
+	// Load asks the entry to load the job from the store if it isn't in memory.
+	Load bool `msgpack:"l"`
 }
 
 // BodyAnswer holds the body of an item. Known is false if the entry doesn't run the job, Found if the job has no such item.
--- a/internal/edge/batchjob/read.go
+++ b/internal/edge/batchjob/read.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 )
 
@@ -29,11 +30,15 @@
 	if m.outage(time.Now()) {
 		return 0, nil, outageRefusal()
 	}
+	q.Wait -= time.Since(came)
+	if answer, ok := m.askStoreReader(ctx, q, came); ok {
+		return answer.Total, answer.Results, nil
+	}
 	j, err := m.load(ctx, id, organisation)
 	if err != nil {
 		return 0, nil, err
 	}
-	q.Wait -= time.Since(came)
+	q.Wait = wait - time.Since(came)
 	return m.answer(ctx, j, q, came)
 }
 
@@ -43,20 +48,41 @@
 	if !ok {
 		return ReadAnswer{}, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, q.Wait+askTime)
-	defer cancel()
-	asked := time.Now()
-	answer, err := peer.Ask[ReadRequest, ReadAnswer](ctx, m.peers, owner.Address, MethodRead, q)
-	if err == nil && answer.Known {
-		return answer, answer.current(time.Since(asked))
+	answer, known, err := m.askRead(ctx, owner, q)
+	if known {
+		return answer, true
 	}
 	m.log.Debug().Err(err).Str("request", q.Job).Str("entry", owner.HostID).Msg("results not had from the entry that runs the job")
-	if err == nil {
+	if err == nil && !answer.Known {
 		m.forgetOwner(q.Job, owner.HostID)
 	}
 	return ReadAnswer{}, false
 }
 
+// askStoreReader sends a read to the job's store reader. It returns false if this entry is the reader, if too little time is left, or if
+// the answer may not be passed on.
+func (m *Manager) askStoreReader(ctx context.Context, q ReadRequest, came time.Time) (ReadAnswer, bool) {
+	reader := m.storeReader(q.Job)
+	if reader.HostID == m.members.Self().HostID || time.Since(came) > askTime/2 {
+		return ReadAnswer{}, false
+	}
+	q.Load = true
+	answer, known, err := m.askRead(ctx, reader, q)
+	if !known {
+		m.log.Debug().Err(err).Str("request", q.Job).Str("entry", reader.HostID).Msg("could not get results from the job's store reader")
+	}
+	return answer, known
+}
+
+// askRead sends a read to another entry and reports whether the answer may be passed on.
+func (m *Manager) askRead(ctx context.Context, from gossip.Member, q ReadRequest) (ReadAnswer, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+askTime)
+	defer cancel()
+	asked := time.Now()
+	answer, err := peer.Ask[ReadRequest, ReadAnswer](ctx, m.peers, from.Address, MethodRead, q)
+	return answer, err == nil && answer.Known && answer.current(time.Since(asked)), err
+}
+
 // passTime is how old an empty list of another entry may be when it is passed on.
 const passTime = 900 * time.Millisecond
 
@@ -68,10 +94,13 @@
 	return len(a.Results) > 0 || a.Waited || took <= passTime
 }
 
-// readFor answers a read for another entry, if the job is known here and runs here or is over.
+// readFor answers a read for another entry if the job runs here or is over, or if the request asks to load it from the store.
 func (m *Manager) readFor(ctx context.Context, q ReadRequest) (ReadAnswer, error) {
 	came := time.Now()
 	j, ok := m.find(q.Job)
+	if q.Load && (!ok || !j.shows(q.From)) {
+		return m.loadFor(ctx, q, came)
+	}
 	if !ok || j.spec.Organisation != q.Organisation || !j.shows(q.From) && !j.over() {
 		return ReadAnswer{}, nil
 	}
@@ -80,6 +109,19 @@
 	return ReadAnswer{Known: err == nil, Total: total, Results: results, Waited: waited}, err
 }
 
+// loadFor loads the job from the store and answers a read for another entry.
+func (m *Manager) loadFor(ctx context.Context, q ReadRequest, came time.Time) (ReadAnswer, error) {
+	j, err := m.load(ctx, q.Job, q.Organisation)
+	if err != nil {
+		return ReadAnswer{}, err
+	}
+	wait := q.Wait
+	q.Wait -= time.Since(came)
+	total, results, err := m.answer(ctx, j, q, came)
+	waited := wait > 0 && time.Since(came) >= wait
+	return ReadAnswer{Known: err == nil, Total: total, Results: results, Waited: waited}, err
+}
+
 // confirmedTime is how long an answer of the store that no page follows is good for: another entry may list more at any time.
 const confirmedTime = 200 * time.Millisecond
 
@@ -142,7 +184,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readTime)
 	defer cancel()
 	if _, ok := m.find(id); !ok {
-		if body, ok := m.askBody(ctx, id, organisation, item); ok {
+		if body, ok := m.askBody(ctx, BodyRequest{Job: id, Organisation: organisation, Item: item}); ok {
 			return body, nil
 		}
 	}
@@ -157,15 +199,34 @@
 	return body, nil
 }
 
-// askBody has the body of an item from the entry that runs the job or keeps its results.
-func (m *Manager) askBody(ctx context.Context, id, organisation, item string) ([]byte, bool) {
-	owner, ok := m.reader(id)
+// askBody fetches the body of an item from the entry that runs the job or keeps its results, or else from the job's store reader.
+func (m *Manager) askBody(ctx context.Context, q BodyRequest) ([]byte, bool) {
+	from, ok := m.reader(q.Job)
 	if !ok {
+		from, q.Load = m.storeReader(q.Job), true
+	}
+	if from.HostID == m.members.Self().HostID {
 		return nil, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
-	q := BodyRequest{Job: id, Organisation: organisation, Item: item}
-	answer, err := peer.Ask[BodyRequest, BodyAnswer](ctx, m.peers, owner.Address, MethodBody, q)
+	answer, err := peer.Ask[BodyRequest, BodyAnswer](ctx, m.peers, from.Address, MethodBody, q)
 	return answer.Body, err == nil && answer.Known && answer.Found
 }
+
+// bodyFor returns the body of an item for another entry.
+func (m *Manager) bodyFor(ctx context.Context, q BodyRequest) (BodyAnswer, error) {
+	j, ok := m.find(q.Job)
+	if !ok && q.Load {
+		var err error
+		if j, err = m.known(ctx, q.Job); err != nil {
+			return BodyAnswer{}, err
+		}
+		ok = true
+	}
+	if !ok || j.spec.Organisation != q.Organisation {
+		return BodyAnswer{}, nil
+	}
+	body, found := j.body(q.Item)
+	return BodyAnswer{Known: true, Found: found, Body: body}, nil
+}
--- a/internal/edge/batchjob/reopen.go
+++ b/internal/edge/batchjob/reopen.go
@@ -1,10 +1,13 @@
 package batchjob
 
 import (
+	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 )
 
@@ -17,39 +20,78 @@
 	freshTime = 5 * time.Second
 )
 
-// Open returns the jobs that some entry is known to run, sorted, for entries that start later.
+// Open returns a note for each job that some entry is known to run, sorted by job, for entries that start later.
 func (m *Manager) Open() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	open := map[string]bool{}
+	open := map[string]string{}
+	for id, known := range m.owners {
+		if _, ended := m.ended[id]; !ended {
+			open[id] = known.hostID
+		}
+	}
 	for id, j := range m.jobs {
 		if j.running() && !j.over() {
-			open[id] = true
+			open[id] = m.members.Self().HostID
 		}
 	}
-	for id := range m.owners {
-		if _, ended := m.ended[id]; !ended {
-			open[id] = true
-		}
+	var notes []string
+	for _, id := range slices.Sorted(maps.Keys(open)) {
+		notes = append(notes, formatOpenNote(open[id], id))
+	}
+	return notes[:min(openMost, len(notes))]
+}
+
+// formatOpenNote returns the note of an open job for the lease. The separator is unambiguous since host ids contain no spaces.
+func formatOpenNote(hostID, id string) string { return hostID + " " + id }
+
+// parseOpenNote returns the host and the job's id in a note. The host is empty in notes of earlier versions, which hold the id only.
+func parseOpenNote(note string) (hostID, id string) {
+	hostID, id, found := strings.Cut(note, " ")
+	if !found {
+		return "", note
 	}
-	ids := slices.Sorted(maps.Keys(open))
-	return ids[:min(openMost, len(ids))]
+	return hostID, id
 }
 
-// Reopen has jobs run again that were open a moment before this process was started, unless a living entry runs them.
+// Reopen has jobs run again that were open a moment before this process was started, unless a living entry runs them. Turn is the number
+// of entries that read the same notes and precede this one.
 //
 // Guard: all entries are killed at once, and nobody is left who knows what ran. Each job stood still until its trainer asked for results, a
 // second or so later, and the trainer was late by as much from then on.
-func (m *Manager) Reopen(ids []string) {
-	for _, id := range ids {
+func (m *Manager) Reopen(notes []string, turn int) {
+	for _, note := range notes {
+		hostID, id := parseOpenNote(note)
 		m.reopen(id, func() {
-			if ticker.Sleep(m.ctx, reopenPause) {
-				m.rerunInTurn(id, "")
+			wait := reopenPause - time.Since(m.started) + time.Duration(turn)*orphanPause
+			if ticker.Sleep(m.ctx, wait) && !m.isCaredFor(id) && !m.askFormerOwner(hostID, id) {
+				m.rerun(id, "")
 			}
 		})
 	}
 }
 
+// askFormerOwner asks the entry that ran the job before to run it again. It returns false if that entry is unavailable or refuses.
+func (m *Manager) askFormerOwner(hostID, id string) bool {
+	ctx, cancel := context.WithTimeout(m.ctx, handoverTime)
+	defer cancel()
+	self := m.members.Self().HostID
+	q := RunRequest{Job: id, From: self, Sure: true}
+	if hostID == self {
+		return m.take(ctx, q) == nil
+	}
+	former, ok := m.members.Find(time.Now(), hostID)
+	if !ok || former.Leaving {
+		return false
+	}
+	_, err := peer.Ask[RunRequest, RunAnswer](ctx, m.peers, former.Address, MethodRun, q)
+	m.log.Info().Str("request", id).Str("entry", hostID).AnErr("answer", err).Msg("asked the former owner to run an open batch job again")
+	if err == nil {
+		m.noteOwner(id, hostID)
+	}
+	return err == nil
+}
+
 // rerunOwn has a job run again that others say this entry runs, though it was started a moment ago: its former run did.
 func (m *Manager) rerunOwn(id string) {
 	m.reopen(id, func() { m.rerun(id, m.members.Self().HostID) })
--- a/internal/edge/batchjob/reopen_test.go
+++ b/internal/edge/batchjob/reopen_test.go
@@ -30,7 +30,7 @@
 			defer m.Wait()
 			defer cancel()
 			test.before(m)
-			m.Reopen([]string{"j", "gone"})
+			m.Reopen([]string{"j", "gone"}, 0)
 			runs := false
 			for end := time.Now().Add(reopenPause + 2*orphanPause + 500*time.Millisecond); !runs && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 				j, ok := m.find("j")
--- a/internal/edge/duty/keeper.go
+++ b/internal/edge/duty/keeper.go
@@ -22,6 +22,8 @@
 const (
 	// callTimeout bounds each call. A renewal that takes longer is sent again while the term still runs.
 	callTimeout = 1500 * time.Millisecond
+	// startPause is the pause between checks whether a keeper may start.
+	startPause = 100 * time.Millisecond
 	// retryPause is the mean pause after a failed call: a few tries fit into a term, and in an outage
 	// 48 duties with 3 contenders make 480 calls a second at most, a quarter of what the platform takes.
 	retryPause  = 300 * time.Millisecond
@@ -78,6 +80,11 @@
 	}
 }
 
+// WithStartIf delays a keeper's first call to the store until may returns true. Later results of may are ignored.
+func WithStartIf(may func() bool) Option {
+	return func(k *Keeper) { k.mayStart = may }
+}
+
 // WithClock replaces the clock, which must return times with a monotonic reading or not at all.
 func WithClock(clock func() time.Time) Option {
 	return func(k *Keeper) { k.clock = clock }
@@ -91,6 +98,9 @@
 	self   Holder
 	timing lease.Timing
 	may    func() bool
+	// mayStart is checked until it returns true for the first time, which sets started.
+	mayStart func() bool
+	started  bool
 	// oneProcess is set where a host runs one process at a time.
 	oneProcess bool
 	clock      func() time.Time
@@ -138,14 +148,16 @@
 // NewKeeper starts to keep the duty of that name until ctx ends. A duty still held then runs out by itself.
 func NewKeeper(ctx context.Context, store platform.Store, name string, self Holder, opts ...Option) *Keeper {
 	k := &Keeper{
-		store:   store,
-		name:    name,
-		object:  ObjectPrefix + name,
-		self:    self,
-		timing:  lease.DefaultTiming(),
-		may:     func() bool { return true },
-		clock:   time.Now,
-		settled: make(chan struct{}),
+		store:  store,
+		name:   name,
+		object: ObjectPrefix + name,
+		self:   self,
+		timing: lease.DefaultTiming(),
+		may:    func() bool { return true },
+
+		mayStart: func() bool { return true },
+		clock:    time.Now,
+		settled:  make(chan struct{}),
 
 		writeNotes: func() []string { return nil },
 		readNotes:  func([]string) {},
--- a/internal/edge/duty/keeper_test.go
+++ b/internal/edge/duty/keeper_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
 	"go.uber.org/goleak"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/lease"
@@ -237,3 +238,37 @@
 		eventually(t, "third holds", func() bool { return held(third) })
 	})
 }
+
+// Guards against reads of the lease at a common start by entries that may not contend for it.
+func TestAKeeperThatMayNotStartMakesNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := standin.NewMemory()
+		var may atomic.Bool
+		waiting, _ := start(t, memory, holder("entry-1", 1), WithStartIf(may.Load))
+		<-time.After(4 * quick().Term)
+		if _, err := memory.Get(t.Context(), ObjectPrefix+zoneDuty); !errors.Is(err, platform.ErrNotFound) {
+			t.Fatalf("lease was written before the start: %v", err)
+		}
+		may.Store(true)
+		eventually(t, "the keeper holds the duty", func() bool { return held(waiting) })
+		may.Store(false)
+		<-time.After(4 * quick().Term)
+		if !held(waiting) {
+			t.Error("a started keeper lost the duty")
+		}
+	})
+}
+
+// Guards against a delayed shutdown of a host whose keeper never started.
+func TestAKeeperThatNeverStartedIsReleasedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		waiting, _ := start(t, standin.NewMemory(), holder("entry-1", 1), WithStartIf(func() bool { return false }))
+		began := time.Now()
+		if err := waiting.Release(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); took > startPause {
+			t.Errorf("release took %v", took)
+		}
+	})
+}
--- a/internal/edge/duty/run.go
+++ b/internal/edge/duty/run.go
@@ -25,6 +25,10 @@
 			close(k.settled)
 			return
 		}
+		if !k.tryStart() {
+			ticker.Sleep(watching, startPause)
+			continue
+		}
 		err := k.step(ctx, watching)
 		k.publish(err)
 		if err != nil {
@@ -33,6 +37,12 @@
 	}
 }
 
+// tryStart starts the keeper if it may start, and reports whether it has been started.
+func (k *Keeper) tryStart() bool {
+	k.started = k.started || k.mayStart()
+	return k.started
+}
+
 func (k *Keeper) step(ctx, watching context.Context) error {
 	step := k.machine.Next(k.instant(k.clock()))
 	switch step.Kind {
--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -123,11 +123,24 @@
 	d.channel.run()
 }
 
+// connect opens a TCP connection. Attempts that time out after connectTimeout are repeated until ctx ends.
+//
+// Guards against the kernel's SYN retransmission delay of a second when the first packet to a booting host is lost.
+func connect(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: connectTimeout}
+	for {
+		conn, err := dialer.DialContext(ctx, "tcp", to.String())
+		var netErr net.Error
+		if err == nil || ctx.Err() != nil || !errors.As(err, &netErr) || !netErr.Timeout() {
+			return conn, err
+		}
+	}
+}
+
 func (c *Client) dial(to netip.AddrPort) (*link, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, c.settings.dialTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", to.String())
+	conn, err := connect(ctx, to)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/edge/peer/connect_test.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Guards against waiting for the kernel's SYN retransmission when the first packet of a connection is lost.
+func TestConnectRetriesALostFirstPacket(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	// With a backlog of 0 the kernel drops SYN packets while another connection waits to be accepted.
+	if err := raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }); err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().(*net.TCPAddr)
+	waiting, err := net.Dial("tcp", address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = waiting.Close() })
+	time.AfterFunc(100*time.Millisecond, func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
+	defer cancel()
+	conn, err := connect(ctx, address.AddrPort())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.Close()
+}
+
+// Guards against a caller that waits for an address where nothing listens.
+func TestConnectDoesNotRetryARefusedConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	_ = listener.Close()
+	began := time.Now()
+	if _, err := connect(t.Context(), address); err == nil {
+		t.Fatal("connected to a closed listener")
+	}
+	if took := time.Since(began); took > connectTimeout/2 {
+		t.Errorf("connect took %v", took)
+	}
+}
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -62,8 +62,10 @@
 	defaultHeartbeatTimeout = 3 * time.Second
 	defaultIdleTimeout      = time.Minute
 	defaultDialTimeout      = 2 * time.Second
-	defaultWriteTimeout     = 3 * time.Second
-	defaultCloseTimeout     = time.Second
+	// connectTimeout bounds one connection attempt. It exceeds the round-trip time between any two regions.
+	connectTimeout      = 350 * time.Millisecond
+	defaultWriteTimeout = 3 * time.Second
+	defaultCloseTimeout = time.Second
 )
 
 const (
--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/roster"
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 	product "github.com/oleandershelf/oleandershelf/internal/edge/platform"
@@ -28,15 +29,14 @@
 	// some four calls a second together, and a store that is back is noticed within a second.
 	retryPause = 200 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
-	// partTimeout bounds the fetch of a part from another entry.
-	partTimeout = time.Second
+	// partTimeout bounds the fetch of a part from another entry, freshPartTimeout that of a fresh entry, which then tries another entry.
+	partTimeout      = time.Second
+	freshPartTimeout = 300 * time.Millisecond
 	// gatherTime is the least time between two watches of the list of servers. Each watch is paid for and ends with the first change,
 	// and a new weight version changes the entries of a dozen engines within a second. A leaving server may get requests for two
 	// seconds more.
 	gatherTime = 400 * time.Millisecond
-	// beginWait is how long a fresh entry waits for others to tell it what they know before it reads the store; they answer the
-	// first beat, within a tenth of a second. beginMost is how long those wait that are not among the first in order.
-	beginWait = 300 * time.Millisecond
+	// beginMost is how long a fresh entry that is not among the first in order waits for data from others before it reads the store.
 	beginMost = 2 * time.Second
 )
 
@@ -161,6 +161,7 @@
 	var watched product.Version
 	for ctx.Err() == nil {
 		if !f.due(kind) {
+			f.fetchFromPredecessor(ctx, kind)
 			ticker.Sleep(ctx, restPause)
 			continue
 		}
@@ -204,19 +205,27 @@
 // dozens of entries. So a fresh entry waits for what the others tell it, and the first in order read for all.
 func (f *Follower) begins(now time.Time) bool {
 	waited := now.Sub(f.started)
-	return waited >= beginMost || waited >= beginWait && f.place(now) < standbys
+	return waited >= beginMost || roster.Settled(waited, f.members.Alive(now)) && f.place(now) < standbys
+}
+
+// fetchFromPredecessor fetches a kind that a fresh entry lacks from a random predecessor among those with most cores: smaller entries answer
+// late while all entries start at once.
+func (f *Follower) fetchFromPredecessor(ctx context.Context, kind string) {
+	now := time.Now()
+	members := f.members.Alive(now)
+	predecessors := roster.Predecessors(f.members.Self().HostID, members)
+	if _, known := f.view.Part(kind); known || len(predecessors) == 0 || !roster.Settled(now.Sub(f.started), members) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, freshPartTimeout)
+	defer cancel()
+	sources := roster.WithMostCores(predecessors)
+	f.fetch(ctx, sources[rand.IntN(len(sources))].Address, kind)
 }
 
 // place is how many living entries come before this one in the order in which they follow the store.
 func (f *Follower) place(now time.Time) int {
-	own := rank(f.members.Self().HostID)
-	before := 0
-	for _, member := range f.members.Alive(now) {
-		if !member.Leaving && rank(member.HostID) < own {
-			before++
-		}
-	}
-	return before
+	return len(roster.Predecessors(f.members.Self().HostID, f.members.Alive(now)))
 }
 
 // step reads a kind, or watches it from the newest revision at which nothing is known to have changed. It returns that revision; it is
--- a/internal/edge/view/follow_test.go
+++ b/internal/edge/view/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -117,3 +118,47 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// Guards against slow readiness of a large deployment after a common start, when data spreads from the first entries by gossip only.
+func TestAFreshEntryFetchesFromAPredecessor(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	hosts := inOrder(standbys + 3)
+	secret := []byte("a secret of the tests")
+	registry := peer.NewRegistry()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := peer.NewServer(ctx, listener, registry, secret)
+	client := peer.NewClient(ctx, secret)
+	defer func() {
+		cancel()
+		_ = server.Close()
+		client.Wait()
+	}()
+	known := New(zerolog.Nop())
+	for _, kind := range Kinds {
+		known.Offer(Part{Kind: kind, Revision: 7, Objects: newSilentStore().objects(kind, 1)})
+	}
+	peer.Handle(registry, MethodPart, func(_ context.Context, q PartRequest) (PartAnswer, error) {
+		part, _ := known.Part(q.Kind)
+		return part.since(q.Known), nil
+	})
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	last := len(hosts) - 1
+	fresh := New(zerolog.Nop())
+	members := fakeMembers{self: hosts[last], others: hosts[:last], address: address}
+	f := NewFollower(ctx, members, fresh, newSilentStore(), client, peer.NewRegistry(), zerolog.Nop())
+	defer f.Wait()
+	defer cancel()
+	for end := time.Now().Add(300*time.Millisecond + 500*time.Millisecond); len(fresh.Revisions()) < len(Kinds); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("timed out with revisions %v", fresh.Revisions())
+		}
+	}
+	for kind, revision := range fresh.Revisions() {
+		if revision != 7 {
+			t.Errorf("%s was read from the store: revision %d", kind, revision)
+		}
+	}
+}
--- a/internal/edge/view/view_test.go
+++ b/internal/edge/view/view_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -152,6 +153,8 @@
 type fakeMembers struct {
 	self   string
 	others []string
+	// address is shared by all others.
+	address netip.AddrPort
 }
 
 func (m fakeMembers) Self() gossip.Member { return gossip.Member{HostID: m.self} }
@@ -159,7 +162,7 @@
 func (m fakeMembers) Alive(time.Time) []gossip.Member {
 	var members []gossip.Member
 	for _, host := range m.others {
-		members = append(members, gossip.Member{HostID: host})
+		members = append(members, gossip.Member{HostID: host, Address: m.address})
 	}
 	return members
 }
@@ -170,10 +173,10 @@
 	hosts := inOrder(27)
 	for i, host := range hosts {
 		f := &Follower{members: fakeMembers{self: host, others: slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return h == host })}, started: start}
-		if f.begins(start.Add(beginWait - time.Millisecond)) {
+		if f.begins(start.Add(300*time.Millisecond - time.Millisecond)) {
 			t.Errorf("number %d didn't wait", i)
 		}
-		if got := f.begins(start.Add(beginWait)); got != (i < standbys) {
+		if got := f.begins(start.Add(300 * time.Millisecond)); got != (i < standbys) {
 			t.Errorf("number %d reads the store: %v", i, got)
 		}
 		if !f.begins(start.Add(beginMost)) {
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -20,6 +19,7 @@
 
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/core/roster"
 	"github.com/oleandershelf/oleandershelf/internal/core/routing"
 	"github.com/oleandershelf/oleandershelf/internal/core/usage"
 	"github.com/oleandershelf/oleandershelf/internal/edge/admin"
@@ -215,12 +215,16 @@
 }
 
 func (g *Gateway) startDuties(ctx context.Context, self gossip.Member, reports store.Carrier, serverCalls *exchange.Client) {
+	started := time.Now()
 	holder := duty.Holder{HostID: self.HostID, Address: self.Address, Incarnation: self.Incarnation}
 	heard := func() bool { return !g.contends() || g.heard(g.duties.Load()) }
 	leases := store.NewLeases(g.store, heard)
 	g.keeper = duty.NewKeeper(ctx, leases, leader.Lease, holder, duty.WithTiming(leader.Timing()), duty.WithOneProcess(),
 		// Entries that start read there which batch jobs were open.
-		duty.WithNotes(g.jobs.Open, g.jobs.Reopen),
+		duty.WithNotes(g.jobs.Open, func(notes []string) { g.jobs.Reopen(notes, g.dutyPlace()) }),
+		duty.WithStartIf(func() bool {
+			return roster.Settled(time.Since(started), g.gossip.Alive(time.Now())) && g.contends()
+		}),
 		// A holder that is heard of renews its lease; to try for it would cost two calls each term.
 		duty.WithContendIf(func() bool { return !heard() }))
 	g.duties.Store(g.keeper)
@@ -243,15 +247,11 @@
 
 // contends says whether this entry is among the first of the living ones, in an order by hash that is the same for all. A
 // contender reads the lease by the second while its holder is silent.
-func (g *Gateway) contends() bool {
-	own := xxhash.Sum64String(g.set.HostID)
-	before := 0
-	for _, member := range g.gossip.Alive(time.Now()) {
-		if !member.Leaving && xxhash.Sum64String(member.HostID) < own {
-			before++
-		}
-	}
-	return before < contenders
+func (g *Gateway) contends() bool { return g.dutyPlace() < contenders }
+
+// dutyPlace returns the number of living entries that precede this one in that order.
+func (g *Gateway) dutyPlace() int {
+	return len(roster.Predecessors(g.set.HostID, g.gossip.Alive(time.Now())))
 }
 
 // heard says whether the entry that holds the keeper's duty is heard of and stays.
--- a/internal/program/process/gateway_batch_test.go
+++ b/internal/program/process/gateway_batch_test.go
@@ -237,7 +237,7 @@
 	d.submit(d.gateways[0], "j1", submission(4, 4, 1))
 	d.eventually("the lease names the job", func() bool {
 		object, ok := d.store.Get("lease", "duties")
-		return ok && strings.Contains(string(object.Spec), `"j1"`)
+		return ok && strings.Contains(string(object.Spec), `"entry-0 j1"`)
 	})
 	d.gateways[0].kill()
 	before := len(d.engines[0].Seen()) + len(d.engines[1].Seen())
--- a/internal/program/process/register.go
+++ b/internal/program/process/register.go
@@ -8,53 +8,95 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/roster"
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	product "github.com/oleandershelf/oleandershelf/internal/edge/platform"
+	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
+	"github.com/oleandershelf/oleandershelf/platform"
 )
 
-// register writes this entry's address into the store and meets those that are there.
+// registerCheckPause is the pause between checks whether a registration is due.
+const registerCheckPause = 200 * time.Millisecond
+
+// registration writes this entry's address to the store and passes registered addresses to the gossip.
+type registration struct {
+	gateway  *Gateway
+	self     gossip.Member
+	schedule roster.JoinSchedule
+	written  bool
+}
+
+// register runs the registration until ctx ends.
 func (g *Gateway) register(ctx context.Context, self gossip.Member) {
-	for ctx.Err() == nil {
-		err := g.tryRegister(ctx, self)
-		if err == nil {
-			return
+	r := &registration{gateway: g, self: self}
+	started := time.Now()
+	for ticker.Sleep(ctx, registerCheckPause) {
+		now := time.Now()
+		others := g.gossip.Alive(now)
+		if !roster.Settled(now.Sub(started), others) || !r.schedule.Due(now, self.HostID, others) {
+			continue
 		}
-		g.log.Warn().Err(err).Msg("entry not registered yet")
-		select {
-		case <-ctx.Done():
-		case <-time.After(registerPause):
+		if err := r.step(ctx); err != nil {
+			g.log.Warn().Err(err).Msg("entry not registered yet")
+			ticker.Sleep(ctx, registerPause)
+			continue
 		}
+		r.schedule.Done(now)
+	}
+}
+
+// step writes the address before it reads the others, so that at least one of two entries that start together finds the other.
+func (r *registration) step(ctx context.Context) error {
+	if err := r.writeAddress(ctx); err != nil {
+		return err
+	}
+	return r.readAddresses(ctx)
+}
+
+// writeAddress creates or updates the address of this entry in the store, once.
+func (r *registration) writeAddress(ctx context.Context) error {
+	if r.written {
+		return nil
+	}
+	value, err := json.Marshal(r.self.Address)
+	if err != nil {
+		return errors.Wrap(err, "address")
+	}
+	_, err = r.gateway.store.Create(ctx, kindMembers, r.self.HostID, value)
+	if errors.Is(err, product.ErrConflict) {
+		err = r.updateAddress(ctx, value, err)
+	}
+	r.written = err == nil
+	return err
+}
+
+// updateAddress replaces the address that an earlier process on this host registered, if it differs.
+func (r *registration) updateAddress(ctx context.Context, value json.RawMessage, conflict error) error {
+	var known *platform.ConflictError
+	if !errors.As(conflict, &known) {
+		return conflict
+	}
+	var address netip.AddrPort
+	if err := json.Unmarshal(known.Object.Value, &address); err == nil && address == r.self.Address {
+		return nil
 	}
+	_, err := r.gateway.store.Update(ctx, kindMembers, r.self.HostID, value, known.Object.Version)
+	return err
 }
 
-func (g *Gateway) tryRegister(ctx context.Context, self gossip.Member) error {
-	objects, _, err := g.store.List(ctx, kindMembers)
+// readAddresses passes the addresses in the store to the gossip.
+func (r *registration) readAddresses(ctx context.Context) error {
+	objects, _, err := r.gateway.store.List(ctx, kindMembers)
 	if err != nil {
 		return err
 	}
-	registered := product.Version(0)
 	for _, object := range objects {
 		var address netip.AddrPort
 		if err := json.Unmarshal(object.Value, &address); err != nil {
-			g.log.Warn().Err(err).Str("entry", object.Name).Msg("registered address ignored")
+			r.gateway.log.Warn().Err(err).Str("entry", object.Name).Msg("registered address ignored")
 			continue
 		}
-		if object.Name == self.HostID {
-			registered = object.Version
-			if address == self.Address {
-				continue
-			}
-		}
-		g.gossip.Meet(address)
+		r.gateway.gossip.Meet(address)
 	}
-	value, err := json.Marshal(self.Address)
-	if err != nil {
-		return errors.Wrap(err, "address")
-	}
-	if registered == 0 {
-		_, err = g.store.Create(ctx, kindMembers, self.HostID, value)
-	} else {
-		_, err = g.store.Update(ctx, kindMembers, self.HostID, value, registered)
-	}
-	return err
+	return nil
 }
--- /dev/null
+++ b/internal/program/process/register_test.go
@@ -0,0 +1,37 @@
+package process
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/platform/platformtest"
+)
+
+// Guards against an entry that stays isolated because none of its seeds is reachable.
+func TestAnEntryWithStaleSeedsFindsTheOthers(t *testing.T) {
+	d := newDeployment(t, 2)
+	late := d.startWithSeed("entry-late", platformtest.Address())
+	d.eventually("the late entry knows the others", func() bool { return len(late.gossip.Alive(time.Now())) == 2 })
+	d.eventually("the others know the late entry", func() bool { return len(d.gateways[0].gossip.Alive(time.Now())) == 2 })
+}
+
+// Guards against a stale address in the store after an entry restarts at another one.
+func TestAChangedAddressIsUpdated(t *testing.T) {
+	d := newDeployment(t, 0)
+	d.store.Put(kindMembers, "entry-0", platformtest.Address())
+	d.start("entry-0")
+	second := d.startWithSeed("entry-1", platformtest.Address())
+	d.eventually("the second entry knows the first", func() bool { return len(second.gossip.Alive(time.Now())) == 1 })
+}
+
+// startWithSeed starts a gateway with a single seed.
+func (d *deployment) startWithSeed(hostID string, seed netip.AddrPort) *testGateway {
+	d.t.Helper()
+	door := d.store.NewDoor(d.t)
+	set := d.gateways[0].set
+	set.HostID, set.PlatformURL = hostID, door.URL()
+	set.Listen, set.PeerListen, set.AdminListen = platformtest.Address(), platformtest.Address(), platformtest.Address()
+	set.Seeds = []netip.AddrPort{seed}
+	return d.startWith(set, door)
+}
