--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -123,15 +123,16 @@
 	d.channel.run()
 }
 
-// connect opens a TCP connection. Attempts that time out after connectTimeout are repeated until ctx ends.
+// connect opens a TCP connection. It retries attempts that time out, up to maxConnectAttempts in total.
 //
-// Guards against the kernel's SYN retransmission delay of a second when the first packet to a booting host is lost.
+// Guards against the kernel's SYN retransmission delay of a second when the first packet to a booting host is lost. The limit on
+// attempts prevents a busy loop: after the deadline of ctx has passed but before ctx is done, each dial times out immediately.
 func connect(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: connectTimeout}
-	for {
+	for attempt := 1; ; attempt++ {
 		conn, err := dialer.DialContext(ctx, "tcp", to.String())
 		var netErr net.Error
-		if err == nil || ctx.Err() != nil || !errors.As(err, &netErr) || !netErr.Timeout() {
+		if err == nil || attempt == maxConnectAttempts || ctx.Err() != nil || !errors.As(err, &netErr) || !netErr.Timeout() {
 			return conn, err
 		}
 	}
--- a/internal/edge/peer/connect_test.go
+++ b/internal/edge/peer/connect_test.go
@@ -63,3 +63,32 @@
 		t.Errorf("connect took %v", took)
 	}
 }
+
+// expiredContext is a context whose deadline has passed but which is not done yet.
+type expiredContext struct{ context.Context }
+
+func (expiredContext) Deadline() (time.Time, bool) { return time.Now().Add(-time.Millisecond), true }
+
+// Guards against a busy loop of dials that time out immediately because the deadline of their context has passed.
+func TestConnectEndsAfterTheDeadline(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	ended := make(chan error, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		_, err := connect(expiredContext{ctx}, listener.Addr().(*net.TCPAddr).AddrPort())
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("connected after the deadline")
+		}
+	case <-time.After(time.Second):
+		t.Error("connect did not return")
+	}
+}
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -64,6 +64,7 @@
 	defaultDialTimeout      = 2 * time.Second
 	// connectTimeout bounds one connection attempt. It exceeds the round-trip time between any two regions.
 	connectTimeout      = 350 * time.Millisecond
+	maxConnectAttempts  = 5
 	defaultWriteTimeout = 3 * time.Second
 	defaultCloseTimeout = time.Second
 )
