--- a/internal/core/batch/job.go
+++ b/internal/core/batch/job.go
@@ -64,6 +64,15 @@
 	Submission
 }
 
+// TokenRate returns the output rate that the job requires: its expected tokens per second until its results are due.
+func (j Job) TokenRate() float64 {
+	tokens := 0
+	for i := range j.Items {
+		tokens += max(1, j.Items[i].ExpectedTokens)
+	}
+	return float64(tokens) / max(1, j.ResultDeadline.Seconds())
+}
+
 // GivenUp is when items that have no result are given up.
 func (j Job) GivenUp() time.Time { return j.Accepted.Add(j.ItemTimeout) }
 
--- a/internal/core/weights/planner.go
+++ b/internal/core/weights/planner.go
@@ -6,7 +6,8 @@
 //
 // Without it: all servers load each version of each model, most of the time nobody serves, and every load is slow.
 //
-// Each model has its share of the servers. Of these, those that the next step can't use any more load first, whatever they run.
+// Each model has a share of the servers in proportion to the token rate that its jobs require. Of these, those that the next step can't
+// use any more load first, whatever they run.
 // The others serve the next step as they are. When they are idle they load as well; and half of a model's servers load each version
 // within its step, busy or not, so that the next version never finds all of them two behind, and nobody to serve its step at once.
 // Half of a model's servers at most load at a time.
@@ -31,6 +32,8 @@
 	// orderTime is how long an accepted order counts as being carried out without any sign of it: several times the usual
 	// time of a load. An order whose answer was lost may be carried out as late.
 	orderTime = 4 * time.Second
+	// firstVersion is the version of a model whose trainer hasn't named one yet.
+	firstVersion = 1
 	// settleTime is how long after a version was named a busy server isn't made to load it: the step that the version was named
 	// for begins at about that time, and is through its first items by then.
 	settleTime = 1500 * time.Millisecond
@@ -76,13 +79,14 @@
 	return &Planner{models: map[backend.Key]string{}, orders: map[backend.Key]pending{}, seen: map[string]sighting{}}
 }
 
-// Next returns the orders to give now. Engines are those of one pool; named holds the newest version of each model.
-func (p *Planner) Next(now time.Time, engines []Engine, named map[string]int) []Order {
+// Next returns the orders to give now. Engines are those of one pool; named holds the newest version of each model, and rates
+// the token rate that it requires. Models without a rate get the mean of the others.
+func (p *Planner) Next(now time.Time, engines []Engine, named map[string]int, rates map[string]float64) []Order {
 	engines = slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Draining || len(e.Models) == 0 })
 	slices.SortFunc(engines, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
 	p.see(now, named)
 	p.settle(now, engines)
-	p.assign(engines, named)
+	p.assign(engines, named, rates)
 	free := max(leastLoads, len(engines)/loadPart) - len(p.orders)
 	var orders []Order
 	for _, engine := range p.due(now, engines, named) {
@@ -111,60 +115,67 @@
 	})
 }
 
-// assign gives each server a model: the one whose weights it keeps up with, else the one with the fewest servers.
-func (p *Planner) assign(engines []Engine, named map[string]int) {
-	counts := map[string]int{}
+// assign gives each server a model: the one whose versions it has been loading, else one that is below its share.
+func (p *Planner) assign(engines []Engine, named map[string]int, rates map[string]float64) {
+	if len(engines) == 0 {
+		return
+	}
+	shares := newShares(slices.Sorted(maps.Keys(engines[0].Models)), rates)
 	for _, model := range p.models {
-		counts[model]++
+		shares.counts[model]++
 	}
 	for _, engine := range engines {
 		if _, ok := p.models[engine.Key()]; ok {
 			continue
 		}
-		model := p.modelFor(engine, named, counts, len(engines))
+		model := modelFor(engine, named, shares, len(engines))
 		p.models[engine.Key()] = model
-		counts[model]++
+		shares.counts[model]++
 	}
-	p.balance(engines, counts)
+	p.balance(engines, shares)
 }
 
-func (p *Planner) modelFor(engine Engine, named map[string]int, counts map[string]int, servers int) string {
+func modelFor(engine Engine, named map[string]int, shares shares, servers int) string {
+	if model, ok := formerModel(engine, named); ok {
+		return model
+	}
 	models := slices.Sorted(maps.Keys(engine.Models))
-	share := (servers + len(models) - 1) / len(models)
 	return slices.MinFunc(models, func(a, b string) int {
-		return cmp.Compare(
-			rankModel(named[a]-engine.Models[a], counts[a], share),
-			rankModel(named[b]-engine.Models[b], counts[b], share),
+		return cmp.Or(
+			cmp.Compare(shares.rank(a, named[a]-engine.Models[a], servers), shares.rank(b, named[b]-engine.Models[b], servers)),
+			cmp.Compare(shares.ratePerServer(b, 1), shares.ratePerServer(a, 1)),
 		)
 	})
 }
 
-// rankModel orders models for a server: first one below its share that the server keeps up with, then one with few servers.
-func rankModel(behind, count, share int) int {
-	rank := count
-	if behind > 1 {
-		rank += share
-	}
-	if count >= share {
-		rank += 2 * share
+// formerModel infers from the loaded versions which model an earlier holder of the duties assigned to the server; it returns false if no
+// single model stands out, as on a new server, which has the first or the newest version of all models.
+func formerModel(engine Engine, named map[string]int) (string, bool) {
+	least, model, unique := 0, "", false
+	for name, version := range engine.Models {
+		if version <= firstVersion {
+			continue
+		}
+		behind := named[name] - version
+		switch {
+		case model == "" || behind < least:
+			least, model, unique = behind, name, true
+		case behind == least:
+			unique = false
+		}
 	}
-	return rank
+	return model, unique
 }
 
-// balance moves one server from the model with the most servers to the one with the fewest when they differ by two or more.
-func (p *Planner) balance(engines []Engine, counts map[string]int) {
-	if len(engines) == 0 {
-		return
-	}
-	models := slices.Sorted(maps.Keys(engines[0].Models))
-	most := slices.MaxFunc(models, func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
-	least := slices.MinFunc(models, func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
-	if counts[most]-counts[least] < 2 {
+// balance moves at most one server, from a model with a low token rate per server to the one with the highest; see shares.nextMove.
+func (p *Planner) balance(engines []Engine, shares shares) {
+	from, to, ok := shares.nextMove()
+	if !ok {
 		return
 	}
 	for _, engine := range engines {
-		if _, has := engine.Models[least]; has && p.models[engine.Key()] == most {
-			p.models[engine.Key()] = least
+		if _, has := engine.Models[to]; has && p.models[engine.Key()] == from {
+			p.models[engine.Key()] = to
 			return
 		}
 	}
--- a/internal/core/weights/planner_test.go
+++ b/internal/core/weights/planner_test.go
@@ -61,7 +61,7 @@
 				test.engines[i].Running = test.busy
 			}
 			planner.see(start, test.named)
-			got := names(planner.Next(start.Add(test.after), test.engines, test.named))
+			got := names(planner.Next(start.Add(test.after), test.engines, test.named, nil))
 			if diff := cmp.Diff(test.want, got); diff != "" {
 				t.Error(diff)
 			}
@@ -89,7 +89,7 @@
 				delete(loading, i)
 			}
 		}
-		for _, order := range planner.Next(at, engines, named) {
+		for _, order := range planner.Next(at, engines, named, nil) {
 			planner.Ordered(at, order)
 			for i := range engines {
 				if engines[i].ID == order.Server.ID {
@@ -122,7 +122,7 @@
 func TestModelsShareTheEngines(t *testing.T) {
 	planner := NewPlanner()
 	engines := pool([2]int{5, 1}, [2]int{5, 1}, [2]int{1, 5}, [2]int{1, 5}, [2]int{1, 1})
-	planner.Next(start, engines, map[string]int{"a": 5, "b": 5})
+	planner.Next(start, engines, map[string]int{"a": 5, "b": 5}, nil)
 	counts := planner.Models()
 	if counts["a"]+counts["b"] != 5 || counts["a"] < 2 || counts["b"] < 2 {
 		t.Errorf("%v", counts)
@@ -137,12 +137,12 @@
 func TestALostEngineLeavesTheOthersAsTheyAre(t *testing.T) {
 	planner := NewPlanner()
 	engines := pool([2]int{1, 1}, [2]int{1, 1}, [2]int{1, 1}, [2]int{1, 1}, [2]int{1, 1}, [2]int{1, 1})
-	planner.Next(start, engines, nil)
+	planner.Next(start, engines, nil, nil)
 	before := map[backend.Key]string{}
 	for key, model := range planner.models {
 		before[key] = model
 	}
-	planner.Next(start, engines[1:], nil)
+	planner.Next(start, engines[1:], nil, nil)
 	for key, model := range planner.models {
 		if before[key] != model {
 			t.Errorf("%s changed from %s to %s", key.ID, before[key], model)
@@ -155,15 +155,15 @@
 	planner := NewPlanner()
 	engines := pool([2]int{1, 1})
 	named := map[string]int{"a": 2}
-	orders := planner.Next(start, engines, named)
+	orders := planner.Next(start, engines, named, nil)
 	if len(orders) != 1 {
 		t.Fatal(orders)
 	}
 	planner.Ordered(start, orders[0])
-	if again := planner.Next(start.Add(orderTime/2), engines, named); len(again) != 0 {
+	if again := planner.Next(start.Add(orderTime/2), engines, named, nil); len(again) != 0 {
 		t.Errorf("again at once: %v", again)
 	}
-	if again := planner.Next(start.Add(orderTime+time.Millisecond), engines, named); len(again) != 1 {
+	if again := planner.Next(start.Add(orderTime+time.Millisecond), engines, named, nil); len(again) != 1 {
 		t.Error("never again")
 	}
 }
@@ -173,7 +173,7 @@
 	engines := pool([2]int{1, 1}, [2]int{1, 1}, [2]int{1, 1})
 	engines[0].Hold = true
 	engines[1].Draining = true
-	for _, order := range planner.Next(start, engines, map[string]int{"a": 3, "b": 3}) {
+	for _, order := range planner.Next(start, engines, map[string]int{"a": 3, "b": 3}, nil) {
 		if order.Server.ID != "e2" {
 			t.Errorf("%v", order)
 		}
--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -14,6 +14,8 @@
 // job is a batch job that this process knows: it runs it, or has read it from the store.
 type job struct {
 	spec *batch.Job
+	// tokenRate is computed once; see batch.Job.TokenRate.
+	tokenRate float64
 
 	mu       sync.Mutex
 	progress *batch.Progress
@@ -41,12 +43,13 @@
 // counts its pages anew; under the mark of the process it would take a former page, carried out late, for its new one.
 func newJob(spec *batch.Job) *job {
 	return &job{
-		spec:     spec,
-		progress: batch.NewProgress(spec, rand.Uint64()),
-		changed:  make(chan struct{}),
-		poke:     make(chan struct{}, 1),
-		asking:   make(chan struct{}, 1),
-		used:     time.Now(),
+		spec:      spec,
+		tokenRate: spec.TokenRate(),
+		progress:  batch.NewProgress(spec, rand.Uint64()),
+		changed:   make(chan struct{}),
+		poke:      make(chan struct{}, 1),
+		asking:    make(chan struct{}, 1),
+		used:      time.Now(),
 	}
 }
 
--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -112,6 +112,19 @@
 	return jobs, ended
 }
 
+// TokenRates returns the sum of the token rates of the jobs that run here, by model; see batch.Job.TokenRate.
+func (m *Manager) TokenRates() map[string]float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rates := map[string]float64{}
+	for _, j := range m.jobs {
+		if j.running() && j.spec.Model != "" {
+			rates[j.spec.Model] += j.tokenRate
+		}
+	}
+	return rates
+}
+
 // Heard takes in which jobs another entry runs, which have ended, and which entries it says run others.
 func (m *Manager) Heard(from gossip.Member, running, ended []string, others map[string]string) {
 	for _, id := range ended {
--- a/internal/edge/batchjob/owner_test.go
+++ b/internal/edge/batchjob/owner_test.go
@@ -269,3 +269,22 @@
 		t.Errorf("nothing is shown at a position that was shown %v before", age)
 	}
 }
+
+// Guards against counting jobs that don't run here, and against counting only one of several jobs of a model.
+func TestTokenRatesAreThoseOfRunningJobs(t *testing.T) {
+	m := entryOf(t.Context(), newSharedStore().door(), entries{self: "self"})
+	for _, test := range []struct {
+		id   string
+		runs bool
+	}{{"a", true}, {"b", true}, {"c", false}} {
+		spec := &batch.Job{ID: test.id, Terms: batch.Terms{ResultDeadline: 2 * time.Second}, Submission: batch.Submission{
+			Model: "m", Items: []batch.Item{{ID: test.id + "1", ExpectedTokens: 30}, {ID: test.id + "2"}},
+		}}
+		j := newJob(spec)
+		j.runs = test.runs
+		m.keep(j)
+	}
+	if got := m.TokenRates(); len(got) != 1 || got["m"] != 31 {
+		t.Errorf("token rates %v, want 31 of model m only", got)
+	}
+}
--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -35,6 +35,8 @@
 	Counts []usage.Count `msgpack:"u"`
 	// Jobs are the batch jobs that the entry runs, or ran to their last result.
 	Jobs []string `msgpack:"j"`
+	// TokenRates are the output rates that the running jobs require, by model, in expected tokens per second until they are due.
+	TokenRates map[string]float64 `msgpack:"t"`
 	// Ended are batch jobs that ended lately.
 	Ended []string `msgpack:"e"`
 	// Contacts is how long ago each entry that reached the store lately did, in milliseconds.
--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -52,8 +52,10 @@
 	SweepPause time.Duration
 	// Missing says whether an entry fell silent lately, whose counts may still come.
 	Missing func(now time.Time) bool
-	Window  time.Duration
-	Log     zerolog.Logger
+	// TokenRates returns the recent peak of the token rate that the jobs of each model require.
+	TokenRates func(now time.Time) map[string]float64
+	Window     time.Duration
+	Log        zerolog.Logger
 }
 
 // Leader is the work of the holder.
--- a/internal/edge/leader/weights.go
+++ b/internal/edge/leader/weights.go
@@ -17,6 +17,8 @@
 	orderTimeout = 600 * time.Millisecond
 	// orderRetry is how long a server that was busy or could not be reached isn't ordered again.
 	orderRetry = 400 * time.Millisecond
+	// tokenRateDelay is how long a new holder ignores token rates: by then it has received a beat of every entry.
+	tokenRateDelay = 3 * time.Second
 )
 
 // weightOrders gives the planner's orders to the backend servers.
@@ -28,6 +30,8 @@
 	planners map[string]*weights.Planner
 	accepted map[backend.Key]int
 	notNow   map[backend.Key]time.Time
+	// started is the time of this holder's first step with a plan.
+	started time.Time
 }
 
 func newWeightOrders(deps Deps, turn *turn) *weightOrders {
@@ -40,6 +44,7 @@
 	w.planners = map[string]*weights.Planner{}
 	w.accepted = map[backend.Key]int{}
 	w.notNow = map[backend.Key]time.Time{}
+	w.started = time.Time{}
 }
 
 // rest forgets what was known under an earlier lease.
@@ -59,6 +64,13 @@
 	if len(snapshot.Versions) == 0 {
 		return
 	}
+	if w.started.IsZero() {
+		w.started = now
+	}
+	var rates map[string]float64
+	if now.Sub(w.started) >= tokenRateDelay {
+		rates = w.deps.TokenRates(now)
+	}
 	running := w.deps.Book.RunningAnywhere()
 	engines := map[string][]weights.Engine{}
 	for _, server := range snapshot.Servers {
@@ -74,7 +86,7 @@
 			planner = weights.NewPlanner()
 			w.planners[pool] = planner
 		}
-		w.give(ctx, now, planner, planner.Next(now, members, snapshot.Versions))
+		w.give(ctx, now, planner, planner.Next(now, members, snapshot.Versions, rates))
 	}
 }
 
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -240,6 +240,7 @@
 		Sweep:      g.jobs.Sweep,
 		SweepPause: batchjob.SweepPause,
 		Missing:    g.news.missing,
+		TokenRates: g.news.tokenRates,
 		Window:     g.set.UsageWindow,
 		Log:        g.log,
 	})
--- a/internal/program/process/gateway_duty_test.go
+++ b/internal/program/process/gateway_duty_test.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -109,3 +110,15 @@
 	d.store.Retire("store-1")
 	d.eventually("the host may be taken away", func() bool { return d.store.Retired("store-1") })
 }
+
+// Guards against a holder of the duties that ignores the token rates of jobs that run at other entries.
+func TestEachEntryKnowsTheTokenRatesOfAllJobs(t *testing.T) {
+	d := newDeployment(t, 3)
+	for _, engine := range d.engines {
+		engine.SetStream(50, 100*time.Millisecond)
+	}
+	d.submit(d.gateways[1], "j1", submission(4, 4, 1))
+	for i, g := range d.gateways {
+		d.eventually(fmt.Sprintf("entry %d knows the token rate", i), func() bool { return g.news.tokenRates(time.Now())["m"] > 0 })
+	}
+}
--- a/internal/program/process/news.go
+++ b/internal/program/process/news.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/usage"
+	"github.com/oleandershelf/oleandershelf/internal/core/weights"
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	product "github.com/oleandershelf/oleandershelf/internal/edge/platform"
 )
@@ -56,6 +57,8 @@
 	holder gossip.Holder
 	missed time.Time
 	tidied time.Time
+	// workload tracks the token rates that the jobs of all entries require.
+	workload weights.Workload
 }
 
 // runningThere is the number of requests that an entry runs at each server, as it told at a time.
@@ -74,13 +77,14 @@
 func (n *news) Beat(now time.Time, to gossip.To) gossip.Beat {
 	jobs, ended := n.gateway.jobs.Jobs(now)
 	beat := gossip.Beat{
-		Revisions: n.gateway.view.Revisions(),
-		Running:   n.gateway.book.Running(),
-		Jobs:      jobs,
-		Ended:     ended,
-		Owners:    n.gateway.jobs.Owners(now, to.Whole),
-		Contacts:  n.gateway.follower.Contacts(now),
-		Holder:    n.dutyHolder(now),
+		Revisions:  n.gateway.view.Revisions(),
+		Running:    n.gateway.book.Running(),
+		Jobs:       jobs,
+		TokenRates: n.gateway.jobs.TokenRates(),
+		Ended:      ended,
+		Owners:     n.gateway.jobs.Owners(now, to.Whole),
+		Contacts:   n.gateway.follower.Contacts(now),
+		Holder:     n.dutyHolder(now),
 	}
 	if to.Copies {
 		beat.Counts = n.counts(now, to.Member)
@@ -159,10 +163,25 @@
 	g.jobs.Heard(beat.From, beat.Jobs, beat.Ended, beat.Owners)
 	g.follower.HeardContacts(now, beat.Contacts)
 	n.hearHolder(beat.Holder)
+	n.observeTokenRates(now, beat.TokenRates)
 	n.note(beat.From.HostID, runningThere{at: now, servers: beat.Running})
 	n.tidy(now)
 }
 
+func (n *news) observeTokenRates(now time.Time, rates map[string]float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.workload.Observe(now, rates)
+}
+
+// tokenRates returns the recent peak of the token rate that the jobs of each model require.
+func (n *news) tokenRates(now time.Time) map[string]float64 {
+	n.observeTokenRates(now, n.gateway.jobs.TokenRates())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.workload.Peaks(now)
+}
+
 // hearHolder takes in who holds the duties.
 func (n *news) hearHolder(holder gossip.Holder) {
 	n.mu.Lock()
