--- a/internal/core/batch/job.go
+++ b/internal/core/batch/job.go
@@ -73,8 +73,11 @@
 	return float64(tokens) / max(1, j.ResultDeadline.Seconds())
 }
 
-// GivenUp is when items that have no result are given up.
-func (j Job) GivenUp() time.Time { return j.Accepted.Add(j.ItemTimeout) }
+// maxClockSkew is the maximum tolerated difference, including clock steps, between the clocks of the host that accepted a job and the host that runs it.
+const maxClockSkew = 5 * time.Second
+
+// GivenUp is when items that have no result are given up. It includes maxClockSkew because Accepted may come from another host's clock.
+func (j Job) GivenUp() time.Time { return j.Accepted.Add(j.ItemTimeout + maxClockSkew) }
 
 // State is what became of an item.
 type State string
--- a/internal/edge/store/store.go
+++ b/internal/edge/store/store.go
@@ -35,8 +35,9 @@
 	direct Carrier
 	relay  Carrier
 	log    zerolog.Logger
-	// awayUntil is the Unix time in nanoseconds until which the store is taken to turn this host away.
-	awayUntil atomic.Int64
+	// awayUntil is the time until which the store is assumed to turn this host away, or nil if it has not done so yet.
+	// It keeps its monotonic clock reading so that wall clock steps don't change the duration.
+	awayUntil atomic.Pointer[time.Time]
 	reached   atomic.Bool
 	metrics   *Metrics
 }
@@ -49,7 +50,10 @@
 }
 
 // Away says whether the store turns this host away for now.
-func (s *Store) Away(now time.Time) bool { return now.UnixNano() < s.awayUntil.Load() }
+func (s *Store) Away(now time.Time) bool {
+	until := s.awayUntil.Load()
+	return until != nil && now.Before(*until)
+}
 
 // Direct carries a call straight to the store, without another host's help; other entries use it through this host.
 func (s *Store) Direct(ctx context.Context, call platform.Call) (platform.Reply, error) {
@@ -117,7 +121,8 @@
 }
 
 func (s *Store) noteAway(reply platform.Reply, err error) {
-	s.awayUntil.Store(time.Now().Add(awayTime).UnixNano())
+	until := time.Now().Add(awayTime)
+	s.awayUntil.Store(&until)
 	if s.reached.Swap(false) {
 		s.log.Warn().Str("dependency", "store").Int("status", reply.Status).Err(err).Msg("lost")
 	}
