--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -123,7 +123,8 @@
 	d.channel.run()
 }
 
-// connect opens a TCP connection. It retries attempts that time out, up to maxConnectAttempts in total.
+// connect opens a TCP connection. It retries attempts that time out, up to maxConnectAttempts in total, doubling the timeout after
+// each one.
 //
 // Guards against the kernel's SYN retransmission delay of a second when the first packet to a booting host is lost. The limit on
 // attempts prevents a busy loop: after the deadline of ctx has passed but before ctx is done, each dial times out immediately.
@@ -135,6 +136,7 @@
 		if err == nil || attempt == maxConnectAttempts || ctx.Err() != nil || !errors.As(err, &netErr) || !netErr.Timeout() {
 			return conn, err
 		}
+		dialer.Timeout *= 2
 	}
 }
 
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -62,8 +62,8 @@
 	defaultHeartbeatTimeout = 3 * time.Second
 	defaultIdleTimeout      = time.Minute
 	defaultDialTimeout      = 2 * time.Second
-	// connectTimeout bounds one connection attempt. It exceeds the round-trip time between any two regions.
-	connectTimeout      = 350 * time.Millisecond
+	// connectTimeout bounds the first connection attempt and allows several round trips within a region. It doubles on each retry.
+	connectTimeout      = 100 * time.Millisecond
 	maxConnectAttempts  = 5
 	defaultWriteTimeout = 3 * time.Second
 	defaultCloseTimeout = time.Second
