--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -29,9 +29,8 @@
 	// some four calls a second together, and a store that is back is noticed within a second.
 	retryPause = 200 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
-	// partTimeout bounds the fetch of a part from another entry, freshPartTimeout that of a fresh entry, which then tries another entry.
-	partTimeout      = time.Second
-	freshPartTimeout = 300 * time.Millisecond
+	// partTimeout bounds the fetch of a part from another entry.
+	partTimeout = time.Second
 	// gatherTime is the least time between two watches of the list of servers. Each watch is paid for and ends with the first change,
 	// and a new weight version changes the entries of a dozen engines within a second. A leaving server may get requests for two
 	// seconds more.
@@ -217,8 +216,6 @@
 	if _, known := f.view.Part(kind); known || len(predecessors) == 0 || !roster.Settled(now.Sub(f.started), members) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, freshPartTimeout)
-	defer cancel()
 	sources := roster.WithMostCores(predecessors)
 	f.fetch(ctx, sources[rand.IntN(len(sources))].Address, kind)
 }
