--- a/internal/core/roster/join.go
+++ b/internal/core/roster/join.go
@@ -15,11 +15,8 @@
 	registrantPause = 30 * time.Second
 )
 
-// JoinSchedule decides when an entry writes its address to the platform's store and reads those of others. It is not safe for concurrent
-// use.
-//
-// An entry that knows no other living one always does both. Otherwise only the registrants do, which are the first entries in an order by
-// hash: new entries find them there, and separate groups of entries discover each other.
+// JoinSchedule decides when an entry writes its address to the platform's store and reads those of others: always while it knows no other
+// living one, else only if it is a registrant, one of the first in an order by hash. It is not safe for concurrent use.
 //
 // Guards against every entry writing its address and reading all others at each start.
 type JoinSchedule struct {
--- a/internal/edge/batchjob/common_test.go
+++ b/internal/edge/batchjob/common_test.go
@@ -198,3 +198,32 @@
 		t.Errorf("%d entries run the job; it was read %d times", running, got)
 	}
 }
+
+// Guards against an entry that reopens jobs before those that precede it had their turn.
+func TestAnEntryWaitsForItsTurnToReopenJobs(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	spec := storedSpec()
+	store := newSharedStore()
+	store.put(t, KindJobs, spec.ID, spec)
+	managers, _ := connectedEntries(ctx, t, store, 2)
+	defer func() {
+		cancel()
+		for _, m := range managers {
+			m.Wait()
+		}
+	}()
+	runs := func() bool {
+		j, ok := managers[1].find(spec.ID)
+		return ok && j.running()
+	}
+	managers[0].Reopen([]string{formatOpenNote(hostOf(1), spec.ID)}, 2)
+	time.Sleep(reopenPause + orphanPause)
+	if runs() {
+		t.Error("the job was reopened before the turn")
+	}
+	for end := time.Now().Add(3 * time.Second); !runs(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the job was not reopened")
+		}
+	}
+}
