Keep requests from evacuated zones, cold servers and foreign regions

Cause: nothing read the operator's evacuations, how long a server stays cold, or the regions of a route or an organisation.

Change: core/readiness decides for the balancer which servers may get a request now, and the balancer is the only way to a server. Evacuations are followed like the configuration, and nothing is sent before they are known. A cold server is used by one entry by rank, within the server's limit in any second; an entry without a majority of the entries that it knew uses none. Zones count as cold at the end of an evacuation, servers after failed connections. The holder of the duties orders nothing from an evacuated zone. Jobs, reads and relayed calls stay in the regions of their request.

--- a/internal/core/backend/book.go
+++ b/internal/core/backend/book.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/placement"
+	"github.com/oleandershelf/oleandershelf/internal/core/readiness"
 )
 
 // Parameters of the server choice.
@@ -57,6 +58,8 @@
 	Deferrable bool
 	// ReservedSlots is the number of slots of each server that work that can wait has to leave free for other requests.
 	ReservedSlots int
+	// Regions are the regions whose servers may run the request; nil allows all.
+	Regions []string
 	// Exclude holds the IDs of servers that must not get this request again.
 	Exclude map[string]bool
 }
@@ -64,6 +67,8 @@
 // serverState is what an entry knows of a server beside its registration.
 type serverState struct {
 	server Server
+	// readiness is the guard's state of the server.
+	readiness *readiness.Server
 	// running counts the requests of this entry, peerRunning those that other entries reported.
 	running, peerRunning int
 	// reportedLoad is the number of requests in the server's last report.
@@ -92,24 +97,41 @@
 	host    string
 	zone    string
 	mu      sync.Mutex
+	guard   *readiness.Guard
 	tracker *placement.Tracker
 	servers map[string]*serverState
 	// pools holds the servers of each pool, ordered by rank.
 	pools map[string][]*serverState
+	// denials counts the servers that were passed over because they may not get a request, by reason.
+	denials map[readiness.Denial]uint64
 	// changed is closed and replaced by notifyChanged.
 	changed chan struct{}
 }
 
+// Option changes a new Balancer.
+type Option func(*Balancer)
+
+// WithRegions sets the region of each availability zone. Without it no server runs requests that are restricted to regions.
+func WithRegions(regions map[string]string) Option {
+	return func(b *Balancer) { b.guard = readiness.NewGuard(b.host, regions) }
+}
+
 // NewBalancer returns a Balancer without servers, for the entry at the host in the availability zone.
-func NewBalancer(host, zone string) *Balancer {
-	return &Balancer{
+func NewBalancer(host, zone string, options ...Option) *Balancer {
+	b := &Balancer{
 		host: host,
 		zone: zone,
 		// The tracker considers all servers, since none has to be probed.
 		tracker: placement.NewTracker(placement.WithChoices(1<<20), placement.WithCacheSaving(0)),
+		guard:   readiness.NewGuard(host, nil),
 		servers: map[string]*serverState{},
+		denials: map[readiness.Denial]uint64{},
 		changed: make(chan struct{}),
 	}
+	for _, option := range options {
+		option(b)
+	}
+	return b
 }
 
 // Changed returns a channel that is closed when the list of servers is replaced or a slot may have become free.
@@ -125,10 +147,30 @@
 	b.changed = make(chan struct{})
 }
 
+// SetConditions replaces what the store says about evacuated availability zones and the limits of cold servers.
+func (b *Balancer) SetConditions(now time.Time, c readiness.Conditions) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.guard.SetConditions(now, c)
+	b.notifyChanged()
+}
+
+// SetEntries replaces the list of living entries, this one included. Runners holds, by model, those that run the model's batch jobs.
+func (b *Balancer) SetEntries(now time.Time, alive []string, runners map[string][]string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.guard.SetEntries(now, alive, runners)
+}
+
 // Sync replaces the list of servers. It preserves the state of each server whose process has not restarted.
-func (b *Balancer) Sync(servers []Server) {
+func (b *Balancer) Sync(now time.Time, servers []Server) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	records := make([]readiness.Record, 0, len(servers))
+	for _, server := range servers {
+		records = append(records, server.readinessRecord())
+	}
+	b.guard.SetServers(now, records)
 	next := make(map[string]*serverState, len(servers))
 	for _, server := range servers {
 		state, known := b.servers[server.ID]
@@ -136,6 +178,7 @@
 			state = &serverState{versions: map[string]int{}, rank: xxhash.Sum64String(b.host + "\x00" + server.ID)}
 		}
 		state.server = server
+		state.readiness = b.guard.Server(server.ID)
 		next[server.ID] = state
 	}
 	b.servers = next
@@ -217,6 +260,7 @@
 	if state, ok := b.servers[id]; ok {
 		state.reportedLoad = requests
 		state.reportedAt = now
+		b.guard.Answered(state.readiness)
 	}
 }
 
@@ -251,12 +295,13 @@
 	}
 }
 
-// RecordConnectionFailure records that a connection to the server could not be made or broke.
-func (b *Balancer) RecordConnectionFailure(now time.Time, id string) {
+// RecordConnectionFailure records that a connection to the server broke or, if unreachable is set, could not be made.
+func (b *Balancer) RecordConnectionFailure(now time.Time, id string, unreachable bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if state, ok := b.servers[id]; ok {
 		state.backoffUntil = now.Add(unreachableBackoff)
+		b.guard.Failed(now, state.readiness, unreachable)
 	}
 }
 
--- a/internal/core/backend/book_test.go
+++ b/internal/core/backend/book_test.go
@@ -19,7 +19,7 @@
 
 func newTestBalancer() *Balancer {
 	balancer := NewBalancer("self", "near")
-	balancer.Sync(servers())
+	balancer.Sync(now, servers())
 	return balancer
 }
 
@@ -45,7 +45,7 @@
 		{name: "excluded server", need: Requirements{Pool: "desk", Exclude: map[string]bool{"b": true}}, want: "a"},
 		{name: "pool without servers", need: Requirements{Pool: "none"}},
 		{name: "server that just refused is last", setup: func(b *Balancer) { b.RecordRefusal(now, "b") }, need: desk, want: "a"},
-		{name: "unreachable server is last", setup: func(b *Balancer) { b.RecordConnectionFailure(now, "b") }, need: desk, want: "a"},
+		{name: "unreachable server is last", setup: func(b *Balancer) { b.RecordConnectionFailure(now, "b", true) }, need: desk, want: "a"},
 		{name: "reported load", setup: func(b *Balancer) { b.RecordLoad(now, "b", 2) }, need: desk, want: "a"},
 		{name: "outdated load report", setup: func(b *Balancer) { b.RecordLoad(now.Add(-time.Minute), "b", 2) }, need: desk, want: "b"},
 		{name: "requests of other entries", setup: func(b *Balancer) { b.RecordPeerRequests(map[string]int{"b": 2}) }, need: desk, want: "a"},
@@ -87,7 +87,7 @@
 	for i := range list {
 		list[i].Draining = list[i].ID != "c"
 	}
-	balancer.Sync(list)
+	balancer.Sync(now, list)
 	if got := acquire(balancer, Requirements{Pool: "desk"}); got != "c" {
 		t.Errorf("got %q", got)
 	}
@@ -100,7 +100,7 @@
 	balancer.RecordVersion("e1", "m", 9)
 	list := servers()
 	list[3].Started = now.Add(time.Second)
-	balancer.Sync(list)
+	balancer.Sync(now, list)
 	if got := acquire(balancer, Requirements{Pool: "engines", Model: "m", MinVersion: 9}); got != "" {
 		t.Errorf("got %q", got)
 	}
@@ -159,7 +159,7 @@
 	for _, id := range []string{"a", "b", "c", "d"} {
 		list = append(list, Server{ID: id, Pool: "p", Slots: 12, Models: map[string]int{"m": 1}})
 	}
-	balancer.Sync(list)
+	balancer.Sync(now, list)
 	if balancer.ShouldMove("a", time.Second) {
 		t.Error("counted as slow without other servers to compare with")
 	}
--- a/internal/core/backend/choose.go
+++ b/internal/core/backend/choose.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/placement"
+	"github.com/oleandershelf/oleandershelf/internal/core/readiness"
 )
 
 // Acquire chooses a server for a request and counts the request there until Release. It returns false if no server
@@ -25,6 +27,7 @@
 		)
 	})
 	best.running++
+	b.guard.Sent(now, best.readiness)
 	return best.server, true
 }
 
@@ -34,10 +37,10 @@
 	var available []placement.Server
 	considered := 0
 	for _, state := range b.pools[need.Pool] {
-		if !canRun(state, need) {
+		if !b.canRun(state, need) {
 			continue
 		}
-		if isAvailable(now, state, need) {
+		if b.isAvailable(now, state, need) {
 			available = append(available, placement.Server{HostID: state.server.ID, Pool: need.Pool})
 		}
 		if considered++; considered%subsetSize == 0 && len(available) >= minAvailable {
@@ -54,19 +57,87 @@
 }
 
 // canRun reports whether the server can run the request at all.
-func canRun(state *serverState, need Requirements) bool {
+func (b *Balancer) canRun(state *serverState, need Requirements) bool {
 	if state.server.Draining || need.Exclude[state.server.ID] {
 		return false
 	}
-	return need.Model == "" || state.weightVersion(need.Model) >= need.MinVersion
+	if need.Model != "" && state.weightVersion(need.Model) < need.MinVersion {
+		return false
+	}
+	return b.allows(b.guard.CheckFixed(state.readiness, need.Regions))
+}
+
+// isAvailable reports whether the request may be sent to the server now. Only work that can wait is held back, except from cold servers.
+func (b *Balancer) isAvailable(now time.Time, state *serverState, need Requirements) bool {
+	if need.Deferrable && (now.Before(state.backoffUntil) || state.running+state.peerRunning >= max(1, state.server.Slots-need.ReservedSlots)) {
+		return false
+	}
+	return b.allows(b.guard.CheckCold(now, state.readiness))
+}
+
+// allows counts the denial and reports whether there is none.
+func (b *Balancer) allows(denial readiness.Denial) bool {
+	if denial != readiness.Allowed {
+		b.denials[denial]++
+	}
+	return denial == readiness.Allowed
+}
+
+// Denials returns how many servers were passed over because they may not get a request, by reason.
+func (b *Balancer) Denials() map[readiness.Denial]uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.denials)
 }
 
-// isAvailable reports whether the request may be sent to the server now. Only work that can wait is held back.
-func isAvailable(now time.Time, state *serverState, need Requirements) bool {
-	if !need.Deferrable {
-		return true
+// Evacuated reports whether the server's availability zone is evacuated, so that nothing may be sent to it.
+func (b *Balancer) Evacuated(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	state, ok := b.servers[id]
+	return ok && b.guard.CheckFixed(state.readiness, nil) == readiness.Evacuated
+}
+
+// Unavailability says why no server of a pool may get a request now.
+type Unavailability struct {
+	// Reason is Cold if a server only has to warm up, else Evacuated if a zone's evacuation has to end; Allowed if the pool has no server, or
+	// one that may get the request.
+	Reason readiness.Denial
+	// ColdFor is the shortest time for which one of the pool's servers stays cold, if that is the reason.
+	ColdFor time.Duration
+}
+
+// WhyNone returns why no server of the pool may get a request that is restricted to the regions; nil allows all regions.
+func (b *Balancer) WhyNone(now time.Time, pool string, regions []string) Unavailability {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	denied := map[readiness.Denial]bool{}
+	var coldFor []time.Duration
+	for _, state := range b.pools[pool] {
+		if state.server.Draining {
+			continue
+		}
+		denial := b.guard.CheckFixed(state.readiness, regions)
+		if denial == readiness.Allowed {
+			denial = b.guard.CheckCold(now, state.readiness)
+		}
+		denied[denial] = true
+		if denial == readiness.Cold {
+			coldFor = append(coldFor, b.guard.ColdFor(now, state.readiness))
+		}
+	}
+	switch {
+	case denied[readiness.Allowed]:
+		return Unavailability{}
+	case denied[readiness.Cold]:
+		return Unavailability{Reason: readiness.Cold, ColdFor: slices.Min(coldFor)}
+	case denied[readiness.Evacuated]:
+		return Unavailability{Reason: readiness.Evacuated}
+	case denied[readiness.OutsideRegions]:
+		return Unavailability{Reason: readiness.OutsideRegions}
+	default:
+		return Unavailability{}
 	}
-	return !now.Before(state.backoffUntil) && state.running+state.peerRunning < max(1, state.server.Slots-need.ReservedSlots)
 }
 
 // backoffRank orders servers that refused recently or could not be reached after the others.
--- a/internal/core/backend/server.go
+++ b/internal/core/backend/server.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/readiness"
 )
 
 // Server is a backend server as it registered itself.
@@ -18,10 +20,28 @@
 	Draining bool
 	// Started is when the process of the server started.
 	Started time.Time
+	// ColdLeft is how long the server was going to stay cold when it wrote its registration: for some seconds after its start it bears few
+	// requests a second.
+	ColdLeft time.Duration
+	// Revision is the store's revision of the registration.
+	Revision uint64
 	// Models are the weight versions that the server holds, by model.
 	Models map[string]int
 }
 
+// readinessRecord returns what decides whether the server may get a request.
+func (s Server) readinessRecord() readiness.Record {
+	return readiness.Record{
+		ID:               s.ID,
+		Pool:             s.Pool,
+		AvailabilityZone: s.AvailabilityZone,
+		Started:          s.Started,
+		Revision:         s.Revision,
+		ColdLeft:         s.ColdLeft,
+		Models:           s.Models,
+	}
+}
+
 // Key returns the identity of this run of the server: one that restarts under its old ID is a different one, without
 // its former state.
 func (s Server) Key() Key { return Key{ID: s.ID, Started: s.Started.UnixMilli()} }
--- a/internal/core/backend/subset_test.go
+++ b/internal/core/backend/subset_test.go
@@ -15,7 +15,7 @@
 			ID: fmt.Sprintf("engine-%04d", i), Pool: "p", AvailabilityZone: "near", Slots: 12, Started: now, Models: map[string]int{"m": i % 2},
 		})
 	}
-	balancer.Sync(list)
+	balancer.Sync(now, list)
 	return balancer
 }
 
--- a/internal/core/batch/home.go
+++ b/internal/core/batch/home.go
@@ -56,8 +56,8 @@
 		return "", false
 	}
 	if count := demand.runnersPerModel(); count > 1 {
-		bucket := xxhash.Sum64String(job) % uint64(count) //nolint:gosec // count is greater than 1
-		return selectRunner(model+"/"+strconv.FormatUint(bucket, 10), eligible, nil), true
+		bucket := xxhash.Sum64String(job) % uint64(count)                       //nolint:gosec // count is greater than 1
+		return selectRunner(bucketKey(model, int(bucket)), eligible, nil), true //nolint:gosec // the bucket is less than count
 	}
 	models := slices.Clone(demand.Models)
 	if !slices.Contains(models, model) {
@@ -75,6 +75,31 @@
 	return "", false
 }
 
+// PreferredRunners returns all entries that run jobs of a model, those that PreferredRunner returns for any job, in sorted order.
+func PreferredRunners(model string, demand Demand, runners []Runner) []string {
+	count := demand.runnersPerModel()
+	if count == 1 {
+		chosen, ok := PreferredRunner("", model, demand, runners)
+		if !ok {
+			return nil
+		}
+		return []string{chosen}
+	}
+	eligible := eligibleRunners(runners)
+	if len(eligible) == 0 {
+		return nil
+	}
+	var hosts []string
+	for bucket := range count {
+		hosts = append(hosts, selectRunner(bucketKey(model, bucket), eligible, nil))
+	}
+	slices.Sort(hosts)
+	return slices.Compact(hosts)
+}
+
+// bucketKey returns the key by which the entry is selected that runs one of the buckets into which a model's jobs are divided.
+func bucketKey(model string, bucket int) string { return model + "/" + strconv.Itoa(bucket) }
+
 // StoreReader returns the entry that loads a job from the store on behalf of all entries when none is known to
 // have it in memory. It returns false if there are no runners.
 //
--- a/internal/core/batch/home_test.go
+++ b/internal/core/batch/home_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // testRunners returns runners with 0.8 and 0.144 cores in turn, as in a deployment that grew.
@@ -164,3 +167,27 @@
 		t.Error("got a reader for an empty list of runners")
 	}
 }
+
+// Guards against two opinions on which entries run the jobs of a model: cold servers are left to them.
+func TestPreferredRunnersContainEachPreferredRunner(t *testing.T) {
+	var runners []Runner
+	for i := range 40 {
+		runners = append(runners, Runner{HostID: fmt.Sprintf("entry-%d", i), Cores: 1})
+	}
+	for _, slots := range []int{4, 4 * slotsPerRunner, 40 * slotsPerRunner} {
+		demand := Demand{Models: []string{"a", "b", "c", "d"}, Slots: slots}
+		for _, model := range append(demand.Models, "later") {
+			all, used := PreferredRunners(model, demand, runners), map[string]bool{}
+			for job := range 2000 {
+				runner, _ := PreferredRunner(fmt.Sprint(job), model, demand, runners)
+				used[runner] = true
+			}
+			if diff := cmp.Diff(slices.Sorted(maps.Keys(used)), all); diff != "" {
+				t.Errorf("%d slots, model %s (-used +listed):\n%s", slots, model, diff)
+			}
+		}
+	}
+	if got := PreferredRunners("a", Demand{}, nil); len(got) > 0 {
+		t.Errorf("runners without entries: %v", got)
+	}
+}
--- a/internal/core/batch/job.go
+++ b/internal/core/batch/job.go
@@ -52,6 +52,8 @@
 	ItemTimeout    time.Duration `json:"itemTimeout"`
 	ResultDeadline time.Duration `json:"resultDeadline"`
 	SingleVersion  bool          `json:"singleVersion"`
+	// Regions are the regions in which the job may run and be kept in memory; null allows all.
+	Regions []string `json:"regions"`
 }
 
 // Job is an accepted batch job as the store keeps it.
--- a/internal/core/routing/route.go
+++ b/internal/core/routing/route.go
@@ -2,7 +2,12 @@
 // a request, which organisations may send it, and whether it may be repeated.
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/readiness"
+)
 
 // Kind determines how the requests of a route are answered and whether they may be repeated.
 type Kind uint8
@@ -47,6 +52,8 @@
 	ItemTimeout time.Duration
 	// ResultDeadline is the time after the submission within which all results of a batch job are due.
 	ResultDeadline time.Duration
+	// Regions are the regions in which the route's requests may run; nil allows all.
+	Regions []string
 }
 
 // Target is a pool with its share of a route's requests.
@@ -87,6 +94,8 @@
 	TokensPerEvent int
 	// Scaling is nil if the number of servers is fixed.
 	Scaling *Scaling
+	// ColdLimit bounds the requests to servers that started a short time ago.
+	ColdLimit readiness.Limit
 }
 
 // Scaling bounds the number of a pool's servers in each availability zone.
@@ -101,6 +110,25 @@
 	Name string
 	// Priority takes precedence over the route's priority; 0 is the highest.
 	Priority int
+	// Regions are the regions in which the organisation's requests may run; nil allows all.
+	Regions []string
+}
+
+// CommonRegions returns the regions that both lists allow. A nil list allows every region; an empty result allows none.
+func CommonRegions(a, b []string) []string {
+	switch {
+	case a == nil:
+		return b
+	case b == nil:
+		return a
+	}
+	common := []string{}
+	for _, region := range a {
+		if slices.Contains(b, region) {
+			common = append(common, region)
+		}
+	}
+	return common
 }
 
 // Limits bound the requests of callers.
--- a/internal/core/verdict/refusal.go
+++ b/internal/core/verdict/refusal.go
@@ -32,6 +32,12 @@
 	// ReasonNotReady: what a trainer requested was not ready in time; the work continues.
 	ReasonNotReady Reason = "notReady"
 	ReasonNoServer Reason = "noServer"
+	// ReasonZoneEvacuated: the servers that could run the request are in availability zones that are evacuated.
+	ReasonZoneEvacuated Reason = "zoneEvacuated"
+	// ReasonServersCold: the servers that could run the request started a short time ago and take few requests.
+	ReasonServersCold Reason = "serversCold"
+	// ReasonOutsideRegions: no server is in a region in which the request may run.
+	ReasonOutsideRegions Reason = "outsideRegions"
 	// ReasonWrongPool: the agent that received the request serves another pool.
 	ReasonWrongPool Reason = "wrongPool"
 	// ReasonLeaving: the process is shutting down, or its server is being drained.
--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -47,7 +47,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	preferred := m.preferredRunner(j.spec).HostID
-	candidates := m.rankedPeers(j.spec.ID)
+	candidates := slices.DeleteFunc(m.rankedPeers(j.spec.ID), func(member gossip.Member) bool { return !m.mayKeep(j.spec.Regions, member) })
 	if at := slices.IndexFunc(candidates, func(member gossip.Member) bool { return member.HostID == preferred }); at > 0 {
 		first := candidates[at]
 		candidates = slices.Insert(slices.Delete(candidates, at, at+1), 0, first)
--- a/internal/edge/batchjob/home.go
+++ b/internal/edge/batchjob/home.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,26 +19,37 @@
 
 // preferredRunner returns the entry that should run a job, see batch.PreferredRunner: this one unless it is leaving, or another living one.
 func (m *Manager) preferredRunner(spec *batch.Job) gossip.Member {
-	return m.chooseEntry(func(runners []batch.Runner) (string, bool) {
+	return m.chooseEntry(spec.Regions, func(runners []batch.Runner) (string, bool) {
 		return batch.PreferredRunner(spec.ID, spec.Model, m.demand(), runners)
 	})
 }
 
-// storeReader returns the entry that loads a job from the store on behalf of all entries.
+// mayKeep reports whether a job that is restricted to the regions may be in the member's memory; nil allows every region.
+func (m *Manager) mayKeep(regions []string, member gossip.Member) bool {
+	return regions == nil || m.region != nil && slices.Contains(regions, m.region(member.AvailabilityZone))
+}
+
+// storeReader returns the entry that loads a job from the store on behalf of all entries of this region. Which regions the job is restricted
+// to isn't known yet; the caller connected to this entry, so its region is allowed.
 func (m *Manager) storeReader(id string) gossip.Member {
-	return m.chooseEntry(func(runners []batch.Runner) (string, bool) { return batch.StoreReader(id, runners) })
+	var regions []string
+	if m.region != nil {
+		regions = []string{m.region(m.members.Self().AvailabilityZone)}
+	}
+	return m.chooseEntry(regions, func(runners []batch.Runner) (string, bool) { return batch.StoreReader(id, runners) })
 }
 
-// chooseEntry calls pick with the entries that are not leaving and returns the one that it selects, or this one if it selects none.
-func (m *Manager) chooseEntry(pick func(runners []batch.Runner) (string, bool)) gossip.Member {
+// chooseEntry calls pick with the entries in the regions that are not leaving and returns the one that it selects, or this one if it selects
+// none. A nil list of regions allows every region.
+func (m *Manager) chooseEntry(regions []string, pick func(runners []batch.Runner) (string, bool)) gossip.Member {
 	self := m.members.Self()
 	var runners []batch.Runner
-	if !m.isLeaving() {
+	if !m.isLeaving() && m.mayKeep(regions, self) {
 		runners = append(runners, batch.Runner{HostID: self.HostID, Cores: self.Cores})
 	}
 	members := map[string]gossip.Member{}
 	for _, member := range m.members.Alive(time.Now()) {
-		if !member.Leaving {
+		if !member.Leaving && m.mayKeep(regions, member) {
 			members[member.HostID] = member
 			runners = append(runners, batch.Runner{HostID: member.HostID, Cores: member.Cores})
 		}
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -166,7 +166,7 @@
 		r.cause = cause
 	}
 	if ctx.Err() == nil || errors.Is(r.cause, errStalled) {
-		r.manager.balancer.RecordConnectionFailure(time.Now(), r.server.ID)
+		r.manager.balancer.RecordConnectionFailure(time.Now(), r.server.ID, errors.Is(err, exchange.ErrNotSent))
 		r.manager.balancer.RecordFailure(time.Now(), r.server.ID)
 	}
 	if errors.Is(err, exchange.ErrNotSent) {
--- a/internal/edge/batchjob/item_test.go
+++ b/internal/edge/batchjob/item_test.go
@@ -14,7 +14,7 @@
 	for _, id := range []string{"a", "b", "c", "d"} {
 		servers = append(servers, backend.Server{ID: id, Pool: "p", Slots: 6})
 	}
-	balancer.Sync(servers)
+	balancer.Sync(time.Now(), servers)
 	for _, server := range servers[1:] {
 		balancer.RecordEventInterval(server.ID, 30*time.Millisecond)
 	}
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -85,6 +85,7 @@
 	members  Members
 	outage   func(now time.Time) bool
 	demand   func() batch.Demand
+	region   func(zone string) string
 	metrics  *Metrics
 	log      zerolog.Logger
 	wg       conc.WaitGroup
@@ -116,7 +117,9 @@
 	// Outage reports whether the store is known to be unreachable from every entry.
 	Outage func(now time.Time) bool
 	// Demand returns the models that are trained and the slots of their servers.
-	Demand  func() batch.Demand
+	Demand func() batch.Demand
+	// Region returns the region of an availability zone; nil if no job is restricted to regions.
+	Region  func(zone string) string
 	Metrics *Metrics
 	Log     zerolog.Logger
 }
@@ -134,6 +137,7 @@
 		members:    deps.Members,
 		outage:     deps.Outage,
 		demand:     deps.Demand,
+		region:     deps.Region,
 		metrics:    deps.Metrics,
 		log:        deps.Log,
 		jobs:       map[string]*job{},
--- a/internal/edge/batchjob/reward.go
+++ b/internal/edge/batchjob/reward.go
@@ -53,8 +53,12 @@
 		j.wg.Go(func() { j.postponeReward(ctx, item) })
 		return true
 	}
-	server, ok := m.balancer.Acquire(time.Now(),
-		backend.Requirements{Pool: route.Pool(rand.Float64()), Deferrable: waited < rewardMaxWait, ReservedSlots: rewardReservedSlots})
+	server, ok := m.balancer.Acquire(time.Now(), backend.Requirements{
+		Pool:          route.Pool(rand.Float64()),
+		Regions:       routing.CommonRegions(route.Regions, j.spec.Regions),
+		Deferrable:    waited < rewardMaxWait,
+		ReservedSlots: rewardReservedSlots,
+	})
 	if !ok {
 		return false
 	}
@@ -84,7 +88,7 @@
 // sendReward sends an item's reward call and records the score, if any. Failures is how often servers failed it before.
 func (m *Manager) sendReward(ctx context.Context, j *job, item *batch.Item, route routing.Route, server backend.Server, failures int) {
 	started := time.Now()
-	attempt, tally, err := m.calls.Send(ctx, m.rewardRequest(item.Reward, route, server, failures))
+	attempt, tally, err := m.calls.Send(ctx, m.rewardRequest(j.spec, item.Reward, route, server, failures))
 	score := ""
 	if err == nil && attempt.Answer.Status < fasthttp.StatusMultipleChoices {
 		score = attempt.Answer.Signature
@@ -103,7 +107,7 @@
 }
 
 // rewardRequest returns a reward call as it goes to servers. Its route is looked up for each attempt, as the configuration may change.
-func (m *Manager) rewardRequest(reward *batch.RewardCall, route routing.Route, first backend.Server, failures int) *call.Request {
+func (m *Manager) rewardRequest(spec *batch.Job, reward *batch.RewardCall, route routing.Route, first backend.Server, failures int) *call.Request {
 	objective := route.LatencyObjective
 	if objective <= 0 {
 		objective = defaultRewardObjective
@@ -115,6 +119,7 @@
 			now, ok := m.route(reward.Host, reward.Path)
 			return now.Pool(rand.Float64()), ok
 		},
+		Regions: routing.CommonRegions(route.Regions, spec.Regions),
 		Build: func(to *fasthttp.Request, server backend.Server) {
 			platform.BuildRewardRequest(to, reward, platform.Hop{Server: server, Remaining: time.Until(end)})
 		},
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -124,7 +124,7 @@
 
 // startItems starts items as long as servers have free slots.
 func (m *Manager) startItems(ctx context.Context, j *job) {
-	need := backend.Requirements{Pool: j.spec.Pool, Model: j.spec.Model, MinVersion: j.spec.MinVersion, Deferrable: true}
+	need := backend.Requirements{Pool: j.spec.Pool, Model: j.spec.Model, MinVersion: j.spec.MinVersion, Regions: j.spec.Regions, Deferrable: true}
 	for {
 		j.mu.Lock()
 		item, ok := j.progress.Next()
--- a/internal/edge/call/attempt.go
+++ b/internal/edge/call/attempt.go
@@ -84,7 +84,7 @@
 	case ctx.Err() != nil:
 		// The attempt was cancelled or its deadline passed, which says nothing about the server.
 	case attempt.Answer.Status == 0:
-		s.balancer.RecordConnectionFailure(now, id)
+		s.balancer.RecordConnectionFailure(now, id, attempt.Outcome == verdict.NotRun)
 		s.balancer.RecordFailure(now, id)
 	default:
 		s.balancer.RecordFailure(now, id)
--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -22,6 +22,8 @@
 	ID string
 	// Pool returns the pool that currently serves the request; false if no route serves it. It is called for each attempt.
 	Pool func() (string, bool)
+	// Regions are the regions whose servers may run the request; nil allows all.
+	Regions []string
 	// Build fills in the HTTP request for a server. It is never called concurrently.
 	Build func(to *fasthttp.Request, server backend.Server)
 	// Deadline is when the complete answer must have been received.
--- a/internal/edge/call/tries.go
+++ b/internal/edge/call/tries.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
+	"github.com/oleandershelf/oleandershelf/internal/core/readiness"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 )
 
@@ -16,6 +17,10 @@
 	maxNotRunRetries = 3
 	// poolRetryAfter is how long a caller should wait before it retries if a pool has no free slot: some calls have ended by then.
 	poolRetryAfter = 60 * time.Millisecond
+	// evacuationRetryAfter is that wait if all servers are in evacuated availability zones. Nobody says how long an evacuation lasts.
+	evacuationRetryAfter = time.Second
+	// maxColdRetryAfter bounds that wait if all servers are cold: each of them takes some requests in every second.
+	maxColdRetryAfter = time.Second
 )
 
 // retrier makes the attempts of one request.
@@ -88,7 +93,7 @@
 	if !ok {
 		return false
 	}
-	server, ok := r.sender.balancer.Acquire(time.Now(), backend.Requirements{Pool: pool, Exclude: r.tried})
+	server, ok := r.sender.balancer.Acquire(time.Now(), backend.Requirements{Pool: pool, Regions: r.request.Regions, Exclude: r.tried})
 	if !ok {
 		return false
 	}
@@ -152,13 +157,30 @@
 	case !ok:
 		return verdict.Refuse(verdict.NotRun, verdict.ReasonNotFound, poolRetryAfter, "request %s has no route", r.request.ID)
 	case last == nil:
-		return verdict.Refuse(verdict.NotRun, verdict.ReasonNoServer, poolRetryAfter, "pool %s has no server", pool)
+		return r.unavailableRefusal(pool)
 	default:
 		return verdict.Refuse(verdict.NotRun, verdict.ReasonOverloaded, poolRetryAfter,
 			"pool %s has no free place; server %s: %v", pool, last.Server.ID, last.Cause)
 	}
 }
 
+// unavailableRefusal refuses a request because no server of the pool may get it.
+func (r *retrier) unavailableRefusal(pool string) error {
+	why := r.sender.balancer.WhyNone(time.Now(), pool, r.request.Regions)
+	switch why.Reason {
+	case readiness.Evacuated:
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonZoneEvacuated, evacuationRetryAfter,
+			"the availability zones of all servers of pool %s that may run the request are evacuated", pool)
+	case readiness.Cold:
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonServersCold, min(why.ColdFor, maxColdRetryAfter),
+			"the servers of pool %s are cold for another %v", pool, why.ColdFor)
+	case readiness.OutsideRegions:
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonOutsideRegions, 0, "pool %s has no server in the regions %v", pool, r.request.Regions)
+	default:
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonNoServer, poolRetryAfter, "pool %s has no server", pool)
+	}
+}
+
 // deadlineRefusal refuses a request whose deadline passed, or whose caller hung up, before a server answered.
 func (r *retrier) deadlineRefusal(last *Attempt) error {
 	outcome := verdict.NotRun
--- a/internal/edge/gateway/batch.go
+++ b/internal/edge/gateway/batch.go
@@ -37,6 +37,7 @@
 			ItemTimeout:    r.route.ItemTimeout,
 			ResultDeadline: r.route.ResultDeadline,
 			SingleVersion:  r.route.SingleVersion,
+			Regions:        r.regions(),
 		},
 		Submission: submission,
 	}
--- a/internal/edge/gateway/forward.go
+++ b/internal/edge/gateway/forward.go
@@ -51,6 +51,7 @@
 		Build: func(to *fasthttp.Request, server backend.Server) {
 			platform.BuildForwardedRequest(to, from, platform.Hop{Server: server, Organisation: r.organisation.Name, Remaining: time.Until(r.deadline)})
 		},
+		Regions:     r.regions(),
 		Deadline:    r.deadline,
 		Idempotent:  r.route.Kind == routing.KindIdempotent,
 		MaxAttempts: r.route.MaxAttempts,
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -110,9 +110,12 @@
 		c.Set(fiber.HeaderConnection, "close")
 	}
 	r := callerRequest{caller: platform.ReadCallerHeaders(&c.Request().Header), arrived: time.Now()}
-	if r.table = g.deps.View.Snapshot().Table; r.table == nil {
-		return verdict.Refuse(verdict.NotRun, verdict.ReasonIsolated, noConfigurationRetryAfter, "no configuration is known here yet")
+	snapshot := g.deps.View.Snapshot()
+	if !snapshot.Complete() {
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonIsolated, noConfigurationRetryAfter,
+			"the configuration, the servers or the evacuated zones are not known here yet")
 	}
+	r.table = snapshot.Table
 	path := string(c.Request().URI().PathOriginal())
 	if call, ok := platform.ReadBatchCall(c.Method(), path, c.Request().URI().QueryArgs()); ok {
 		return g.handleBatchCall(c, r, call)
@@ -149,6 +152,11 @@
 // defaultTimeout applies if the route has no timeout and the caller doesn't say how long it will wait.
 const defaultTimeout = time.Minute
 
+// regions returns the regions in which the request may run; nil allows all.
+func (r callerRequest) regions() []string {
+	return routing.CommonRegions(r.route.Regions, r.organisation.Regions)
+}
+
 // choosePool returns one of the route's pools, at random by their weights.
 func (r callerRequest) choosePool() string { return r.route.Pool(rand.Float64()) }
 
--- a/internal/edge/leader/weights.go
+++ b/internal/edge/leader/weights.go
@@ -75,7 +75,7 @@
 	running := s.deps.Balancer.TotalRunning()
 	engines := map[string][]weights.Engine{}
 	for _, server := range snapshot.Servers {
-		if len(server.Models) == 0 {
+		if len(server.Models) == 0 || s.deps.Balancer.Evacuated(server.ID) {
 			continue
 		}
 		hold := now.Before(s.retryAt[server.Key()])
--- a/internal/edge/view/contacts.go
+++ b/internal/edge/view/contacts.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// configurationFollowers is the number of entries that watch the configuration in the store; all others receive it from
-	// them. There are two, so that the failure of one delays nobody. Only one entry watches each other kind: those changes may
-	// arrive a second later, and their watches make up most of the store calls.
+	// configurationFollowers is the number of entries that watch the configuration and the evacuations in the store; all others
+	// receive these from them. There are two, so that the failure of one delays nobody. Only one entry watches each other kind:
+	// those changes may arrive a second later, and their watches make up most of the store calls.
 	configurationFollowers = 2
 	otherFollowers         = 1
 	// probeInterval is how often a follower checks that it can reach the store. A probe costs a tenth of a normal call.
--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -200,10 +200,12 @@
 	if _, known := f.view.Collection(kind); !known {
 		return f.shouldReadInitially(now)
 	}
-	if kind == platform.KindConfiguration {
-		return f.contacts.shouldFollow(now, f.position(now), configurationFollowers)
+	wanted := otherFollowers
+	if kind == platform.KindConfiguration || kind == platform.KindEvacuations {
+		wanted = configurationFollowers
 	}
-	return !f.contacts.failing() && f.contacts.shouldFollow(now, f.position(now), otherFollowers)
+	mayTry := kind == platform.KindConfiguration || !f.contacts.failing()
+	return mayTry && f.contacts.shouldFollow(now, f.position(now), wanted)
 }
 
 // shouldReadInitially reports whether an entry that lacks a kind should read it from the store itself.
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -18,7 +18,7 @@
 )
 
 // Kinds are the kinds of objects that every entry keeps up to date.
-var Kinds = []string{platform.KindConfiguration, platform.KindServers, platform.KindModelVersions}
+var Kinds = []string{platform.KindConfiguration, platform.KindEvacuations, platform.KindServers, platform.KindModelVersions}
 
 // Snapshot is the decoded content of the store at one moment. It is immutable.
 type Snapshot struct {
@@ -27,10 +27,16 @@
 	Servers []backend.Server
 	// ServersKnown is set once the server list was received, even if it is empty.
 	ServersKnown bool
+	// Evacuated holds the availability zones that are evacuated as of the store's revision EvacuatedRevision; nil until that is known.
+	Evacuated         map[string]bool
+	EvacuatedRevision uint64
 	// Versions are the newest weight versions by model.
 	Versions map[string]int
 }
 
+// Complete reports whether all is known without which nothing may be sent to a server.
+func (s *Snapshot) Complete() bool { return s.Table != nil && s.ServersKnown && s.Evacuated != nil }
+
 // View holds the newest known state of the store. It is safe for concurrent use.
 type View struct {
 	log     zerolog.Logger
@@ -115,6 +121,8 @@
 		return v.applyConfiguration(next, collection)
 	case platform.KindServers:
 		v.applyServers(next, collection)
+	case platform.KindEvacuations:
+		v.applyEvacuations(next, collection)
 	case platform.KindModelVersions:
 		v.applyVersions(next, collection)
 	}
@@ -143,6 +151,24 @@
 	return true
 }
 
+func (v *View) applyEvacuations(next *Snapshot, collection Collection) {
+	previous := next.Evacuated
+	next.Evacuated = map[string]bool{}
+	next.EvacuatedRevision = collection.Revision
+	for _, object := range collection.Objects {
+		next.Evacuated[object.Name] = true
+		if !previous[object.Name] {
+			v.log.Info().Str("availabilityZone", object.Name).Uint64("revision", uint64(object.Version)).Msg("availability zone evacuated")
+		}
+	}
+	for zone := range previous {
+		if !next.Evacuated[zone] {
+			v.log.Info().Str("availabilityZone", zone).Uint64("revision", collection.Revision).
+				Msg("evacuation ended, servers count as cold")
+		}
+	}
+}
+
 func (v *View) applyServers(next *Snapshot, collection Collection) {
 	before := map[backend.Key]backend.Server{}
 	for _, server := range next.Servers {
@@ -160,8 +186,8 @@
 		next.Servers = append(next.Servers, server)
 		previous, known := before[server.Key()]
 		delete(before, server.Key())
-		if !known || previous.Draining != server.Draining {
-			v.log.Info().Str("server", server.ID).Str("pool", server.Pool).Bool("draining", server.Draining).
+		if !known || previous.Draining != server.Draining || server.ColdLeft > previous.ColdLeft {
+			v.log.Info().Str("server", server.ID).Str("pool", server.Pool).Bool("draining", server.Draining).Dur("coldFor", server.ColdLeft).
 				Stringer("address", server.Address).Uint64("revision", collection.Revision).Msg("server added or changed")
 		}
 	}
@@ -179,6 +205,7 @@
 		if !known || read.version != object.Version {
 			read = decodedServer{version: object.Version}
 			read.server, read.err = platform.ReadServer(object.Name, object.Value)
+			read.server.Revision = uint64(object.Version)
 			if read.err != nil {
 				v.log.Warn().Err(read.err).Uint64("revision", uint64(object.Version)).Msg("invalid server record ignored")
 			}
@@ -209,6 +236,7 @@
 	ConfigurationVersion uint64            `json:"configurationVersion"`
 	ConfigurationSince   time.Time         `json:"configurationSince,omitzero"`
 	Servers              []backend.Server  `json:"servers"`
+	Evacuated            map[string]bool   `json:"evacuated"`
 	Versions             map[string]int    `json:"versions"`
 	Revisions            map[string]uint64 `json:"revisions"`
 }
@@ -216,7 +244,7 @@
 // State returns the state dump, which contains no keys.
 func (v *View) State() any {
 	snapshot := v.Snapshot()
-	state := State{Servers: snapshot.Servers, Versions: snapshot.Versions, Revisions: v.Revisions()}
+	state := State{Servers: snapshot.Servers, Evacuated: snapshot.Evacuated, Versions: snapshot.Versions, Revisions: v.Revisions()}
 	if snapshot.Table != nil {
 		state.ConfigurationVersion = snapshot.Table.Version
 	}
@@ -226,11 +254,11 @@
 	return state
 }
 
-// WaitReady waits until a configuration and a server list are known. It returns false if ctx ended first.
+// WaitReady waits until the snapshot is complete. It returns false if ctx ended first.
 func (v *View) WaitReady(ctx context.Context) bool {
 	for {
 		changed := v.Changed()
-		if snapshot := v.Snapshot(); snapshot.Table != nil && snapshot.ServersKnown {
+		if v.Snapshot().Complete() {
 			return true
 		}
 		select {
--- a/internal/edge/view/view_test.go
+++ b/internal/edge/view/view_test.go
@@ -202,3 +202,35 @@
 		}
 	}
 }
+
+// Guards against an entry that forgets an evacuation, or that sends requests before it knows which zones are evacuated.
+func TestEvacuations(t *testing.T) {
+	v := New(zerolog.Nop())
+	v.ApplyIfNewer(configurationCollection(1, 1))
+	v.ApplyIfNewer(newCollection(platform.KindServers, 1, nil))
+	if v.Snapshot().Complete() {
+		t.Error("complete without evacuations")
+	}
+	for _, step := range []struct {
+		revision uint64
+		zones    []string
+		want     map[string]bool
+	}{
+		{revision: 5, want: map[string]bool{}},
+		{revision: 7, zones: []string{"a", "b"}, want: map[string]bool{"a": true, "b": true}},
+		{revision: 6, want: map[string]bool{"a": true, "b": true}},
+		{revision: 8, zones: []string{"b"}, want: map[string]bool{"b": true}},
+	} {
+		var objects []product.Object
+		for _, zone := range step.zones {
+			objects = append(objects, product.Object{Name: zone, Version: product.Version(step.revision), Value: []byte("{}")})
+		}
+		v.ApplyIfNewer(newCollection(platform.KindEvacuations, step.revision, objects))
+		if diff := cmp.Diff(step.want, v.Snapshot().Evacuated); diff != "" {
+			t.Errorf("revision %d (-want +got):\n%s", step.revision, diff)
+		}
+	}
+	if !v.Snapshot().Complete() {
+		t.Error("incomplete although all is known")
+	}
+}
--- a/internal/program/process/freshness_test.go
+++ b/internal/program/process/freshness_test.go
@@ -55,7 +55,7 @@
 		t.Fatal(err)
 	}
 	eventually(t, "the log contains a warning", func() bool { return log.contains("isolated: all requests are refused") })
-	if status, body := readiness(t, set.AdminListen.String()); status != http.StatusServiceUnavailable || !strings.Contains(body, "isolated") {
+	if status, body := readyStatus(t, set.AdminListen.String()); status != http.StatusServiceUnavailable || !strings.Contains(body, "isolated") {
 		t.Errorf("readiness of the isolated entry: status %d, body %s", status, body)
 	}
 	if err := isolated.Drain(ctx); err != nil {
@@ -79,13 +79,13 @@
 	}
 	defer entry.Close()
 	eventually(t, "the entry is ready", func() bool {
-		status, _ := readiness(t, set.AdminListen.String())
+		status, _ := readyStatus(t, set.AdminListen.String())
 		return status == http.StatusOK
 	})
 	eventually(t, "the log contains the confirmation", func() bool { return log.contains("configuration confirmed") })
 }
 
-func readiness(t *testing.T, address string) (int, string) {
+func readyStatus(t *testing.T, address string) (int, string) {
 	t.Helper()
 	response, err := http.Get("http://" + address + "/readyz")
 	if err != nil {
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -126,9 +126,10 @@
 	metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	options = append(options, peer.WithHeartbeat(peerHeartbeatInterval, peerTimeout))
 	g.client = peer.NewClient(ctx, []byte(g.set.PeerSecret), options...)
-	g.balancer = backend.NewBalancer(g.set.HostID, g.set.AvailabilityZone)
+	g.balancer = backend.NewBalancer(g.set.HostID, g.set.AvailabilityZone, backend.WithRegions(g.set.Regions))
+	metrics.MustRegister(denialCollector{balancer: g.balancer})
 	g.ledger = usage.NewLedger()
-	g.view = view.New(g.log, func(s *view.Snapshot) { g.balancer.Sync(s.Servers) })
+	g.view = view.New(g.log, g.updateBalancer)
 	g.heartbeats = newGossipHandler(g, incarnation)
 	self := gossip.Member{
 		HostID:           g.set.HostID,
@@ -155,17 +156,19 @@
 		Members:  members,
 		Outage:   g.follower.Outage,
 		Demand:   g.demand,
+		Region:   g.region,
 		Metrics:  batchjob.NewMetrics(metrics),
 		Log:      g.log,
 	}, g.registry)
 	g.gossip = gossip.New(ctx, self, g.client, g.registry, g.heartbeats, g.log)
-	relay.set(store.NewRelay(g.client, g.gossip, g.follower.ReachesStore))
+	relay.set(store.NewRelay(g.client, sameRegion{members: g.gossip, region: g.region, self: self}, g.follower.ReachesStore))
 	members.set(g.gossip)
 	g.gossip.Meet(g.set.Seeds...)
 	if err := g.serve(ctx, metrics); err != nil {
 		return err
 	}
 	g.work.Go(func() { g.register(ctx, self) })
+	g.work.Go(func() { g.updateEntries(ctx, time.Now()) })
 	g.startDuties(ctx, self, store.NewHTTPTransport(reportsAddress, platformCalls), serverCalls)
 	g.work.Go(func() {
 		if g.view.WaitReady(ctx) {
--- a/internal/program/process/gateway_harness_test.go
+++ b/internal/program/process/gateway_harness_test.go
@@ -82,6 +82,11 @@
 func (d *deployment) start(hostID string) *testGateway {
 	d.t.Helper()
 	endpoint := d.store.NewEndpoint(d.t)
+	return d.startWith(d.settings(hostID, endpoint), endpoint)
+}
+
+// settings returns the settings of a gateway that reaches the store through the endpoint and has the first gateway as its seed.
+func (d *deployment) settings(hostID string, endpoint *platformtest.Endpoint) settings.Settings {
 	set := settings.Settings{
 		Listen: platformtest.UnusedAddress(), PeerListen: platformtest.UnusedAddress(), AdminListen: platformtest.UnusedAddress(),
 		AvailabilityZone: "north-a", HostID: hostID, PlatformURL: endpoint.URL(), ReportsURL: d.usageReceiver.URL(),
@@ -91,7 +96,7 @@
 	if len(d.gateways) > 0 {
 		set.Seeds = []netip.AddrPort{d.gateways[0].set.PeerListen}
 	}
-	return d.startWith(set, endpoint)
+	return set
 }
 
 func (d *deployment) startWith(set settings.Settings, endpoint *platformtest.Endpoint) *testGateway {
--- a/internal/program/process/news_test.go
+++ b/internal/program/process/news_test.go
@@ -14,7 +14,7 @@
 
 func newTestHandler(incarnation uint64) *gossipHandler {
 	balancer := backend.NewBalancer("self", "north-a")
-	balancer.Sync([]backend.Server{{ID: "e1", Pool: "engines"}, {ID: "e2", Pool: "engines"}})
+	balancer.Sync(time.Now(), []backend.Server{{ID: "e1", Pool: "engines"}, {ID: "e2", Pool: "engines"}})
 	h := newGossipHandler(&Gateway{
 		ledger:   usage.NewLedger(),
 		balancer: balancer,
--- a/internal/program/settings/field.go
+++ b/internal/program/settings/field.go
@@ -59,11 +59,12 @@
 	"reportsUrl":         {wantURL, textSetter(validURL, func(s *Settings) *string { return &s.ReportsURL })},
 	"seeds":              {`a list of addresses with ports`, setSeeds},
 	"processorCores":     {`a number of cores from 0.01 to 1024, such as 0.5`, setProcessorCores},
+	"regions":            {`an object that maps availability zones to regions, such as {"om-north-a": "om-north"}`, setRegions},
 	"bodyLimitBytes":     {`a whole number of bytes from 1024 to 1073741824`, setBodyLimit},
 }
 
 // gatewayFields apply to gateways only.
-var gatewayFields = []string{"peerAdvertise", "processorCores", "reportsUrl", "seeds"}
+var gatewayFields = []string{"peerAdvertise", "processorCores", "regions", "reportsUrl", "seeds"}
 
 // knownFields returns the names of all fields, sorted. Fields for gateways only are left out for other roles.
 func knownFields(role Role) []string {
@@ -224,6 +225,20 @@
 	return file.Close() == nil
 }
 
+func setRegions(s *Settings, raw json.RawMessage) error {
+	regions, err := decode[map[string]string](raw)
+	if err != nil {
+		return err
+	}
+	for zone, region := range regions {
+		if !validName(zone) || !validName(region) {
+			return errInvalidValue
+		}
+	}
+	s.Regions = regions
+	return nil
+}
+
 func setSeeds(s *Settings, raw json.RawMessage) error {
 	seeds, err := decode[[]netip.AddrPort](raw)
 	if err != nil {
--- a/internal/program/settings/settings.go
+++ b/internal/program/settings/settings.go
@@ -76,6 +76,8 @@
 	ReportsURL string
 	// Seeds are addresses at which to look for other entries (gateway only).
 	Seeds []netip.AddrPort
+	// Regions is the region of each availability zone, for requests that are restricted to regions (gateway only).
+	Regions map[string]string
 }
 
 // PeerAddress returns the address at which the other entries reach this one.
@@ -121,10 +123,10 @@
 	switch role {
 	case RoleEntry:
 		required = append(required, "listen")
-		doc.rejectForRole(role, "pool", "serverUrl", "weightSpread", "reportsUrl", "seeds")
+		doc.rejectForRole(role, "pool", "serverUrl", "weightSpread", "regions", "reportsUrl", "seeds")
 	case RoleAgent:
 		required = append(required, "pool", "serverUrl")
-		doc.rejectForRole(role, "listen", "operatorKeyHashes", "bodyLimitBytes", "reportsUrl", "seeds")
+		doc.rejectForRole(role, "listen", "operatorKeyHashes", "bodyLimitBytes", "regions", "reportsUrl", "seeds")
 	case RoleGateway:
 		required = append(required, "listen", "reportsUrl")
 		doc.rejectForRole(role, "pool", "serverUrl", "weightSpread", "operatorKeyHashes", "dataFolder")
