--- a/internal/program/process/gateway_readiness_test.go
+++ b/internal/program/process/gateway_readiness_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/batch"
 	"github.com/oleandershelf/oleandershelf/internal/edge/batchjob"
 	"github.com/oleandershelf/oleandershelf/platform/platformtest"
 )
@@ -169,15 +170,27 @@
 	}
 }
 
-// Guards against requests, items and the bodies of jobs outside the regions to which a route is restricted.
-func TestRequestsStayInTheirRegions(t *testing.T) {
+// newTwoRegions starts four entries of which only the first one is in the region "home", together with the first server of each pool. All routes
+// are restricted to that region, but for one to a region without servers. The entry that would run the model's jobs without the restriction
+// is abroad.
+func newTwoRegions(t *testing.T) *deployment {
+	t.Helper()
 	d := newTwoZones(t, 0)
-	regions := map[string]string{"north-a": "home", "north-b": "abroad"}
-	for i, zone := range []string{"north-a", "north-b", "north-b", "north-b"} {
+	hosts := []string{"entry-0", "entry-1", "entry-2", "entry-3"}
+	var runners []batch.Runner
+	for _, host := range hosts {
+		runners = append(runners, batch.Runner{HostID: host})
+	}
+	if preferred, _ := batch.PreferredRunner("", "m", batch.Demand{}, runners); preferred == hosts[0] {
+		hosts[0], hosts[1] = hosts[1], hosts[0]
+	}
+	for i, host := range hosts {
 		endpoint := d.store.NewEndpoint(t)
-		set := d.settings(fmt.Sprintf("entry-%d", i), endpoint)
-		set.AvailabilityZone = zone
-		set.Regions = regions
+		set := d.settings(host, endpoint)
+		set.Regions = map[string]string{"north-a": "home", "north-b": "abroad"}
+		if i > 0 {
+			set.AvailabilityZone = "north-b"
+		}
 		d.startWith(set, endpoint)
 	}
 	d.version++
@@ -186,27 +199,40 @@
 		{Name: "nowhere", Kind: platformtest.Idempotent, Pool: "desk", Timeout: 3 * time.Second, Regions: []string{"elsewhere"}},
 		{Name: "job", Kind: platformtest.BatchJobs, Pool: "engines", Timeout: 10 * time.Second, Regions: []string{"home"}},
 	}, map[string][]string{"north": {keyNorth}, "south": {keySouth}})
-	d.eventually("the configuration is in force", func() bool {
-		return !slices.ContainsFunc(d.gateways, func(g *testGateway) bool { return g.view.Snapshot().Table.Version < uint64(d.version) })
+	d.eventually("the configuration is in force and all entries know each other", func() bool {
+		return !slices.ContainsFunc(d.gateways, func(g *testGateway) bool {
+			return g.view.Snapshot().Table.Version < uint64(d.version) || len(g.gossip.Alive(time.Now())) < len(d.gateways)-1
+		})
 	})
-	if got := d.call(d.gateways[1], http.MethodPost, "/nowhere/x", keyNorth, "c", "q"); got.status != http.StatusServiceUnavailable ||
-		got.header.Get("Retry-After") != "" {
+	return d
+}
+
+// Guards against calls that reach servers outside the regions to which their route is restricted.
+func TestCallsStayInTheirRegions(t *testing.T) {
+	d := newTwoRegions(t)
+	got := d.call(d.gateways[1], http.MethodPost, "/nowhere/x", keyNorth, "c", "q")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") != "" {
 		t.Errorf("route without a server in its regions: status %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
 	}
 	if served := d.callEverywhere(time.Now().Add(time.Second), d.gateways...); served == 0 {
 		t.Error("no call was served")
 	}
-	for i := range 6 {
-		id := fmt.Sprintf("j%d", i)
-		d.submit(d.gateways[0], id, submission(4, 4, 1))
-		d.readAll(d.gateways[0], id, 8)
+	if got := len(d.services[1].Requests()); got > 0 {
+		t.Errorf("%d calls reached the server abroad", got)
 	}
+}
+
+// Guards against jobs that run outside the regions to which their route is restricted, and against their bodies there.
+func TestJobsStayInTheirRegions(t *testing.T) {
+	d := newTwoRegions(t)
+	d.submit(d.gateways[0], "j1", submission(8, 8, 1))
+	d.readAll(d.gateways[0], "j1", 16)
 	for _, abroad := range d.gateways[1:] {
 		if kept, ok := abroad.jobs.State().([]batchjob.JobState); !ok || len(kept) > 0 {
-			t.Errorf("jobs in the memory of an entry abroad: %v", kept)
+			t.Errorf("jobs in the memory of %s: %v", abroad.set.HostID, kept)
 		}
 	}
-	if got := len(d.services[1].Requests()) + len(d.engines[1].Requests()); got > 0 {
-		t.Errorf("%d requests reached servers abroad", got)
+	if got := len(d.engines[1].Requests()); got > 0 {
+		t.Errorf("%d items reached the engine abroad", got)
 	}
 }
