Keep servers whose registrations expire in an outage of the store

When it returned, each of 23 entries dropped 36 of 43 servers within 0.4 s and had them back two seconds later, while the steps that had waited for the store began. The users' page says that only a server still missing after about two seconds is gone.

Change: servers that vanish within 2.2 s of an outage count as registered until then.

--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -136,12 +136,13 @@
 // MergeContacts adds the contacts that another entry sent, as ages in milliseconds.
 func (f *Follower) MergeContacts(now time.Time, ages map[string]int64) { f.contacts.merge(now, ages) }
 
-// probe checks regularly that this entry reaches the store while it follows it. A watch on a connection that a network
+// probe checks regularly whether the store is down, and that this entry reaches the store while it follows it. A watch on a connection that a network
 // partition cut stays silent for seconds, and all entries that rely on it would keep an old configuration meanwhile.
 func (f *Follower) probe(ctx context.Context) {
 	followed, knownFailures := false, 0
 	for ticker.Sleep(ctx, probeInterval) {
 		now := time.Now()
+		f.view.UpdateOutage(now, f.contacts.outage(now))
 		following := f.contacts.shouldFollow(now, f.position(now), configurationFollowers)
 		if following && f.contacts.sinceLastContact(now) >= probeInterval {
 			f.probeOnce(ctx)
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -49,6 +49,8 @@
 	onChange    []func(*Snapshot)
 	// decoded are the decoded server records by object name.
 	decoded map[string]decodedServer
+	// registrations decides which servers count as registered.
+	registrations backend.Registrations
 }
 
 // decodedServer is a decoded server record, or the error of decoding it.
@@ -106,13 +108,33 @@
 		return false
 	}
 	v.collections[collection.Kind] = collection
-	v.current.Store(&next)
+	v.publish(&next)
+	return true
+}
+
+// publish replaces the snapshot. The caller holds the lock.
+func (v *View) publish(next *Snapshot) {
+	v.current.Store(next)
 	for _, notify := range v.onChange {
-		notify(&next)
+		notify(next)
 	}
 	close(v.changed)
 	v.changed = make(chan struct{})
-	return true
+}
+
+// UpdateOutage records whether the store is down now, and drops the servers that have not registered again since an outage.
+func (v *View) UpdateOutage(now time.Time, down bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if down {
+		v.registrations.StoreIsDown(now)
+	}
+	if !v.registrations.Expire(now) {
+		return
+	}
+	next := *v.current.Load()
+	v.replaceServers(&next, v.collections[platform.KindServers].Revision)
+	v.publish(&next)
 }
 
 func (v *View) apply(next *Snapshot, collection Collection) bool {
@@ -170,29 +192,38 @@
 }
 
 func (v *View) applyServers(next *Snapshot, collection Collection) {
+	v.decodeServers(collection)
+	var listed []backend.Server
+	for _, object := range collection.Objects {
+		if read := v.decoded[object.Name]; read.err == nil {
+			listed = append(listed, read.server)
+		}
+	}
+	v.registrations.Replace(time.Now(), listed)
+	next.ServersKnown = true
+	v.replaceServers(next, collection.Revision)
+	if lapsed := v.registrations.Lapsed(); lapsed > 0 {
+		v.log.Info().Int("servers", lapsed).Uint64("revision", collection.Revision).Msg("expired registrations kept after an outage of the store")
+	}
+}
+
+// replaceServers replaces the servers of the snapshot by those that count as registered, and logs what changed.
+func (v *View) replaceServers(next *Snapshot, revision uint64) {
 	before := map[backend.Key]backend.Server{}
 	for _, server := range next.Servers {
 		before[server.Key()] = server
 	}
-	next.Servers = nil
-	next.ServersKnown = true
-	v.decodeServers(collection)
-	for _, object := range collection.Objects {
-		read := v.decoded[object.Name]
-		if read.err != nil {
-			continue
-		}
-		server := read.server
-		next.Servers = append(next.Servers, server)
+	next.Servers = v.registrations.Servers()
+	for _, server := range next.Servers {
 		previous, known := before[server.Key()]
 		delete(before, server.Key())
 		if !known || previous.Draining != server.Draining || server.ColdLeft > previous.ColdLeft {
 			v.log.Info().Str("server", server.ID).Str("pool", server.Pool).Bool("draining", server.Draining).Dur("coldFor", server.ColdLeft).
-				Stringer("address", server.Address).Uint64("revision", collection.Revision).Msg("server added or changed")
+				Stringer("address", server.Address).Uint64("revision", revision).Msg("server added or changed")
 		}
 	}
 	for _, removed := range before {
-		v.log.Info().Str("server", removed.ID).Str("pool", removed.Pool).Uint64("revision", collection.Revision).Msg("server removed")
+		v.log.Info().Str("server", removed.ID).Str("pool", removed.Pool).Uint64("revision", revision).Msg("server removed")
 	}
 }
 
