--- a/internal/core/batch/progress.go
+++ b/internal/core/batch/progress.go
@@ -376,6 +376,30 @@
 	return page, true
 }
 
+// Refresh returns the page to write instead of one whose write failed: the same one, or if there are further results or checkpoints, a new one
+// that contains these too.
+//
+// While the store is down, all further items of a step finish. Without the refresh the first page that is written after the outage has what
+// was finished before it, and the step becomes complete with the next page, often too late. The former page may have been written after
+// all; the new one then meets a conflict, and the rest follows as after a page of another process.
+func (p *Progress) Refresh(now time.Time, failed Page) Page {
+	if p.ended {
+		return failed
+	}
+	fresh, ok := p.buildPage(now)
+	if !ok || len(fresh.Results) <= len(failed.Results) && len(fresh.Partials) == 0 {
+		return failed
+	}
+	for _, partial := range failed.Partials {
+		state, known := p.items[partial.Item]
+		newer := slices.ContainsFunc(fresh.Partials, func(other Partial) bool { return other.Item == partial.Item })
+		if known && state.unfinished() && !newer {
+			fresh.Partials = append(fresh.Partials, partial)
+		}
+	}
+	return fresh
+}
+
 // pageRank puts results of complete groups before those of incomplete ones.
 func pageRank(state *itemState) int {
 	if state.group.complete() {
--- a/internal/core/batch/progress_test.go
+++ b/internal/core/batch/progress_test.go
@@ -234,3 +234,66 @@
 		})
 	}
 }
+
+// Guards against results that wait for a second page after an outage of the store: items finish while the write of a page fails.
+func TestRefreshAddsLaterResults(t *testing.T) {
+	p := NewProgress(newTestJob(3, 3), 1)
+	finishItem(t, p, start, "0a")
+	finishItem(t, p, start, "0b")
+	failed, _ := p.NextPage(start)
+	if diff := cmp.Diff(failed, p.Refresh(start, failed)); diff != "" {
+		t.Errorf("the page changed without a further result:\n%s", diff)
+	}
+	for _, id := range []string{"1a", "1b", "2a", "2b"} {
+		finishItem(t, p, start.Add(time.Second), id)
+	}
+	fresh := p.Refresh(start.Add(2*time.Second), failed)
+	if diff := cmp.Diff([]string{"0a", "0b", "1a", "1b", "2a", "2b"}, itemIDs(fresh.Results)); diff != "" {
+		t.Error(diff)
+	}
+	if fresh.SameWrite(failed) {
+		t.Error("the new page counts as the same write as the former one")
+	}
+	p.ConfirmPage(start.Add(2*time.Second), fresh)
+	if !p.Complete() {
+		t.Error("results are missing")
+	}
+}
+
+// Guards against results that are listed twice or never: the write of the former page had no answer, but took effect.
+func TestRefreshedPageMeetsItsFormerOne(t *testing.T) {
+	p := NewProgress(newTestJob(2, 2), 1)
+	finishItem(t, p, start, "0a")
+	finishItem(t, p, start, "0b")
+	failed, _ := p.NextPage(start)
+	finishItem(t, p, start, "1a")
+	finishItem(t, p, start, "1b")
+	p.Refresh(start, failed)
+	p.ApplyConflictingPage(failed)
+	rest, ok := p.NextPage(start.Add(time.Second))
+	if diff := cmp.Diff([]string{"1a", "1b"}, itemIDs(rest.Results)); diff != "" || !ok {
+		t.Errorf("%v %s", ok, diff)
+	}
+	p.ConfirmPage(start.Add(time.Second), rest)
+	if diff := cmp.Diff([]string{"0a", "0b", "1a", "1b"}, itemIDs(p.Results(0, 1<<20))); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against checkpoints that are lost with the page that could not be written.
+func TestRefreshKeepsCheckpoints(t *testing.T) {
+	p := NewProgress(newTestJob(2, 2), 1)
+	output := p.Start("0a")
+	for number := 1; number <= minCheckpointEvents; number++ {
+		output.Append(Event{Number: number, Data: "x"}, 1)
+	}
+	failed, ok := p.NextPage(start.Add(checkpointInterval))
+	if !ok || len(failed.Partials) != 1 {
+		t.Fatalf("page without a checkpoint: %+v", failed)
+	}
+	finishItem(t, p, start, "1a")
+	fresh := p.Refresh(start.Add(time.Second), failed)
+	if len(fresh.Results) != 1 || len(fresh.Partials) != 1 || fresh.Partials[0].Item != "0a" {
+		t.Errorf("refreshed page: %+v", fresh)
+	}
+}
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -143,24 +143,32 @@
 	}
 }
 
-// writePage retries the write of a page until the store holds a page under its number, this one or another process's. It returns false if the job
-// stops first or the page can't be encoded.
+// writePage retries the write of a page, with the results that come meanwhile, until the store holds a page under its number, this one or
+// another process's. It returns false if the job stops first or the page can't be encoded.
 func (m *Manager) writePage(ctx context.Context, j *job, page batch.Page) bool {
-	value, err := json.Marshal(page)
-	if err != nil {
-		m.log.Error().Err(err).Str("request", j.spec.ID).Msg("page can't be encoded")
-		return false
-	}
 	for {
+		value, err := json.Marshal(page)
+		if err != nil {
+			m.log.Error().Err(err).Str("request", j.spec.ID).Msg("page can't be encoded")
+			return false
+		}
 		if m.tryWritePage(ctx, j, page, value) {
 			return true
 		}
 		if !ticker.Sleep(ctx, writeRetryDelay) {
 			return false
 		}
+		page = j.refreshPage(time.Now(), page)
 	}
 }
 
+// refreshPage returns the page to write instead of one whose write failed.
+func (j *job) refreshPage(now time.Time, failed batch.Page) batch.Page {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.progress.Refresh(now, failed)
+}
+
 // tryWritePage creates the page under the next number. A page that exists there is either this one, whose answer was lost, or one of
 // another process, which takes precedence.
 func (m *Manager) tryWritePage(ctx context.Context, j *job, page batch.Page, value json.RawMessage) bool {
