Let the soak evacuate zones and make servers cold

Each service and engine stands in a zone of its own; zones are evacuated, and servers say that they are cold. Checked: no request reaches a server of a zone 3 s after its evacuation, and a server that was registered as cold 1.5 s before gets no more requests in a second than it bears, while each process can learn of changes.

--- a/internal/program/soak/check.go
+++ b/internal/program/soak/check.go
@@ -147,6 +147,7 @@
 		l.checkJob(j, runs)
 	}
 	l.checkReports()
+	l.checkZones()
 	for _, g := range []guarantee{guaranteeComplete, guaranteeItem, guaranteeScore, guaranteeReport} {
 		l.checker.check(guaranteeRecovery, l.checker.checked(g) > 0, "never checked: %s", g)
 	}
--- a/internal/program/soak/promise.go
+++ b/internal/program/soak/promise.go
@@ -25,6 +25,8 @@
 	guaranteeBody          guarantee = "the body of an item that is not listed yet can be read"
 	guaranteeItem          guarantee = "each item is listed once, complete, from allowed model versions"
 	guaranteeScore         guarantee = "a score is the signature on the item's reward call, made after its text was complete"
+	guaranteeEvacuation    guarantee = "no request reaches a server of an evacuated availability zone"
+	guaranteeCold          guarantee = "a cold server gets no more requests in a second than it bears"
 	guaranteeEnd           guarantee = "no item or reward call of a job starts after the job has ended"
 	guaranteeReport        guarantee = "a usage window is always reported with the same counts"
 	guaranteeFencing       guarantee = "fencing numbers never decrease"
--- a/internal/program/soak/schedule.go
+++ b/internal/program/soak/schedule.go
@@ -34,13 +34,16 @@
 	// The operator withdraws a key, or a trainer announces a model version.
 	disturbanceKeyRotation  disturbanceKind = "key"
 	disturbanceModelVersion disturbanceKind = "version"
+	// The operator evacuates the availability zone of a server, or a server is cold.
+	disturbanceEvacuation disturbanceKind = "evacuate"
+	disturbanceServerCold disturbanceKind = "cold"
 )
 
 var disturbanceKinds = []disturbanceKind{
 	disturbanceKill, disturbancePause, disturbanceTerminate, disturbanceReload, disturbanceStoreReject, disturbanceStoreHang,
 	disturbanceStoreOutage, disturbanceStoreLoseAnswers, disturbanceStoreCompact, disturbanceLinkDelay, disturbanceLinkReset,
 	disturbanceLinkOneWay, disturbanceLinkBlocked, disturbanceServerFault, disturbanceServerDrain, disturbanceKeyRotation,
-	disturbanceModelVersion,
+	disturbanceModelVersion, disturbanceEvacuation, disturbanceServerCold,
 }
 
 // disturbance is a scheduled disturbance.
@@ -87,7 +90,9 @@
 		return "the store"
 	case disturbanceKeyRotation, disturbanceModelVersion:
 		return "the configuration"
-	case disturbanceServerFault, disturbanceServerDrain:
+	case disturbanceEvacuation:
+		return zoneName(d.target % serversPerPool)
+	case disturbanceServerFault, disturbanceServerDrain, disturbanceServerCold:
 		if n := d.target % (serversPerPool + serversPerPool); n >= serversPerPool {
 			return engineName(n - serversPerPool)
 		}
--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -46,7 +46,15 @@
 	{Seed: 421, Length: 10 * time.Second, kinds: kindsWithLinks},
 }
 
+// zonePlan disturbs the availability zones and the servers only. Among all kinds of disturbances, cold servers are rare, and most of them can't
+// be checked because a process may not know of them.
+var zonePlan = Plan{Seed: 1, Length: 8 * time.Second, kinds: []disturbanceKind{disturbanceEvacuation, disturbanceServerCold, disturbanceServerDrain}}
+
 func TestSoak(t *testing.T) {
+	t.Run("zones", func(t *testing.T) {
+		t.Parallel()
+		runPlan(t, zonePlan)
+	})
 	for _, p := range regressionPlans {
 		t.Run(fmt.Sprintf("kept-%d", p.Seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/program/soak/trouble.go
+++ b/internal/program/soak/trouble.go
@@ -83,10 +83,12 @@
 func (env *environment) disturbPlatform(d disturbance) {
 	switch d.kind {
 	case disturbanceStoreOutage:
+		defer env.beginStoreTrouble()()
 		env.store.SetFault(func(string, string) platformtest.Fault { return platformtest.Refuse })
 		ticker.Sleep(env.ctx, d.duration)
 		env.store.SetFault(nil)
 	case disturbanceStoreLoseAnswers:
+		defer env.beginStoreTrouble()()
 		calls := 0
 		env.store.SetFault(func(method, _ string) platformtest.Fault {
 			calls++
@@ -106,6 +108,10 @@
 		env.store.Register(server, true)
 		ticker.Sleep(env.ctx, d.duration)
 		env.store.Register(server, false)
+	case disturbanceEvacuation:
+		env.evacuate(zoneName(d.target%serversPerPool), d.duration+evacuationGrace)
+	case disturbanceServerCold:
+		env.makeCold(env.allServers()[d.target%len(env.allServers())], d.duration+coldGrace)
 	case disturbanceKeyRotation:
 		env.rotateKey()
 	case disturbanceModelVersion:
@@ -189,6 +195,7 @@
 // restore ends all disturbances and waits until all processes are ready.
 func (env *environment) restore() {
 	env.store.SetFault(nil)
+	env.endEvacuations()
 	for _, server := range env.allServers() {
 		env.setDefaultBehaviour(server)
 		env.store.Register(server, false)
--- a/internal/program/soak/world.go
+++ b/internal/program/soak/world.go
@@ -37,6 +37,9 @@
 func serviceName(n int) string { return fmt.Sprintf("desk-%d", n) }
 func engineName(n int) string  { return fmt.Sprintf("engine-%d", n) }
 
+// zoneName returns the availability zone of the n-th service and of the n-th engine.
+func zoneName(n int) string { return fmt.Sprintf("north-%c", 'a'+n) }
+
 // environment holds the platform stand-ins, the servers, and the gateway processes under test.
 type environment struct {
 	ctx           context.Context
@@ -53,6 +56,11 @@
 	// key is the current API key of the organisation. withdrawnKeys holds the former ones with the time of their withdrawal.
 	key           string
 	withdrawnKeys map[string]time.Time
+	// evacuations are the past and running evacuations, and coldTimes the times in which servers were cold.
+	evacuations []*evacuation
+	coldTimes   []coldTime
+	// storeTroubles are the past times in which the store served no process, or lost answers.
+	storeTroubles []interval
 	// isolations are the past times during which a process may have missed messages from the other processes or the store.
 	isolations []interval
 }
@@ -67,6 +75,7 @@
 		env.services = append(env.services, platformtest.NewServer(c, serviceName(i), "desk", nil))
 		env.engines = append(env.engines, platformtest.NewServer(c, engineName(i), "engines", map[string]int{model: 1}))
 		env.engines[i].SetStream(itemEvents, eventPause)
+		env.services[i].Zone, env.engines[i].Zone = zoneName(i), zoneName(i)
 	}
 	env.rotateKey()
 	for _, server := range env.allServers() {
@@ -106,9 +115,9 @@
 	former := env.key
 	env.key = fmt.Sprintf("key-%d", env.configurationVersion)
 	env.store.Configure(env.configurationVersion, hostName, model, []platformtest.Route{
-		{Name: "safe", Kind: platformtest.Idempotent, Pool: "desk", Timeout: routeTimeout},
-		{Name: "once", Kind: platformtest.Once, Pool: "desk", Timeout: routeTimeout},
-		{Name: "job", Kind: platformtest.BatchJobs, Pool: "engines", Timeout: routeTimeout},
+		{Name: "safe", Kind: platformtest.Idempotent, Pool: "desk", Timeout: routeTimeout, ColdPerSecond: coldPerSecond, ColdTime: coldDuration},
+		{Name: "once", Kind: platformtest.Once, Pool: "desk", Timeout: routeTimeout, ColdPerSecond: coldPerSecond, ColdTime: coldDuration},
+		{Name: "job", Kind: platformtest.BatchJobs, Pool: "engines", Timeout: routeTimeout, ColdPerSecond: coldPerSecond, ColdTime: coldDuration},
 	}, map[string][]string{organisation: {env.key}})
 	if former != "" {
 		env.withdrawnKeys[former] = time.Now()
