--- a/internal/core/backend/choose.go
+++ b/internal/core/backend/choose.go
@@ -64,7 +64,7 @@
 	if need.Model != "" && state.weightVersion(need.Model) < need.MinVersion {
 		return false
 	}
-	return b.allows(b.guard.CheckFixed(state.readiness, need.Regions))
+	return b.allows(b.guard.CheckLocation(state.readiness, need.Regions))
 }
 
 // isAvailable reports whether the request may be sent to the server now. Only work that can wait is held back, except from cold servers.
@@ -95,13 +95,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	state, ok := b.servers[id]
-	return ok && b.guard.CheckFixed(state.readiness, nil) == readiness.Evacuated
+	return ok && b.guard.CheckLocation(state.readiness, nil) == readiness.Evacuated
 }
 
 // Unavailability says why no server of a pool may get a request now.
 type Unavailability struct {
-	// Reason is Cold if a server only has to warm up, else Evacuated if a zone's evacuation has to end; Allowed if the pool has no server, or
-	// one that may get the request.
+	// Reason is what keeps the request from the servers that are closest to taking it: Cold before Evacuated before OutsideRegions. It is
+	// Allowed if the pool has no server, or one that may get the request.
 	Reason readiness.Denial
 	// ColdFor is the shortest time for which one of the pool's servers stays cold, if that is the reason.
 	ColdFor time.Duration
@@ -117,7 +117,7 @@
 		if state.server.Draining {
 			continue
 		}
-		denial := b.guard.CheckFixed(state.readiness, regions)
+		denial := b.guard.CheckLocation(state.readiness, regions)
 		if denial == readiness.Allowed {
 			denial = b.guard.CheckCold(now, state.readiness)
 		}
--- a/internal/core/readiness/guard.go
+++ b/internal/core/readiness/guard.go
@@ -64,7 +64,7 @@
 	// regions maps availability zones to regions.
 	regions    map[string]string
 	conditions Conditions
-	// ended holds the evacuations whose end was seen, by availability zone.
+	// ended holds the end of the last evacuation of each availability zone that had one.
 	ended   map[string]evacuationEnd
 	servers map[string]*Server
 }
@@ -131,9 +131,9 @@
 	g.entries.update(now, alive, runners)
 }
 
-// CheckFixed returns why a request that is restricted to the regions may not be sent to the server at all. A nil list of regions allows
-// every region.
-func (g *Guard) CheckFixed(s *Server, regions []string) Denial {
+// CheckLocation returns Evacuated or OutsideRegions if a request that is restricted to the regions may not be sent to where the server is. A
+// nil list of regions allows every region.
+func (g *Guard) CheckLocation(s *Server, regions []string) Denial {
 	switch {
 	case g.conditions.Evacuated[s.record.AvailabilityZone]:
 		return Evacuated
@@ -160,8 +160,8 @@
 	}
 }
 
-// Failed records that a connection to the server could not be opened, or broke. A server that can't be reached, or that fails twice in a
-// row, may have restarted under its ID, and counts as cold until its record could show that.
+// Failed records that a connection to the server broke or, if unreachable is set, could not be opened. A server that can't be reached, or that
+// fails twice in a row, may have restarted under its ID, and counts as cold for as long as a server stays cold after a start.
 func (g *Guard) Failed(now time.Time, s *Server, unreachable bool) {
 	s.failures++
 	if unreachable || s.failures >= failuresOfARestart {
--- a/internal/core/readiness/guard_test.go
+++ b/internal/core/readiness/guard_test.go
@@ -35,7 +35,7 @@
 func sendAll(g *Guard, now time.Time, id string) int {
 	server := g.Server(id)
 	for count := 0; ; count++ {
-		if count == 1000 || g.CheckFixed(server, nil) != Allowed || g.CheckCold(now, server) != Allowed {
+		if count == 1000 || g.CheckLocation(server, nil) != Allowed || g.CheckCold(now, server) != Allowed {
 			return count
 		}
 		g.Sent(now, server)
@@ -45,14 +45,14 @@
 func TestEvacuatedZoneGetsNothing(t *testing.T) {
 	g := newTestGuard(record("x", "a", 1, 0), record("y", "b", 1, 0))
 	g.SetConditions(start, conditions(2, "a"))
-	if got := g.CheckFixed(g.Server("x"), nil); got != Evacuated {
+	if got := g.CheckLocation(g.Server("x"), nil); got != Evacuated {
 		t.Errorf("server of the evacuated zone: %v", got)
 	}
-	if got := g.CheckFixed(g.Server("y"), nil); got != Allowed {
+	if got := g.CheckLocation(g.Server("y"), nil); got != Allowed {
 		t.Errorf("server of another zone: %v", got)
 	}
 	g.SetServers(start, []Record{record("x", "a", 3, 0), record("z", "a", 3, 0)})
-	if got := g.CheckFixed(g.Server("z"), nil); got != Evacuated {
+	if got := g.CheckLocation(g.Server("z"), nil); got != Evacuated {
 		t.Errorf("server that started in the evacuated zone: %v", got)
 	}
 }
@@ -142,7 +142,7 @@
 		{server: "x", regions: []string{}, want: OutsideRegions},
 		{server: "y", regions: []string{"north"}, want: OutsideRegions},
 	} {
-		if got := g.CheckFixed(g.Server(test.server), test.regions); got != test.want {
+		if got := g.CheckLocation(g.Server(test.server), test.regions); got != test.want {
 			t.Errorf("server %s, regions %v: %v", test.server, test.regions, got)
 		}
 	}
--- a/internal/program/process/readiness.go
+++ b/internal/program/process/readiness.go
@@ -20,7 +20,7 @@
 const (
 	// entriesInterval is how often the balancer gets the list of living entries. The list decides which entry uses a cold server.
 	entriesInterval = 250 * time.Millisecond
-	// entriesSettleTime is how long after its start an entry uses no cold server: by then it has heard of every other entry, and they of it.
+	// entriesSettleTime is how long after its start an entry uses no cold server. By then it knows all other entries, and they know it.
 	entriesSettleTime = 2 * time.Second
 )
 
