Tell the guard of changed servers only, and of changed conditions only

Cause: with 3,001 servers before 300 entries each change of the list built records and states for all servers anew and copied the list, several times a second.

Change: the guard takes single servers whose registration changed; conditions are passed on when they differ; the list is copied only while registrations are kept after an outage; the runners of the models are computed when the list of entries or the demand changes.

--- a/internal/core/backend/balancer.go
+++ b/internal/core/backend/balancer.go
@@ -166,21 +166,23 @@
 func (b *Balancer) Sync(now time.Time, servers []Server) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	records := make([]readiness.Record, 0, len(servers))
-	for _, server := range servers {
-		records = append(records, server.readinessRecord())
-	}
-	b.guard.SetServers(now, records)
 	next := make(map[string]*serverState, len(servers))
 	for _, server := range servers {
 		state, known := b.servers[server.ID]
 		if !known || state.server.Key() != server.Key() {
 			state = &serverState{versions: map[string]int{}, rank: xxhash.Sum64String(b.host + "\x00" + server.ID)}
 		}
+		if state.readiness == nil || state.server.Revision != server.Revision {
+			state.readiness = b.guard.PutServer(now, server.readinessRecord())
+		}
 		state.server = server
-		state.readiness = b.guard.Server(server.ID)
 		next[server.ID] = state
 	}
+	for id := range b.servers {
+		if _, listed := next[id]; !listed {
+			b.guard.RemoveServer(id)
+		}
+	}
 	b.servers = next
 	b.pools = map[string][]*serverState{}
 	for _, state := range next {
--- a/internal/core/backend/registrations.go
+++ b/internal/core/backend/registrations.go
@@ -26,11 +26,12 @@
 
 // Replace replaces the list in the store.
 func (r *Registrations) Replace(now time.Time, listed []Server) {
-	previous := r.Servers()
-	r.listed, r.lapsed = listed, nil
 	if now.Sub(r.outageSeen) >= lapseGrace {
+		r.listed, r.lapsed = listed, nil
 		return
 	}
+	previous := r.Servers()
+	r.listed, r.lapsed = listed, nil
 	present := map[string]bool{}
 	for _, server := range listed {
 		present[server.ID] = true
@@ -52,8 +53,13 @@
 	return true
 }
 
-// Servers returns the servers that count as registered.
-func (r *Registrations) Servers() []Server { return slices.Concat(r.listed, r.lapsed) }
+// Servers returns the servers that count as registered. The caller must not change the slice.
+func (r *Registrations) Servers() []Server {
+	if len(r.lapsed) == 0 {
+		return r.listed
+	}
+	return slices.Concat(r.listed, r.lapsed)
+}
 
 // Lapsed returns the number of servers that count as registered although their registrations have expired.
 func (r *Registrations) Lapsed() int { return len(r.lapsed) }
--- a/internal/core/readiness/guard.go
+++ b/internal/core/readiness/guard.go
@@ -59,6 +59,8 @@
 }
 
 // Guard decides for one entry which servers may get a request. It is not safe for concurrent use.
+//
+// It is told of single servers and not of the complete list: of up to 3,000 servers only a few change at a time, but several times a second.
 type Guard struct {
 	entries entryList
 	// regions maps availability zones to regions.
@@ -89,32 +91,38 @@
 // SetConditions replaces the conditions. The servers of a zone whose evacuation has ended count as cold, since they may have become cold
 // shortly before the end.
 func (g *Guard) SetConditions(now time.Time, c Conditions) {
+	ended := false
 	for zone := range g.conditions.Evacuated {
 		if !c.Evacuated[zone] {
 			g.ended[zone] = evacuationEnd{seenAt: now, revision: c.Revision}
+			ended = true
 		}
 	}
 	g.conditions = c
+	if !ended {
+		return
+	}
 	for _, server := range g.servers {
 		g.applyEvacuationEnd(server)
 	}
 }
 
-// SetServers replaces the list of servers. It preserves the state of each server that is still running.
-func (g *Guard) SetServers(now time.Time, records []Record) {
-	next := make(map[string]*Server, len(records))
-	for _, record := range records {
-		server, known := g.servers[record.ID]
-		if !known || !server.record.Started.Equal(record.Started) {
-			server = newServer(server)
-		}
-		server.apply(now, record)
-		g.applyEvacuationEnd(server)
-		next[record.ID] = server
+// PutServer adds a server or replaces its record, and returns its state, to be passed to the other methods. A server that is still running
+// keeps its state.
+func (g *Guard) PutServer(now time.Time, record Record) *Server {
+	server, known := g.servers[record.ID]
+	if !known || !server.record.Started.Equal(record.Started) {
+		server = newServer(server)
+		g.servers[record.ID] = server
 	}
-	g.servers = next
+	server.apply(now, record)
+	g.applyEvacuationEnd(server)
+	return server
 }
 
+// RemoveServer forgets a server.
+func (g *Guard) RemoveServer(id string) { delete(g.servers, id) }
+
 // applyEvacuationEnd makes the server count as cold if the evacuation of its zone ended after its record was written.
 func (g *Guard) applyEvacuationEnd(s *Server) {
 	if end, ok := g.ended[s.record.AvailabilityZone]; ok && s.record.Revision <= end.revision {
@@ -122,9 +130,6 @@
 	}
 }
 
-// Server returns the server's state, to be passed to the other methods; nil if the server is not in the list.
-func (g *Guard) Server(id string) *Server { return g.servers[id] }
-
 // SetEntries replaces the list of living entries, this one included. Runners holds, by model, the entries that run the model's batch jobs.
 // Until the first call this entry sends nothing to cold servers.
 func (g *Guard) SetEntries(now time.Time, alive []string, runners map[string][]string) {
--- a/internal/core/readiness/guard_test.go
+++ b/internal/core/readiness/guard_test.go
@@ -15,10 +15,16 @@
 	g := NewGuard("entry-0", map[string]string{"a": "north", "b": "south"})
 	g.SetEntries(start, []string{"entry-0"}, nil)
 	g.SetConditions(start, conditions(1))
-	g.SetServers(start, records)
+	putServers(g, start, records...)
 	return g
 }
 
+func putServers(g *Guard, now time.Time, records ...Record) {
+	for _, record := range records {
+		g.PutServer(now, record)
+	}
+}
+
 func conditions(revision uint64, evacuated ...string) Conditions {
 	c := Conditions{Evacuated: map[string]bool{}, Revision: revision, Limits: map[string]Limit{pool: {PerSecond: 10, Duration: 3 * time.Second}}}
 	for _, zone := range evacuated {
@@ -33,7 +39,7 @@
 
 // sendAll sends requests to the server until it is denied, and returns how many were sent.
 func sendAll(g *Guard, now time.Time, id string) int {
-	server := g.Server(id)
+	server := g.servers[id]
 	for count := 0; ; count++ {
 		if count == 1000 || g.CheckLocation(server, nil) != Allowed || g.CheckCold(now, server) != Allowed {
 			return count
@@ -45,14 +51,14 @@
 func TestEvacuatedZoneGetsNothing(t *testing.T) {
 	g := newTestGuard(record("x", "a", 1, 0), record("y", "b", 1, 0))
 	g.SetConditions(start, conditions(2, "a"))
-	if got := g.CheckLocation(g.Server("x"), nil); got != Evacuated {
+	if got := g.CheckLocation(g.servers["x"], nil); got != Evacuated {
 		t.Errorf("server of the evacuated zone: %v", got)
 	}
-	if got := g.CheckLocation(g.Server("y"), nil); got != Allowed {
+	if got := g.CheckLocation(g.servers["y"], nil); got != Allowed {
 		t.Errorf("server of another zone: %v", got)
 	}
-	g.SetServers(start, []Record{record("x", "a", 3, 0), record("z", "a", 3, 0)})
-	if got := g.CheckLocation(g.Server("z"), nil); got != Evacuated {
+	putServers(g, start, record("x", "a", 3, 0), record("z", "a", 3, 0))
+	if got := g.CheckLocation(g.servers["z"], nil); got != Evacuated {
 		t.Errorf("server that started in the evacuated zone: %v", got)
 	}
 }
@@ -75,10 +81,10 @@
 				g := newTestGuard(record("x", test.record.AvailabilityZone, 1, 0))
 				g.SetConditions(start, conditions(2, "a"))
 				if recordFirst {
-					g.SetServers(start, []Record{test.record})
+					putServers(g, start, test.record)
 				}
 				g.SetConditions(start, conditions(9))
-				g.SetServers(start, []Record{test.record})
+				putServers(g, start, test.record)
 				if got := sendAll(g, start, "x") <= 10; got != test.cold {
 					t.Errorf("cold: %v (record first: %v)", got, recordFirst)
 				}
@@ -108,8 +114,8 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			g := newTestGuard(record("x", "a", 1, 0))
-			test.fail(g, g.Server("x"))
-			g.SetServers(start, []Record{record("x", "a", 2, 0)})
+			test.fail(g, g.servers["x"])
+			putServers(g, start, record("x", "a", 2, 0))
 			if got := sendAll(g, start, "x") <= 10; got != test.cold {
 				t.Errorf("cold: %v", got)
 			}
@@ -123,7 +129,7 @@
 	first := sendAll(g, start, "x")
 	restarted := record("x", "a", 2, 3*time.Second)
 	restarted.Started = start.Add(time.Millisecond)
-	g.SetServers(start, []Record{restarted})
+	putServers(g, start, restarted)
 	if got := sendAll(g, start.Add(time.Millisecond), "x"); got != 0 {
 		t.Errorf("%d requests after %d a moment before", got, first)
 	}
@@ -142,7 +148,7 @@
 		{server: "x", regions: []string{}, want: OutsideRegions},
 		{server: "y", regions: []string{"north"}, want: OutsideRegions},
 	} {
-		if got := g.CheckLocation(g.Server(test.server), test.regions); got != test.want {
+		if got := g.CheckLocation(g.servers[test.server], test.regions); got != test.want {
 			t.Errorf("server %s, regions %v: %v", test.server, test.regions, got)
 		}
 	}
@@ -163,7 +169,7 @@
 	for _, host := range f.hosts {
 		g := NewGuard(host, nil)
 		g.SetConditions(start, conditions(1))
-		g.SetServers(start, records)
+		putServers(g, start, records...)
 		f.guards = append(f.guards, g)
 	}
 	f.setAlive(start, runners, f.hosts, 0, entries)
@@ -299,7 +305,7 @@
 func TestStartingEntryUsesNoColdServer(t *testing.T) {
 	g := NewGuard("entry-0", nil)
 	g.SetConditions(start, conditions(1))
-	g.SetServers(start, []Record{record("cold", "a", 1, time.Second), record("warm", "a", 1, 0)})
+	putServers(g, start, record("cold", "a", 1, time.Second), record("warm", "a", 1, 0))
 	if got := sendAll(g, start, "cold"); got != 0 {
 		t.Errorf("%d requests to a cold server", got)
 	}
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -193,7 +193,7 @@
 
 func (v *View) applyServers(next *Snapshot, collection Collection) {
 	v.decodeServers(collection)
-	var listed []backend.Server
+	listed := make([]backend.Server, 0, len(collection.Objects))
 	for _, object := range collection.Objects {
 		if read := v.decoded[object.Name]; read.err == nil {
 			listed = append(listed, read.server)
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -69,10 +69,12 @@
 	follower *view.Follower
 	store    *store.Store
 	balancer *backend.Balancer
-	calls    *call.Sender
-	ledger   *usage.Ledger
-	jobs     *batchjob.Manager
-	keeper   *duty.Keeper
+	// conditions is used by the view's updates only, which come one at a time.
+	conditions conditionsSource
+	calls      *call.Sender
+	ledger     *usage.Ledger
+	jobs       *batchjob.Manager
+	keeper     *duty.Keeper
 	// sharedKeeper is nil until keeper is set. Goroutines that start before that read the keeper from here.
 	sharedKeeper atomic.Pointer[duty.Keeper]
 	leader       *leader.Leader
--- a/internal/program/process/readiness.go
+++ b/internal/program/process/readiness.go
@@ -30,6 +30,24 @@
 	if !s.Complete() {
 		return
 	}
+	now := time.Now()
+	if conditions, changed := g.conditions.update(s); changed {
+		g.balancer.SetConditions(now, conditions)
+	}
+	g.balancer.Sync(now, s.Servers)
+}
+
+// conditionsSource derives the balancer's conditions from snapshots. The server list changes several times a second, the conditions rarely.
+// It is not safe for concurrent use.
+type conditionsSource struct{ last *view.Snapshot }
+
+// update returns the conditions of a snapshot, and whether they may differ from those of the last one.
+func (c *conditionsSource) update(s *view.Snapshot) (readiness.Conditions, bool) {
+	last := c.last
+	c.last = s
+	if last != nil && last.Table == s.Table && last.EvacuatedRevision == s.EvacuatedRevision && maps.Equal(last.Versions, s.Versions) {
+		return readiness.Conditions{}, false
+	}
 	conditions := readiness.Conditions{
 		Evacuated: s.Evacuated,
 		Revision:  s.EvacuatedRevision,
@@ -41,39 +59,50 @@
 			conditions.Limits[pool.Name] = pool.ColdLimit
 		}
 	}
-	now := time.Now()
-	g.balancer.SetConditions(now, conditions)
-	g.balancer.Sync(now, s.Servers)
+	return conditions, true
 }
 
 // updateEntries passes the list of living entries to the balancer, once it has settled, until ctx ends.
 func (g *Gateway) updateEntries(ctx context.Context, started time.Time) {
+	var known []gossip.Member
+	var hosts []string
+	var runners map[string][]string
+	var knownDemand batch.Demand
 	ticker.Every(ctx, entriesInterval, func(now time.Time) {
 		alive := g.gossip.Alive(now)
 		if running := now.Sub(started); running < entriesSettleTime || !roster.Settled(running, alive) {
 			return
 		}
-		self := g.gossip.Self()
-		hosts := make([]string, 0, len(alive)+1)
-		var runners []batch.Runner
-		for _, member := range append(alive, self) {
-			hosts = append(hosts, member.HostID)
-			if !member.Leaving {
-				runners = append(runners, batch.Runner{HostID: member.HostID, Cores: member.Cores})
-			}
+		members, demand := append(alive, g.gossip.Self()), g.demand()
+		if !slices.Equal(members, known) || demand.Slots != knownDemand.Slots || !slices.Equal(demand.Models, knownDemand.Models) {
+			known, knownDemand = members, demand
+			hosts, runners = hostIDs(members), g.runnersByModel(members, demand)
 		}
-		g.balancer.SetEntries(now, hosts, g.runnersByModel(runners))
+		g.balancer.SetEntries(now, hosts, runners)
 	})
 }
 
+func hostIDs(members []gossip.Member) []string {
+	hosts := make([]string, 0, len(members))
+	for _, member := range members {
+		hosts = append(hosts, member.HostID)
+	}
+	return hosts
+}
+
 // runnersByModel returns the entries that run the batch jobs of each model in the configuration.
-func (g *Gateway) runnersByModel(runners []batch.Runner) map[string][]string {
+func (g *Gateway) runnersByModel(members []gossip.Member, demand batch.Demand) map[string][]string {
 	byModel := map[string][]string{}
 	table := g.view.Snapshot().Table
 	if table == nil {
 		return byModel
 	}
-	demand := g.demand()
+	var runners []batch.Runner
+	for _, member := range members {
+		if !member.Leaving {
+			runners = append(runners, batch.Runner{HostID: member.HostID, Cores: member.Cores})
+		}
+	}
 	for _, pool := range table.Pools() {
 		for _, model := range pool.Models {
 			byModel[model] = batch.PreferredRunners(model, demand, runners)
