--- a/internal/program/process/readiness.go
+++ b/internal/program/process/readiness.go
@@ -73,7 +73,7 @@
 		if running := now.Sub(started); running < entriesSettleTime || !roster.Settled(running, alive) {
 			return
 		}
-		members, demand := append(alive, g.gossip.Self()), g.demand()
+		members, demand := slices.Concat(alive, []gossip.Member{g.gossip.Self()}), g.demand()
 		if !slices.Equal(members, known) || demand.Slots != knownDemand.Slots || !slices.Equal(demand.Models, knownDemand.Models) {
 			known, knownDemand = members, demand
 			hosts, runners = hostIDs(members), g.runnersByModel(members, demand)
