Compute the models' runners again when the configuration changes

Cause: the list of runners, from which an entry derives whether it may use a cold engine, was kept while entries and demand stayed the same. An entry whose list settled before its first configuration, or to whose configuration a model was added, kept a list without that model and sent its cold engines nothing.

Change: the list is also computed again for a new table.

--- a/internal/core/roster/spread_test.go
+++ b/internal/core/roster/spread_test.go
@@ -49,6 +49,7 @@
 	} {
 		for _, entries := range []int{23, 93, 380} {
 			t.Run(fmt.Sprintf("%s, %d entries", test.name, entries), func(t *testing.T) {
+				t.Parallel()
 				c := newStableCluster(t, entries)
 				for i := range entries {
 					if test.down(i) {
--- a/internal/program/process/readiness.go
+++ b/internal/program/process/readiness.go
@@ -12,6 +12,7 @@
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
 	"github.com/oleandershelf/oleandershelf/internal/core/readiness"
 	"github.com/oleandershelf/oleandershelf/internal/core/roster"
+	"github.com/oleandershelf/oleandershelf/internal/core/routing"
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 	"github.com/oleandershelf/oleandershelf/internal/edge/view"
@@ -68,15 +69,17 @@
 	var hosts []string
 	var runners map[string][]string
 	var knownDemand batch.Demand
+	var knownTable *routing.Table
 	ticker.Every(ctx, entriesInterval, func(now time.Time) {
 		alive := g.gossip.Alive(now)
 		if running := now.Sub(started); running < entriesSettleTime || !roster.Settled(running, alive) {
 			return
 		}
-		members, demand := slices.Concat(alive, []gossip.Member{g.gossip.Self()}), g.demand()
-		if !slices.Equal(members, known) || demand.Slots != knownDemand.Slots || !slices.Equal(demand.Models, knownDemand.Models) {
-			known, knownDemand = members, demand
-			hosts, runners = hostIDs(members), g.runnersByModel(members, demand)
+		members, demand, table := slices.Concat(alive, []gossip.Member{g.gossip.Self()}), g.demand(), g.view.Snapshot().Table
+		sameDemand := demand.Slots == knownDemand.Slots && slices.Equal(demand.Models, knownDemand.Models)
+		if table != knownTable || !sameDemand || !slices.Equal(members, known) {
+			known, knownDemand, knownTable = members, demand, table
+			hosts, runners = hostIDs(members), runnersByModel(table, members, demand)
 		}
 		g.balancer.SetEntries(now, hosts, runners)
 	})
@@ -91,9 +94,8 @@
 }
 
 // runnersByModel returns the entries that run the batch jobs of each model in the configuration.
-func (g *Gateway) runnersByModel(members []gossip.Member, demand batch.Demand) map[string][]string {
+func runnersByModel(table *routing.Table, members []gossip.Member, demand batch.Demand) map[string][]string {
 	byModel := map[string][]string{}
-	table := g.view.Snapshot().Table
 	if table == nil {
 		return byModel
 	}
