Give each run of a batch job an identity and an end of its own

What callers saw: a job that is left to another entry and given back before its control loop has noticed counted as stopped. The entry had confirmed that it runs the job; nothing of it ran until its trainer read results.

Cause: the loop of the former run set running to false and cancelled the job's context at its end, whichever run these belonged to by then. "One page write at a time" was a variable of the loop, so that the former loop's write went on beside one of the new loop, and both waited on the same wait group.

Change: a start makes a run. Its loop begins when the former run has ended with all its work, its end changes the job only if no later run was started, and a leaving process flushes results after that.

Found while TestReloadedJobDoesNotTakeAnEarlierPageForItsOwn was traced.

--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -19,10 +19,11 @@
 
 	mu       sync.Mutex
 	progress *batch.Progress
-	// running is set while this process runs the job, hasRun from its first start on; cancel stops the job's items.
+	// running is set while this process runs the job, hasRun from its first start on.
 	running bool
 	hasRun  bool
-	cancel  context.CancelFunc
+	// run is the current run, or else the last one; nil before the first.
+	run *run
 	// noRouteLogged is set once a reward call of the job without a route was logged.
 	noRouteLogged bool
 	// changed is closed and replaced when results are listed or the job ends; wakeup wakes the control loop.
@@ -34,7 +35,15 @@
 	storeQuery chan struct{}
 	// lastUse is when the job was last used; jobs unused for long are evicted.
 	lastUse time.Time
-	wg      conc.WaitGroup
+	// wg counts the work that the control loop has started. Runs follow one another, so that it belongs to one run at a time.
+	wg conc.WaitGroup
+}
+
+// run is the time from a start of a job in this process until the job is stopped or finished.
+type run struct {
+	cancel context.CancelFunc
+	// ended is closed when the control loop and all work that it started have ended.
+	ended chan struct{}
 }
 
 // newJob returns a job of which no page is known yet.
@@ -81,8 +90,8 @@
 		return
 	}
 	j.progress.End()
-	if j.cancel != nil {
-		j.cancel()
+	if j.run != nil {
+		j.run.cancel()
 	}
 	j.notifyReaders()
 	j.wake()
@@ -93,12 +102,22 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.running = false
-	if j.cancel != nil {
-		j.cancel()
+	if j.run != nil {
+		j.run.cancel()
 	}
 	j.wake()
 }
 
+// awaitEnd blocks until the last run has ended with all its work.
+func (j *job) awaitEnd() {
+	j.mu.Lock()
+	last := j.run
+	j.mu.Unlock()
+	if last != nil {
+		<-last.ended
+	}
+}
+
 func (j *job) isRunning() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -46,14 +46,38 @@
 		return j
 	}
 	ctx, cancel := context.WithCancel(m.ctx)
+	former := j.run
+	current := &run{cancel: cancel, ended: make(chan struct{})}
 	j.running = true
 	j.hasRun = true
-	j.cancel = cancel
-	m.wg.Go(func() { m.controlLoop(ctx, j) })
+	j.run = current
+	m.wg.Go(func() {
+		defer close(current.ended)
+		if former != nil {
+			<-former.ended
+		}
+		m.controlLoop(ctx, j)
+		j.stopped(current)
+		j.wg.Wait()
+		m.log.Info().Str("request", j.spec.ID).Interface("job", j.state()).Msg("stopped running batch job")
+	})
 	return j
 }
 
+// stopped records that the control loop of a run has ended. A later run may have been requested meanwhile.
+func (j *job) stopped(ended *run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	ended.cancel()
+	if j.run == ended {
+		j.running = false
+	}
+}
+
 // controlLoop is the one goroutine that starts a job's items and reward calls and has its pages written.
+//
+// A job may be stopped and started again at once. The former loop must have ended by then with its work: it would stop the new run at its
+// end, and a page that it writes would compete with one of the new loop.
 func (m *Manager) controlLoop(ctx context.Context, j *job) {
 	timer := time.NewTicker(checkInterval)
 	defer timer.Stop()
@@ -84,12 +108,6 @@
 			writing = false
 		}
 	}
-	j.mu.Lock()
-	j.running = false
-	j.cancel()
-	j.mu.Unlock()
-	j.wg.Wait()
-	m.log.Info().Str("request", j.spec.ID).Interface("job", j.state()).Msg("stopped running batch job")
 }
 
 // checkEnd ends a job here if the store holds its end.
@@ -224,9 +242,9 @@
 	j.notifyReaders()
 }
 
-// flushResults writes the finished items before the process leaves.
+// flushResults writes the finished items of a stopped job before the process leaves.
 func (m *Manager) flushResults(ctx context.Context, j *job) {
-	j.wg.Wait()
+	j.awaitEnd()
 	j.mu.Lock()
 	page, ok := j.progress.Flush(time.Now())
 	j.mu.Unlock()
