Keep connections between processes whose host is busy

What callers saw: all requests of a connection failed at once, "not sent" or "may have run", though both processes lived and nothing was drained; all requests that waited for a connection failed with one dial.

Cause: each timer of a connection took time that passed in this process for silence of the peer.

Change: timeouts don't count intervals in which goroutines of the process waited for their turn, up to four timeouts. The guard tells a suspended process, which uses no processor time, from a busy one, and keeps a connection only if the kernel shows it open. Heartbeats have a goroutine of their own. Attempts to connect overlap. Connecting and the handshake share one limit. A failed handshake is repeated in a busy process. A write may stall for 15 s while heartbeats come.

--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -1,13 +1,12 @@
 package peer
 
 import (
-	"bufio"
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
@@ -64,9 +63,12 @@
 	c.closed = true
 }
 
+// maxBusyDials is how often a dial that fails while this process is busy is repeated for a request.
+const maxBusyDials = 3
+
 // acquire returns an open connection on which one request is reserved.
 func (c *Client) acquire(ctx context.Context, to netip.AddrPort) (*clientConn, error) {
-	for {
+	for dials := 1; ; {
 		shared, err := c.connTo(to)
 		if err != nil {
 			return nil, err
@@ -77,7 +79,13 @@
 			return nil, context.Cause(ctx)
 		}
 		if shared.err != nil {
-			return nil, shared.err
+			// In a busy process, or before one, a handshake may take longer than either side waits.
+			if dials == maxBusyDials || !c.settings.busy() || !isHandshakeTimeout(shared.err) {
+				return nil, shared.err
+			}
+			dials++
+			c.removeConn(to, shared)
+			continue
 		}
 		if shared.conn.reserve() {
 			return shared.conn, nil
@@ -123,25 +131,8 @@
 	shared.conn.run()
 }
 
-// connect opens a TCP connection. It retries attempts that time out, up to maxConnectAttempts in total, doubling the timeout after
-// each one.
-//
-// Guards against the kernel's SYN retransmission delay of a second when the first packet to a booting host is lost. The limit on
-// attempts prevents a busy loop: after the deadline of ctx has passed but before ctx is done, each dial times out immediately.
-func connect(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: connectTimeout}
-	for attempt := 1; ; attempt++ {
-		conn, err := dialer.DialContext(ctx, "tcp", to.String())
-		var netErr net.Error
-		if err == nil || attempt == maxConnectAttempts || ctx.Err() != nil || !errors.As(err, &netErr) || !netErr.Timeout() {
-			return conn, err
-		}
-		dialer.Timeout *= 2
-	}
-}
-
 func (c *Client) dial(to netip.AddrPort) (*frameConn, error) {
-	ctx, cancel := context.WithTimeout(c.ctx, c.settings.dialTimeout)
+	ctx, cancel := c.settings.dialContext(c.ctx)
 	defer cancel()
 	conn, err := connect(ctx, to)
 	if err != nil {
@@ -150,26 +141,17 @@
 	if c.settings.tls != nil {
 		conn = tls.Client(conn, c.settings.tlsFor(to))
 	}
-	transport, err := establish(c.ctx, conn, c.settings, func(conn net.Conn, reader *frameReader) (identity, error) {
+	authenticated, err := authenticate(ctx, conn, c.settings, func(conn net.Conn, reader *frameReader) (identity, error) {
 		return clientHandshake(conn, reader, c.secret)
 	})
 	if err != nil {
 		_ = conn.Close()
+		return nil, errors.Wrap(err, "handshake")
 	}
-	return transport, err
+	return authenticated.start(c.ctx, c.settings), nil
 }
 
-// establish runs the handshake, for at most the dial timeout.
-func establish(
-	ctx context.Context, conn net.Conn, s settings, handshake func(net.Conn, *frameReader) (identity, error),
-) (*frameConn, error) {
-	timeout := time.AfterFunc(s.dialTimeout, func() { _ = conn.Close() })
-	defer timeout.Stop()
-	progress := newProgressConn(conn, s)
-	reader := newFrameReader(bufio.NewReaderSize(progress, readBufferSize), maxHandshakeFrame)
-	id, err := handshake(progress, reader)
-	if err != nil {
-		return nil, err
-	}
-	return newFrameConn(ctx, progress, reader, id, s), nil
+// isHandshakeTimeout reports whether a dial failed because this side or, seen as the end of the connection, the peer waited too long.
+func isHandshakeTimeout(err error) bool {
+	return errors.Is(err, ErrDialTimeout) || errors.Is(err, io.EOF)
 }
--- a/internal/edge/peer/handshake.go
+++ b/internal/edge/peer/handshake.go
@@ -1,10 +1,13 @@
 package peer
 
 import (
+	"bufio"
 	"bytes"
+	"context"
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/binary"
 	"net"
 
@@ -67,6 +70,44 @@
 	return identity{connectionID: binary.BigEndian.Uint64(t.mac(labelConnection)), serverIncarnation: t.serverIncarnation}
 }
 
+// authenticatedConn is a connection whose handshake has succeeded.
+type authenticatedConn struct {
+	identity
+	conn   *progressConn
+	reader *frameReader
+}
+
+// start returns the connection for frames. It is closed when ctx ends.
+func (c *authenticatedConn) start(ctx context.Context, s settings) *frameConn {
+	return newFrameConn(ctx, c.conn, c.reader, c.identity, s)
+}
+
+// authenticate runs the handshake until ctx ends.
+func authenticate(
+	ctx context.Context, conn net.Conn, s settings, handshake func(net.Conn, *frameReader) (identity, error),
+) (*authenticatedConn, error) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	// A TLS connection doesn't survive a read deadline that passes during its own handshake.
+	if secured, ok := conn.(*tls.Conn); ok {
+		if err := secured.HandshakeContext(ctx); err != nil {
+			return nil, err
+		}
+	}
+	progress := newProgressConn(conn, s)
+	progress.handshake = true
+	reader := newFrameReader(bufio.NewReaderSize(progress, readBufferSize), maxHandshakeFrame)
+	id, err := handshake(progress, reader)
+	// If ctx has ended, the connection is closed even if the handshake has just succeeded.
+	if !stop() {
+		return nil, context.Cause(ctx)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &authenticatedConn{identity: id, conn: progress, reader: reader}, nil
+}
+
 // clientHandshake runs the dialling side of the handshake: it verifies the server's proof of the secret and sends its own.
 func clientHandshake(conn net.Conn, reader *frameReader, secret []byte) (identity, error) {
 	t := transcript{secret: secret, clientNonce: newNonce()}
--- a/internal/edge/peer/link.go
+++ b/internal/edge/peer/link.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -24,9 +23,11 @@
 // Its reading goroutine never waits for a stream, so that a slow reader of one answer doesn't block the others.
 type frameConn struct {
 	identity
-	netConn  net.Conn
+	netConn  *progressConn
 	reader   *frameReader
 	settings settings
+	// writeMu is held while frames are written.
+	writeMu  sync.Mutex
 	queue    chan queuedFrame
 	overflow overflowQueue
 	ctx      context.Context
@@ -53,58 +54,10 @@
 	return frames
 }
 
-// progressConn sets a new deadline for each read and for each part of a write, so that a long frame may take any time
-// as long as data flows, and a stalled peer is detected.
-type progressConn struct {
-	net.Conn
-	readTimeout, writeTimeout time.Duration
-	// lastRead is when the last Read returned, or when the connection was opened.
-	lastRead time.Time
-}
-
-func newProgressConn(conn net.Conn, s settings) *progressConn {
-	return &progressConn{
-		Conn:         conn,
-		readTimeout:  s.heartbeatTimeout,
-		writeTimeout: s.writeTimeout,
-		lastRead:     time.Now(),
-	}
-}
-
-// Read also fails, with ErrFrozen, if data is available but this process has not read for longer than the timeout because it was
-// suspended. By then the peer has closed the connection and has reported to its callers that their requests may have run. The frames left
-// in the socket buffer must not start these requests now, with a deadline that counts from the time of the resumption.
-func (c *progressConn) Read(p []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(c.readTimeout)); err != nil {
-		return 0, err
-	}
-	n, err := c.Conn.Read(p)
-	now := time.Now()
-	if gap := now.Sub(c.lastRead); gap > c.readTimeout {
-		return 0, errors.Wrapf(ErrFrozen, "nothing was read for %s", gap)
-	}
-	c.lastRead = now
-	return n, err
-}
-
-func (c *progressConn) Write(p []byte) (int, error) {
-	written := 0
-	for written < len(p) {
-		if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
-			return written, err
-		}
-		n, err := c.Conn.Write(p[written:min(len(p), written+bufferSize)])
-		written += n
-		if err != nil {
-			return written, err
-		}
-	}
-	return written, nil
-}
-
-func newFrameConn(ctx context.Context, conn net.Conn, reader *frameReader, id identity, s settings) *frameConn {
+func newFrameConn(ctx context.Context, conn *progressConn, reader *frameReader, id identity, s settings) *frameConn {
 	ctx, cancel := context.WithCancelCause(ctx)
 	reader.limit = s.maxFrame
+	conn.startHeartbeats()
 	return &frameConn{
 		identity: id,
 		netConn:  conn,
@@ -123,6 +76,7 @@
 	defer stop()
 	wg := conc.NewWaitGroup()
 	wg.Go(func() { c.cancel(c.write()) })
+	wg.Go(func() { c.cancel(c.sendHeartbeats()) })
 	c.cancel(c.read(dispatch))
 	_ = c.netConn.Close()
 	wg.Wait()
@@ -147,26 +101,59 @@
 	}
 }
 
-// write sends the queued frames, combined into few system calls, and a heartbeat after each interval in which no frame was queued.
+// write sends the queued frames, combined into few system calls.
 func (c *frameConn) write() error {
 	ticker := time.NewTicker(c.settings.heartbeat)
 	defer ticker.Stop()
 	batch := batch{conn: c, encoder: msgpack.NewEncoder(nil)}
-	quiet := true
 	for {
 		select {
 		case <-c.ctx.Done():
 			return context.Cause(c.ctx)
 		case q := <-c.queue:
-			quiet = false
 			if err := batch.send(q); err != nil {
 				return err
 			}
 		case <-ticker.C:
-			if err := batch.heartbeat(quiet); err != nil {
+			if err := batch.flush(); err != nil {
 				return err
 			}
-			quiet = true
+		}
+	}
+}
+
+// sendHeartbeats sends a heartbeat at the end of each interval unless something was written in its second half, so that the peer never
+// waits for longer than one and a half intervals.
+//
+// It has a goroutine of its own: on a busy host the writer may wait for its turn for seconds while it encodes frames, and the peer would
+// give the connection up.
+func (c *frameConn) sendHeartbeats() error {
+	var heartbeat bytes.Buffer
+	if err := appendFrame(&heartbeat, msgpack.NewEncoder(nil), frame{Kind: kindHeartbeat, ConnectionID: c.connectionID}); err != nil {
+		return err
+	}
+	ticker := time.NewTicker(c.settings.heartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return context.Cause(c.ctx)
+		case <-ticker.C:
+		}
+		if err := c.netConn.confirmAwake(time.Now()); err != nil {
+			return err
+		}
+		if c.netConn.sinceWrite() < c.settings.heartbeat/2 {
+			continue
+		}
+		if !c.writeMu.TryLock() {
+			c.netConn.recordWrite(time.Now()) // the frames that are being written take the place of a heartbeat
+			continue
+		}
+		_, err := c.netConn.Write(heartbeat.Bytes())
+		c.writeMu.Unlock()
+		if err != nil {
+			return errors.Wrap(err, "write heartbeat")
 		}
 	}
 }
@@ -227,16 +214,6 @@
 	return appendFrame(&b.buf, b.encoder, q.frame)
 }
 
-func (b *batch) heartbeat(quiet bool) error {
-	if !quiet {
-		return b.flush()
-	}
-	if err := b.add(queuedFrame{frame: frame{Kind: kindHeartbeat}}); err != nil {
-		return err
-	}
-	return b.flush()
-}
-
 func (b *batch) flush() error {
 	for _, f := range b.conn.overflow.take() {
 		if err := b.add(queuedFrame{frame: f}); err != nil {
@@ -246,7 +223,9 @@
 	if b.buf.Len() == 0 {
 		return nil
 	}
+	b.conn.writeMu.Lock()
 	_, err := b.conn.netConn.Write(b.buf.Bytes())
+	b.conn.writeMu.Unlock()
 	if b.buf.Cap() > 4*bufferSize {
 		b.buf = bytes.Buffer{}
 	}
--- a/internal/edge/peer/option.go
+++ b/internal/edge/peer/option.go
@@ -1,9 +1,14 @@
 package peer
 
 import (
+	"context"
 	"crypto/tls"
 	"net/netip"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 )
 
 // settings are the limits and timeouts of a connection. Clients and servers use the same ones.
@@ -18,6 +23,8 @@
 	writeTimeout     time.Duration
 	closeTimeout     time.Duration
 	tls              *tls.Config
+	// busy reports whether this process is short of processor time; see ticker.Busy.
+	busy func() bool
 }
 
 func defaultSettings() settings {
@@ -31,9 +38,15 @@
 		dialTimeout:      defaultDialTimeout,
 		writeTimeout:     defaultWriteTimeout,
 		closeTimeout:     defaultCloseTimeout,
+		busy:             ticker.Busy,
 	}
 }
 
+// dialContext returns a context that ends when a connection should be ready for requests.
+func (s settings) dialContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	return ticker.WithAwakeTimeout(ctx, s.dialTimeout, errors.Wrapf(ErrDialTimeout, "after %s", s.dialTimeout))
+}
+
 // Option sets a limit or timeout of a client or a server.
 type Option func(*settings)
 
@@ -73,7 +86,8 @@
 	return func(s *settings) { s.idleTimeout = timeout }
 }
 
-// WithDialTimeout limits the time to connect, and after that the time of the handshake.
+// WithDialTimeout limits the time to connect and to run the handshake. Time in which this process is suspended or short of processor time
+// counts only in part.
 func WithDialTimeout(timeout time.Duration) Option {
 	return func(s *settings) { s.dialTimeout = timeout }
 }
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -45,8 +45,14 @@
 	ErrHandshake = errors.New("peer did not prove the shared secret")
 	// ErrProtocol is returned if the peer sent a frame that the protocol does not allow.
 	ErrProtocol = errors.New("protocol violation")
-	// ErrFrozen is returned if this process was suspended and therefore did not read for longer than the heartbeat timeout.
+	// ErrFrozen is returned if this process was suspended and therefore sent nothing for longer than the heartbeat timeout.
 	ErrFrozen = errors.New("process was frozen")
+	// ErrSilent is returned if the peer sent nothing, not even heartbeats, for the heartbeat timeout.
+	ErrSilent = errors.New("peer is silent")
+	// ErrStalled is returned if the peer read nothing for the write timeout.
+	ErrStalled = errors.New("peer does not read")
+	// ErrDialTimeout is returned if a connection was not ready for requests within the dial timeout.
+	ErrDialTimeout = errors.New("dial timeout")
 	// ErrTooLarge is returned if a frame exceeds the maximum size.
 	ErrTooLarge = errors.New("frame is too large")
 	// ErrClosed is returned if the client or the connection was closed on this side.
@@ -63,11 +69,15 @@
 	defaultHeartbeatTimeout = 3 * time.Second
 	defaultIdleTimeout      = time.Minute
 	defaultDialTimeout      = 2 * time.Second
-	// connectTimeout limits the first connection attempt and allows several round trips within a region. It doubles on each retry.
-	connectTimeout      = 100 * time.Millisecond
-	maxConnectAttempts  = 5
-	defaultWriteTimeout = 3 * time.Second
-	defaultCloseTimeout = time.Second
+	// connectTimeout is how long the first attempt to connect may take before another one starts beside it: several round trips within a
+	// region. It doubles with each attempt.
+	connectTimeout     = 100 * time.Millisecond
+	maxConnectAttempts = 5
+	// defaultWriteTimeout is much longer than the heartbeat timeout, which ends connections to peers that are gone: a peer that sends
+	// heartbeats and doesn't read is busy, and closing the connection would lose all requests on it.
+	defaultWriteTimeout = 15 * time.Second
+	// defaultCloseTimeout leaves a client that is alive time to read the answers that it has been sent.
+	defaultCloseTimeout = 3 * time.Second
 )
 
 const (
--- a/internal/edge/peer/server.go
+++ b/internal/edge/peer/server.go
@@ -76,19 +76,25 @@
 	if s.settings.tls != nil {
 		wrapped = tls.Server(conn, s.settings.tls)
 	}
-	transport, err := establish(s.ctx, wrapped, s.settings, func(conn net.Conn, reader *frameReader) (identity, error) {
-		return serverHandshake(conn, reader, s.secret, s.registry.incarnation)
-	})
+	authenticated, err := s.authenticate(wrapped)
 	if err != nil {
 		s.recordRejection(conn.RemoteAddr(), err)
 		return
 	}
-	served := newServerConn(s, transport)
+	served := newServerConn(s, authenticated.start(s.ctx, s.settings))
 	s.addConn(served)
 	defer s.removeConn(served)
 	served.run()
 }
 
+func (s *Server) authenticate(conn net.Conn) (*authenticatedConn, error) {
+	ctx, cancel := s.settings.dialContext(s.ctx)
+	defer cancel()
+	return authenticate(ctx, conn, s.settings, func(conn net.Conn, reader *frameReader) (identity, error) {
+		return serverHandshake(conn, reader, s.secret, s.registry.incarnation)
+	})
+}
+
 func (s *Server) recordRejection(from net.Addr, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -153,7 +159,7 @@
 // closed a socket with unread bytes of the client, the kernel would reset the connection, and the client could lose the rest
 // of an answer. A client closes the connection only after it has read all answers.
 func (s *Server) sendGoAway(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, s.settings.closeTimeout)
+	ctx, cancel := ticker.WithAwakeTimeout(ctx, s.settings.closeTimeout, context.DeadlineExceeded)
 	defer cancel()
 	for _, conn := range s.connections() {
 		_ = conn.send(ctx, queuedFrame{frame: frame{Kind: kindGoAway}})
--- a/internal/edge/peer/session.go
+++ b/internal/edge/peer/session.go
@@ -82,6 +82,9 @@
 	if err != nil {
 		return c.refuse(f.StreamID, err)
 	}
+	if message.Remaining > 0 {
+		message.Remaining = max(message.Remaining-c.netConn.readDelay, time.Nanosecond)
+	}
 	s := newServerStream(c, f.StreamID, message.Remaining)
 	if !c.register(s) {
 		s.release()
