Send requests again that waited to be written when their connection ended

What callers saw: when a connection ended, requests that were queued behind others failed with "request was not sent", up to 200 of them in the traces of TestDrainCompletesRunningAnswers.

Cause: a request was bound to the connection on which it was queued. It can't have run, so sending it on a new connection is safe. Up to three sends; one whose frame was about to be written is never repeated.

--- a/internal/edge/peer/answer.go
+++ b/internal/edge/peer/answer.go
@@ -17,14 +17,13 @@
 // ErrLost if the transport fails, and a *verdict.Refusal if the peer refuses the request.
 func Call[Q, A any](ctx context.Context, c *Client, to netip.AddrPort, m Method, q Q) (A, error) {
 	var a A
-	s, err := startRequest(ctx, c, to, m, q)
+	s, err := send(ctx, c, to, m, q, func(s *clientStream) error {
+		return s.await(func() bool { return s.end != nil })
+	})
 	if err != nil {
 		return a, err
 	}
 	defer s.finish()
-	if err := s.await(func() bool { return s.end != nil }); err != nil {
-		return a, err
-	}
 	if err := s.verifyIntegrity(); err != nil {
 		return a, err
 	}
@@ -37,13 +36,12 @@
 // OpenStream sends a request whose answer is streamed, and returns when the head of the answer has arrived.
 // The answer is cancelled when ctx ends. Otherwise the caller must read it to the end or cancel it.
 func OpenStream[Q, E any](ctx context.Context, c *Client, to netip.AddrPort, m Method, q Q) (*Answer[E], error) {
-	s, err := startRequest(ctx, c, to, m, q)
-	if err != nil {
-		return nil, err
-	}
-	payload, err := s.readHead()
+	var payload []byte
+	s, err := send(ctx, c, to, m, q, func(s *clientStream) (err error) {
+		payload, err = s.readHead()
+		return err
+	})
 	if err != nil {
-		s.finish()
 		return nil, err
 	}
 	a := &Answer[E]{stream: s}
@@ -55,16 +53,34 @@
 	return a, nil
 }
 
-func startRequest[Q any](ctx context.Context, c *Client, to netip.AddrPort, m Method, q Q) (*clientStream, error) {
-	payload, err := encodeRequest(ctx, c, m, q)
-	if err != nil {
-		return nil, err
-	}
-	conn, err := c.acquire(ctx, to)
-	if err != nil {
-		return nil, errors.Wrapf(ErrUnsent, "method %s: %v", m, err)
+// maxSends is how often a request is queued on a connection that ends before the request is written.
+const maxSends = 3
+
+// send sends a request and calls await, which waits for the first part of the answer that the caller needs.
+//
+// A connection may end while requests wait to be written to it. They can't have run, and are sent on a new connection, so that their callers
+// don't all fail because one connection did.
+func send[Q any](
+	ctx context.Context, c *Client, to netip.AddrPort, m Method, q Q, await func(*clientStream) error,
+) (*clientStream, error) {
+	for sends := 1; ; sends++ {
+		payload, err := encodeRequest(ctx, c, m, q)
+		if err != nil {
+			return nil, err
+		}
+		conn, err := c.acquire(ctx, to)
+		if err != nil {
+			return nil, errors.Wrapf(ErrUnsent, "method %s: %v", m, err)
+		}
+		s := startStream(ctx, conn, payload)
+		if err = await(s); err == nil {
+			return s, nil
+		}
+		s.finish()
+		if !errors.Is(err, ErrUnsent) || ctx.Err() != nil || sends == maxSends {
+			return nil, err
+		}
 	}
-	return startStream(ctx, conn, payload), nil
 }
 
 func encodeRequest[Q any](ctx context.Context, c *Client, m Method, q Q) ([]byte, error) {
