Log and count why connections between processes end

The end of a connection left no trace: which timer acted, on which side and how many requests were open could only be seen in a traced build. The end is now reported with its reason to a log line and two counters by reason.

--- a/internal/edge/peer/channel.go
+++ b/internal/edge/peer/channel.go
@@ -28,13 +28,20 @@
 }
 
 func (c *clientConn) run() {
-	_ = c.frameConn.run(c.dispatch)
+	requests, cause := c.frameConn.run(c.dispatch, c.openRequests)
+	c.reportEnd(true, requests, cause)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining = true
 	c.idleTimer.Stop()
 }
 
+func (c *clientConn) openRequests() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reserved
+}
+
 // reserve counts a request that is about to be sent. It returns false if the connection takes no new requests.
 func (c *clientConn) reserve() bool {
 	c.mu.Lock()
--- a/internal/edge/peer/link.go
+++ b/internal/edge/peer/link.go
@@ -26,6 +26,7 @@
 	netConn  *progressConn
 	reader   *frameReader
 	settings settings
+	opened   time.Time
 	// writeMu is held while frames are written.
 	writeMu  sync.Mutex
 	queue    chan queuedFrame
@@ -63,24 +64,30 @@
 		netConn:  conn,
 		reader:   reader,
 		settings: s,
+		opened:   time.Now(),
 		queue:    make(chan queuedFrame, queueLength),
 		ctx:      ctx,
 		cancel:   cancel,
 	}
 }
 
-// run sends and receives frames until the connection ends, and returns the cause. It calls dispatch for each received frame
-// except heartbeats.
-func (c *frameConn) run(dispatch func(frame) error) error {
+// run sends and receives frames until the connection ends. It calls dispatch for each received frame except heartbeats. It returns the
+// cause of the end, and the number of requests that were open then.
+func (c *frameConn) run(dispatch func(frame) error, openRequests func() int) (int, error) {
 	stop := context.AfterFunc(c.ctx, func() { _ = c.netConn.Close() })
 	defer stop()
+	requests := sync.OnceValue(openRequests)
+	end := func(cause error) {
+		_ = requests() // counted before the requests fail
+		c.cancel(cause)
+	}
 	wg := conc.NewWaitGroup()
-	wg.Go(func() { c.cancel(c.write()) })
-	wg.Go(func() { c.cancel(c.sendHeartbeats()) })
-	c.cancel(c.read(dispatch))
+	wg.Go(func() { end(c.write()) })
+	wg.Go(func() { end(c.sendHeartbeats()) })
+	end(c.read(dispatch))
 	_ = c.netConn.Close()
 	wg.Wait()
-	return context.Cause(c.ctx)
+	return requests(), context.Cause(c.ctx)
 }
 
 func (c *frameConn) read(dispatch func(frame) error) error {
--- a/internal/edge/peer/option.go
+++ b/internal/edge/peer/option.go
@@ -23,6 +23,7 @@
 	writeTimeout     time.Duration
 	closeTimeout     time.Duration
 	tls              *tls.Config
+	observeEnd       func(ConnectionEnd)
 	// busy reports whether this process is short of processor time; see ticker.Busy.
 	busy func() bool
 }
--- a/internal/edge/peer/progress_test.go
+++ b/internal/edge/peer/progress_test.go
@@ -171,7 +171,7 @@
 		progress := newProgressConn(local, s)
 		conn := newFrameConn(ctx, progress, newFrameReader(progress, s.maxFrame), identity{}, s)
 		var work conc.WaitGroup
-		work.Go(func() { _ = conn.run(func(frame) error { return nil }) })
+		work.Go(func() { _, _ = conn.run(func(frame) error { return nil }, func() int { return 0 }) })
 		work.Go(func() {
 			time.Sleep(10*s.heartbeat + s.heartbeat/100)
 			_ = conn.send(ctx, queuedFrame{frame: frame{Kind: kindData}})
--- a/internal/edge/peer/session.go
+++ b/internal/edge/peer/session.go
@@ -37,10 +37,17 @@
 }
 
 func (c *serverConn) run() {
-	_ = c.frameConn.run(c.dispatch)
+	requests, cause := c.frameConn.run(c.dispatch, c.openRequests)
+	c.reportEnd(false, requests, cause)
 	c.wg.Wait()
 }
 
+func (c *serverConn) openRequests() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.streams)
+}
+
 func (c *serverConn) dispatch(f frame) error {
 	switch f.Kind {
 	case kindRequest:
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -120,11 +120,11 @@
 	if err != nil {
 		return err
 	}
-	options, err := peerOptions(g.set)
+	metrics := prometheus.NewRegistry()
+	options, err := peerOptions(g.set, metrics, g.log)
 	if err != nil {
 		return err
 	}
-	metrics := prometheus.NewRegistry()
 	metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	options = append(options, peer.WithHeartbeat(peerHeartbeatInterval, peerTimeout))
 	g.client = peer.NewClient(ctx, []byte(g.set.PeerSecret), options...)
@@ -166,7 +166,7 @@
 	relay.set(store.NewRelay(g.client, sameRegion{members: g.gossip, region: g.region, self: self}, g.follower.ReachesStore))
 	members.set(g.gossip)
 	g.gossip.Meet(g.set.Seeds...)
-	if err := g.serve(ctx, metrics); err != nil {
+	if err := g.serve(ctx, metrics, options); err != nil {
 		return err
 	}
 	g.work.Go(func() { g.register(ctx, self) })
@@ -182,17 +182,12 @@
 }
 
 // serve opens the listeners and starts the servers on them.
-func (g *Gateway) serve(ctx context.Context, metrics *prometheus.Registry) error {
-	options, err := peerOptions(g.set)
-	if err != nil {
-		return err
-	}
-	options = append(options, peer.WithHeartbeat(peerHeartbeatInterval, peerTimeout))
+func (g *Gateway) serve(ctx context.Context, metrics *prometheus.Registry, peerOptions []peer.Option) error {
 	peerListener, err := listen(ctx, "peerListen", g.set.PeerListen)
 	if err != nil {
 		return err
 	}
-	g.peers = peer.NewServer(ctx, peerListener, g.registry, []byte(g.set.PeerSecret), options...)
+	g.peers = peer.NewServer(ctx, peerListener, g.registry, []byte(g.set.PeerSecret), peerOptions...)
 	listener, err := listen(ctx, "listen", g.set.Listen)
 	if err != nil {
 		return err
--- a/internal/program/process/runtime.go
+++ b/internal/program/process/runtime.go
@@ -51,7 +51,8 @@
 	if err != nil {
 		return nil, err
 	}
-	options, err := peerOptions(set)
+	registry := prometheus.NewRegistry()
+	options, err := peerOptions(set, registry, log)
 	if err != nil {
 		return nil, err
 	}
@@ -59,7 +60,7 @@
 		set:         set,
 		log:         log,
 		incarnation: incarnation,
-		registry:    prometheus.NewRegistry(),
+		registry:    registry,
 		platform:    platform.NewClient(set.PlatformURL),
 		peers:       peer.NewRegistry(),
 		peerOptions: options,
--- a/internal/program/process/tls.go
+++ b/internal/program/process/tls.go
@@ -7,18 +7,14 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 	"github.com/oleandershelf/oleandershelf/internal/program/settings"
 )
 
 // ErrNoCertificate is returned if the authority file contains no certificate.
 var ErrNoCertificate = errors.New("no certificate in the file")
 
-// peerOptions enables mutual TLS between processes if the settings name certificates.
-func peerOptions(set settings.Settings) ([]peer.Option, error) {
-	if set.TLSCertificateFile == "" {
-		return nil, nil
-	}
+// peerTLS returns the configuration of mutual TLS between processes from the certificates that the settings name.
+func peerTLS(set settings.Settings) (*tls.Config, error) {
 	pair, err := tls.LoadX509KeyPair(set.TLSCertificateFile, set.TLSKeyFile)
 	if err != nil {
 		return nil, errors.Wrap(err, "tlsCertificateFile")
@@ -31,11 +27,11 @@
 	if !authority.AppendCertsFromPEM(raw) {
 		return nil, errors.Wrap(ErrNoCertificate, set.TLSAuthorityFile)
 	}
-	return []peer.Option{peer.WithTLS(&tls.Config{
+	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		Certificates: []tls.Certificate{pair},
 		RootCAs:      authority,
 		ClientCAs:    authority,
 		ClientAuth:   tls.RequireAndVerifyClientCert,
-	})}, nil
+	}, nil
 }
