--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
@@ -153,5 +154,10 @@
 
 // isHandshakeTimeout reports whether a dial failed because this side or, seen as the end of the connection, the peer waited too long.
 func isHandshakeTimeout(err error) bool {
-	return errors.Is(err, ErrDialTimeout) || errors.Is(err, io.EOF)
+	for _, cause := range []error{ErrDialTimeout, io.EOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
 }
