Refuse answers that are too large, and say truly why a request ended

Cause and what callers saw, each shown by a test that failed before: - An answer above 64 MiB was read up to the limit and passed on as whole. It is refused as answerTooLarge, may have run, and not tried again. TestTooLargeAnswerIsNotCut: "1 attempts, error <nil>". - A server's 500 that arrived as the caller's time ended was dropped for "deadlinePassed ... <nil>". It is passed on. TestFailureThatArrivesLateIsPassedOn. - A request whose caller hung up was refused, counted and logged as deadlinePassed. It is callerGone. TestRefusalSaysWhyTheRequestEnded.

--- a/internal/edge/call/attempt.go
+++ b/internal/edge/call/attempt.go
@@ -17,6 +17,9 @@
 // maxAnswerBytes bounds how much is read of an answer, which is read completely into memory before any of it is passed on.
 const maxAnswerBytes = 64 << 20
 
+// errAnswerTooLarge is the cause of an attempt whose answer exceeds maxAnswerBytes.
+var errAnswerTooLarge = errors.New("the answer is too large")
+
 // sendOnce sends the request to a server once and reads the complete answer.
 func (s *Sender) sendOnce(ctx context.Context, req *fasthttp.Request, server backend.Server, request *Request) *Attempt {
 	attempt := &Attempt{Server: server, SentAt: time.Now(), Outcome: verdict.MayHaveRun}
@@ -52,12 +55,15 @@
 		attempt.Cause = errors.Errorf("the answer is for request %.40q", attempt.Answer.RequestID)
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(stream, maxAnswerBytes))
+	// One byte more than allowed tells an answer of the maximum size from one that would be cut.
+	body, err := io.ReadAll(io.LimitReader(stream, maxAnswerBytes+1))
 	if err != nil {
 		attempt.Cause = err
 		return
 	}
 	switch {
+	case len(body) > maxAnswerBytes:
+		attempt.Cause = errors.Wrapf(errAnswerTooLarge, "limit %d bytes", maxAnswerBytes)
 	case attempt.Answer.NotRun:
 		attempt.Outcome = verdict.NotRun
 		attempt.Cause = errors.Errorf("status %d", attempt.Answer.Status)
--- /dev/null
+++ b/internal/edge/call/call_test.go
@@ -0,0 +1,101 @@
+package call
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/backend"
+	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
+	"github.com/oleandershelf/oleandershelf/platform"
+	"github.com/oleandershelf/oleandershelf/platform/platformtest"
+)
+
+const testPool = "lookup"
+
+// newTestSender returns a sender with one server, which treats requests as behave says.
+func newTestSender(t *testing.T, behave func(n int, r platformtest.Request) platformtest.Behaviour) *Sender {
+	t.Helper()
+	server := platformtest.NewServer(t, "server-1", testPool, nil)
+	server.SetBehaviour(behave)
+	balancer := backend.NewBalancer("self", "north-a")
+	balancer.Sync(time.Now(), []backend.Server{{ID: server.ID, Pool: testPool, Address: server.Address(), AvailabilityZone: server.Zone, Slots: 4}})
+	client := exchange.NewClient()
+	t.Cleanup(client.Close)
+	return NewSender(balancer, client, zerolog.Nop())
+}
+
+func newTestRequest(timeout time.Duration, body string) *Request {
+	reward := &batch.RewardCall{ID: "r-1", Path: "/lookup", Host: "lookup.example", Body: []byte(body)}
+	return &Request{
+		ID:   reward.ID,
+		Pool: func() (string, bool) { return testPool, true },
+		Build: func(to *fasthttp.Request, server backend.Server) {
+			platform.BuildRewardRequest(to, reward, platform.Hop{Server: server})
+		},
+		Deadline:    time.Now().Add(timeout),
+		Idempotent:  true,
+		MaxAttempts: 3,
+		HedgeDelay:  time.Hour,
+	}
+}
+
+func behaveAs(behaviour platformtest.Behaviour) func(int, platformtest.Request) platformtest.Behaviour {
+	return func(int, platformtest.Request) platformtest.Behaviour { return behaviour }
+}
+
+// Guards against an answer that is cut at the limit and passed on as complete.
+func TestTooLargeAnswerIsNotCut(t *testing.T) {
+	sender := newTestSender(t, behaveAs(platformtest.Answer))
+	_, tally, err := sender.Send(t.Context(), newTestRequest(time.Minute, strings.Repeat("x", maxAnswerBytes)))
+	refusal, ok := verdict.As(err)
+	if !ok || refusal.Reason != verdict.ReasonAnswerTooLarge || refusal.Verdict != verdict.MayHaveRun || tally.Sent != 1 {
+		t.Errorf("%d attempts, error %v", tally.Sent, err)
+	}
+}
+
+// Guards against dropping a server's failure, which says that the request ran, because it arrived as the caller's time ended.
+func TestFailureThatArrivesLateIsPassedOn(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	r := &retrier{request: newTestRequest(time.Minute, "x"), Tally: Tally{Sent: 1}}
+	attempt := &Attempt{Outcome: verdict.Ran, Answer: platform.Answer{Status: fasthttp.StatusInternalServerError}}
+	cancel()
+	if final, err := r.evaluate(ctx, attempt); !final || err != nil {
+		t.Errorf("final %v, error %v", final, err)
+	}
+}
+
+// Guards against a refusal whose reason says that the deadline passed although the caller hung up, or the reverse.
+func TestRefusalSaysWhyTheRequestEnded(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		timeout time.Duration
+		hangUp  bool
+		want    verdict.Reason
+	}{
+		{name: "deadline", timeout: 100 * time.Millisecond, want: verdict.ReasonDeadlinePassed},
+		{name: "caller hung up", timeout: time.Minute, hangUp: true, want: verdict.ReasonCallerGone},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			sender := newTestSender(t, func(int, platformtest.Request) platformtest.Behaviour {
+				if test.hangUp {
+					cancel()
+				}
+				return platformtest.Hang
+			})
+			_, _, err := sender.Send(ctx, newTestRequest(test.timeout, "x"))
+			if refusal, ok := verdict.As(err); !ok || refusal.Reason != test.want || refusal.Verdict != verdict.MayHaveRun {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
--- a/internal/edge/call/tries.go
+++ b/internal/edge/call/tries.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
@@ -127,10 +128,13 @@
 		r.Sent--
 		r.NotRun++
 		return false, nil
-	case attempt.Outcome == verdict.Ran && (attempt.Answer.Status < fasthttp.StatusInternalServerError || !r.mayRunAgain()):
+	case attempt.Outcome == verdict.Ran && (attempt.Answer.Status < fasthttp.StatusInternalServerError || !r.mayRunAgain() || ctx.Err() != nil):
 		return true, nil
+	case errors.Is(attempt.Cause, errAnswerTooLarge):
+		// Another attempt would run the request again for an answer that can't be passed on either.
+		return true, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonAnswerTooLarge, 0, "server %s: %v", attempt.Server.ID, attempt.Cause)
 	case ctx.Err() != nil:
-		return true, r.deadlineRefusal(attempt)
+		return true, r.endedRefusal(ctx, attempt)
 	default:
 		return false, nil
 	}
@@ -144,7 +148,7 @@
 	case r.Sent > 0:
 		return last, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerLost, 0, "server %s: %v", last.Server.ID, last.Cause)
 	case ctx.Err() != nil:
-		return last, r.deadlineRefusal(last)
+		return last, r.endedRefusal(ctx, last)
 	default:
 		return last, r.noServerRefusal(last)
 	}
@@ -181,11 +185,14 @@
 	}
 }
 
-// deadlineRefusal refuses a request whose deadline passed, or whose caller hung up, before a server answered.
-func (r *retrier) deadlineRefusal(last *Attempt) error {
+// endedRefusal refuses a request whose deadline passed, or whose caller hung up, before a server answered.
+func (r *retrier) endedRefusal(ctx context.Context, last *Attempt) error {
 	outcome := verdict.NotRun
 	if r.Sent > 0 {
 		outcome = verdict.MayHaveRun
 	}
-	return verdict.Refuse(outcome, verdict.ReasonDeadlinePassed, 0, "the time is over; server %s: %v", last.Server.ID, last.Cause)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return verdict.Refuse(outcome, verdict.ReasonCallerGone, 0, "the caller hung up; server %s: %v", last.Server.ID, last.Cause)
+	}
+	return verdict.Refuse(outcome, verdict.ReasonDeadlinePassed, 0, "the deadline passed; server %s: %v", last.Server.ID, last.Cause)
 }
