Count the reserve for other keys into the retry time

What callers saw: a hot key was refused as rateLimited with Retry-After 0, and refused again.

Cause: the time until a refused request's tokens are there left out those that a hot key must leave to the other keys of its organisation.

TestRetryTimeOfAHotKeyLeavesTheReserve (1 request a second, burst 4, one cold key and one hot one) failed before: "refused again after 0s".

--- a/internal/core/admission/bucket.go
+++ b/internal/core/admission/bucket.go
@@ -33,18 +33,21 @@
 // canTake reports whether a request may take cost tokens and leave reserve in the bucket. A cost above the burst
 // needs a full bucket and makes its balance negative; otherwise it could never be admitted.
 func (b *bucket) canTake(cost, reserve float64) bool {
-	return b.tokens >= min(cost, b.burst-reserve)+reserve
+	return b.tokens >= b.needed(cost, reserve)
 }
 
+// needed returns how many tokens the bucket must hold for a request.
+func (b *bucket) needed(cost, reserve float64) float64 { return min(cost, b.burst-reserve) + reserve }
+
 func (b *bucket) take(cost float64) { b.tokens -= cost }
 
-// scheduleRetry returns the time until the tokens for a refused request will be available, after those set aside
-// for requests refused earlier; at most maxRetryAfter.
-func (b *bucket) scheduleRetry(now time.Time, cost float64) time.Duration {
+// scheduleRetry returns the time until the tokens for a request that was refused with this reserve will be available,
+// after those set aside for requests refused earlier; at most maxRetryAfter.
+func (b *bucket) scheduleRetry(now time.Time, cost, reserve float64) time.Duration {
 	if b.rate <= 0 {
 		return maxRetryAfter
 	}
-	missing := max(0, min(cost, b.burst)-b.tokens)
+	missing := max(0, b.needed(cost, reserve)-b.tokens)
 	if earliest := now.Add(seconds(missing / b.rate)); b.scheduledUntil.Before(earliest) {
 		b.scheduledUntil = earliest
 	} else {
--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -153,14 +153,14 @@
 func (o *organisation) takeTokens(now time.Time, request Request, cost float64, limited bool) error {
 	if o.rate.rate > 0 {
 		o.rate.refill(now)
-		if !o.rate.canTake(1, o.keys.reserve(now, request.KeyHash, o.rate.burst)) {
-			return refuse(verdict.ReasonRateLimited, o.rate.scheduleRetry(now, 1), "the organisation's rate limit is reached")
+		if reserve := o.keys.reserve(now, request.KeyHash, o.rate.burst); !o.rate.canTake(1, reserve) {
+			return refuse(verdict.ReasonRateLimited, o.rate.scheduleRetry(now, 1, reserve), "the organisation's rate limit is reached")
 		}
 	}
 	if limited {
 		o.share.refill(now)
-		if !o.share.canTake(cost, o.keys.reserve(now, request.KeyHash, o.share.burst)) {
-			return refuse(verdict.ReasonOverloaded, o.share.scheduleRetry(now, cost), "the pool is full and the organisation has its share")
+		if reserve := o.keys.reserve(now, request.KeyHash, o.share.burst); !o.share.canTake(cost, reserve) {
+			return refuse(verdict.ReasonOverloaded, o.share.scheduleRetry(now, cost, reserve), "the pool is full and the organisation has its share")
 		}
 		o.share.take(cost)
 	}
--- a/internal/core/admission/controller_test.go
+++ b/internal/core/admission/controller_test.go
@@ -97,6 +97,26 @@
 	}
 }
 
+// Guards against a hot key that is told to come back at once and is refused again, because the tokens that it must leave
+// to the other keys count as available to it.
+func TestRetryTimeOfAHotKeyLeavesTheReserve(t *testing.T) {
+	c := New()
+	c.Configure([]ticket.Organisation{{Name: "a", RequestsPerSecond: 1, Burst: 4}}, 1)
+	if err := c.Admit(start, Request{Organisation: "a", Pool: "p", KeyHash: "cold"}); err != nil {
+		t.Fatal(err)
+	}
+	var refusal *verdict.Refusal
+	for refusal == nil {
+		refusal, _ = verdict.As(c.Admit(start, Request{Organisation: "a", Pool: "p", KeyHash: "hot"}))
+	}
+	if refusal.RetryAfter <= 0 {
+		t.Errorf("refused with %v", refusal)
+	}
+	if err := c.Admit(start.Add(refusal.RetryAfter), Request{Organisation: "a", Pool: "p", KeyHash: "hot"}); err != nil {
+		t.Errorf("refused again after %v: %v", refusal.RetryAfter, err)
+	}
+}
+
 // A pool serves 100 requests a second and refuses the rest. One organisation sends 1,000, another 20. The first
 // must be refused at the entry, the second not at all.
 func TestFairShareWhenFull(t *testing.T) {
