--- a/internal/edge/call/tries.go
+++ b/internal/edge/call/tries.go
@@ -128,7 +128,7 @@
 		r.Sent--
 		r.NotRun++
 		return false, nil
-	case attempt.Outcome == verdict.Ran && (attempt.Answer.Status < fasthttp.StatusInternalServerError || !r.mayRunAgain() || ctx.Err() != nil):
+	case attempt.Outcome == verdict.Ran && r.isFinal(ctx, attempt.Answer.Status):
 		return true, nil
 	case errors.Is(attempt.Cause, errAnswerTooLarge):
 		// Another attempt would run the request again for an answer that can't be passed on either.
@@ -140,6 +140,11 @@
 	}
 }
 
+// isFinal reports whether a server's answer with the status is passed on: it is no failure, or there is no other attempt to come.
+func (r *retrier) isFinal(ctx context.Context, status int) bool {
+	return status < fasthttp.StatusInternalServerError || !r.mayRunAgain() || ctx.Err() != nil
+}
+
 // resultWithoutRetry returns the result of a request that can't be sent again after its last attempt.
 func (r *retrier) resultWithoutRetry(ctx context.Context, last *Attempt) (*Attempt, error) {
 	switch {
