--- a/internal/edge/peer/connect.go
+++ b/internal/edge/peer/connect.go
@@ -22,13 +22,11 @@
 	return dialRepeatedly(ctx, func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", to.String()) })
 }
 
-// dialRepeatedly returns the first connection that an attempt opens. While none has succeeded it starts further attempts, up to
-// maxConnectAttempts in total, and doubles the pause before each. Earlier attempts continue.
+// dialRepeatedly returns the first connection that an attempt opens. While none has succeeded it starts further attempts beside the
+// earlier ones, up to maxConnectAttempts in total, and doubles the pause before each.
 //
 // Guards against the kernel's SYN retransmission delay of a second when the first packet to a booting host is lost. The limit on
 // attempts prevents a busy loop: after the deadline of ctx has passed but before ctx is done, each dial times out immediately.
-//
-// An attempt isn't abandoned when the next one starts: on a busy host this process may notice late that it has succeeded.
 func dialRepeatedly(ctx context.Context, dial func(context.Context) (net.Conn, error)) (net.Conn, error) {
 	attemptCtx, cancel := context.WithCancel(ctx)
 	results := make(chan connectResult, maxConnectAttempts)
--- a/internal/edge/peer/progress.go
+++ b/internal/edge/peer/progress.go
@@ -53,15 +53,10 @@
 	}
 }
 
-// Read returns ErrSilent if the peer sent nothing for the timeout. The timeout is counted in intervals, and those that this process
-// ended late, or in which it was busy, don't count: data may have arrived in them. During the handshake the dial timeout is the only one.
+// Read returns ErrSilent if the peer sent nothing for the timeout, without intervals that this process ended late or in which it was busy.
 //
-// It returns ErrFrozen, even if data is available, if this process sent nothing for longer than the timeout because it was suspended. By
-// then the peer has closed the connection and has reported to its callers that their requests may have run. The frames left in the socket
-// buffer must not start these requests now.
-//
-// A reader that is only late, on a busy host, continues. Its callers wait, and closing the connection would lose the requests of all of
-// them.
+// It returns ErrFrozen, even if data is available, if this process was suspended for so long that the peer has closed the connection: its
+// callers know that their requests may have run, and old frames must not start them now. A reader that is only late continues.
 func (c *progressConn) Read(p []byte) (int, error) {
 	interval := c.readTimeout / readIntervals
 	for silent := 0; ; {
