Decode a server's load report as one value

Decode a server's load report as one value

The load of an answer was read as a sum of its first two figures, so that a negative figure made the server the first choice, and the third and fourth were dropped. platform/ now decodes running, waiting, slots and slowdown into backend.LoadReport, and a value that can't be read is no report.

--- a/internal/core/backend/balancer.go
+++ b/internal/core/backend/balancer.go
@@ -71,9 +71,8 @@
 	readiness *readiness.Server
 	// running counts the requests of this entry, peerRunning those that other entries reported.
 	running, peerRunning int
-	// reportedLoad is the number of requests in the server's last report.
-	reportedLoad int
-	reportedAt   time.Time
+	// load is the server's last load report.
+	load receivedLoad
 	// backoffUntil is when the server's backoff ends; until then it is chosen last. Refusals counts its consecutive
 	// refusals.
 	backoffUntil time.Time
@@ -255,13 +254,12 @@
 	}
 }
 
-// RecordLoad records the number of requests that the server reported.
-func (b *Balancer) RecordLoad(now time.Time, id string, requests int) {
+// RecordLoad records the load that the server reported.
+func (b *Balancer) RecordLoad(now time.Time, id string, load LoadReport) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if state, ok := b.servers[id]; ok {
-		state.reportedLoad = requests
-		state.reportedAt = now
+		state.load = receivedLoad{LoadReport: load, at: now}
 		b.guard.Answered(state.readiness)
 	}
 }
--- a/internal/core/backend/balancer_test.go
+++ b/internal/core/backend/balancer_test.go
@@ -46,8 +46,8 @@
 		{name: "pool without servers", need: Requirements{Pool: "none"}},
 		{name: "server that just refused is last", setup: func(b *Balancer) { b.RecordRefusal(now, "b") }, need: desk, want: "a"},
 		{name: "unreachable server is last", setup: func(b *Balancer) { b.RecordConnectionFailure(now, "b", true) }, need: desk, want: "a"},
-		{name: "reported load", setup: func(b *Balancer) { b.RecordLoad(now, "b", 2) }, need: desk, want: "a"},
-		{name: "outdated load report", setup: func(b *Balancer) { b.RecordLoad(now.Add(-time.Minute), "b", 2) }, need: desk, want: "b"},
+		{name: "reported load", setup: func(b *Balancer) { b.RecordLoad(now, "b", LoadReport{Running: 1, Waiting: 1}) }, need: desk, want: "a"},
+		{name: "outdated load report", setup: func(b *Balancer) { b.RecordLoad(now.Add(-time.Minute), "b", LoadReport{Running: 2}) }, need: desk, want: "b"},
 		{name: "requests of other entries", setup: func(b *Balancer) { b.RecordPeerRequests(map[string]int{"b": 2}) }, need: desk, want: "a"},
 		{name: "new enough weights", need: Requirements{Pool: "engines", Model: "m", MinVersion: 4}, want: "e2"},
 		{
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -138,8 +138,8 @@
 		_ = stream.Close()
 	}()
 	answer := platform.ReadAnswer(stream.Header())
-	if answer.Load >= 0 {
-		r.manager.balancer.RecordLoad(time.Now(), r.server.ID, answer.Load)
+	if answer.Load != nil {
+		r.manager.balancer.RecordLoad(time.Now(), r.server.ID, *answer.Load)
 	}
 	if result, ok := r.checkHeader(answer); !ok {
 		if result == outcomeRefused && answer.NotRun {
--- a/internal/edge/call/attempt.go
+++ b/internal/edge/call/attempt.go
@@ -79,8 +79,8 @@
 // updateBalancer reports to the balancer what an attempt showed of its server: its load, its latency, or its failure.
 func (s *Sender) updateBalancer(ctx context.Context, attempt *Attempt) {
 	now, id := time.Now(), attempt.Server.ID
-	if attempt.Answer.Load >= 0 && attempt.Answer.Status != 0 {
-		s.balancer.RecordLoad(now, id, attempt.Answer.Load)
+	if attempt.Answer.Load != nil {
+		s.balancer.RecordLoad(now, id, *attempt.Answer.Load)
 	}
 	switch {
 	case attempt.Outcome == verdict.Ran && attempt.Answer.Status < fasthttp.StatusInternalServerError:
