Answer questions about the members without copies of the list

An idle entry asked some fifty times a second which entries are alive and which position it has among them, and each answer copied the whole list, sorted out a second copy or filled a map: what an entry allocated grew with the number of entries, and collecting it took more time than its other work. The roster now hands out one shared list, index and set of incarnations, and replaces them when a member changes. The position is counted in place.

TestQuestionsAboutMembersDoNotCopyThem counts the allocations of a question at 23, 384 and 1,000 entries.

--- a/internal/core/roster/join.go
+++ b/internal/core/roster/join.go
@@ -16,7 +16,7 @@
 )
 
 // JoinSchedule decides when an entry writes its address to the platform's store and reads those of others: an entry that knows no other
-// living one always does, any other only if it is a registrant, one of the first in the order of Predecessors. It is not safe for
+// living one always does, any other only if it is a registrant, one of the first in the order of Position. It is not safe for
 // concurrent use.
 //
 // It prevents every entry from writing its address and reading all others at each start.
@@ -33,7 +33,7 @@
 		j.next = now
 		j.pause = isolatedPause
 	}
-	return !now.Before(j.next) && (j.isolated || len(Predecessors(hostID, members)) < registrantCount)
+	return !now.Before(j.next) && (j.isolated || Position(hostID, members) < registrantCount)
 }
 
 // Done records a successful write and read, and schedules the next one.
--- a/internal/core/roster/order.go
+++ b/internal/core/roster/order.go
@@ -24,8 +24,20 @@
 	return running >= settledTime
 }
 
-// Predecessors returns the members that precede the host in the order by hash of the host ID, which is the same at all entries. Leaving
-// members are left out.
+// Position returns how many members precede the host in the order by hash of the host ID, which is the same at all entries. Leaving members
+// are left out. Entries ask for their position dozens of times a second, so it is counted without a copy of the members.
+func Position(hostID string, members []Member) int {
+	own := xxhash.Sum64String(hostID)
+	position := 0
+	for i := range members {
+		if !members[i].Leaving && xxhash.Sum64String(members[i].HostID) < own {
+			position++
+		}
+	}
+	return position
+}
+
+// Predecessors returns the members that precede the host in the order of Position.
 func Predecessors(hostID string, members []Member) []Member {
 	own := xxhash.Sum64String(hostID)
 	var predecessors []Member
--- a/internal/core/roster/order_test.go
+++ b/internal/core/roster/order_test.go
@@ -11,7 +11,12 @@
 	all := membersExcept(count, -1)
 	positions := map[int]bool{}
 	for i, member := range all {
-		positions[len(Predecessors(member.HostID, membersExcept(count, i)))] = true
+		others := membersExcept(count, i)
+		position := Position(member.HostID, others)
+		if predecessors := Predecessors(member.HostID, others); len(predecessors) != position {
+			t.Errorf("%s has %d predecessors at position %d", member.HostID, len(predecessors), position)
+		}
+		positions[position] = true
 	}
 	if len(positions) != count {
 		t.Errorf("%d distinct positions for %d entries", len(positions), count)
@@ -59,3 +64,19 @@
 		t.Errorf("got %d of 3 members with unknown cores", len(same))
 	}
 }
+
+// An entry asks several dozen times a second which entries are alive and which position it has among them. Guards against answers that copy
+// the list: at 384 entries the copies were most of what an idle entry allocated, and collecting them took more time than all its other work.
+func TestQuestionsAboutMembersDoNotCopyThem(t *testing.T) {
+	for _, entries := range []int{23, 384, 1000} {
+		r := newStableCluster(t, entries).rosters[member(0).Address]
+		allocations := testing.AllocsPerRun(100, func() {
+			if alive := r.Alive(); len(alive) != entries-1 || len(r.Incarnations()) != entries-1 || Position(r.Self().HostID, alive) >= entries {
+				t.Fatal("wrong list")
+			}
+		})
+		if allocations > 0 {
+			t.Errorf("%d entries: %v allocations for each question", entries, allocations)
+		}
+	}
+}
--- a/internal/core/roster/ring.go
+++ b/internal/core/roster/ring.go
@@ -10,15 +10,25 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// neighbourUpdateInterval is the time between two determinations of the neighbours.
-const neighbourUpdateInterval = Interval / 2
+const (
+	// neighbourUpdateInterval is the time between two determinations of the neighbours while the list changes, and neighbourCheckInterval
+	// while it doesn't. Without a change, only entries that have been silent for ringTimeout or forgetTimeout move the neighbours, and the
+	// ring is sorted anew for each determination.
+	neighbourUpdateInterval = Interval / 2
+	neighbourCheckInterval  = 5 * neighbourUpdateInterval
+)
 
 // updateNeighbours determines the neighbours, and removes entries that were silent for forgetTimeout and updates that have expired.
 func (r *Roster) updateNeighbours(now time.Time) {
-	if now.Sub(r.neighboursUpdated) < neighbourUpdateInterval {
+	pause := neighbourCheckInterval
+	if r.ringChanged {
+		pause = neighbourUpdateInterval
+	}
+	if now.Sub(r.neighboursUpdated) < pause {
 		return
 	}
 	r.neighboursUpdated = now
+	r.ringChanged = false
 	after, before := r.neighbours(now)
 	for address, p := range r.peers {
 		switch {
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -93,15 +93,18 @@
 	// lastUpdate is when an update was last added, lastRefutation when this entry last announced that it is alive because others
 	// considered it failed.
 	lastUpdate, lastRefutation time.Time
-	// alive is the sorted list of living members and byHost its index; byHost is nil if both must be rebuilt. digest is valid only if
-	// digestValid is set.
-	alive       []Member
-	byHost      map[string]Member
-	digest      uint64
-	digestValid bool
+	// alive is the sorted list of living members, byHost its index, and incarnations those of its members; byHost is nil if they must be
+	// rebuilt. All three are replaced as a whole and never changed. digest is valid only if digestValid is set.
+	alive        []Member
+	byHost       map[string]Member
+	incarnations map[uint64]bool
+	digest       uint64
+	digestValid  bool
 	// lastAntiEntropy is when an entry that is not a successor was last called, neighboursUpdated when the neighbours were last determined.
 	lastAntiEntropy   time.Time
 	neighboursUpdated time.Time
+	// ringChanged is set if members have changed since the neighbours were last determined.
+	ringChanged bool
 }
 
 // New returns a roster that knows no other entry and announces self.
@@ -140,12 +143,19 @@
 	return p
 }
 
-// Alive returns the other living entries, including leaving ones, sorted by host. The caller must not change the slice.
+// Alive returns the other living entries, including leaving ones, sorted by host. The slice is shared: nobody may change it, and the next
+// change of the list replaces it.
 func (r *Roster) Alive() []Member {
 	r.refresh()
 	return r.alive
 }
 
+// Incarnations returns the incarnations of the other living entries. The map is shared like the slice of Alive.
+func (r *Roster) Incarnations() map[uint64]bool {
+	r.refresh()
+	return r.incarnations
+}
+
 // Find returns the living entry with the host ID.
 func (r *Roster) Find(hostID string) (Member, bool) {
 	r.refresh()
@@ -173,6 +183,7 @@
 func (r *Roster) invalidate() {
 	r.byHost = nil
 	r.digestValid = false
+	r.ringChanged = true
 }
 
 // refresh rebuilds the cached list if it was discarded.
@@ -180,12 +191,14 @@
 	if r.byHost != nil {
 		return
 	}
-	r.alive = nil
-	r.byHost = map[string]Member{}
+	r.alive = make([]Member, 0, len(r.peers))
+	r.byHost = make(map[string]Member, len(r.peers))
+	r.incarnations = make(map[uint64]bool, len(r.peers))
 	for _, p := range r.peers {
 		if p.alive() {
 			r.alive = append(r.alive, p.member)
 			r.byHost[p.member.HostID] = p.member
+			r.incarnations[p.member.Incarnation] = true
 		}
 	}
 	slices.SortFunc(r.alive, func(a, b Member) int { return cmp.Compare(a.HostID, b.HostID) })
--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -68,7 +68,7 @@
 
 // rankedPeers returns the other entries that are not leaving, in an order that differs between jobs and is the same at all entries.
 func (m *Manager) rankedPeers(id string) []gossip.Member {
-	members := slices.DeleteFunc(m.members.Alive(time.Now()), func(member gossip.Member) bool { return member.Leaving })
+	members := slices.DeleteFunc(slices.Clone(m.members.Alive(time.Now())), func(member gossip.Member) bool { return member.Leaving })
 	slices.SortFunc(members, func(a, b gossip.Member) int {
 		return cmp.Compare(xxhash.Sum64String(id+a.HostID), xxhash.Sum64String(id+b.HostID))
 	})
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -70,6 +70,7 @@
 type Members interface {
 	Self() gossip.Member
 	Find(now time.Time, hostID string) (gossip.Member, bool)
+	// Alive returns the other living entries. The caller must not change the slice.
 	Alive(now time.Time) []gossip.Member
 }
 
--- a/internal/edge/gossip/gossip.go
+++ b/internal/edge/gossip/gossip.go
@@ -98,9 +98,16 @@
 	g.withRoster(func(r *roster.Roster) { r.Leave(time.Now()) })
 }
 
-// Alive returns the other entries that are alive, including leaving ones, sorted by host ID.
+// Alive returns the other entries that are alive, including leaving ones, sorted by host ID. The caller must not change the slice, which is
+// shared: with hundreds of entries, copies for each question were most of what an idle entry allocated.
 func (g *Gossip) Alive(time.Time) (alive []Member) {
-	g.withRoster(func(r *roster.Roster) { alive = append(alive, r.Alive()...) })
+	g.withRoster(func(r *roster.Roster) { alive = r.Alive() })
+	return alive
+}
+
+// Incarnations returns the incarnations of the other entries that are alive. The caller must not change the map, which is shared.
+func (g *Gossip) Incarnations() (alive map[uint64]bool) {
+	g.withRoster(func(r *roster.Roster) { alive = r.Incarnations() })
 	return alive
 }
 
--- a/internal/edge/store/relay.go
+++ b/internal/edge/store/relay.go
@@ -32,7 +32,7 @@
 
 // Members is the list of the other entries.
 type Members interface {
-	// Alive returns the other entries that are alive.
+	// Alive returns the other entries that are alive. The caller must not change the slice.
 	Alive(now time.Time) []gossip.Member
 }
 
@@ -55,7 +55,7 @@
 // With the same order on every host, a store that rejects the first few entries would be unreachable for every other
 // entry that it rejects, although it serves most entries.
 func (r *Relay) candidates(now time.Time) []gossip.Member {
-	members := slices.DeleteFunc(r.members.Alive(now), func(m gossip.Member) bool { return m.Leaving })
+	members := slices.DeleteFunc(slices.Clone(r.members.Alive(now)), func(m gossip.Member) bool { return m.Leaving })
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	slices.SortStableFunc(members, func(a, b gossip.Member) int {
 		return cmp.Compare(r.rank(now, a), r.rank(now, b))
--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -52,7 +52,7 @@
 // Members lists the entries of the deployment.
 type Members interface {
 	Self() gossip.Member
-	// Alive returns the other entries that gossip reports as live.
+	// Alive returns the other entries that gossip reports as live. The caller must not change the slice.
 	Alive(now time.Time) []gossip.Member
 }
 
@@ -222,10 +222,13 @@
 // fetchFromPredecessor fetches a kind that this entry lacks from a random predecessor among those with the most cores: smaller
 // entries respond slowly while all entries start at once.
 func (f *Follower) fetchFromPredecessor(ctx context.Context, kind string) {
+	if _, known := f.view.Collection(kind); known {
+		return
+	}
 	now := time.Now()
 	members := f.members.Alive(now)
 	predecessors := roster.Predecessors(f.members.Self().HostID, members)
-	if _, known := f.view.Collection(kind); known || len(predecessors) == 0 || !roster.Settled(now.Sub(f.started), members) {
+	if len(predecessors) == 0 || !roster.Settled(now.Sub(f.started), members) {
 		return
 	}
 	sources := roster.WithMostCores(predecessors)
@@ -234,7 +237,7 @@
 
 // position returns the number of live entries that precede this one in follow order.
 func (f *Follower) position(now time.Time) int {
-	return len(roster.Predecessors(f.members.Self().HostID, f.members.Alive(now)))
+	return roster.Position(f.members.Self().HostID, f.members.Alive(now))
 }
 
 // readOrWatch reads a kind, or watches it from the newest revision known to be unchanged, and returns the revision reached.
--- a/internal/program/process/deferred.go
+++ b/internal/program/process/deferred.go
@@ -44,7 +44,7 @@
 	return gossip.Member{}, false
 }
 
-// Alive returns the other entries that are alive.
+// Alive returns the other entries that are alive. The caller must not change the slice.
 func (d *deferredMembers) Alive(now time.Time) []gossip.Member {
 	if g := d.gossip.Load(); g != nil {
 		return g.Alive(now)
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -255,7 +255,7 @@
 
 // dutyRank returns the number of living entries that precede this one in that order.
 func (g *Gateway) dutyRank() int {
-	return len(roster.Predecessors(g.set.HostID, g.gossip.Alive(time.Now())))
+	return roster.Position(g.set.HostID, g.gossip.Alive(time.Now()))
 }
 
 // isHolderAlive reports whether the entry that holds the keeper's duty is alive and isn't leaving.
--- a/internal/program/process/heartbeat.go
+++ b/internal/program/process/heartbeat.go
@@ -41,7 +41,7 @@
 		peerLoads:         map[string]peerLoad{},
 		totalByServer:     map[string]int{},
 		delivered:         map[uint64]map[usage.Cell]usage.Amount{},
-		aliveIncarnations: g.aliveIncarnations,
+		aliveIncarnations: func() map[uint64]bool { return g.gossip.Incarnations() },
 	}
 }
 
@@ -49,8 +49,8 @@
 type gossipHandler struct {
 	gateway     *Gateway
 	incarnation uint64
-	// aliveIncarnations returns the incarnations of the other entries that are alive.
-	aliveIncarnations func(now time.Time) map[uint64]bool
+	// aliveIncarnations returns the incarnations of the other entries that are alive, in a map that must not be changed.
+	aliveIncarnations func() map[uint64]bool
 
 	mu sync.Mutex
 	// peerLoads holds the requests that each other entry runs, and totalByServer their sum per server.
@@ -96,15 +96,6 @@
 	return heartbeat
 }
 
-// aliveIncarnations returns the incarnations of the other entries that are alive.
-func (g *Gateway) aliveIncarnations(now time.Time) map[uint64]bool {
-	alive := map[uint64]bool{}
-	for _, member := range g.gossip.Alive(now) {
-		alive[member.Incarnation] = true
-	}
-	return alive
-}
-
 // counts returns the counts that the recipient hasn't received from this entry. The holder of the duties also receives
 // copies of other entries' counts: an entry may stop after it sent its counts to neighbours and before it sent them to the
 // holder.
@@ -114,7 +105,7 @@
 // entry lost the copies that it held for the entries restarted before it.
 func (h *gossipHandler) counts(now time.Time, to gossip.Member) []usage.Count {
 	from := usage.WindowStart(now.Add(-countSendPeriod), h.gateway.set.UsageWindow)
-	alive := h.aliveIncarnations(now)
+	alive := h.aliveIncarnations()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	sendAll := to.HostID == h.holder.HostID
@@ -243,7 +234,7 @@
 		}
 	}
 	cutoff := now.Add(-countRetention).Unix()
-	alive := h.aliveIncarnations(now)
+	alive := h.aliveIncarnations()
 	maps.DeleteFunc(h.delivered, func(incarnation uint64, received map[usage.Cell]usage.Amount) bool {
 		maps.DeleteFunc(received, func(cell usage.Cell, _ usage.Amount) bool { return cell.Window < cutoff })
 		return !alive[incarnation]
--- a/internal/program/process/heartbeat_test.go
+++ b/internal/program/process/heartbeat_test.go
@@ -20,7 +20,7 @@
 		balancer: balancer,
 		set:      settings.Settings{HostID: "self", UsageWindow: 5 * time.Second},
 	}, incarnation)
-	h.aliveIncarnations = func(time.Time) map[uint64]bool { return map[uint64]bool{1: true, 2: true, 3: true, 4: true} }
+	h.aliveIncarnations = func() map[uint64]bool { return map[uint64]bool{1: true, 2: true, 3: true, 4: true} }
 	return h
 }
 
@@ -67,7 +67,7 @@
 	handlers[0].CountRequest("north", now)
 	for i, next := range handlers[1:] {
 		before := handlers[i]
-		before.aliveIncarnations = func(time.Time) map[uint64]bool { return map[uint64]bool{uint64(i + 2): true} }
+		before.aliveIncarnations = func() map[uint64]bool { return map[uint64]bool{uint64(i + 2): true} }
 		for _, count := range before.counts(now, gossip.Member{HostID: "next", Incarnation: uint64(i + 2)}) {
 			next.gateway.ledger.Merge(count)
 		}
--- a/internal/program/process/readiness.go
+++ b/internal/program/process/readiness.go
@@ -65,7 +65,8 @@
 
 // updateEntries passes the list of living entries to the balancer, once it has settled, until ctx ends.
 func (g *Gateway) updateEntries(ctx context.Context, started time.Time) {
-	var known []gossip.Member
+	var knownOthers []gossip.Member
+	var knownSelf gossip.Member
 	var hosts []string
 	var runners map[string][]string
 	var knownDemand batch.Demand
@@ -75,10 +76,11 @@
 		if running := now.Sub(started); running < entriesSettleTime || !roster.Settled(running, alive) {
 			return
 		}
-		members, demand, table := slices.Concat(alive, []gossip.Member{g.gossip.Self()}), g.demand(), g.view.Snapshot().Table
+		self, demand, table := g.gossip.Self(), g.demand(), g.view.Snapshot().Table
 		sameDemand := demand.Slots == knownDemand.Slots && slices.Equal(demand.Models, knownDemand.Models)
-		if table != knownTable || !sameDemand || !slices.Equal(members, known) {
-			known, knownDemand, knownTable = members, demand, table
+		if table != knownTable || !sameDemand || self != knownSelf || !slices.Equal(alive, knownOthers) {
+			knownOthers, knownSelf, knownDemand, knownTable = alive, self, demand, table
+			members := slices.Concat(alive, []gossip.Member{self})
 			hosts, runners = hostIDs(members), runnersByModel(table, members, demand)
 		}
 		g.balancer.SetEntries(now, hosts, runners)
@@ -126,7 +128,7 @@
 
 // Alive returns the other entries of the region.
 func (s sameRegion) Alive(now time.Time) []gossip.Member {
-	return slices.DeleteFunc(s.members.Alive(now), func(m gossip.Member) bool {
+	return slices.DeleteFunc(slices.Clone(s.members.Alive(now)), func(m gossip.Member) bool {
 		return s.region(m.AvailabilityZone) != s.region(s.self.AvailabilityZone)
 	})
 }
