Close connections between entries that are used once

Each entry calls all others in turn, one in half a second, to repair its list, and kept each connection for a minute: from 240 entries on 120 connections out and as many in, each with a heartbeat a second both ways, three goroutines and a buffer of 32 KB at both ends. Connections now close after four unused seconds, which is longer than the interval of the calls to the holder of the duties.

--- a/internal/edge/gossip/gossip.go
+++ b/internal/edge/gossip/gossip.go
@@ -17,6 +17,10 @@
 const (
 	// tickInterval is the interval between two checks for due calls and silent members.
 	tickInterval = roster.Interval / 4
+	// ConnectionIdleTimeout is how long an entry keeps an unused connection to another one. It is longer than the longest interval between two
+	// calls to the holder of the duties, which thus keep their connections. The calls that repair the lists reach a different entry each time;
+	// each connection that they left behind costs heartbeats every second, three goroutines and 32 KB at both ends.
+	ConnectionIdleTimeout = 4 * time.Second
 	// callTimeout limits a call that exchanges heartbeats. The latency between availability zones is some milliseconds.
 	callTimeout = time.Second
 )
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -126,7 +126,7 @@
 		return err
 	}
 	metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	options = append(options, peer.WithHeartbeat(peerHeartbeatInterval, peerTimeout))
+	options = append(options, peer.WithHeartbeat(peerHeartbeatInterval, peerTimeout), peer.WithIdleTimeout(gossip.ConnectionIdleTimeout))
 	g.client = peer.NewClient(ctx, []byte(g.set.PeerSecret), options...)
 	g.balancer = backend.NewBalancer(g.set.HostID, g.set.AvailabilityZone, backend.WithRegions(g.set.Regions))
 	metrics.MustRegister(denialCollector{balancer: g.balancer})
