Send weight versions only to the entries that use them

Engines load about a hundred weight versions a second while six models are trained. Each load changed the server list, and the list's changes went to all entries: hosts times loads, each change a whole record of some 350 bytes, decoded, sorted in and handed to the balancer several times a second by entries that run no batch job. This was most of what an entry received and, with the garbage that it made, of the time that it used.

The follower of the list now separates its changes. Those of weight versions alone form a collection of their own, which the runners of batch jobs, the contenders for the duties and the first entries in follow order read from the follower. It watches from the older of the two revisions. Where cold servers are limited all goes to all entries as before, since the weights decide who may use a cold server.

--- a/internal/core/backend/server.go
+++ b/internal/core/backend/server.go
@@ -42,6 +42,13 @@
 	}
 }
 
+// DiffersInWeightsOnly reports whether two registrations are equal except for their weight versions and revisions. Those of a cold server
+// count as different, because its weight versions decide which entry may use it.
+func (s Server) DiffersInWeightsOnly(other Server) bool {
+	return s.Key() == other.Key() && s.Pool == other.Pool && s.Address == other.Address && s.AvailabilityZone == other.AvailabilityZone &&
+		s.Slots == other.Slots && s.Draining == other.Draining && s.ColdLeft == 0 && other.ColdLeft == 0
+}
+
 // Key returns the identity of this run of the server: one that restarts under its old ID is a different one, without
 // its former state.
 func (s Server) Key() Key { return Key{ID: s.ID, Started: s.Started.UnixMilli()} }
--- a/internal/edge/view/contacts.go
+++ b/internal/edge/view/contacts.go
@@ -141,6 +141,19 @@
 	return preceding < wanted
 }
 
+// firstFollower returns the first host in follow order, other than this one, that reached the store recently.
+func (c *contactTracker) firstFollower(now time.Time) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first, found := "", false
+	for host, at := range c.lastContact {
+		if host != c.self && now.Sub(at) < maxDistantContactAge && (!found || hashRank(host) < hashRank(first)) {
+			first, found = host, true
+		}
+	}
+	return first, found
+}
+
 // reachesStore reports whether the host reached the store recently.
 func (c *contactTracker) reachesStore(now time.Time, host string) bool {
 	c.mu.Lock()
--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -67,11 +67,22 @@
 	work     conc.WaitGroup
 	started  time.Time
 	watches  watchSet
+	// needsWeights reports whether this entry uses the weight versions of servers.
+	needsWeights func() bool
+}
+
+// FollowerOption changes a new Follower.
+type FollowerOption func(*Follower)
+
+// WithWeightsIf makes the follower keep the weight versions of servers up to date only while needed returns true, or while it is among the
+// first to follow the store. Without it they are always kept up to date.
+func WithWeightsIf(needed func() bool) FollowerOption {
+	return func(f *Follower) { f.needsWeights = needed }
 }
 
 // NewFollower updates the view until ctx ends, and serves the view's collections to other entries.
 func NewFollower(ctx context.Context, members Members, view *View, source Source, client *peer.Client,
-	registry *peer.Registry, log zerolog.Logger) *Follower {
+	registry *peer.Registry, log zerolog.Logger, options ...FollowerOption) *Follower {
 	f := &Follower{
 		view:     view,
 		source:   source,
@@ -80,6 +91,11 @@
 		contacts: newContactTracker(members.Self().HostID),
 		log:      log,
 		started:  time.Now(),
+
+		needsWeights: func() bool { return true },
+	}
+	for _, option := range options {
+		option(f)
 	}
 	peer.Handle(registry, MethodCollection, func(_ context.Context, request CollectionRequest) (CollectionUpdate, error) {
 		collection, _ := view.Collection(request.Kind)
@@ -89,6 +105,7 @@
 		f.work.Go(func() { f.follow(ctx, kind) })
 	}
 	f.work.Go(func() { f.probe(ctx) })
+	f.work.Go(func() { f.followWeights(ctx) })
 	return f
 }
 
@@ -103,6 +120,9 @@
 			f.work.Go(func() { f.fetch(ctx, from.Address, kind) })
 		}
 	}
+	if revisions[kindWeights] > known[kindWeights] && f.usesWeights(time.Now()) {
+		f.work.Go(func() { f.fetch(ctx, from.Address, kindWeights) })
+	}
 }
 
 // fetch updates one kind from another entry.
@@ -247,7 +267,13 @@
 	if !known {
 		return f.list(ctx, kind)
 	}
-	watched = max(watched, product.Version(collection.Revision))
+	complete := collection.Revision
+	if kind == platform.KindServers {
+		if complete, known = f.view.CompleteServersRevision(); !known {
+			return f.list(ctx, kind)
+		}
+	}
+	watched = max(watched, product.Version(complete))
 	watchCtx, done := f.watches.start(ctx, kind)
 	changes, err := f.source.Watch(watchCtx, kind, watched, watchTimeout)
 	if restarted := done(); restarted && err != nil {
@@ -262,7 +288,11 @@
 	if len(changes.Changes) == 0 {
 		return max(watched, changes.Revision), nil
 	}
-	f.view.ApplyIfNewer(collection.withChanges(changes))
+	if kind == platform.KindServers {
+		f.view.ApplyServerChanges(time.Now(), changes)
+	} else {
+		f.view.ApplyIfNewer(collection.withChanges(changes))
+	}
 	return changes.Revision, nil
 }
 
@@ -272,7 +302,11 @@
 	if err != nil {
 		return 0, err
 	}
-	f.view.ApplyIfNewer(newCollection(kind, uint64(revision), objects))
+	if collection := newCollection(kind, uint64(revision), objects); kind == platform.KindServers {
+		f.view.ApplyServerList(collection)
+	} else {
+		f.view.ApplyIfNewer(collection)
+	}
 	return revision, nil
 }
 
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -46,7 +46,9 @@
 	collections map[string]Collection
 	changed     chan struct{}
 	tableSince  time.Time
-	onChange    []func(*Snapshot)
+	// serversAppliedAt is when ApplyServerChanges last raised the revision of the server list.
+	serversAppliedAt time.Time
+	onChange         []func(*Snapshot)
 	// decoded are the decoded server records by object name.
 	decoded map[string]decodedServer
 	// registrations decides which servers count as registered.
@@ -100,14 +102,60 @@
 func (v *View) ApplyIfNewer(collection Collection) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.applyIfNewer(collection)
+}
+
+// ApplyServerChanges applies changes of the server list that were read from the store.
+func (v *View) ApplyServerChanges(now time.Time, changes platform.Changes) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	registrations, weights := v.splitServerChanges(changes)
+	if len(registrations.Changes) > 0 || now.Sub(v.serversAppliedAt) >= maxServersRevisionAge {
+		v.serversAppliedAt = now
+		v.applyIfNewer(v.collections[platform.KindServers].withChanges(registrations))
+	}
+	v.applyIfNewer(Collection{Kind: kindWeights}.withChanges(weights))
+}
+
+// ApplyServerList applies a server list that was read from the store. Its records also count as weight versions, because a list that other
+// entries had sent may be as new and lack these.
+func (v *View) ApplyServerList(list Collection) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.applyIfNewer(list)
+	v.applyIfNewer(Collection{Kind: kindWeights, Revision: list.Revision, Objects: list.Objects})
+}
+
+// CompleteServersRevision returns the revision up to which all changes of servers, weight versions included, are known; false if some may be
+// missing.
+func (v *View) CompleteServersRevision() (uint64, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	weights, known := v.collections[kindWeights]
+	return min(v.collections[platform.KindServers].Revision, weights.Revision), known
+}
+
+// applyIfNewer is ApplyIfNewer for callers that hold the lock.
+func (v *View) applyIfNewer(collection Collection) bool {
 	if known, ok := v.collections[collection.Kind]; ok && known.Revision >= collection.Revision {
 		return false
 	}
+	if collection.Kind == kindWeights {
+		servers, listed := v.collections[platform.KindServers]
+		if !listed {
+			return false
+		}
+		merged := mergeWeights(v.collections[kindWeights], collection, servers)
+		if len(collection.Objects) == 0 {
+			v.collections[kindWeights] = merged
+			return true
+		}
+		collection = merged
+	}
 	next := *v.current.Load()
 	if !v.apply(&next, collection) {
 		return false
 	}
-	v.collections[collection.Kind] = collection
 	v.publish(&next)
 	return true
 }
@@ -137,12 +185,15 @@
 	v.publish(&next)
 }
 
+// apply stores a collection and updates the snapshot from it. It returns false, and changes nothing, if the collection is invalid.
 func (v *View) apply(next *Snapshot, collection Collection) bool {
+	if collection.Kind == platform.KindConfiguration && !v.applyConfiguration(next, collection) {
+		return false
+	}
+	v.collections[collection.Kind] = collection
 	switch collection.Kind {
-	case platform.KindConfiguration:
-		return v.applyConfiguration(next, collection)
-	case platform.KindServers:
-		v.applyServers(next, collection)
+	case platform.KindServers, kindWeights:
+		v.applyServers(next, collection.Revision)
 	case platform.KindEvacuations:
 		v.applyEvacuations(next, collection)
 	case platform.KindModelVersions:
@@ -191,19 +242,20 @@
 	}
 }
 
-func (v *View) applyServers(next *Snapshot, collection Collection) {
-	v.decodeServers(collection)
-	listed := make([]backend.Server, 0, len(collection.Objects))
-	for _, object := range collection.Objects {
+func (v *View) applyServers(next *Snapshot, revision uint64) {
+	objects := v.serverObjects()
+	v.decodeServers(objects)
+	listed := make([]backend.Server, 0, len(objects))
+	for _, object := range objects {
 		if read := v.decoded[object.Name]; read.err == nil {
 			listed = append(listed, read.server)
 		}
 	}
 	v.registrations.Replace(time.Now(), listed)
 	next.ServersKnown = true
-	v.replaceServers(next, collection.Revision)
+	v.replaceServers(next, revision)
 	if lapsed := v.registrations.Lapsed(); lapsed > 0 {
-		v.log.Info().Int("servers", lapsed).Uint64("revision", collection.Revision).Msg("expired registrations kept after an outage of the store")
+		v.log.Info().Int("servers", lapsed).Uint64("revision", revision).Msg("expired registrations kept after an outage of the store")
 	}
 }
 
@@ -229,9 +281,9 @@
 
 // decodeServers decodes the server records that changed. Only a few of up to 2,200 records change at a time, but several times
 // a second.
-func (v *View) decodeServers(collection Collection) {
-	next := make(map[string]decodedServer, len(collection.Objects))
-	for _, object := range collection.Objects {
+func (v *View) decodeServers(objects []product.Object) {
+	next := make(map[string]decodedServer, len(objects))
+	for _, object := range objects {
 		read, known := v.decoded[object.Name]
 		if !known || read.version != object.Version {
 			read = decodedServer{version: object.Version}
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -81,7 +81,9 @@
 	gateway      *gateway.Gateway
 	admin        *admin.Server
 	heartbeats   *gossipHandler
-	work         conc.WaitGroup
+	// usesWeights is whether this entry uses the weight versions of servers.
+	usesWeights atomic.Bool
+	work        conc.WaitGroup
 }
 
 // RunGateway runs the gateway until ctx ends, then drains it. The settings are reloaded from path when they change.
@@ -146,7 +148,8 @@
 	g.store = store.New(store.NewHTTPTransport(platformAddress, platformCalls), relay, store.NewMetrics(metrics), g.log)
 	store.Serve(g.registry, g.store)
 	members := &deferredMembers{self: self}
-	g.follower = view.NewFollower(ctx, members, g.view, g.store, g.client, g.registry, g.log)
+	g.follower = view.NewFollower(ctx, members, g.view, g.store, g.client, g.registry, g.log,
+		view.WithWeightsIf(g.usesWeights.Load))
 	g.calls = call.NewSender(g.balancer, serverCalls, g.log)
 	g.jobs = batchjob.NewManager(ctx, batchjob.Deps{
 		Store:    g.store,
--- a/internal/program/process/readiness.go
+++ b/internal/program/process/readiness.go
@@ -84,9 +84,20 @@
 			hosts, runners = hostIDs(members), runnersByModel(table, members, demand)
 		}
 		g.balancer.SetEntries(now, hosts, runners)
+		g.usesWeights.Store(runsAny(runners, self.HostID) || g.isContender() || len(g.jobs.TokenRates()) > 0)
 	})
 }
 
+// runsAny reports whether the host runs the batch jobs of any model.
+func runsAny(runners map[string][]string, hostID string) bool {
+	for _, hosts := range runners {
+		if slices.Contains(hosts, hostID) {
+			return true
+		}
+	}
+	return false
+}
+
 func hostIDs(members []gossip.Member) []string {
 	hosts := make([]string, 0, len(members))
 	for _, member := range members {
