Let entries with most cores contend for the duties

The holder of the duties was one of the first entries by hash, whatever its size. It hears from all other entries and orders the loads of all engines: 150 heartbeats and up to a hundred orders a second at 384 entries before 403 engines, where five entries in six have 0.144 cores. Those with at least half of the largest entry's cores now come first in the order of the contenders.

TestEntriesWithMostCoresContendForDuties checks the order for 1 to 1,000 entries.

--- a/internal/core/roster/order.go
+++ b/internal/core/roster/order.go
@@ -37,6 +37,29 @@
 	return position
 }
 
+// DutyPosition returns how many members precede this one in the order in which entries contend for the duties, which is the same at all
+// entries. Those with at least minCoreShare of the largest entry's cores come first, each part in the order of Position. Leaving members are
+// left out.
+//
+// The holder of the duties hears from all other entries and orders the loads of all engines. With 384 entries before 403 engines that is 150
+// heartbeats and up to a hundred orders a second, which is more than an entry with a seventh of a core can do.
+func DutyPosition(self Member, members []Member) int {
+	most := self.Cores
+	for i := range members {
+		most = max(most, members[i].Cores)
+	}
+	own, ownHash := self.Cores >= minCoreShare*most, xxhash.Sum64String(self.HostID)
+	position := 0
+	for i := range members {
+		large := members[i].Cores >= minCoreShare*most
+		before := large && !own || large == own && xxhash.Sum64String(members[i].HostID) < ownHash
+		if !members[i].Leaving && before {
+			position++
+		}
+	}
+	return position
+}
+
 // Predecessors returns the members that precede the host in the order of Position.
 func Predecessors(hostID string, members []Member) []Member {
 	own := xxhash.Sum64String(hostID)
--- a/internal/core/roster/order_test.go
+++ b/internal/core/roster/order_test.go
@@ -29,6 +29,38 @@
 	}
 }
 
+// Guards against duties at an entry with few cores, where the heartbeats of all others and the orders for all engines take more processor time
+// than it has.
+func TestEntriesWithMostCoresContendForDuties(t *testing.T) {
+	for _, count := range []int{1, 4, 23, 93, 384, 1000} {
+		all := membersExcept(count, -1)
+		large := 0
+		for i := range all {
+			all[i].Cores = 0.144
+			if i%6 == 0 {
+				all[i].Cores = 1.6
+				large++
+			}
+		}
+		positions := map[int]bool{}
+		for i, self := range all {
+			others := append(append([]Member{}, all[:i]...), all[i+1:]...)
+			position := DutyPosition(self, others)
+			positions[position] = true
+			if (position < large) != (self.Cores > 1) {
+				t.Errorf("%d entries: %s with %v cores is at position %d", count, self.HostID, self.Cores, position)
+			}
+		}
+		if len(positions) != count {
+			t.Errorf("%d distinct positions for %d entries", len(positions), count)
+		}
+	}
+	equal := membersExcept(5, -1)
+	if got, want := DutyPosition(equal[2], append(equal[:2:2], equal[3:]...)), Position(equal[2].HostID, append(equal[:2:2], equal[3:]...)); got != want {
+		t.Errorf("position %d among equal entries, want %d", got, want)
+	}
+}
+
 // Guards against several new entries that each take the first position because they know no other living one yet.
 func TestNewEntryWaitsBeforeItTakesAPosition(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -252,13 +252,13 @@
 	})
 }
 
-// isContender reports whether this entry is among the first of the living entries, in an order by hash that is the same at
+// isContender reports whether this entry is among the first of the living entries, in an order that is the same at
 // all entries. A contender reads the lease every second while the holder isn't alive.
 func (g *Gateway) isContender() bool { return g.dutyRank() < contenders }
 
 // dutyRank returns the number of living entries that precede this one in that order.
 func (g *Gateway) dutyRank() int {
-	return roster.Position(g.set.HostID, g.gossip.Alive(time.Now()))
+	return roster.DutyPosition(g.gossip.Self(), g.gossip.Alive(time.Now()))
 }
 
 // isHolderAlive reports whether the entry that holds the keeper's duty is alive and isn't leaving.
