Fetch an update from one entry at a time

An entry that heard of a new revision from several neighbours asked each of them for it. An offer now waits while a fetch of the kind is under way, for 150 ms at most, and is dropped if that fetch brings the revision.

TestOneFetchOfAKindAtATime and TestSlowFetchDoesNotHoldUpOthers check the queue.

--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -67,6 +67,7 @@
 	work     conc.WaitGroup
 	started  time.Time
 	watches  watchSet
+	fetches  fetchQueue
 	// needsWeights reports whether this entry uses the weight versions of servers.
 	needsWeights func() bool
 }
@@ -117,14 +118,28 @@
 	known := f.view.Revisions()
 	for _, kind := range Kinds {
 		if revisions[kind] > known[kind] {
-			f.work.Go(func() { f.fetch(ctx, from.Address, kind) })
+			f.fetchOffered(ctx, kind, offer{from: from.Address, revision: revisions[kind]})
 		}
 	}
 	if revisions[kindWeights] > known[kindWeights] && f.usesWeights(time.Now()) {
-		f.work.Go(func() { f.fetch(ctx, from.Address, kindWeights) })
+		f.fetchOffered(ctx, kindWeights, offer{from: from.Address, revision: revisions[kindWeights]})
 	}
 }
 
+// fetchOffered fetches a kind in the background, unless a fetch of the kind is under way, and then what was offered meanwhile.
+func (f *Follower) fetchOffered(ctx context.Context, kind string, o offer) {
+	if !f.fetches.begin(time.Now(), kind, o) {
+		return
+	}
+	f.work.Go(func() {
+		for more := true; more; {
+			f.fetch(ctx, o.from, kind)
+			collection, _ := f.view.Collection(kind)
+			o, more = f.fetches.end(time.Now(), kind, collection.Revision)
+		}
+	})
+}
+
 // fetch updates one kind from another entry.
 func (f *Follower) fetch(ctx context.Context, from netip.AddrPort, kind string) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
