Refuse gateway fields in the settings of other roles

peerAdvertise and processorCores were accepted and ignored in the settings of entries and agents. The test of it passed for another reason: its document lacked and contained other fields that made it invalid. It now adds the one field to a valid file and looks for its name in the error, and failed before the change ("an entry accepted a field for gateways only: <nil>").

--- a/internal/program/settings/settings.go
+++ b/internal/program/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -123,10 +124,10 @@
 	switch role {
 	case RoleEntry:
 		required = append(required, "listen")
-		doc.rejectForRole(role, "pool", "serverUrl", "weightSpread", "regions", "reportsUrl", "seeds")
+		doc.rejectForRole(role, slices.Concat(gatewayFields, []string{"pool", "serverUrl", "weightSpread"})...)
 	case RoleAgent:
 		required = append(required, "pool", "serverUrl")
-		doc.rejectForRole(role, "listen", "operatorKeyHashes", "bodyLimitBytes", "regions", "reportsUrl", "seeds")
+		doc.rejectForRole(role, slices.Concat(gatewayFields, []string{"listen", "operatorKeyHashes", "bodyLimitBytes"})...)
 	case RoleGateway:
 		required = append(required, "listen", "reportsUrl")
 		doc.rejectForRole(role, "pool", "serverUrl", "weightSpread", "operatorKeyHashes", "dataFolder")
--- a/internal/program/settings/settings_test.go
+++ b/internal/program/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"bytes"
 	"flag"
 	"os"
 	"path/filepath"
@@ -81,7 +82,15 @@
 			t.Errorf("%q: peer address %v, %v; want %s", advertised, set.PeerAddress(), err, want)
 		}
 	}
-	if _, err := Parse("entry.json", []byte(base+`, "peerAdvertise": "127.0.0.9:9"}`), RoleEntry); !errors.Is(err, ErrInvalid) {
+	entry, err := os.ReadFile("../../../examples/sahil/entry.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Parse("entry.json", entry, RoleEntry); err != nil {
+		t.Fatal(err)
+	}
+	withAddress := bytes.Replace(entry, []byte("{"), []byte(`{"peerAdvertise": "127.0.0.9:9",`), 1)
+	if _, err := Parse("entry.json", withAddress, RoleEntry); !errors.Is(err, ErrInvalid) || !strings.Contains(err.Error(), "peerAdvertise") {
 		t.Errorf("an entry accepted a field for gateways only: %v", err)
 	}
 }
