--- a/internal/core/roster/spread_test.go
+++ b/internal/core/roster/spread_test.go
@@ -47,7 +47,7 @@
 		{name: "calm", down: func(int) bool { return false }, limit: time.Second},
 		{name: "a third failed a moment ago", down: func(i int) bool { return i%3 == 2 }, limit: 3 * time.Second},
 	} {
-		for _, entries := range []int{23, 93, 380} {
+		for _, entries := range []int{23, 93, 384, 1000} {
 			t.Run(fmt.Sprintf("%s, %d entries", test.name, entries), func(t *testing.T) {
 				t.Parallel()
 				c := newStableCluster(t, entries)
--- a/internal/edge/peer/state_test.go
+++ b/internal/edge/peer/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
@@ -20,7 +21,11 @@
 	if diff := cmp.Diff(want, peers.client.State(), cmpopts.EquateComparable(peers.address)); diff != "" {
 		t.Error(diff)
 	}
-	for peers.server.State().Running != 1 { // the goroutine of the echo request ends shortly after its answer is sent
+	// The goroutine of the echo request ends shortly after its answer is sent.
+	for end := time.Now().Add(10 * time.Second); peers.server.State().Running != 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the server still runs %d requests", peers.server.State().Running)
+		}
 	}
 	if diff := cmp.Diff(ServerState{Connections: 1, Running: 1}, peers.server.State()); diff != "" {
 		t.Error(diff)
