Add the interface of server speed estimates to the balancer

Items can't be placed by the speed of servers because the balancer knows only their load. Package pace has the types and an estimator that knows nothing yet; the balancer lists candidates with free slots and acquires a given one. RecordEventInterval takes the time. Without speed placement every choice is unchanged. The tests of core/backend pass.

--- a/internal/core/backend/balancer.go
+++ b/internal/core/backend/balancer.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/pace"
 	"github.com/oleandershelf/oleandershelf/internal/core/placement"
 	"github.com/oleandershelf/oleandershelf/internal/core/readiness"
 )
@@ -81,6 +82,8 @@
 	versions map[string]int
 	// eventInterval is the moving average of the time between two events of a stream; 0 if unknown.
 	eventInterval time.Duration
+	// key is the server's key.
+	key Key
 	// rank is the hash by which this entry orders servers.
 	rank uint64
 }
@@ -103,6 +106,8 @@
 	pools map[string][]*serverState
 	// denials counts the servers that were passed over because they may not get a request, by reason.
 	denials map[readiness.Denial]uint64
+	// pace estimates the speed of the servers; nil unless speed placement is on.
+	pace *pace.Estimator
 	// changed is closed and replaced by notifyChanged.
 	changed chan struct{}
 }
@@ -174,7 +179,7 @@
 		if state.readiness == nil || state.server.Revision != server.Revision {
 			state.readiness = b.guard.PutServer(now, server.readinessRecord())
 		}
-		state.server = server
+		state.server, state.key = server, server.Key()
 		next[server.ID] = state
 	}
 	for id := range b.servers {
@@ -192,6 +197,7 @@
 			return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.server.ID, y.server.ID))
 		})
 	}
+	b.retainSpeeds(servers)
 	b.notifyChanged()
 }
 
@@ -261,6 +267,9 @@
 	if state, ok := b.servers[id]; ok {
 		state.load = receivedLoad{LoadReport: load, at: now}
 		b.guard.Answered(state.readiness)
+		if b.pace != nil {
+			b.pace.Report(now, state.key, load.Slowdown)
+		}
 	}
 }
 
@@ -315,10 +324,13 @@
 }
 
 // RecordEventInterval records the mean time between events of a stream at the server, measured over several events.
-func (b *Balancer) RecordEventInterval(id string, interval time.Duration) {
+func (b *Balancer) RecordEventInterval(now time.Time, id string, interval time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	state, ok := b.servers[id]
+	if ok && b.pace != nil {
+		b.pace.Observe(now, state.key, knownRequests(now, state), interval)
+	}
 	switch {
 	case !ok:
 	case state.eventInterval == 0:
--- a/internal/core/backend/balancer_test.go
+++ b/internal/core/backend/balancer_test.go
@@ -165,7 +165,7 @@
 	}
 	for _, id := range []string{"b", "c", "d"} {
 		for range 50 {
-			balancer.RecordEventInterval(id, 40*time.Millisecond)
+			balancer.RecordEventInterval(now, id, 40*time.Millisecond)
 		}
 	}
 	for _, test := range []struct {
--- a/internal/core/backend/choose.go
+++ b/internal/core/backend/choose.go
@@ -151,8 +151,7 @@
 // utilization returns the share of the server's slots that is known to be in use, plus crossZonePenalty if the server
 // is in another availability zone.
 func (b *Balancer) utilization(now time.Time, state *serverState) float64 {
-	requests := max(state.running+state.peerRunning, state.load.requests(now))
-	share := float64(requests) / float64(max(1, state.server.Slots))
+	share := float64(knownRequests(now, state)) / float64(max(1, state.server.Slots))
 	if state.server.AvailabilityZone != b.zone {
 		share += crossZonePenalty
 	}
--- a/internal/core/backend/load.go
+++ b/internal/core/backend/load.go
@@ -9,7 +9,7 @@
 	// Slots is how many requests the server runs at once; 0 if it didn't say.
 	Slots int
 	// Slowdown is how many times as long as usual work takes on the server's host at the moment; 0 if the server didn't say. The choice of a
-	// server doesn't use it: see docs/DECISIONS.md.
+	// server uses it only in pools whose servers differ in speed, and only with speed placement: see package pace.
 	Slowdown float64
 }
 
--- a/internal/core/backend/server.go
+++ b/internal/core/backend/server.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"time"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/pace"
 	"github.com/oleandershelf/oleandershelf/internal/core/readiness"
 )
 
@@ -55,8 +56,4 @@
 func (s Server) Key() Key { return Key{ID: s.ID, Started: s.Started.UnixMilli()} }
 
 // Key identifies one run of a server.
-type Key struct {
-	ID string
-	// Started is the Unix time of the start in milliseconds.
-	Started int64
-}
+type Key = pace.Key
--- /dev/null
+++ b/internal/core/backend/speed.go
@@ -0,0 +1,129 @@
+package backend
+
+import (
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/pace"
+)
+
+// Candidate is a server that may take a request now.
+type Candidate struct {
+	Server Server
+	// Free is the number of free slots, at least 1.
+	Free int
+	// Estimate is the estimate for the server with the request added to those that run there.
+	Estimate pace.Estimate
+}
+
+// WithSpeedPlacement makes the choice of a server use the servers' estimated speeds, in pools where they differ.
+func WithSpeedPlacement() Option {
+	return func(b *Balancer) { b.pace = pace.NewEstimator() }
+}
+
+// Candidates returns the servers that may take the request now and have at least one free slot, whether or not the request is deferrable.
+// Slots that work that can wait has to leave free don't count for it.
+func (b *Balancer) Candidates(now time.Time, need Requirements) []Candidate {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	states := b.candidates(now, need)
+	candidates := make([]Candidate, 0, len(states))
+	for _, state := range states {
+		free := b.freeSlots(now, state, need)
+		if free < 1 {
+			continue
+		}
+		candidates = append(candidates, Candidate{Server: state.server, Free: free, Estimate: b.estimate(now, state, 1)})
+	}
+	return candidates
+}
+
+// AcquireServer chooses the server with the ID if it may still take the request and has a free slot, and counts the request there until
+// Release.
+func (b *Balancer) AcquireServer(now time.Time, need Requirements, id string) (Server, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	state, ok := b.servers[id]
+	if !ok || state.server.Pool != need.Pool || !b.canRun(state, need) || !b.isAvailable(now, state, need) || b.freeSlots(now, state, need) < 1 {
+		return Server{}, false
+	}
+	state.running++
+	b.guard.Sent(now, state.readiness)
+	return state.server, true
+}
+
+// retainSpeeds makes the estimator forget servers that aren't listed.
+func (b *Balancer) retainSpeeds(servers []Server) {
+	if b.pace == nil {
+		return
+	}
+	listed := make([]pace.Server, 0, len(servers))
+	for _, server := range servers {
+		listed = append(listed, pace.Server{Key: server.Key(), Pool: server.Pool, Slots: server.Slots})
+	}
+	b.pace.Retain(listed)
+}
+
+// knownRequests returns the number of requests that are known to be at the server.
+func knownRequests(now time.Time, state *serverState) int {
+	return max(state.running+state.peerRunning, state.load.requests(now))
+}
+
+// freeSlots returns the number of slots that the request may use and that no known request takes.
+func (b *Balancer) freeSlots(now time.Time, state *serverState, need Requirements) int {
+	slots := max(1, state.server.Slots)
+	if need.Deferrable {
+		slots = max(1, slots-need.ReservedSlots)
+	}
+	return slots - knownRequests(now, state)
+}
+
+// Uneven reports whether the servers of the pool were shown to differ in speed. It is false unless speed placement is on.
+func (b *Balancer) Uneven(pool string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.isUneven(pool)
+}
+
+func (b *Balancer) isUneven(pool string) bool { return b.pace != nil && b.pace.Uneven(pool) }
+
+// Estimate returns the estimate for the server with the requests that are known to run there. It returns false if the server isn't listed or
+// speed placement is off.
+func (b *Balancer) Estimate(now time.Time, id string) (pace.Estimate, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	state, ok := b.servers[id]
+	if !ok || b.pace == nil {
+		return pace.Estimate{}, false
+	}
+	return b.estimate(now, state, 0), true
+}
+
+// estimate returns the estimate for the server with a number of requests added to those that are known to run there.
+func (b *Balancer) estimate(now time.Time, state *serverState, added int) pace.Estimate {
+	if b.pace == nil {
+		return pace.Unknown()
+	}
+	return b.pace.Estimate(now, state.key, knownRequests(now, state)+added)
+}
+
+// SpeedSummaries returns what to tell other entries about the speed of servers, at most limit.
+func (b *Balancer) SpeedSummaries(now time.Time, limit int) []pace.Summary {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.pace == nil {
+		return nil
+	}
+	return b.pace.Summaries(now, limit)
+}
+
+// MergeSpeeds records what another entry told about the speed of servers.
+func (b *Balancer) MergeSpeeds(now time.Time, summaries []pace.Summary) {
+	if len(summaries) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.pace != nil {
+		b.pace.Merge(now, summaries)
+	}
+}
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -282,7 +282,7 @@
 	pace := now.Sub(p.spanStart) / eventsPerSpan
 	p.events, p.spanStart = 0, now
 	p.balancer.RecordLatency(now, p.server, pace)
-	p.balancer.RecordEventInterval(p.server, pace)
+	p.balancer.RecordEventInterval(now, p.server, pace)
 	if !p.balancer.ShouldMove(p.server, pace) {
 		p.slowSpans = 0
 		return false
--- a/internal/edge/batchjob/item_test.go
+++ b/internal/edge/batchjob/item_test.go
@@ -16,7 +16,7 @@
 	}
 	balancer.Sync(time.Now(), servers)
 	for _, server := range servers[1:] {
-		balancer.RecordEventInterval(server.ID, 30*time.Millisecond)
+		balancer.RecordEventInterval(time.Now(), server.ID, 30*time.Millisecond)
 	}
 	return balancer
 }
