--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -1,6 +1,9 @@
 package pace
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Key identifies one run of a server. A server that restarts under its old ID is a different one, of which nothing is known.
 type Key struct {
@@ -9,6 +12,10 @@
 	Started int64
 }
 
+func (k Key) compare(other Key) int {
+	return cmp.Or(cmp.Compare(k.ID, other.ID), cmp.Compare(k.Started, other.Started))
+}
+
 // Server is a server whose speed is estimated.
 type Server struct {
 	Key  Key
