Choose servers by their speed in uneven pools

Servers were chosen by the share of their slots in use only, so that half of the long items ran on servers that take twice the time. With speed placement and in an uneven pool, Acquire ranks by the expected time of the work and ShouldMove compares with the median server. Candidates lists servers with free slots without beginning the trial of an ejected one, and AcquireServer repeats every check. Elsewhere the choice is the former one. The tests of core/backend, core/placement and core/pace pass with the race detector.

--- a/internal/core/backend/balancer.go
+++ b/internal/core/backend/balancer.go
@@ -74,6 +74,8 @@
 	running, peerRunning int
 	// load is the server's last load report.
 	load receivedLoad
+	// sentSinceLoad counts the requests that this entry sent since that report.
+	sentSinceLoad int
 	// backoffUntil is when the server's backoff ends; until then it is chosen last. Refusals counts its consecutive
 	// refusals.
 	backoffUntil time.Time
@@ -265,7 +267,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if state, ok := b.servers[id]; ok {
-		state.load = receivedLoad{LoadReport: load, at: now}
+		state.load, state.sentSinceLoad = receivedLoad{LoadReport: load, at: now}, 0
 		b.guard.Answered(state.readiness)
 		if b.pace != nil {
 			b.pace.Report(now, state.key, load.Slowdown)
--- a/internal/core/backend/choose.go
+++ b/internal/core/backend/choose.go
@@ -19,22 +19,42 @@
 	if len(candidates) == 0 {
 		return Server{}, false
 	}
+	cost := b.utilization
+	if b.isUneven(need.Pool) {
+		cost = b.expectedCost
+	}
 	best := slices.MinFunc(candidates, func(x, y *serverState) int {
 		return cmp.Or(
 			cmp.Compare(b.backoffRank(now, x), b.backoffRank(now, y)),
-			cmp.Compare(b.utilization(now, x), b.utilization(now, y)),
+			cmp.Compare(cost(now, x), cost(now, y)),
 			cmp.Compare(x.server.ID, y.server.ID),
 		)
 	})
-	best.running++
-	b.guard.Sent(now, best.readiness)
+	b.count(now, best)
 	return best.server, true
 }
 
+// count counts a request at the server until Release.
+func (b *Balancer) count(now time.Time, state *serverState) {
+	state.running++
+	state.sentSinceLoad++
+	b.guard.Sent(now, state.readiness)
+}
+
 // candidates returns the servers that may run the request, without those that the tracker excludes as slow or
 // failing.
 func (b *Balancer) candidates(now time.Time, need Requirements) []*serverState {
-	var available []placement.Server
+	chosen := b.tracker.Candidates(now, b.available(now, need), 0, nil)
+	states := make([]*serverState, 0, len(chosen))
+	for _, server := range chosen {
+		states = append(states, b.servers[server.HostID])
+	}
+	return states
+}
+
+// available returns the servers that may run the request, sorted by ID.
+func (b *Balancer) available(now time.Time, need Requirements) []placement.Server {
+	available := make([]placement.Server, 0, subsetSize)
 	considered := 0
 	for _, state := range b.pools[need.Pool] {
 		if !b.canRun(state, need) {
@@ -48,12 +68,7 @@
 		}
 	}
 	slices.SortFunc(available, func(x, y placement.Server) int { return cmp.Compare(x.HostID, y.HostID) })
-	chosen := b.tracker.Candidates(now, available, 0, nil)
-	states := make([]*serverState, 0, len(chosen))
-	for _, server := range chosen {
-		states = append(states, b.servers[server.HostID])
-	}
-	return states
+	return available
 }
 
 // canRun reports whether the server can run the request at all.
@@ -159,7 +174,8 @@
 }
 
 // ShouldMove reports whether a stream at the server should be moved to another one because other servers of the pool are
-// much faster. The interval is the mean time between its events so far.
+// much faster. The interval is the mean time between its events so far. In a pool whose servers differ in speed the stream is compared with
+// what is expected at the median server with as many requests.
 //
 // An engine that becomes slow keeps what it runs. The longest of its items would take four times as long as elsewhere
 // and determine the duration of their step. A move only costs processing the prompt again, some milliseconds.
@@ -170,6 +186,10 @@
 	if !ok {
 		return false
 	}
+	if b.isUneven(current.server.Pool) {
+		typical := b.pace.Typical(current.key, current.running+current.peerRunning)
+		return typical > 0 && interval > time.Duration(slowIntervalFactor*float64(typical))
+	}
 	var intervals []time.Duration
 	for _, state := range b.pools[current.server.Pool] {
 		if state != current && state.eventInterval > 0 {
--- a/internal/core/backend/speed.go
+++ b/internal/core/backend/speed.go
@@ -1,9 +1,11 @@
 package backend
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/pace"
+	"github.com/oleandershelf/oleandershelf/internal/core/placement"
 )
 
 // Candidate is a server that may take a request now.
@@ -25,9 +27,10 @@
 func (b *Balancer) Candidates(now time.Time, need Requirements) []Candidate {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	states := b.candidates(now, need)
-	candidates := make([]Candidate, 0, len(states))
-	for _, state := range states {
+	usable := b.tracker.Usable(now, b.available(now, need))
+	candidates := make([]Candidate, 0, len(usable))
+	for _, server := range usable {
+		state := b.servers[server.HostID]
 		free := b.freeSlots(now, state, need)
 		if free < 1 {
 			continue
@@ -46,11 +49,25 @@
 	if !ok || state.server.Pool != need.Pool || !b.canRun(state, need) || !b.isAvailable(now, state, need) || b.freeSlots(now, state, need) < 1 {
 		return Server{}, false
 	}
-	state.running++
-	b.guard.Sent(now, state.readiness)
+	if !b.tracker.Admit(now, id) && !b.isUsable(now, need, id) {
+		return Server{}, false
+	}
+	b.count(now, state)
 	return state.server, true
 }
 
+// isUsable reports whether the tracker leaves the server among those that may run the request, as it does if it would exclude all of them.
+func (b *Balancer) isUsable(now time.Time, need Requirements, id string) bool {
+	usable := b.tracker.Usable(now, b.available(now, need))
+	return slices.ContainsFunc(usable, func(s placement.Server) bool { return s.HostID == id })
+}
+
+// expectedCost returns the expected time of a further request at the server, as a multiple of that at an idle server of median speed.
+func (b *Balancer) expectedCost(now time.Time, state *serverState) float64 {
+	estimate := b.estimate(now, state, 1)
+	return (1 + b.utilization(now, state)) * estimate.Lasting * estimate.Present
+}
+
 // retainSpeeds makes the estimator forget servers that aren't listed.
 func (b *Balancer) retainSpeeds(servers []Server) {
 	if b.pace == nil {
@@ -68,13 +85,18 @@
 	return max(state.running+state.peerRunning, state.load.requests(now))
 }
 
-// freeSlots returns the number of slots that the request may use and that no known request takes.
+// freeSlots returns the number of slots that the request may use and that no known request takes. Requests sent since the last load report
+// are added to those that it counted: several may be sent before the next one.
 func (b *Balancer) freeSlots(now time.Time, state *serverState, need Requirements) int {
 	slots := max(1, state.server.Slots)
 	if need.Deferrable {
 		slots = max(1, slots-need.ReservedSlots)
 	}
-	return slots - knownRequests(now, state)
+	known := knownRequests(now, state)
+	if reported := state.load.requests(now); reported > 0 {
+		known = max(known, reported+state.sentSinceLoad)
+	}
+	return slots - known
 }
 
 // Uneven reports whether the servers of the pool were shown to differ in speed. It is false unless speed placement is on.
@@ -116,6 +138,36 @@
 	return b.pace.Summaries(now, limit)
 }
 
+// SpeedSummariesInTurn returns summaries of at most limit servers, and those of others at each call until all had their turn.
+func (b *Balancer) SpeedSummariesInTurn(now time.Time, limit int) []pace.Summary {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.pace == nil {
+		return nil
+	}
+	return b.pace.SummariesInTurn(now, limit)
+}
+
+// SpeedState returns what is known of the speed of the servers.
+func (b *Balancer) SpeedState(now time.Time) pace.State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.pace == nil {
+		return pace.State{}
+	}
+	return b.pace.State(now)
+}
+
+// UnevenPools returns the names of the pools whose servers were shown to differ in speed, sorted.
+func (b *Balancer) UnevenPools() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.pace == nil {
+		return nil
+	}
+	return b.pace.UnevenPools()
+}
+
 // MergeSpeeds records what another entry told about the speed of servers.
 func (b *Balancer) MergeSpeeds(now time.Time, summaries []pace.Summary) {
 	if len(summaries) == 0 {
--- a/internal/core/placement/tracker.go
+++ b/internal/core/placement/tracker.go
@@ -89,6 +89,39 @@
 	return t.addRandom(out, usable)
 }
 
+// Usable returns the servers that Candidates may return when all are candidates, without beginning a trial: those that aren't ejected, or all
+// if there are no others, and those whose trial is due. Admit begins the trial.
+func (t *Tracker) Usable(now time.Time, servers []Server) []Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	usable, ejected := t.partition(now, servers, nil)
+	if len(usable) == 0 {
+		return ejected
+	}
+	for _, server := range ejected {
+		if t.hosts[server.HostID].trialDue(now) {
+			usable = append(usable, server)
+		}
+	}
+	return usable
+}
+
+// Admit reports whether the server may get a request although there are others: it isn't ejected, or its trial is due, which begins with that.
+func (t *Tracker) Admit(now time.Time, hostID string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	host, ok := t.hosts[hostID]
+	if !ok || !host.ejected {
+		return true
+	}
+	if !host.trialDue(now) {
+		return false
+	}
+	host.onTrial = true
+	host.scheduleTrial(now)
+	return true
+}
+
 // partition returns the servers that accept requests, separated into usable and ejected ones.
 func (t *Tracker) partition(now time.Time, servers []Server, exclude map[string]bool) (usable, ejected []Server) {
 	usable = make([]Server, 0, len(servers))
