--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -4,6 +4,7 @@
 package gossip
 
 import (
+	"github.com/oleandershelf/oleandershelf/internal/core/pace"
 	"github.com/oleandershelf/oleandershelf/internal/core/roster"
 	"github.com/oleandershelf/oleandershelf/internal/core/usage"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
@@ -44,6 +45,9 @@
 	// Owners maps batch jobs to the entries that run them: the owners that the sender learned recently, or all owners for a recipient
 	// whose list of entries differs.
 	Owners map[string]string `msgpack:"o"`
+	// Speeds are summaries of the speed of servers in pools whose servers differ: those that changed recently, or others in turn for a
+	// recipient whose list of entries differs.
+	Speeds []pace.Summary `msgpack:"s"`
 	// DutyHolder is the holder of the duties as far as the sender knows.
 	DutyHolder DutyHolder `msgpack:"l"`
 }
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -130,8 +130,12 @@
 	metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	options = append(options, peer.WithHeartbeat(peerHeartbeatInterval, peerTimeout), peer.WithIdleTimeout(gossip.ConnectionIdleTimeout))
 	g.client = peer.NewClient(ctx, []byte(g.set.PeerSecret), options...)
-	g.balancer = backend.NewBalancer(g.set.HostID, g.set.AvailabilityZone, backend.WithRegions(g.set.Regions))
-	metrics.MustRegister(denialCollector{balancer: g.balancer})
+	balancerOptions := []backend.Option{backend.WithRegions(g.set.Regions)}
+	if g.set.SpeedPlacement == settings.SpeedPlacementAuto {
+		balancerOptions = append(balancerOptions, backend.WithSpeedPlacement())
+	}
+	g.balancer = backend.NewBalancer(g.set.HostID, g.set.AvailabilityZone, balancerOptions...)
+	metrics.MustRegister(denialCollector{balancer: g.balancer}, speedCollector{balancer: g.balancer})
 	g.ledger = usage.NewLedger()
 	g.view = view.New(g.log, g.updateBalancer)
 	g.heartbeats = newGossipHandler(g, incarnation)
@@ -212,6 +216,7 @@
 		"view":    g.view.State,
 		"members": g.gossip.State,
 		"jobs":    g.jobs.State,
+		"pace":    func() any { return g.balancer.SpeedState(time.Now()) },
 		"duties":  func() any { return g.keeper.State() },
 	})
 	return nil
--- a/internal/program/process/heartbeat.go
+++ b/internal/program/process/heartbeat.go
@@ -63,6 +63,8 @@
 	lastCleanup time.Time
 	// workload tracks the token rates that the jobs of all entries require.
 	workload weights.Workload
+	// unevenPools are the pools that were logged as uneven.
+	unevenPools []string
 }
 
 // peerLoad is the number of requests that an entry runs at each server, as of its last heartbeat.
@@ -88,6 +90,7 @@
 		Ended:      ended,
 		Owners:     h.gateway.jobs.Owners(now, to.ListDiffers),
 		Contacts:   h.gateway.follower.Contacts(now),
+		Speeds:     h.speeds(now, to.ListDiffers),
 		DutyHolder: h.dutyHolder(now),
 	}
 	if to.KeepsCopies {
@@ -159,6 +162,7 @@
 	}
 	g.jobs.ApplyGossip(heartbeat.From, heartbeat.Jobs, heartbeat.Ended, heartbeat.Owners)
 	g.follower.MergeContacts(now, heartbeat.Contacts)
+	g.balancer.MergeSpeeds(now, heartbeat.Speeds)
 	h.updateDutyHolder(heartbeat.DutyHolder)
 	h.observeTokenRates(now, heartbeat.TokenRates)
 	h.updatePeerLoad(heartbeat.From.HostID, peerLoad{receivedAt: now, servers: heartbeat.Running})
--- a/internal/program/settings/field.go
+++ b/internal/program/settings/field.go
@@ -60,11 +60,12 @@
 	"seeds":              {`a list of addresses with ports`, setSeeds},
 	"processorCores":     {`a number of cores from 0.01 to 1024, such as 0.5`, setProcessorCores},
 	"regions":            {`an object that maps availability zones to regions, such as {"om-north-a": "om-north"}`, setRegions},
+	"speedPlacement":     {`one of "off", "auto"`, textSetter(validSpeedPlacement, func(s *Settings) *string { return &s.SpeedPlacement })},
 	"bodyLimitBytes":     {`a whole number of bytes from 1024 to 1073741824`, setBodyLimit},
 }
 
 // gatewayFields apply to gateways only.
-var gatewayFields = []string{"peerAdvertise", "processorCores", "regions", "reportsUrl", "seeds"}
+var gatewayFields = []string{"peerAdvertise", "processorCores", "regions", "reportsUrl", "seeds", "speedPlacement"}
 
 // knownFields returns the names of all fields, sorted. Fields for gateways only are left out for other roles.
 func knownFields(role Role) []string {
@@ -208,6 +209,10 @@
 
 func validName(name string) bool { return namePattern.MatchString(name) }
 
+func validSpeedPlacement(value string) bool {
+	return value == SpeedPlacementOff || value == SpeedPlacementAuto
+}
+
 func notEmpty(value string) bool { return value != "" }
 
 func validSecret(value string) bool { return len(value) >= minSecretLength }
--- a/internal/program/settings/settings.go
+++ b/internal/program/settings/settings.go
@@ -34,6 +34,13 @@
 	loopbackSecret = "loopback-only-peer-secret"
 )
 
+// Values of SpeedPlacement.
+const (
+	SpeedPlacementOff = "off"
+	// SpeedPlacementAuto uses the speeds in pools whose servers were shown to differ in speed.
+	SpeedPlacementAuto = "auto"
+)
+
 // Settings are the local settings of a process, read at its start. All other configuration comes from the platform.
 type Settings struct {
 	// Listen is the address that callers, trainers and operators connect to (not for agents).
@@ -79,6 +86,9 @@
 	Seeds []netip.AddrPort
 	// Regions is the region of each availability zone, for requests that are restricted to regions (gateway only).
 	Regions map[string]string
+	// SpeedPlacement is whether the choice of a server uses the servers' estimated speeds, SpeedPlacementOff or SpeedPlacementAuto (gateway
+	// only).
+	SpeedPlacement string
 }
 
 // PeerAddress returns the address at which the other entries reach this one.
@@ -110,6 +120,7 @@
 		LeaveDelay:     DefaultLeaveDelay,
 		DrainTime:      DefaultDrainTime,
 		BodyLimitBytes: DefaultBodyLimitBytes,
+		SpeedPlacement: SpeedPlacementOff,
 	}
 	doc.apply(&s, role)
 	s.check(doc, role)
--- a/internal/program/settings/settings_test.go
+++ b/internal/program/settings/settings_test.go
@@ -95,6 +95,17 @@
 	}
 }
 
+// Guards against deployments of equal servers whose choice of a server changes without a setting.
+func TestSpeedPlacementIsOffByDefault(t *testing.T) {
+	const base = `{"hostId": "a", "availabilityZone": "z", "listen": "127.0.0.1:1", "peerListen": "127.0.0.1:2", "adminListen": "127.0.0.1:3",
+		"platformUrl": "http://127.0.0.1:4", "reportsUrl": "http://127.0.0.1:5"`
+	for added, want := range map[string]string{"": SpeedPlacementOff, `, "speedPlacement": "auto"`: SpeedPlacementAuto} {
+		if set, err := Parse("gateway.json", []byte(base+added+"}"), RoleGateway); err != nil || set.SpeedPlacement != want {
+			t.Errorf("%q: %q, %v", added, set.SpeedPlacement, err)
+		}
+	}
+}
+
 // For any file content, Parse must not panic, an error must name the file, and settings without an error must
 // have every field that the role requires.
 func FuzzParse(f *testing.F) {
