--- /dev/null
+++ b/internal/core/dispatch/plan.go
@@ -0,0 +1,123 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// moveCost is the time that a move takes: the prompt and the text so far are processed again.
+	moveCost = 30 * time.Millisecond
+	// minMoveGain and minMoveShare are by how much earlier an item must be expected to end elsewhere to move, as a time and as a share of
+	// the time that it still takes. Estimates of lengths and speeds are less exact than that.
+	minMoveGain  = 300 * time.Millisecond
+	minMoveShare = 0.25
+)
+
+// Slot is a server with free slots.
+type Slot struct {
+	Server string
+	Free   int
+	// Interval is the expected time between events of another request there.
+	Interval time.Duration
+}
+
+// Action starts an item at a server, or moves a running one there.
+type Action struct {
+	Item string
+	// From is where the item runs; empty if it waits.
+	From string
+	To   string
+	// Remaining is the expected number of events still to come.
+	Remaining float64
+	// IntervalFrom and IntervalTo are the expected times between events at both servers; IntervalFrom is 0 if the item waits.
+	IntervalFrom, IntervalTo time.Duration
+}
+
+// Plan assigns free slots, the fastest first. Each goes to the waiting or running item that gains most by it. An item gets at most one slot.
+// A slot that a move frees isn't assigned: the source's connection must end first. The ranking isn't changed.
+func Plan(r Ranking, slots []Slot) []Action {
+	slots = slices.Clone(slots)
+	slices.SortFunc(slots, func(a, b Slot) int {
+		return cmp.Or(cmp.Compare(a.Interval, b.Interval), cmp.Compare(b.Free, a.Free), cmp.Compare(a.Server, b.Server))
+	})
+	waiting := r.waiting
+	moved := make([]bool, len(r.running))
+	var actions []Action
+	for i := range slots {
+		slot := &slots[i]
+		for ; slot.Free > 0; slot.Free-- {
+			best := r.bestMove(slot, moved)
+			switch {
+			case best >= 0 && (len(waiting) == 0 || r.prefersMove(&r.running[best], &waiting[0], slot)):
+				moved[best] = true
+				actions = append(actions, newAction(&r.running[best], slot))
+			case len(waiting) > 0:
+				actions = append(actions, newAction(&waiting[0], slot))
+				waiting = waiting[1:]
+			default:
+				// A slower slot gains no item more than this one.
+				return actions
+			}
+		}
+	}
+	return actions
+}
+
+func newAction(item *rankedItem, slot *Slot) Action {
+	return Action{
+		Item: item.ID, From: item.Server, To: slot.Server, Remaining: item.Remaining.Mean,
+		IntervalFrom: item.Interval, IntervalTo: slot.Interval,
+	}
+}
+
+// bestMove returns the index of the running item that gains most by the slot; -1 if none gains enough.
+func (r *Ranking) bestMove(slot *Slot, moved []bool) int {
+	best := -1
+	var bestGain time.Duration
+	for i := range r.running {
+		item := &r.running[i]
+		gain := item.moveGain(slot)
+		if moved[i] || gain == 0 {
+			continue
+		}
+		if best < 0 || item.movesBefore(&r.running[best], float64(gain), float64(bestGain)) {
+			best, bestGain = i, gain
+		}
+	}
+	return best
+}
+
+// movesBefore reports whether the item should rather move than the other one. If both gain about as much, the group with the fewest
+// unfinished items decides.
+func (i *rankedItem) movesBefore(other *rankedItem, gain, otherGain float64) bool {
+	switch {
+	case i.urgency != other.urgency:
+		return i.urgency < other.urgency
+	case gain > otherGain*similar || gain*similar < otherGain || i.GroupUnfinished == other.GroupUnfinished:
+		return gain > otherGain
+	default:
+		return i.GroupUnfinished < other.GroupUnfinished
+	}
+}
+
+// moveGain returns how much earlier the item ends if it moves to the slot; 0 if that is too little for a move.
+func (i *Item) moveGain(slot *Slot) time.Duration {
+	left := i.left(i.Interval)
+	gain := left - i.left(slot.Interval) - moveCost
+	if gain < max(minMoveGain, time.Duration(minMoveShare*float64(left))) {
+		return 0
+	}
+	return gain
+}
+
+// prefersMove reports whether the slot is worth more to the running item than to the waiting one, which then gets the slot that the move
+// frees. The two have the same difference of speed to gain from, so that the one with more left to do gains more.
+func (r *Ranking) prefersMove(running, waiting *rankedItem, slot *Slot) bool {
+	if running.urgency != waiting.urgency {
+		return running.urgency < waiting.urgency
+	}
+	gained := (running.Remaining.Mean - waiting.Remaining.Mean) * float64(running.Interval-slot.Interval)
+	return gained > float64(moveCost)
+}
