List the work of a job with its groups

The placement of items by speed needs all waiting and running items of a job with what they have produced, how often they have moved and how many items their group lacks.

--- a/internal/core/batch/progress.go
+++ b/internal/core/batch/progress.go
@@ -44,6 +44,8 @@
 	// failures counts failed runs, rewardFailures failed reward calls.
 	failures       int
 	rewardFailures int
+	// moves counts how often the item has moved to a faster server.
+	moves int
 	// rewardWaitingSince is when the reward call first reached the head of its queue; zero before.
 	rewardWaitingSince time.Time
 	output             *Output
@@ -76,6 +78,8 @@
 	job    *Job
 	writer uint64
 	items  map[string]*itemState
+	// order holds the items in their order of submission.
+	order []*itemState
 	// queue holds the items to run, in order. It may contain items that no longer wait; they are skipped.
 	queue []*itemState
 	// rewardQueue holds the items whose reward call is to be sent, in order. Items that no longer wait are skipped.
@@ -116,6 +120,7 @@
 		group.size++
 		state := &itemState{item: item, group: group, output: &Output{}}
 		p.items[item.ID] = state
+		p.order = append(p.order, state)
 		p.queue = append(p.queue, state)
 	}
 	slices.SortStableFunc(p.queue, longestFirst)
