Place batch items by the speed of servers in uneven pools

Items ran on the servers with the most free slots, so that long items ran on slow servers until after their due time. In pools that the balancer calls uneven, a job's control loop now asks package dispatch which item starts or moves where. A move acquires the destination's slot, ends the former run and continues with its output. Other pools are served as before.

--- a/internal/core/batch/work.go
+++ b/internal/core/batch/work.go
@@ -46,6 +46,14 @@
 	return ok && !p.ended && state.phase == phaseWaiting
 }
 
+// Item returns the item with the ID; nil if the job has none.
+func (p *Progress) Item(id string) *Item {
+	if state, ok := p.items[id]; ok {
+		return state.item
+	}
+	return nil
+}
+
 // RecordMove records that an item moves to a faster server, however the move ends.
 func (p *Progress) RecordMove(id string) {
 	if state, ok := p.items[id]; ok {
--- a/internal/core/dispatch/plan.go
+++ b/internal/core/dispatch/plan.go
@@ -13,6 +13,11 @@
 	// the time that it still takes. Estimates of lengths and speeds are less exact than that.
 	minMoveGain  = 300 * time.Millisecond
 	minMoveShare = 0.25
+	// slowPeriodLeft is how much longer a server that is slow at the moment is expected to stay so. On shared hosts such periods last for
+	// half a second or more.
+	slowPeriodLeft = 300 * time.Millisecond
+	// typicalEvents is the number of events by which slots are ordered if a server is slow at the moment.
+	typicalEvents = 30
 )
 
 // Slot is a server with free slots.
@@ -21,8 +26,21 @@
 	Free   int
 	// Interval is the expected time between events of another request there.
 	Interval time.Duration
+	// Present is how many times as long as usual work takes there at the moment; values below 1 count as 1.
+	Present float64
 }
 
+// delay returns how much later an item ends there because of what slows the server down at the moment.
+func (s *Slot) delay() time.Duration {
+	if s.Present <= 1 {
+		return 0
+	}
+	return time.Duration(float64(slowPeriodLeft) * (1 - 1/s.Present))
+}
+
+// cost returns the time that an item of typical length takes there.
+func (s *Slot) cost() time.Duration { return typicalEvents*s.Interval + s.delay() }
+
 // Action starts an item at a server, or moves a running one there.
 type Action struct {
 	Item string
@@ -40,7 +58,7 @@
 func Plan(r Ranking, slots []Slot) []Action {
 	slots = slices.Clone(slots)
 	slices.SortFunc(slots, func(a, b Slot) int {
-		return cmp.Or(cmp.Compare(a.Interval, b.Interval), cmp.Compare(b.Free, a.Free), cmp.Compare(a.Server, b.Server))
+		return cmp.Or(cmp.Compare(a.cost(), b.cost()), cmp.Compare(b.Free, a.Free), cmp.Compare(a.Server, b.Server))
 	})
 	waiting := r.waiting
 	moved := make([]bool, len(r.running))
@@ -105,7 +123,7 @@
 // moveGain returns how much earlier the item ends if it moves to the slot; 0 if that is too little for a move.
 func (i *Item) moveGain(slot *Slot) time.Duration {
 	left := i.left(i.Interval)
-	gain := left - i.left(slot.Interval) - moveCost
+	gain := left - i.left(slot.Interval) - slot.delay() - moveCost
 	if gain < max(minMoveGain, time.Duration(minMoveShare*float64(left))) {
 		return 0
 	}
--- a/internal/core/dispatch/rank.go
+++ b/internal/core/dispatch/rank.go
@@ -187,3 +187,14 @@
 	}
 	return works
 }
+
+// Retain removes waiting items that no longer wait, and running ones that no longer run where they did, by what the functions return.
+func (r *Ranking) Retain(waits func(item string) bool, runs func(item, server string) bool) {
+	r.waiting = slices.DeleteFunc(r.waiting, func(item rankedItem) bool { return !waits(item.ID) })
+	r.running = slices.DeleteFunc(r.running, func(item rankedItem) bool { return !runs(item.ID, item.Server) })
+}
+
+// DropRunning removes a running item that couldn't move.
+func (r *Ranking) DropRunning(id string) {
+	r.running = slices.DeleteFunc(r.running, func(item rankedItem) bool { return item.ID == id })
+}
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -73,17 +73,39 @@
 	version int
 	// cause says why the run did not complete.
 	cause error
+	// move is the move that led to this run; nil if there was none.
+	move *move
+	// slowInterval is the time between events for which the item left the server.
+	slowInterval time.Duration
+
+	// The job's lock guards what follows.
+
+	// cancel ends the run; nil before its request is sent.
+	cancel context.CancelCauseFunc
+	// next is where the item moves to once the run has ended. A slot is acquired there.
+	next *destination
+}
+
+// runItem runs an item, at one server after another as long as it moves, and records the outcome in the job's progress.
+func (m *Manager) runItem(ctx context.Context, r *itemRun) {
+	for r != nil {
+		r = m.runOnce(ctx, r)
+	}
 }
 
-// runItem runs an item at the server and records the outcome in the job's progress.
-func (m *Manager) runItem(ctx context.Context, j *job, item *batch.Item, output *batch.Output, server backend.Server) {
-	r := &itemRun{manager: m, job: j, item: item, output: output, server: server}
+// runOnce runs an item at a server. It returns the run at the server that the item moves to; nil if it doesn't move.
+func (m *Manager) runOnce(ctx context.Context, r *itemRun) *itemRun {
+	j, item, output, server := r.job, r.item, r.output, r.server
 	started := time.Now()
 	from := output.LastEvent
+	m.logStart(r, from)
 	result := r.execute(ctx)
 	m.balancer.Release(server.ID)
 	m.metrics.observeRun(result, time.Since(started))
+	r.countMove(result, from)
 	if result == outcomeCompleted {
+		m.lengths.RecordFinished(j.spec.Model, item.ExpectedTokens, output.LastEvent)
+		m.metrics.observeLength(item.ExpectedTokens, output.LastEvent)
 		m.log.Debug().Str("request", j.spec.ID).Str("item", item.ID).Str("server", server.ID).Int("fromEvent", from).
 			Int("lastEvent", output.LastEvent).Int("expectedTokens", item.ExpectedTokens).Dur("took", time.Since(started)).Msg("item completed")
 	} else if ctx.Err() == nil {
@@ -91,11 +113,15 @@
 			Int("fromEvent", from).Int("lastEvent", output.LastEvent).Int("version", r.version).Dur("took", time.Since(started)).AnErr("cause", r.cause).
 			Msg("item run not completed")
 	}
+	if next := m.continueMove(ctx, r, result); next != nil {
+		return next
+	}
 	if result == outcomeRefused || result == outcomeFailed {
 		ticker.Sleep(ctx, itemRetryDelay)
 	}
 	r.applyOutcome(result)
 	j.wake()
+	return nil
 }
 
 // applyOutcome records in the job's progress how the run ended.
@@ -114,15 +140,22 @@
 	case outcomeVersionMismatch:
 		progress.DiscardOutput(r.item.ID)
 		progress.Requeue(r.item.ID)
+	case outcomeMoved:
+		if r.next == nil {
+			r.job.slowMoves[r.item.ID] = move{from: r.server.ID, reason: moveSlow, intervalFrom: r.slowInterval}
+		}
+		progress.Requeue(r.item.ID)
 	default:
 		progress.Requeue(r.item.ID)
 	}
+	r.job.rankingStale = true
 }
 
 // execute sends the item and reads its stream.
 func (r *itemRun) execute(ctx context.Context) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	r.setCancel(cancel)
 	stalled := time.AfterFunc(stallTimeout, func() { cancel(errStalled) })
 	defer stalled.Stop()
 	req := fasthttp.AcquireRequest()
@@ -156,6 +189,7 @@
 	errWrongRequest = errors.New("the answer belongs to another request")
 	errWrongVersion = errors.New("the job may not use the server's weight version")
 	errSlow         = errors.New("the server is slow")
+	errMoved        = errors.New("the item moves to a faster server")
 	errEventOrder   = errors.New("an event is missing or repeated")
 )
 
@@ -169,10 +203,14 @@
 		r.manager.balancer.RecordConnectionFailure(time.Now(), r.server.ID, errors.Is(err, exchange.ErrNotSent))
 		r.manager.balancer.RecordFailure(time.Now(), r.server.ID)
 	}
-	if errors.Is(err, exchange.ErrNotSent) {
+	switch {
+	case errors.Is(r.cause, errMoved):
+		return outcomeMoved
+	case errors.Is(err, exchange.ErrNotSent):
 		return outcomeRefused
+	default:
+		return outcomeInterrupted
 	}
-	return outcomeInterrupted
 }
 
 // checkHeader decides by the status and header of an answer whether its stream is read.
@@ -248,8 +286,10 @@
 			r.cause = errEventOrder
 			return outcomeInterrupted
 		}
-		if monitor.eventReceived(time.Now()) {
+		if monitor.eventReceived(time.Now()) && !r.manager.balancer.Uneven(r.job.spec.Pool) {
+			// In a pool whose servers differ in speed, the job's control loop decides on all moves.
 			r.cause = errSlow
+			r.slowInterval = monitor.lastInterval
 			return outcomeMoved
 		}
 	}
@@ -267,6 +307,8 @@
 	// spanStart is when the span began, slowSpans how many spans in a row were slow.
 	spanStart time.Time
 	slowSpans int
+	// lastInterval is the mean time between events in the last span.
+	lastInterval time.Duration
 }
 
 // eventReceived records that an event came, and reports whether the item should move to another server.
@@ -280,7 +322,7 @@
 		return false
 	}
 	pace := now.Sub(p.spanStart) / eventsPerSpan
-	p.events, p.spanStart = 0, now
+	p.events, p.spanStart, p.lastInterval = 0, now, pace
 	p.balancer.RecordLatency(now, p.server, pace)
 	p.balancer.RecordEventInterval(now, p.server, pace)
 	if !p.balancer.ShouldMove(p.server, pace) {
--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -24,6 +24,12 @@
 	hasRun  bool
 	// run is the current run, or else the last one; nil before the first.
 	run *run
+	// runs are the runs of items at servers that are under way, by item.
+	runs map[string]*itemRun
+	// slowMoves are the items that left a slow server and haven't started elsewhere yet.
+	slowMoves map[string]move
+	// rankingStale is set when an item waits again that ran when the placer last ranked the items.
+	rankingStale bool
 	// noRouteLogged is set once a reward call of the job without a route was logged.
 	noRouteLogged bool
 	// changed is closed and replaced when results are listed or the job ends; wakeup wakes the control loop.
@@ -56,6 +62,8 @@
 		spec:       spec,
 		tokenRate:  spec.TokenRate(),
 		progress:   batch.NewProgress(spec, rand.Uint64()),
+		runs:       map[string]*itemRun{},
+		slowMoves:  map[string]move{},
 		changed:    make(chan struct{}),
 		wakeup:     make(chan struct{}, 1),
 		storeQuery: make(chan struct{}, 1),
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -20,6 +20,7 @@
 
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/core/length"
 	"github.com/oleandershelf/oleandershelf/internal/core/routing"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/call"
@@ -89,7 +90,9 @@
 	region   func(zone string) string
 	metrics  *Metrics
 	log      zerolog.Logger
-	wg       conc.WaitGroup
+	// lengths learns how long the outputs of each model are, from the items of all jobs.
+	lengths *length.Estimator
+	wg      conc.WaitGroup
 
 	mu   sync.Mutex
 	jobs map[string]*job
@@ -141,6 +144,7 @@
 		region:     deps.Region,
 		metrics:    deps.Metrics,
 		log:        deps.Log,
+		lengths:    length.NewEstimator(),
 		jobs:       map[string]*job{},
 		owners:     map[string]owner{},
 		lastOwners: map[string]owner{},
--- a/internal/edge/batchjob/metrics.go
+++ b/internal/edge/batchjob/metrics.go
@@ -33,6 +33,30 @@
 	rewardNoRoute rewardOutcome = "noRoute"
 )
 
+// moveReason is why an item moved.
+type moveReason string
+
+// Values of moveReason.
+const (
+	// moveFaster: in a pool whose servers differ in speed, the item is expected to end earlier at the other server.
+	moveFaster moveReason = "faster"
+	// moveSlow: the server had become slower than the others.
+	moveSlow moveReason = "slow"
+)
+
+// moveOutcome is how the first run after a move went.
+type moveOutcome string
+
+// Values of moveOutcome.
+const (
+	// moveResumed: the server sent events or the end of the output.
+	moveResumed moveOutcome = "resumed"
+	// moveRefused: the server didn't run the item.
+	moveRefused moveOutcome = "refused"
+	// moveInterrupted: the run ended without an event.
+	moveInterrupted moveOutcome = "interrupted"
+)
+
 // Metrics counts the runs of items, the pages written, the reads of results and the reward calls.
 type Metrics struct {
 	reads      *prometheus.CounterVec
@@ -42,6 +66,9 @@
 	// rewards counts reward calls, rewardSeconds observes their time.
 	rewards       *prometheus.CounterVec
 	rewardSeconds prometheus.Histogram
+	// moves counts moves of items, lengthRatio observes how wrong the estimates of their lengths are.
+	moves       *prometheus.CounterVec
+	lengthRatio prometheus.Histogram
 }
 
 // NewMetrics returns metrics that are registered with the registry.
@@ -74,7 +101,16 @@
 		Help:    "Time of reward calls over all their attempts.",
 		Buckets: prometheus.ExponentialBuckets(0.02, 2, 9),
 	})
-	registry.MustRegister(m.reads, m.runs, m.runSeconds, m.pages, m.rewards, m.rewardSeconds)
+	m.moves = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "oleandershelf_batch_moves_total",
+		Help: "Moves of running items to other servers by reason, and by how the first run after the move went.",
+	}, []string{"reason", "outcome"})
+	m.lengthRatio = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name:    "oleandershelf_batch_item_length_ratio",
+		Help:    "Events of completed items divided by the tokens that their trainers expected.",
+		Buckets: prometheus.ExponentialBuckets(0.0625, 2, 10),
+	})
+	registry.MustRegister(m.reads, m.runs, m.runSeconds, m.pages, m.rewards, m.rewardSeconds, m.moves, m.lengthRatio)
 	return m
 }
 
@@ -83,6 +119,16 @@
 	m.runSeconds.Observe(took.Seconds())
 }
 
+func (m *Metrics) countMove(reason moveReason, result moveOutcome) {
+	m.moves.WithLabelValues(string(reason), string(result)).Inc()
+}
+
+func (m *Metrics) observeLength(expectedTokens, events int) {
+	if expectedTokens > 0 {
+		m.lengthRatio.Observe(float64(events) / float64(expectedTokens))
+	}
+}
+
 func (m *Metrics) countReward(result rewardOutcome) { m.rewards.WithLabelValues(string(result)).Inc() }
 
 func (m *Metrics) observeRewardTime(took time.Duration) { m.rewardSeconds.Observe(took.Seconds()) }
--- /dev/null
+++ b/internal/edge/batchjob/place.go
@@ -0,0 +1,176 @@
+package batchjob
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/backend"
+	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/core/dispatch"
+)
+
+// rankInterval is how often a job's items are ranked at most, and how often moves are planned while no item waits. An event takes 25 to
+// 150 ms, so that hardly more is known after a shorter time, and a job has some hundred items.
+const rankInterval = 100 * time.Millisecond
+
+// maxPlans is how often slots are planned anew at once because a server didn't take an item or an item couldn't move. Otherwise a slot
+// would stay free while items wait.
+const maxPlans = 4
+
+// placer is what a control loop keeps to place the items of its job in a pool whose servers differ in speed.
+type placer struct {
+	ranking  dispatch.Ranking
+	rankedAt time.Time
+	// fastest is the shortest expected time between events seen at any server that may run the items.
+	fastest time.Duration
+}
+
+// placeItems starts and moves items as package dispatch plans it.
+func (m *Manager) placeItems(ctx context.Context, j *job, p *placer) {
+	now := time.Now()
+	j.mu.Lock()
+	_, waits := j.progress.Next()
+	stale := j.rankingStale
+	j.mu.Unlock()
+	due := now.Sub(p.rankedAt) >= rankInterval
+	if !waits && !due {
+		return
+	}
+	need := j.requirements()
+	slots := m.freeSlots(now, need)
+	if len(slots) == 0 {
+		return
+	}
+	if due || stale {
+		m.rank(now, j, p, slots)
+	}
+	for range maxPlans {
+		j.retain(p)
+		if m.carryOut(ctx, j, p, dispatch.Plan(p.ranking, slots)) {
+			return
+		}
+		slots = m.freeSlots(now, need)
+	}
+}
+
+// freeSlots returns the servers that may take an item now.
+func (m *Manager) freeSlots(now time.Time, need backend.Requirements) []dispatch.Slot {
+	candidates := m.balancer.Candidates(now, need)
+	slots := make([]dispatch.Slot, 0, len(candidates))
+	for _, c := range candidates {
+		slots = append(slots, dispatch.Slot{Server: c.Server.ID, Free: c.Free, Interval: c.Estimate.Interval, Present: c.Estimate.Present})
+	}
+	return slots
+}
+
+// carryOut carries out a plan. It returns false if that failed in part, so that slots may be free for other items.
+func (m *Manager) carryOut(ctx context.Context, j *job, p *placer, actions []dispatch.Action) bool {
+	whole := true
+	for _, action := range actions {
+		switch {
+		case action.From == "":
+			whole = m.startItem(ctx, j, action) && whole
+		case !m.moveItem(j, action):
+			p.ranking.DropRunning(action.Item)
+			whole = false
+		}
+	}
+	return whole
+}
+
+// startItem starts a waiting item at a server; false if it no longer waits, or the server may not take it after all.
+func (m *Manager) startItem(ctx context.Context, j *job, action dispatch.Action) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if ctx.Err() != nil || !j.progress.IsWaiting(action.Item) {
+		return false
+	}
+	server, ok := m.balancer.AcquireServer(time.Now(), j.requirements(), action.To)
+	if !ok {
+		return false
+	}
+	r := m.newRunLocked(j, j.progress.Item(action.Item), server)
+	j.wg.Go(func() { m.runItem(ctx, r) })
+	return true
+}
+
+// retain removes from the ranking what has changed since.
+func (j *job) retain(p *placer) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	p.ranking.Retain(j.progress.IsWaiting, func(item, server string) bool {
+		r, ok := j.runs[item]
+		return ok && r.server.ID == server && r.next == nil
+	})
+}
+
+// rank ranks the job's items.
+func (m *Manager) rank(now time.Time, j *job, p *placer, slots []dispatch.Slot) {
+	j.mu.Lock()
+	waiting, running := j.progress.Work()
+	servers := make(map[string]string, len(running))
+	for item, r := range j.runs {
+		if r.next == nil {
+			servers[item] = r.server.ID
+		}
+	}
+	groups, complete := j.progress.GroupCounts()
+	j.rankingStale = false
+	j.mu.Unlock()
+	intervals := map[string]time.Duration{}
+	for _, slot := range slots {
+		intervals[slot.Server] = slot.Interval
+	}
+	for _, server := range servers {
+		if _, known := intervals[server]; !known {
+			estimate, _ := m.balancer.Estimate(now, server)
+			intervals[server] = estimate.Interval
+		}
+	}
+	fastest, usual := paces(intervals)
+	if p.fastest == 0 || fastest < p.fastest {
+		p.fastest = fastest
+	}
+	state := dispatch.State{
+		Now: now, Due: j.spec.Accepted.Add(j.spec.ResultDeadline), Fastest: p.fastest, Usual: usual,
+		Groups: groups, Complete: complete, Wanted: j.spec.WantedGroups,
+	}
+	for _, work := range waiting {
+		state.Waiting = append(state.Waiting, m.dispatchItem(j, work))
+	}
+	for _, work := range running {
+		item := m.dispatchItem(j, work)
+		item.Server = servers[item.ID]
+		item.Interval = intervals[item.Server]
+		state.Running = append(state.Running, item)
+	}
+	p.ranking, p.rankedAt = dispatch.Rank(state), now
+}
+
+// dispatchItem returns an item as it is ranked.
+func (m *Manager) dispatchItem(j *job, work batch.Work) dispatch.Item {
+	return dispatch.Item{
+		ID:              work.Item.ID,
+		Group:           work.Item.Group,
+		GroupUnfinished: work.GroupUnfinished,
+		Produced:        work.Produced,
+		Remaining:       m.lengths.Remaining(j.spec.Model, work.Item.ExpectedTokens, work.Produced),
+		Moves:           work.Moves,
+	}
+}
+
+// paces returns the shortest and the median interval of servers that are known.
+func paces(intervals map[string]time.Duration) (fastest, usual time.Duration) {
+	sorted := make([]time.Duration, 0, len(intervals))
+	for _, interval := range intervals {
+		if interval > 0 {
+			sorted = append(sorted, interval)
+		}
+	}
+	if len(sorted) == 0 {
+		return 0, 0
+	}
+	slices.Sort(sorted)
+	return sorted[0], sorted[len(sorted)/2]
+}
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -82,11 +82,16 @@
 	timer := time.NewTicker(checkInterval)
 	defer timer.Stop()
 	checked := time.Now()
+	var placer placer
 	writing := false
 	written := make(chan bool, 1)
 	for ctx.Err() == nil {
 		changed := m.balancer.Changed()
-		m.startItems(ctx, j)
+		if m.balancer.Uneven(j.spec.Pool) {
+			m.placeItems(ctx, j, &placer)
+		} else {
+			m.startItems(ctx, j)
+		}
 		m.startRewards(ctx, j)
 		if page, ok := j.nextPage(time.Now(), writing); ok {
 			writing = true
@@ -140,9 +145,16 @@
 	return j.progress.NextPage(now)
 }
 
+// requirements are what the items of the job need of their servers.
+func (j *job) requirements() backend.Requirements {
+	return backend.Requirements{
+		Pool: j.spec.Pool, Model: j.spec.Model, MinVersion: j.spec.MinVersion, Regions: j.spec.Regions, Deferrable: true,
+	}
+}
+
 // startItems starts items as long as servers have free slots.
 func (m *Manager) startItems(ctx context.Context, j *job) {
-	need := backend.Requirements{Pool: j.spec.Pool, Model: j.spec.Model, MinVersion: j.spec.MinVersion, Regions: j.spec.Regions, Deferrable: true}
+	need := j.requirements()
 	for {
 		j.mu.Lock()
 		item, ok := j.progress.Next()
@@ -155,9 +167,9 @@
 			j.mu.Unlock()
 			return
 		}
-		output := j.progress.Start(item.ID)
+		r := m.newRunLocked(j, item, server)
 		j.mu.Unlock()
-		j.wg.Go(func() { m.runItem(ctx, j, item, output, server) })
+		j.wg.Go(func() { m.runItem(ctx, r) })
 	}
 }
 
