--- a/internal/core/dispatch/rank.go
+++ b/internal/core/dispatch/rank.go
@@ -64,7 +64,7 @@
 const (
 	// urgencyWanted: the trainer waits for the group.
 	urgencyWanted urgency = iota
-	// urgencySpare: the group may be late, since the trainer waits only for others, which have less left to do.
+	// urgencySpare: the trainer doesn't wait for the group, which has the most left to do, and too many groups are expected to be late.
 	urgencySpare
 	// urgencyLate: the group can't be complete by the due time.
 	urgencyLate
@@ -146,24 +146,41 @@
 		// All groups are late, and none yields to another.
 		return urgencies
 	}
-	spare := 0
-	if s.Wanted > 0 && s.Complete < s.Wanted {
-		spare = s.Groups - s.Wanted
-	}
 	slices.SortFunc(works, func(a, b groupWork) int {
 		return cmp.Or(cmp.Compare(b.shortest, a.shortest), cmp.Compare(b.longest, a.longest), cmp.Compare(a.group, b.group))
 	})
+	spare := s.spare(works, left)
 	for i, work := range works {
 		switch {
 		case work.shortest > left:
 			urgencies[work.group] = urgencyLate
 		case i < spare:
 			urgencies[work.group] = urgencySpare
+		default:
+			urgencies[work.group] = urgencyWanted
 		}
 	}
 	return urgencies
 }
 
+// spare returns how many groups yield to the others: as many as the trainer doesn't wait for, if more than these are expected to be late.
+// Otherwise the trainer gets the groups that it waits for, and the spare ones need not be late either.
+func (s *State) spare(works []groupWork, left time.Duration) int {
+	if s.Wanted <= 0 || s.Complete >= s.Wanted {
+		return 0
+	}
+	late := 0
+	for _, work := range works {
+		if work.longest > left {
+			late++
+		}
+	}
+	if spare := s.Groups - s.Wanted; late > spare {
+		return spare
+	}
+	return 0
+}
+
 func (s *State) groupWorks() []groupWork {
 	index := map[string]int{}
 	var works []groupWork
--- a/internal/core/length/histogram.go
+++ b/internal/core/length/histogram.go
@@ -37,14 +37,6 @@
 	w[bucketOf(value)]++
 }
 
-func (w *weights) total() float64 {
-	sum := 0.0
-	for _, weight := range w {
-		sum += float64(weight)
-	}
-	return sum
-}
-
 // addNormal adds samples that are normally distributed by their logarithm, with the median and the deviation in doublings.
 func (w *weights) addNormal(median, deviation, total float64) {
 	var density [bucketCount]float64
