--- a/internal/core/dispatch/plan.go
+++ b/internal/core/dispatch/plan.go
@@ -68,11 +68,11 @@
 		for ; slot.Free > 0; slot.Free-- {
 			best := r.bestMove(slot, moved)
 			switch {
-			case best >= 0 && (len(waiting) == 0 || r.prefersMove(&r.running[best], &waiting[0], slot)):
+			case best >= 0 && (len(waiting) == 0 || r.prefersMove(r.running[best], waiting[0], slot)):
 				moved[best] = true
-				actions = append(actions, newAction(&r.running[best], slot))
+				actions = append(actions, newAction(r.running[best], slot))
 			case len(waiting) > 0:
-				actions = append(actions, newAction(&waiting[0], slot))
+				actions = append(actions, newAction(waiting[0], slot))
 				waiting = waiting[1:]
 			default:
 				// A slower slot gains no item more than this one.
@@ -95,12 +95,12 @@
 	best := -1
 	var bestGain time.Duration
 	for i := range r.running {
-		item := &r.running[i]
+		item := r.running[i]
 		gain := item.moveGain(slot)
 		if moved[i] || gain == 0 {
 			continue
 		}
-		if best < 0 || item.movesBefore(&r.running[best], float64(gain), float64(bestGain)) {
+		if best < 0 || item.movesBefore(r.running[best], float64(gain), float64(bestGain)) {
 			best, bestGain = i, gain
 		}
 	}
--- a/internal/core/dispatch/rank.go
+++ b/internal/core/dispatch/rank.go
@@ -74,33 +74,40 @@
 type rankedItem struct {
 	Item
 	urgency urgency
-	// size is the magnitude of the remaining work.
-	size int
+	// size is the magnitude of the remaining work, position the place in the queue.
+	size, position int
 }
 
 // Ranking is the order in which the items of a job get slots.
 type Ranking struct {
 	// waiting are the items to start, in order.
-	waiting []rankedItem
+	waiting []*rankedItem
 	// running are the items that may move, those with the longest time left first.
-	running []rankedItem
+	running []*rankedItem
 }
 
 // Rank orders the items of a job.
 func Rank(s State) Ranking {
 	urgencies := s.urgencies()
 	var r Ranking
-	for _, item := range s.Waiting {
-		r.waiting = append(r.waiting, rankedItem{Item: item, urgency: urgencies[item.Group], size: magnitude(item.Remaining.Mean)})
+	items := make([]rankedItem, 0, len(s.Waiting)+len(s.Running))
+	add := func(item *Item) *rankedItem {
+		items = append(items, rankedItem{Item: *item, urgency: urgencies[item.Group], size: magnitude(item.Remaining.Mean), position: len(items)})
+		return &items[len(items)-1]
 	}
-	slices.SortStableFunc(r.waiting, compareWaiting)
-	for _, item := range s.Running {
-		if item.movable() {
-			r.running = append(r.running, rankedItem{Item: item, urgency: urgencies[item.Group]})
+	for i := range s.Waiting {
+		r.waiting = append(r.waiting, add(&s.Waiting[i]))
+	}
+	slices.SortFunc(r.waiting, compareWaiting)
+	for i := range s.Running {
+		if s.Running[i].movable() {
+			r.running = append(r.running, add(&s.Running[i]))
 		}
 	}
-	slices.SortStableFunc(r.running, func(a, b rankedItem) int {
-		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(b.left(b.Interval), a.left(a.Interval)))
+	slices.SortFunc(r.running, func(a, b *rankedItem) int {
+		return cmp.Or(
+			cmp.Compare(a.urgency, b.urgency), cmp.Compare(b.left(b.Interval), a.left(a.Interval)), cmp.Compare(a.position, b.position),
+		)
 	})
 	r.running = r.running[:min(len(r.running), maxMoveCandidates)]
 	return r
@@ -112,7 +119,7 @@
 }
 
 // compareWaiting orders waiting items. Those with output come first: that work is lost if their step ends before they do.
-func compareWaiting(a, b rankedItem) int {
+func compareWaiting(a, b *rankedItem) int {
 	switch {
 	case a.urgency != b.urgency:
 		return cmp.Compare(a.urgency, b.urgency)
@@ -120,8 +127,10 @@
 		return cmp.Compare(b.Produced, a.Produced)
 	case a.size != b.size:
 		return cmp.Compare(b.size, a.size)
-	default:
+	case a.GroupUnfinished != b.GroupUnfinished:
 		return cmp.Compare(a.GroupUnfinished, b.GroupUnfinished)
+	default:
+		return cmp.Compare(a.position, b.position)
 	}
 }
 
@@ -207,11 +216,11 @@
 
 // Retain removes waiting items that no longer wait, and running ones that no longer run where they did, by what the functions return.
 func (r *Ranking) Retain(waits func(item string) bool, runs func(item, server string) bool) {
-	r.waiting = slices.DeleteFunc(r.waiting, func(item rankedItem) bool { return !waits(item.ID) })
-	r.running = slices.DeleteFunc(r.running, func(item rankedItem) bool { return !runs(item.ID, item.Server) })
+	r.waiting = slices.DeleteFunc(r.waiting, func(item *rankedItem) bool { return !waits(item.ID) })
+	r.running = slices.DeleteFunc(r.running, func(item *rankedItem) bool { return !runs(item.ID, item.Server) })
 }
 
 // DropRunning removes a running item that couldn't move.
 func (r *Ranking) DropRunning(id string) {
-	r.running = slices.DeleteFunc(r.running, func(item rankedItem) bool { return item.ID == id })
+	r.running = slices.DeleteFunc(r.running, func(item *rankedItem) bool { return item.ID == id })
 }
