Test that a move from a slow server is reported once

Such a move is known only when the item starts elsewhere, and its line and count could be lost or doubled. The tests of edge/batchjob pass with the race detector.

--- a/internal/edge/batchjob/place_test.go
+++ b/internal/edge/batchjob/place_test.go
@@ -281,6 +281,33 @@
 	}
 }
 
+// Guards against moves from slow servers, in other pools, that are neither counted nor logged, or twice, and against a cancelled move to a
+// faster server that is taken for one.
+func TestMoveFromASlowServerIsReportedOnce(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	m := newTestManager(ctx, newMemoryStore().client(), fakeMembers{self: "self"})
+	defer m.Wait()
+	defer cancel()
+	j := newPlacedJob("j", "a")
+	start := func(server string) *itemRun {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		return m.newRunLocked(j, j.progress.Item("a"), backend.Server{ID: server})
+	}
+	r := start("slow")
+	r.slowInterval = slowInterval
+	r.applyOutcome(outcomeMoved)
+	r = start("other")
+	if r.move == nil || r.move.reason != moveSlow || r.move.from != "slow" || r.move.intervalFrom != slowInterval {
+		t.Errorf("the move is %+v", r.move)
+	}
+	r.next = &destination{}
+	r.applyOutcome(outcomeMoved)
+	if r = start("third"); r.move != nil {
+		t.Errorf("a move that was not made is reported: %+v", r.move)
+	}
+}
+
 // Guards against two jobs that both take the one free slot, and against the loss of the item that doesn't get it.
 func TestTwoJobsAndOneFreeSlot(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
