--- a/internal/program/cmd/root.go
+++ b/internal/program/cmd/root.go
@@ -86,6 +86,7 @@
 			stateCommand(),
 			settingsCommand(),
 			demoCommand(),
+			reportCommand(),
 			soakCommand(),
 			standinCommand(),
 			capacityCommand(),
