Add the decisions about jobs that begin without the store

A step that arrives while the store is down is refused, and its work begins only after the outage. Nothing uses it yet.

--- /dev/null
+++ b/internal/core/earlystart/earlystart.go
@@ -0,0 +1,62 @@
+// Package earlystart decides when an entry runs the items of a batch job that the store doesn't hold yet, and what becomes of such a job.
+//
+// A step's results are due some seconds after the step was submitted, and an outage of the store takes most of that time. Running work
+// requires no agreement: an item may run more than once, and only what a page holds counts. So the items run while the store is down, and
+// the job is created when the store answers again.
+//
+// The load is three steps of two hundred items that arrive within a second at any entries, several times an outage, with the repeats that
+// trainers send every half second until a step is accepted.
+package earlystart
+
+import "time"
+
+const (
+	// AnswerWait is how long a submission waits for the store before its job begins. A slow store answers within a third of a second; the
+	// trainer loses the rest of the time that an unresponsive store takes.
+	AnswerWait = 300 * time.Millisecond
+	// MaxJobs and MaxBytes bound the jobs that an entry runs without the store, and their request bodies and text together.
+	MaxJobs  = 16
+	MaxBytes = 32 << 20
+	// MaxStoredBytes is the store's limit for the value of an object. A larger job can never be accepted, and its submission is refused
+	// as not run, so that it must not begin.
+	MaxStoredBytes = 1 << 20
+)
+
+// Answer is what is known of the store's answer to the create of a job.
+type Answer uint8
+
+// Values of Answer.
+const (
+	// AnswerPending: the call is in progress.
+	AnswerPending Answer = iota
+	// AnswerDecided: the store accepted or rejected the job, or holds an object of the name.
+	AnswerDecided
+	// AnswerNone: the store could not be called, or its answer was lost.
+	AnswerNone
+)
+
+// Action is what an entry does next with a submission.
+type Action uint8
+
+// Values of Action.
+const (
+	// ActionWait: wait for the store's answer.
+	ActionWait Action = iota
+	// ActionSettle: answer the submission as the store decided.
+	ActionSettle
+	// ActionBegin: have the job begin, and answer that the outcome of the submission is unknown.
+	ActionBegin
+)
+
+// NextAction returns what an entry does with a submission that has waited for the store that long. Down is set if no entry reaches the
+// store.
+func NextAction(waited time.Duration, down bool, answer Answer) Action {
+	switch {
+	case answer == AnswerDecided:
+		return ActionSettle
+	case down || answer == AnswerNone || waited >= AnswerWait:
+		return ActionBegin
+	default:
+		return ActionWait
+	}
+}
