Run the items of batch jobs that can't be stored yet

A step that arrives while the store is down was refused, and its items began only after the outage; a submission waited 1.6 s for an unresponsive store. With Deps.EarlyGeneration the job's preferred runner begins it at once and keeps it apart from the accepted jobs: no read, announcement or handover includes it, and it writes no page. It creates the job's object when the store answers again; the job then joins the accepted ones with its runs and its output. The submission is answered with an unknown outcome after 300 ms at most. A job whose end can't be stored starts no further items, and its runner stores the end later. Without the option nothing changes.

--- a/internal/core/earlystart/earlystart.go
+++ b/internal/core/earlystart/earlystart.go
@@ -14,8 +14,9 @@
 	// AnswerWait is how long a submission waits for the store before its job begins. A slow store answers within a third of a second; the
 	// trainer loses the rest of the time that an unresponsive store takes.
 	AnswerWait = 300 * time.Millisecond
-	// MaxJobs and MaxBytes bound the jobs that an entry runs without the store, and their request bodies and text together.
-	MaxJobs  = 16
+	// MaxJobs is how many jobs an entry runs without the store at most.
+	MaxJobs = 16
+	// MaxBytes bounds the request bodies and the text of all these jobs together.
 	MaxBytes = 32 << 20
 	// MaxStoredBytes is the store's limit for the value of an object. A larger job can never be accepted, and its submission is refused
 	// as not run, so that it must not begin.
--- a/internal/edge/batchjob/assign.go
+++ b/internal/edge/batchjob/assign.go
@@ -68,8 +68,11 @@
 }
 
 // assign has an accepted job run by its preferred runner, or here if this entry is the preferred runner or the preferred runner doesn't
-// confirm. SpecJSON is the stored form of a job that was accepted just now and has no pages yet; it is nil for any other job.
+// confirm. A job that runs here as unaccepted stays here with its output. SpecJSON is the stored form of a job that was accepted just now and has no pages yet; it is nil for any other job.
 func (m *Manager) assign(spec *batch.Job, specJSON []byte) {
+	if m.accept(spec, earlyFound) {
+		return
+	}
 	runner := m.preferredRunner(spec)
 	if runner.HostID == m.members.Self().HostID {
 		m.startHere(spec, specJSON)
--- /dev/null
+++ b/internal/edge/batchjob/earlyend.go
@@ -0,0 +1,102 @@
+package batchjob
+
+import (
+	"context"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
+	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
+	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
+)
+
+// endRetryDelay is the pause before an end is stored again after a failure.
+const endRetryDelay = 500 * time.Millisecond
+
+// requestHold has the entry that runs a job start no further items of it, because its end could not be stored.
+//
+// Nothing may be known here of a job, or of who runs it, if it isn't accepted yet. The job's preferred runner has it then, and since its
+// model isn't known either, those of all models are asked.
+func (m *Manager) requestHold(id, organisation string) {
+	if m.hold(id, organisation) {
+		return
+	}
+	recipients := m.preferredRunners()
+	if holder, ok := m.holder(id); ok {
+		recipients = []gossip.Member{holder}
+	}
+	for _, member := range recipients {
+		m.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(m.ctx, peerTimeout)
+			defer cancel()
+			q := EndRequest{Job: id, Organisation: organisation, Requested: true}
+			answer, err := peer.Call[EndRequest, EndAnswer](ctx, m.peers, member.Address, MethodEnd, q)
+			m.log.Debug().Err(err).Str("request", id).Str("entry", member.HostID).Bool("known", answer.Known).
+				Msg("told an entry that the end of a batch job can't be stored")
+		})
+	}
+}
+
+// preferredRunners returns the other living entries that are the preferred runners of any model.
+func (m *Manager) preferredRunners() []gossip.Member {
+	now, self, demand := time.Now(), m.members.Self(), m.demand()
+	runners := []batch.Runner{{HostID: self.HostID, Cores: self.Cores}}
+	for _, member := range m.members.Alive(now) {
+		if !member.Leaving {
+			runners = append(runners, batch.Runner{HostID: member.HostID, Cores: member.Cores})
+		}
+	}
+	chosen := map[string]bool{self.HostID: true}
+	var members []gossip.Member
+	for _, model := range demand.Models {
+		for _, hostID := range batch.PreferredRunners(model, demand, runners) {
+			if member, ok := m.members.Find(now, hostID); ok && !chosen[hostID] {
+				chosen[hostID] = true
+				members = append(members, member)
+			}
+		}
+	}
+	return members
+}
+
+// hold starts no further items of a job that runs here, and stores its end as soon as that is possible. An unaccepted job is given up. It
+// returns false if the organisation's job doesn't run here.
+func (m *Manager) hold(id, organisation string) bool {
+	if m.early == nil {
+		return false
+	}
+	if j, ok := m.findUnaccepted(id); ok {
+		if j.spec.Organisation == organisation {
+			m.giveUp(id, earlyEnded)
+		}
+		return true
+	}
+	j, ok := m.find(id)
+	if !ok || j.spec.Organisation != organisation || !j.isRunning() {
+		return false
+	}
+	j.mu.Lock()
+	first := !j.endRequested && !j.progress.Ended()
+	j.endRequested = true
+	j.mu.Unlock()
+	if first {
+		m.log.Info().Str("request", id).Interface("job", j.state()).Msg("batch job starts no further items since its end can't be stored yet")
+		m.wg.Go(func() { m.storeEnd(j) })
+	}
+	return true
+}
+
+// storeEnd tries to store the end of a job for as long as the job's time lasts.
+func (m *Manager) storeEnd(j *job) {
+	for time.Now().Before(j.spec.ExpiresAt()) && ticker.Sleep(m.ctx, endRetryDelay) && !j.finished() {
+		if m.outage(time.Now()) {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(m.ctx, createTimeout)
+		err := m.endJob(ctx, j, j.spec.Organisation)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+}
--- a/internal/edge/batchjob/end.go
+++ b/internal/edge/batchjob/end.go
@@ -14,7 +14,25 @@
 )
 
 // End ends a job: items that aren't listed yet need not run any more. It may be repeated.
+//
+// If jobs may begin without the store, the entry that runs the job starts no further items of it while the end can't be stored.
 func (m *Manager) End(ctx context.Context, id, organisation string) error {
+	if m.early == nil {
+		return m.tryEnd(ctx, id, organisation)
+	}
+	down := m.outage(time.Now())
+	if down {
+		m.requestHold(id, organisation)
+	}
+	err := m.tryEnd(ctx, id, organisation)
+	if err != nil && !down {
+		m.requestHold(id, organisation)
+	}
+	return err
+}
+
+// tryEnd ends a job if the store takes the end.
+func (m *Manager) tryEnd(ctx context.Context, id, organisation string) error {
 	holder, held := m.holder(id)
 	known, ok := m.find(id)
 	if !ok && held {
@@ -77,6 +95,9 @@
 
 // handleEnd ends a job that is in memory here for another entry.
 func (m *Manager) handleEnd(ctx context.Context, q EndRequest) (EndAnswer, error) {
+	if q.Requested {
+		return EndAnswer{Known: m.hold(q.Job, q.Organisation)}, nil
+	}
 	j, ok := m.find(q.Job)
 	if !ok {
 		return EndAnswer{}, nil
@@ -85,7 +106,11 @@
 		m.markEnded(q.Job)
 		return EndAnswer{Known: true}, nil
 	}
-	return EndAnswer{Known: true}, m.endJob(ctx, j, q.Organisation)
+	err := m.endJob(ctx, j, q.Organisation)
+	if err != nil {
+		m.hold(q.Job, q.Organisation)
+	}
+	return EndAnswer{Known: true}, err
 }
 
 // markEnded records that a job has ended, and stops it if it is in memory.
@@ -104,4 +129,5 @@
 	if ok {
 		j.end()
 	}
+	m.giveUp(id, earlyEnded)
 }
--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -17,7 +17,8 @@
 // handoverTimeout bounds each attempt to have another entry run a job, or to load a job and run it here.
 const handoverTimeout = 2 * time.Second
 
-// HandOverJobs writes the finished items of the jobs that run here and asks other entries to run the rest.
+// HandOverJobs writes the finished items of the jobs that run here and asks other entries to run the rest. Unaccepted jobs are dropped: the
+// trainer's repeated submission begins them elsewhere.
 //
 // Without a handover no entry would run these jobs until the trainers' connections end: the trainers stay connected to the leaving entry
 // and read no new results there, and no other entry receives a read that would make it run the job.
@@ -31,6 +32,7 @@
 		}
 	}
 	m.mu.Unlock()
+	m.dropUnaccepted()
 	var handovers conc.WaitGroup
 	for _, j := range running {
 		handovers.Go(func() {
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -294,5 +294,9 @@
 func (r *itemRun) append(event batch.Event) bool {
 	r.job.mu.Lock()
 	defer r.job.mu.Unlock()
-	return r.output.Append(event, r.version)
+	if !r.output.Append(event, r.version) {
+		return false
+	}
+	r.job.countEarlyEvent(event)
+	return true
 }
--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -24,6 +24,18 @@
 	hasRun  bool
 	// run is the current run, or else the last one; nil before the first.
 	run *run
+	// unaccepted is set while the store isn't known to hold the job, which then has no pages; see early.go. Its text and events are counted.
+	unaccepted  bool
+	earlyBytes  int
+	earlyEvents int
+	// settled is closed when an unaccepted job is accepted or given up; nil for any other job.
+	settled chan struct{}
+	// outOfMemory is set while unaccepted jobs may start no items because of their size.
+	outOfMemory bool
+	// endRequested is set if the trainer ended the job and the end could not be stored yet.
+	endRequested bool
+	// writeAtOnce is set if results that were received before the acceptance wait for their first page.
+	writeAtOnce bool
 	// noRouteLogged is set once a reward call of the job without a route was logged.
 	noRouteLogged bool
 	// changed is closed and replaced when results are listed or the job ends; wakeup wakes the control loop.
@@ -41,7 +53,8 @@
 
 // run is the time from a start of a job in this process until the job is stopped or finished.
 type run struct {
-	cancel context.CancelFunc
+	cancel  context.CancelFunc
+	started time.Time
 	// ended is closed when the control loop and all work that it started have ended.
 	ended chan struct{}
 }
@@ -138,6 +151,13 @@
 	return j.progress.Ended() || j.progress.Complete()
 }
 
+// mayStart reports whether items and reward calls of the job may start.
+func (j *job) mayStart() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return !j.endRequested && (!j.unaccepted || !j.outOfMemory)
+}
+
 // canAnswer reports whether a read from the position is best answered here: its results are known, or this process runs the job and learns
 // of new results first.
 func (j *job) canAnswer(from int) bool {
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -101,6 +101,8 @@
 	// reopened are the jobs that were open before this process started and that it has tried to restart, each once.
 	reopened map[string]bool
 	started  time.Time
+	// early holds the unaccepted jobs; nil unless jobs may begin without the store.
+	early *earlyJobs
 	// leaving is set once the process hands its jobs over.
 	leaving bool
 }
@@ -119,6 +121,10 @@
 	Outage func(now time.Time) bool
 	// Demand returns the models that are trained and the slots of their servers.
 	Demand func() batch.Demand
+	// EarlyGeneration makes jobs begin while they can't be stored.
+	EarlyGeneration bool
+	// RouteInForce reports whether the configuration in force has the route of a job; nil if it is not to be checked.
+	RouteInForce func(spec *batch.Job) bool
 	// Region returns the region of an availability zone; nil if no job is restricted to regions.
 	Region  func(zone string) string
 	Metrics *Metrics
@@ -148,6 +154,10 @@
 		reopened:   map[string]bool{},
 		started:    time.Now(),
 	}
+	if deps.EarlyGeneration {
+		m.early = newEarlyJobs(deps.RouteInForce)
+		peer.Handle(registry, MethodBegin, m.handleBegin)
+	}
 	m.register(registry)
 	return m
 }
--- a/internal/edge/batchjob/message.go
+++ b/internal/edge/batchjob/message.go
@@ -13,6 +13,8 @@
 	MethodBody peer.Method = "batch.body"
 	MethodEnd  peer.Method = "batch.end"
 	MethodRun  peer.Method = "batch.run"
+	// MethodBegin is served only where jobs may begin without the store.
+	MethodBegin peer.Method = "batch.begin"
 )
 
 // ReadRequest asks the entry that holds a job in memory for results.
@@ -57,6 +59,8 @@
 	Organisation string `msgpack:"o"`
 	// Stored is set if the store holds the end already.
 	Stored bool `msgpack:"w"`
+	// Requested is set if the end can't be stored: the entry is to start no further items of the job, and to store the end later.
+	Requested bool `msgpack:"r"`
 }
 
 // EndAnswer confirms that the job has ended. Known is false if the entry doesn't have it in memory.
@@ -80,3 +84,16 @@
 
 // RunAnswer confirms a RunRequest.
 type RunAnswer struct{}
+
+// BeginRequest asks the preferred runner of a job that could not be stored to begin it.
+type BeginRequest struct {
+	// SpecJSON is the job as the store is to keep it.
+	SpecJSON []byte `msgpack:"f"`
+}
+
+// BeginAnswer says what became of a BeginRequest. Begun is set if the entry runs the job; Accepted if it knows that the store holds the
+// job, and the job belongs to the organisation in the request.
+type BeginAnswer struct {
+	Begun    bool `msgpack:"b"`
+	Accepted bool `msgpack:"a"`
+}
--- a/internal/edge/batchjob/metrics.go
+++ b/internal/edge/batchjob/metrics.go
@@ -33,7 +33,26 @@
 	rewardNoRoute rewardOutcome = "noRoute"
 )
 
-// Metrics counts the runs of items, the pages written, the reads of results and the reward calls.
+// earlyOutcome is what became of a job that began, or was to begin, without the store.
+type earlyOutcome string
+
+// Values of earlyOutcome.
+const (
+	// earlyAccepted: this entry created the job's object.
+	earlyAccepted earlyOutcome = "accepted"
+	// earlyFound: the store held the job already, or another entry created it.
+	earlyFound earlyOutcome = "found"
+	// earlyExpired: the time of the job was up.
+	earlyExpired earlyOutcome = "expired"
+	// earlyEnded: the trainer ended the job.
+	earlyEnded earlyOutcome = "ended"
+	// earlyRefused: the limits don't allow the job to begin.
+	earlyRefused earlyOutcome = "refused"
+	// earlyDropped: the store can't or doesn't hold this job under its id, its route is gone, or this process leaves.
+	earlyDropped earlyOutcome = "dropped"
+)
+
+// Metrics counts the runs of items, the pages written, the reads of results, the reward calls and the jobs that began without the store.
 type Metrics struct {
 	reads      *prometheus.CounterVec
 	runs       *prometheus.CounterVec
@@ -42,6 +61,10 @@
 	// rewards counts reward calls, rewardSeconds observes their time.
 	rewards       *prometheus.CounterVec
 	rewardSeconds prometheus.Histogram
+	// earlyTotal counts settled unaccepted jobs, earlyNow those that run, earlyEvents the events received for them.
+	earlyTotal  *prometheus.CounterVec
+	earlyNow    prometheus.Gauge
+	earlyEvents prometheus.Counter
 }
 
 // NewMetrics returns metrics that are registered with the registry.
@@ -75,9 +98,27 @@
 		Buckets: prometheus.ExponentialBuckets(0.02, 2, 9),
 	})
 	registry.MustRegister(m.reads, m.runs, m.runSeconds, m.pages, m.rewards, m.rewardSeconds)
+	m.registerEarly(registry)
 	return m
 }
 
+// registerEarly adds the metrics of jobs that begin without the store.
+func (m *Metrics) registerEarly(registry prometheus.Registerer) {
+	m.earlyTotal = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "oleandershelf_batch_early_jobs_total",
+		Help: "Batch jobs that began, or were to begin, without the store, by outcome.",
+	}, []string{"outcome"})
+	m.earlyNow = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "oleandershelf_batch_early_jobs",
+		Help: "Batch jobs that run although the store isn't known to hold them.",
+	})
+	m.earlyEvents = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "oleandershelf_batch_early_events_total",
+		Help: "Events received for batch jobs before they were accepted or given up.",
+	})
+	registry.MustRegister(m.earlyTotal, m.earlyNow, m.earlyEvents)
+}
+
 func (m *Metrics) observeRun(result outcome, took time.Duration) {
 	m.runs.WithLabelValues(result.String()).Inc()
 	m.runSeconds.Observe(took.Seconds())
@@ -96,3 +137,10 @@
 	}
 	m.pages.WithLabelValues(outcome).Inc()
 }
+
+func (m *Metrics) countEarly(outcome earlyOutcome, events int) {
+	m.earlyTotal.WithLabelValues(string(outcome)).Inc()
+	m.earlyEvents.Add(float64(events))
+}
+
+func (m *Metrics) setEarly(count int) { m.earlyNow.Set(float64(count)) }
--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -112,7 +112,8 @@
 	return jobs, ended
 }
 
-// TokenRates returns the sum of the token rates of the jobs that run here, by model; see batch.Job.TokenRate.
+// TokenRates returns the sum of the token rates of the jobs that run here, by model; see batch.Job.TokenRate. It includes unaccepted jobs,
+// which need servers like any others.
 func (m *Manager) TokenRates() map[string]float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -122,6 +123,11 @@
 			rates[j.spec.Model] += j.tokenRate
 		}
 	}
+	for _, j := range m.unacceptedLocked() {
+		if j.spec.Model != "" {
+			rates[j.spec.Model] += j.tokenRate
+		}
+	}
 	return rates
 }
 
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -25,7 +25,9 @@
 
 // runNewJob runs a job here that has no pages yet.
 func (m *Manager) runNewJob(spec *batch.Job) {
-	m.startJob(newJob(spec))
+	if !m.accept(spec, earlyFound) {
+		m.startJob(newJob(spec))
+	}
 }
 
 // startJob runs a job here, unless it has ended, runs already or this process is leaving. It returns the job that is in memory under the
@@ -33,21 +35,34 @@
 //
 // The end of a job may arrive before the request to run it. Without the check for a known end its items would run at servers until their
 // time is up, long after the trainer got the confirmation that nothing of it runs.
+//
+// What this entry received of the job before it was accepted is taken over.
 func (m *Manager) startJob(j *job) *job {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	j = m.cacheLocked(j)
+	early, _ := m.takeUnacceptedLocked(j.spec.ID)
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if _, ended := m.ended[j.spec.ID]; ended {
 		j.endLocked()
 	}
 	if j.running || m.leaving || j.progress.Ended() || m.ctx.Err() != nil {
+		if early != nil {
+			m.wg.Go(func() { m.mergeEarly(j, early) })
+		}
 		return j
 	}
+	m.startRunLocked(j, early)
+	return j
+}
+
+// startRunLocked starts the control loop of a job, once a former run and the unaccepted job whose output it takes over, if any, have ended.
+// The caller holds the locks of the manager and the job.
+func (m *Manager) startRunLocked(j, early *job) {
 	ctx, cancel := context.WithCancel(m.ctx)
 	former := j.run
-	current := &run{cancel: cancel, ended: make(chan struct{})}
+	current := &run{cancel: cancel, started: time.Now(), ended: make(chan struct{})}
 	j.running = true
 	j.hasRun = true
 	j.run = current
@@ -56,12 +71,14 @@
 		if former != nil {
 			<-former.ended
 		}
+		if early != nil {
+			m.mergeEarly(j, early)
+		}
 		m.controlLoop(ctx, j)
 		j.stopped(current)
 		j.wg.Wait()
 		m.log.Info().Str("request", j.spec.ID).Interface("job", j.state()).Msg("stopped running batch job")
 	})
-	return j
 }
 
 // stopped records that the control loop of a run has ended. A later run may have been requested meanwhile.
@@ -86,8 +103,10 @@
 	written := make(chan bool, 1)
 	for ctx.Err() == nil {
 		changed := m.balancer.Changed()
-		m.startItems(ctx, j)
-		m.startRewards(ctx, j)
+		if j.mayStart() {
+			m.startItems(ctx, j)
+			m.startRewards(ctx, j)
+		}
 		if page, ok := j.nextPage(time.Now(), writing); ok {
 			writing = true
 			j.wg.Go(func() { written <- m.writePage(ctx, j, page) })
@@ -115,7 +134,7 @@
 // The entry at which a job was ended may be partitioned from the one that runs it, while both reach the store. Gossip then doesn't
 // announce the end here, and the items would run until their time is up.
 func (m *Manager) checkEnd(ctx context.Context, j *job) {
-	if j.finished() || m.outage(time.Now()) {
+	if j.finished() || j.isUnaccepted() || m.outage(time.Now()) {
 		return
 	}
 	ended, err := m.isEndedInStore(ctx, j.spec.ID)
@@ -129,14 +148,24 @@
 	}
 }
 
-// nextPage returns the page to write now; false if none is due or another one is being written. It also gives up overdue items.
+// nextPage returns the page to write now; false if none is due or another one is being written. It also gives up overdue items. An
+// unaccepted job has no pages, and the time of its items begins with its acceptance.
 func (j *job) nextPage(now time.Time, writing bool) (batch.Page, bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.unaccepted {
+		return batch.Page{}, false
+	}
 	j.progress.Expire(now)
 	if writing {
 		return batch.Page{}, false
 	}
+	if j.writeAtOnce {
+		j.writeAtOnce = false
+		if page, ok := j.progress.Flush(now); ok {
+			return page, true
+		}
+	}
 	return j.progress.NextPage(now)
 }
 
--- a/internal/edge/batchjob/submit.go
+++ b/internal/edge/batchjob/submit.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/core/earlystart"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	product "github.com/oleandershelf/oleandershelf/internal/edge/platform"
 	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
@@ -22,6 +23,9 @@
 	if known, ok := m.find(spec.ID); ok {
 		return checkOrganisation(known.spec, spec.Organisation)
 	}
+	if m.early != nil {
+		return m.submitEarly(spec)
+	}
 	if m.outage(time.Now()) {
 		// A call to the store would delay the trainer for seconds, and leave open whether the job was accepted.
 		return refuseUnknownOutcome(outageRetryAfter, "no entry reaches the store")
@@ -33,9 +37,17 @@
 		return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "job %s: %v", spec.ID, err)
 	}
 	_, err = m.store.Create(ctx, KindJobs, spec.ID, value)
+	return m.handleCreated(ctx, spec, value, err)
+}
+
+// handleCreated answers a submission as the store answered the create of its job.
+func (m *Manager) handleCreated(ctx context.Context, spec *batch.Job, value json.RawMessage, err error) error {
 	m.log.Info().Str("request", spec.ID).Str("organisation", spec.Organisation).Str("model", spec.Model).
 		Int("step", spec.Step).Int("items", len(spec.Items)).Int("minVersion", spec.MinVersion).
 		AnErr("store", err).Msg("batch job submitted")
+	if m.early != nil && answerOf(err) == earlystart.AnswerDecided {
+		m.storeAnswered()
+	}
 	switch {
 	case err == nil:
 		m.assign(spec, value)
@@ -47,6 +59,9 @@
 		return refuseUnknownOutcome(storeRetryAfter, "the store's answer was lost")
 	case errors.Is(err, product.ErrUnavailable):
 		return refuseUnknownOutcome(storeRetryAfter, "the store can't be reached")
+	case m.early != nil && len(value) <= earlystart.MaxStoredBytes:
+		// An earlier submission of the job may have begun.
+		return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonTooLarge, 0, "job %s: %v", spec.ID, err)
 	default:
 		return verdict.Refuse(verdict.NotRun, verdict.ReasonTooLarge, 0, "job %s: %v", spec.ID, err)
 	}
@@ -101,8 +116,14 @@
 		if m.isEndedOrRunning(spec.ID) {
 			return
 		}
-		_, err := m.store.Get(m.ctx, KindJobs, spec.ID)
+		object, err := m.store.Get(m.ctx, KindJobs, spec.ID)
 		if err == nil {
+			if _, ok := m.findUnaccepted(spec.ID); ok && !m.acceptExisting(m.ctx, spec.ID, object.Value) {
+				continue
+			}
+			if m.isEndedOrRunning(spec.ID) {
+				return
+			}
 			m.log.Info().Str("request", spec.ID).Msg("batch job was accepted though the store's answer was lost")
 			m.assign(spec, nil)
 			return
--- a/internal/edge/batchjob/takeover.go
+++ b/internal/edge/batchjob/takeover.go
@@ -30,8 +30,12 @@
 // takeOver reads a job and runs it here, unless the entry that is recorded as its owner confirms that it runs the job.
 //
 // The owner must confirm because the record may be outdated. Without the confirmation, an entry accepted the request to run a job but
-// relied on a recorded owner that no longer ran it, so that no entry ran the job.
+// relied on a recorded owner that no longer ran it, so that no entry ran the job. A job that is unaccepted here runs here at once, with what
+// was received of it.
 func (m *Manager) takeOver(ctx context.Context, q RunRequest) error {
+	if m.acceptFromStore(ctx, q.Job) {
+		return nil
+	}
 	j, err := m.readJob(ctx, q.Job, q.Organisation)
 	if err != nil || j.finished() {
 		return err
