Hand over a held job as held

A job whose end waits to be stored started its items again at the entry that it was handed over to. The run request now says that the end was requested. A job whose lost answer is found in the store is assigned as before unless it runs here as unaccepted.

go test -race ./internal/edge/batchjob passes.

--- a/internal/edge/batchjob/early_test.go
+++ b/internal/edge/batchjob/early_test.go
@@ -385,6 +385,25 @@
 	}
 }
 
+// Guards against a job that starts its items again after it was handed over, although its end is only waiting to be stored.
+func TestHeldJobIsHandedOverAsHeld(t *testing.T) {
+	f := newEarlyFleet(t, 2)
+	f.server.SetStream(1000, 10*time.Millisecond)
+	if err := f.managers[0].Submit(t.Context(), newStep("j", 2*earlySlots)); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the items run", func() bool { return f.requests() == earlySlots })
+	runner := slices.IndexFunc(f.managers, func(m *Manager) bool { _, ok := m.find("j"); return ok })
+	f.setStore(faultNone, true)
+	f.managers[runner].hold("j", "north")
+	f.managers[runner].HandOverJobs(t.Context())
+	j, ok := f.managers[1-runner].find("j")
+	time.Sleep(200 * time.Millisecond)
+	if !ok || !j.isRunning() || j.mayStart() || f.requests() != earlySlots {
+		t.Errorf("found %v, %d runs", ok, f.requests())
+	}
+}
+
 // Guards against a trainer that waits for an unresponsive store, and against a late answer of the store that nobody handles.
 func TestSubmissionDoesNotWaitForAnUnresponsiveStore(t *testing.T) {
 	f := newEarlyFleet(t, 1)
@@ -433,7 +452,8 @@
 					}
 					j.mu.Lock()
 					defer j.mu.Unlock()
-					return j.earlyEvents >= 60*earlySlots
+					results, partials := j.progress.Unwritten()
+					return len(results) >= earlySlots && len(results)+len(partials) == 2*earlySlots
 				})
 				stored := *spec
 				stored.Owner = "other"
--- a/internal/edge/batchjob/earlyend.go
+++ b/internal/edge/batchjob/earlyend.go
@@ -75,15 +75,20 @@
 	if !ok || j.spec.Organisation != organisation || !j.isRunning() {
 		return false
 	}
+	m.holdJob(j)
+	return true
+}
+
+// holdJob starts no further items of a job and stores its end as soon as that is possible.
+func (m *Manager) holdJob(j *job) {
 	j.mu.Lock()
 	first := !j.endRequested && !j.progress.Ended()
 	j.endRequested = true
 	j.mu.Unlock()
 	if first {
-		m.log.Info().Str("request", id).Interface("job", j.state()).Msg("batch job starts no further items since its end can't be stored yet")
+		m.log.Info().Str("request", j.spec.ID).Interface("job", j.state()).Msg("batch job starts no further items since its end can't be stored yet")
 		m.wg.Go(func() { m.storeEnd(j) })
 	}
-	return true
 }
 
 // storeEnd tries to store the end of a job for as long as the job's time lasts.
--- a/internal/edge/batchjob/message.go
+++ b/internal/edge/batchjob/message.go
@@ -78,6 +78,8 @@
 	SkipOwnerCheck bool `msgpack:"s"`
 	// SpecJSON is the job as the store keeps it if it was accepted just now and has no page yet; else the receiver reads the store.
 	SpecJSON []byte `msgpack:"f"`
+	// EndRequested is set if the end of the job waits to be stored, so that none of its items may start.
+	EndRequested bool `msgpack:"e"`
 	// Partials are what a leaving sender had received of unfinished items.
 	Partials []batch.Partial `msgpack:"p"`
 }
--- a/internal/edge/batchjob/submit.go
+++ b/internal/edge/batchjob/submit.go
@@ -118,12 +118,9 @@
 		}
 		object, err := m.store.Get(m.ctx, KindJobs, spec.ID)
 		if err == nil {
-			if _, ok := m.findUnaccepted(spec.ID); ok && !m.acceptExisting(m.ctx, spec.ID, object.Value) {
+			if _, ok := m.findUnaccepted(spec.ID); ok && (!m.acceptExisting(m.ctx, spec.ID, object.Value) || m.isEndedOrRunning(spec.ID)) {
 				continue
 			}
-			if m.isEndedOrRunning(spec.ID) {
-				return
-			}
 			m.log.Info().Str("request", spec.ID).Msg("batch job was accepted though the store's answer was lost")
 			m.assign(spec, nil)
 			return
--- a/internal/edge/batchjob/takeover.go
+++ b/internal/edge/batchjob/takeover.go
@@ -44,6 +44,9 @@
 	if owned && !q.SkipOwnerCheck && m.requestRun(ctx, owner, q) {
 		return nil
 	}
+	if q.EndRequested {
+		m.holdJob(j)
+	}
 	m.resumeHere(j, q.Partials)
 	return nil
 }
