Test an end found at acceptance, late answers and repeats at a slow store

Three faults that were put in on a scratch copy went unnoticed: the end of a found job that isn't read, the late answer to a create that nobody handles, and a call to an unresponsive store for each repeated submission.

--- a/internal/edge/batchjob/early_test.go
+++ b/internal/edge/batchjob/early_test.go
@@ -350,8 +350,9 @@
 	f.setStore(faultNone, false)
 	eventually(t, "ended", func() bool { return f.managers[0].isEnded("j") && len(f.runners("j")) == 0 })
 	time.Sleep(100 * time.Millisecond)
-	if got := f.requests(); got != earlySlots || len(f.managers[0].balancer.Running()) > 0 {
-		t.Errorf("%d runs", got)
+	_, joined := f.managers[0].find("j")
+	if got := f.requests(); got != earlySlots || joined || len(f.managers[0].balancer.Running()) > 0 {
+		t.Errorf("%d runs, joined the accepted jobs: %v", got, joined)
 	}
 }
 
@@ -404,21 +405,35 @@
 	}
 }
 
-// Guards against a trainer that waits for an unresponsive store, and against a late answer of the store that nobody handles.
+// Guards against a trainer that waits for an unresponsive store, against a late answer of the store that nobody handles, whether or not the
+// job could begin, and against a call to that store for each repeated submission.
 func TestSubmissionDoesNotWaitForAnUnresponsiveStore(t *testing.T) {
-	f := newEarlyFleet(t, 1)
-	f.clients[0].delay = 900 * time.Millisecond
-	started := time.Now()
-	refuseUnknown(t, f.managers[0], newStep("j", 2))
-	if took := time.Since(started); took > 2*earlystart.AnswerWait {
-		t.Errorf("answered after %v", took)
-	}
-	if got := len(f.runners("j")); got != 1 {
-		t.Errorf("begun at %d entries", got)
-	}
-	f.checkResults(t, f.managers[0], newStep("j", 2))
-	if got := f.requests(); got != 2 {
-		t.Errorf("%d runs of 2 items", got)
+	for _, full := range []bool{false, true} {
+		f := newEarlyFleet(t, 1)
+		m, client := f.managers[0], f.clients[0]
+		client.delay = 1200 * time.Millisecond
+		wantRunners, wantCreates := 1, 2
+		if full {
+			m.early.book.Begin(earlystart.Job{ID: "other", Begun: time.Now(), Bytes: earlystart.MaxBytes})
+			wantRunners, wantCreates = 0, 1
+		}
+		started := time.Now()
+		refuseUnknown(t, m, newStep("j", 2))
+		if took := time.Since(started); took > 2*earlystart.AnswerWait {
+			t.Errorf("full %v: answered after %v", full, took)
+		}
+		if got := len(f.runners("j")); got != wantRunners {
+			t.Errorf("full %v: begun at %d entries", full, got)
+		}
+		if !full {
+			refuseUnknown(t, m, newStep("j", 2))
+		}
+		f.checkResults(t, m, newStep("j", 2))
+		client.mu.Lock()
+		if got := f.requests(); got != 2 || client.creates > wantCreates {
+			t.Errorf("full %v: %d runs of 2 items, %d creates", full, got, client.creates)
+		}
+		client.mu.Unlock()
 	}
 }
 
