Accept a repeated submission as soon as the store answers

With the setting on, a submission that was repeated right after a failed create was refused once more, since the create of the begun job was put off for up to a second although the store answered. A repeated submission now makes that create due, unless the store is known to be down.

go test -race passes for internal/core/earlystart and internal/edge/batchjob; the lint has no finding.

--- a/internal/core/earlystart/book.go
+++ b/internal/core/earlystart/book.go
@@ -151,6 +151,14 @@
 // StoreAnswered records that the store answered a create of another kind, so that jobs whose create failed before needn't wait.
 func (b *Book) StoreAnswered(now time.Time) { b.bringForward(now) }
 
+// Hasten makes the next create of a job due: its submission was repeated while the store isn't known to be down. Without it the trainer
+// would wait for a create that was put off, although the store answers.
+func (b *Book) Hasten(now time.Time, id string) {
+	if r, ok := b.records[id]; ok && now.Before(r.createAt) {
+		r.createAt = now
+	}
+}
+
 // spread sets the time of every job's next create anew.
 func (b *Book) spread(now time.Time) {
 	for id, r := range b.records {
--- a/internal/core/earlystart/earlystart_test.go
+++ b/internal/core/earlystart/earlystart_test.go
@@ -131,7 +131,8 @@
 	}
 }
 
-// Guards against a store that is called while it is known to be down, against a create without an answer that isn't repeated, and against
+// Guards against a store that is called while it is known to be down, against a trainer whose repeated submission waits for a create that
+// was put off (the load: the same submission every half second), against a create without an answer that isn't repeated, and against
 // jobs that wait for their retry after the store has answered for another one.
 func TestCreatesFollowTheStore(t *testing.T) {
 	b := NewBook()
@@ -149,6 +150,20 @@
 	if ids := b.Creates(failed.Add(createRetryDelay-1), false); len(ids) > 0 {
 		t.Error("repeated without a pause")
 	}
+	b.Hasten(failed, "j")
+	if ids := b.Creates(failed, true); len(ids) > 0 {
+		t.Error("a repeated submission calls a store that is down")
+	}
+	b.Creates(failed, false)
+	b.Hasten(failed, "j")
+	if ids := b.Creates(failed, false); len(ids) != 1 {
+		t.Error("a repeated submission waits")
+	}
+	b.Hasten(failed, "j")
+	if ids := b.Creates(failed, false); len(ids) > 0 {
+		t.Error("two creates of a job at once")
+	}
+	b.CreateEnded(failed, "j", false)
 	b.records["j"].createAt = failed.Add(time.Minute)
 	b.StoreAnswered(failed)
 	if ids := b.Creates(failed.Add(createSpread), false); len(ids) != 1 {
--- a/internal/edge/batchjob/early.go
+++ b/internal/edge/batchjob/early.go
@@ -138,9 +138,12 @@
 }
 
 // answerUnaccepted answers a submission of a job that is unaccepted here. This entry creates its object, so that the submission needs no
-// call to the store; unless the store is down, the answer waits a moment for that.
+// call to the store itself; unless the store is down, the answer waits a moment for that create, which becomes due.
 func (m *Manager) answerUnaccepted(j *job, spec *batch.Job) error {
-	if !m.outage(time.Now()) {
+	if now := time.Now(); !m.outage(now) {
+		m.mu.Lock()
+		m.early.book.Hasten(now, spec.ID)
+		m.mu.Unlock()
 		timer := time.NewTimer(earlystart.AnswerWait)
 		defer timer.Stop()
 		select {
--- a/internal/edge/batchjob/early_test.go
+++ b/internal/edge/batchjob/early_test.go
@@ -437,6 +437,20 @@
 	}
 }
 
+// Guards against a repeated submission that is refused although the store answers again, because the create of the begun job was put off.
+func TestRepeatedSubmissionIsAcceptedOnceTheStoreAnswers(t *testing.T) {
+	f := newEarlyFleet(t, 1)
+	for i := range 6 {
+		f.setStore(faultDown, false)
+		spec := newStep(fmt.Sprint("j", i), 1)
+		refuseUnknown(t, f.managers[0], spec)
+		f.setStore(faultNone, false)
+		if err := f.managers[0].Submit(t.Context(), spec); err != nil {
+			t.Errorf("%s: %v", spec.ID, err)
+		}
+	}
+}
+
 // Guards against output that is lost, or run again from the start, when another entry stores the job under other terms, or this entry has
 // read it from the store meanwhile.
 func TestUnacceptedJobJoinsTheStoredOne(t *testing.T) {
