--- a/internal/core/routing/table_test.go
+++ b/internal/core/routing/table_test.go
@@ -33,6 +33,28 @@
 	}
 }
 
+// Guards against a batch job that is given up although its route is in force, and against one that runs on after its route was removed.
+func TestHasBatchRoute(t *testing.T) {
+	routes := []Route{
+		{Name: "steps", Host: "a.example", Prefix: "/job/", Kind: KindBatch, Targets: []Target{{Pool: "p", Weight: 1}, {Pool: "q", Weight: 1}}},
+		{Name: "calls", Host: "b.example", Prefix: "/", Kind: KindOnce, Targets: []Target{{Pool: "p", Weight: 1}}},
+	}
+	table := NewTable(1, Limits{}, routes, nil, nil)
+	for _, test := range []struct {
+		host, pool string
+		want       bool
+	}{
+		{host: "A.example:80", pool: "q", want: true},
+		{host: "a.example", pool: "other"},
+		{host: "b.example", pool: "p"},
+		{host: "c.example", pool: "p"},
+	} {
+		if got := table.HasBatchRoute(test.host, test.pool); got != test.want {
+			t.Errorf("host %s, pool %s: %v", test.host, test.pool, got)
+		}
+	}
+}
+
 func TestOrganisation(t *testing.T) {
 	for _, test := range []struct {
 		name, key, want string
