Let stand-in servers differ in speed and report a slowdown

All stand-ins took the same time for the same work and reported the same load, so no test could show where work goes when servers are uneven. The reported slowdown may change over time and differ from the actual one.

--- a/internal/edge/backendserver/enginefault_test.go
+++ b/internal/edge/backendserver/enginefault_test.go
@@ -93,3 +93,21 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against tests of uneven engines that prove nothing because the stand-in ignores its speed or its report.
+func TestEngineTakesAndReportsItsTime(t *testing.T) {
+	const tokenTime = 2 * time.Millisecond
+	lie := func(time.Time) float64 { return 1 }
+	_, client := startEngine(t, engine.WithTokenTime(tokenTime, 0), engine.WithTimeFactor(2),
+		engine.WithSlowdown(func(time.Time) float64 { return 2.5 }, lie))
+	started := time.Now()
+	if _, err := generate(t.Context(), client, sampleRequest); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(started); took < time.Duration(sampleRequest.MaxTokens)*tokenTime*2 {
+		t.Errorf("took %v", took)
+	}
+	if load, err := client.Load(t.Context()); err != nil || load.Slowdown != 1 || load.TokenTime != 5*tokenTime {
+		t.Errorf("got %+v, %v", load, err)
+	}
+}
--- a/internal/edge/backendserver/wire.go
+++ b/internal/edge/backendserver/wire.go
@@ -62,6 +62,8 @@
 	Prefetched []int `json:"prefetched,omitempty"`
 	// TokenTime is the time to generate one token at the current batch size.
 	TokenTime time.Duration `json:"tokenTimeNanoseconds"`
+	// Slowdown is the factor by which work takes longer than usual at the moment; 0 if the engine doesn't report it.
+	Slowdown float64 `json:"slowdown,omitempty"`
 	// MeasuredAt is when the load was as reported.
 	MeasuredAt time.Time `json:"measured"`
 }
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -73,7 +73,11 @@
 	batchGrowth float64
 	prefillTime time.Duration
 	loadTime    time.Duration
-	store       *backendserver.WeightStore
+	// timeFactor is how long work lastingly takes, divided by the usual time.
+	timeFactor float64
+	// slowdown and reported are set by WithSlowdown.
+	slowdown, reported func(at time.Time) float64
+	store              *backendserver.WeightStore
 
 	mutex         sync.Mutex
 	faults        Faults
@@ -99,6 +103,17 @@
 	return func(s *Server) { s.tokenTime, s.batchGrowth = base, batchGrowth }
 }
 
+// WithTimeFactor sets how long work lastingly takes at the engine, divided by the usual time: with 0.5 it takes half of it.
+func WithTimeFactor(factor float64) Option {
+	return func(s *Server) { s.timeFactor = factor }
+}
+
+// WithSlowdown sets the factor by which work takes longer at the moment, such as on a host shared with other tenants, and the factor that
+// the engine reports; 1 is usual. The two differ if the engine is to report a false one. Nil is no slowdown, and no report.
+func WithSlowdown(actual, reported func(at time.Time) float64) Option {
+	return func(s *Server) { s.slowdown, s.reported = actual, reported }
+}
+
 // WithPrefillTime sets the processing time of a prompt whose prefix is not cached.
 func WithPrefillTime(prefill time.Duration) Option {
 	return func(s *Server) { s.prefillTime = prefill }
@@ -137,6 +152,7 @@
 		batchGrowth:   DefaultBatchGrowth,
 		prefillTime:   DefaultPrefillTime,
 		loadTime:      DefaultLoadTime,
+		timeFactor:    1,
 		faultsChanged: make(chan struct{}),
 		batch:         newBatch(DefaultSlots, DefaultQueue),
 		cache:         newCache(DefaultCacheSize, DefaultLag),
@@ -221,7 +237,12 @@
 func (s *Server) reportLoad(c fiber.Ctx) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return c.JSON(s.loadHistory.delayed(time.Now()))
+	now := time.Now()
+	load := s.loadHistory.delayed(now)
+	if s.reported != nil {
+		load.Slowdown = s.reported(now)
+	}
+	return c.JSON(load)
 }
 
 func (s *Server) cancel(c fiber.Ctx) error {
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -148,24 +148,33 @@
 }
 
 func (s *Server) prefill(ctx context.Context, req backendserver.GenerateRequest) error {
+	now := time.Now()
 	s.mutex.Lock()
-	cached := s.cache.use(backendserver.PrefixHash(req.Prompt), time.Now())
+	cached := s.cache.use(backendserver.PrefixHash(req.Prompt), now)
 	s.mutex.Unlock()
 	if cached {
 		return nil
 	}
-	return sleep(ctx, s.prefillTime)
+	return sleep(ctx, time.Duration(float64(s.prefillTime)*s.hostFactor(now)))
+}
+
+// hostFactor returns the time that work takes on the engine's host at the moment, divided by the usual time.
+func (s *Server) hostFactor(now time.Time) float64 {
+	if s.slowdown == nil {
+		return s.timeFactor
+	}
+	return s.timeFactor * s.slowdown(now)
 }
 
 // currentTokenTime returns the time per token, which grows with the batch.
 func (s *Server) currentTokenTime() time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.tokenTimeLocked()
+	return s.tokenTimeLocked(time.Now())
 }
 
-func (s *Server) tokenTimeLocked() time.Duration {
-	factor := 1 + s.batchGrowth*float64(max(s.batch.running-1, 0))
+func (s *Server) tokenTimeLocked(now time.Time) time.Duration {
+	factor := s.hostFactor(now) * (1 + s.batchGrowth*float64(max(s.batch.running-1, 0)))
 	if s.faults.SlowFactor > 0 {
 		factor *= s.faults.SlowFactor
 	}
@@ -199,13 +208,14 @@
 
 // recordLoadLocked adds the current load to the history. The caller must hold s.mutex.
 func (s *Server) recordLoadLocked() {
+	now := time.Now()
 	s.loadHistory.add(backendserver.EngineLoad{
 		Running:    s.batch.running,
 		Queued:     len(s.batch.waiting),
 		Slots:      s.batch.slots,
 		Version:    s.weights.version,
 		Prefetched: s.weights.prefetchedVersions(),
-		TokenTime:  s.tokenTimeLocked(),
-		MeasuredAt: time.Now(),
+		TokenTime:  s.tokenTimeLocked(now),
+		MeasuredAt: now,
 	})
 }
