Soak: uneven engines, outages when a step arrives, and checks against the store

New guarantees: a listed result is in a page in the store when its list arrives; an accepted job is in the store; a submission isn't rejected as not run once an item of its job has reached a server; no item runs of a job with a rejected submission unless a later one was accepted. That a position never changes was checked before. The checks are those of before and these.

--- a/internal/program/soak/check.go
+++ b/internal/program/soak/check.go
@@ -29,6 +29,7 @@
 			}
 			runs[id]++
 			if isBatchItem(request) {
+				jobs[jobIDOf(id)].recordStart(request)
 				l.checkStart(jobs[jobIDOf(id)], request, server.ID)
 			}
 		}
@@ -118,6 +119,7 @@
 func (l *loadGenerator) checkJob(j *job, runs map[string]int) {
 	j.checkItems(l.isScored)
 	j.checkDenials(l.env.completedAt)
+	j.checkRefusals()
 	if j.mayHaveRun {
 		return
 	}
@@ -148,7 +150,9 @@
 	}
 	l.checkReports()
 	l.checkZones()
-	for _, g := range []guarantee{guaranteeComplete, guaranteeItem, guaranteeScore, guaranteeReport} {
+	for _, g := range []guarantee{
+		guaranteeComplete, guaranteeItem, guaranteeScore, guaranteeReport, guaranteeStored, guaranteeAcceptanceStored,
+	} {
 		l.checker.check(guaranteeRecovery, l.checker.checked(g) > 0, "never checked: %s", g)
 	}
 }
--- a/internal/program/soak/job.go
+++ b/internal/program/soak/job.go
@@ -19,6 +19,7 @@
 	minVersion int
 	items      []platformtest.Item
 	checker    *checker
+	store      *platformtest.Store
 
 	mu sync.Mutex
 	// observed holds the first result seen at each position.
@@ -27,9 +28,14 @@
 	// that the job has not run.
 	accepted   time.Time
 	mayHaveRun bool
+	// lastAccepted is when the last accepted submission was sent. refusals are the submissions that were rejected as not run.
+	lastAccepted time.Time
+	refusals     []reply
 	// endSent is when the end was first sent, ended when it was first acknowledged.
 	endSent, ended time.Time
 	denials        []bodyDenial
+	// firstStart is when a server first received an item; it is set after the run.
+	firstStart time.Time
 }
 
 // observation is a result that a response contained. It is unset while at is zero.
@@ -45,8 +51,8 @@
 	reply reply
 }
 
-func newJob(id string, items, minVersion int, checks *checker) *job {
-	j := &job{id: id, minVersion: minVersion, checker: checks, observed: make([]observation, items)}
+func newJob(id string, items, minVersion int, env *environment) *job {
+	j := &job{id: id, minVersion: minVersion, checker: env.checker, store: env.store, observed: make([]observation, items)}
 	for i := range items {
 		item := fmt.Sprintf("%s-%d", id, i)
 		j.items = append(j.items, platformtest.Item{
@@ -124,10 +130,21 @@
 		j.checker.check(guaranteeAccepted, !deniesJob(r.status),
 			"job %s was accepted at %s; its submission %v", j.id, formatTime(j.accepted), r)
 	}
-	j.mayHaveRun = j.mayHaveRun || !isNotRun(r.status)
-	if r.status == http.StatusAccepted && j.accepted.IsZero() {
+	if isNotRun(r.status) {
+		j.refusals = append(j.refusals, r)
+	} else {
+		j.mayHaveRun = true
+	}
+	if r.status != http.StatusAccepted {
+		return
+	}
+	j.checkAcceptanceStored(r)
+	if j.accepted.IsZero() {
 		j.accepted = r.received
 	}
+	if r.sent.After(j.lastAccepted) {
+		j.lastAccepted = r.sent
+	}
 }
 
 // recordEnd records and checks the response to the end request of the job.
@@ -163,6 +180,7 @@
 	if len(got.Results) == 0 {
 		j.checkEmpty(from, r)
 	}
+	j.checkStored(from, got.Results, r)
 	for i, result := range got.Results {
 		j.recordResult(from+i, result, r)
 	}
--- a/internal/program/soak/schedule.go
+++ b/internal/program/soak/schedule.go
@@ -23,6 +23,8 @@
 	disturbanceStoreOutage      disturbanceKind = "outage"
 	disturbanceStoreLoseAnswers disturbanceKind = "lose"
 	disturbanceStoreCompact     disturbanceKind = "compact"
+	// The store is away from the moment on at which a trainer submits a step.
+	disturbanceStoreAtStep disturbanceKind = "outageAtStep"
 	// The connections from the other processes are delayed, reset, or blocked in one or both directions.
 	disturbanceLinkDelay   disturbanceKind = "linkDelay"
 	disturbanceLinkReset   disturbanceKind = "linkReset"
@@ -43,9 +45,12 @@
 	disturbanceKill, disturbancePause, disturbanceTerminate, disturbanceReload, disturbanceStoreReject, disturbanceStoreHang,
 	disturbanceStoreOutage, disturbanceStoreLoseAnswers, disturbanceStoreCompact, disturbanceLinkDelay, disturbanceLinkReset,
 	disturbanceLinkOneWay, disturbanceLinkBlocked, disturbanceServerFault, disturbanceServerDrain, disturbanceKeyRotation,
-	disturbanceModelVersion, disturbanceEvacuation, disturbanceServerCold,
+	disturbanceModelVersion, disturbanceEvacuation, disturbanceServerCold, disturbanceStoreAtStep,
 }
 
+// disturbedServers is how many servers drawn disturbances choose from.
+const disturbedServers = serversPerPool + serversPerPool
+
 // disturbance is a scheduled disturbance.
 type disturbance struct {
 	// at is the offset from the start of the schedule.
@@ -86,17 +91,17 @@
 // targetName names what is disturbed.
 func (d disturbance) targetName() string {
 	switch d.kind {
-	case disturbanceStoreOutage, disturbanceStoreLoseAnswers, disturbanceStoreCompact:
+	case disturbanceStoreOutage, disturbanceStoreLoseAnswers, disturbanceStoreCompact, disturbanceStoreAtStep:
 		return "the store"
 	case disturbanceKeyRotation, disturbanceModelVersion:
 		return "the configuration"
 	case disturbanceEvacuation:
 		return zoneName(d.target % serversPerPool)
 	case disturbanceServerFault, disturbanceServerDrain, disturbanceServerCold:
-		if n := d.target % (serversPerPool + serversPerPool); n >= serversPerPool {
+		if n := d.target % disturbedServers; n >= serversPerPool {
 			return engineName(n - serversPerPool)
 		}
-		return serviceName(d.target % (serversPerPool + serversPerPool))
+		return serviceName(d.target % disturbedServers)
 	default:
 		return gatewayName(d.target % processCount)
 	}
--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -50,7 +50,18 @@
 // be checked because a process may not know of them.
 var zonePlan = Plan{Seed: 1, Length: 8 * time.Second, kinds: []disturbanceKind{disturbanceEvacuation, disturbanceServerCold, disturbanceServerDrain}}
 
+// stepPlan takes the store away when steps arrive, once silently and once with lost answers first, while entries die and engines fail. Among all
+// kinds of disturbances such outages are rare.
+var stepPlan = Plan{
+	Seed: 15, Length: 8 * time.Second,
+	kinds: []disturbanceKind{disturbanceStoreAtStep, disturbanceStoreAtStep, disturbanceKill, disturbanceServerFault},
+}
+
 func TestSoak(t *testing.T) {
+	t.Run("steps", func(t *testing.T) {
+		t.Parallel()
+		runPlan(t, stepPlan)
+	})
 	t.Run("zones", func(t *testing.T) {
 		t.Parallel()
 		runPlan(t, zonePlan)
--- a/internal/program/soak/trainer.go
+++ b/internal/program/soak/trainer.go
@@ -41,10 +41,11 @@
 		l.env.mu.Lock()
 		minVersion := max(1, l.env.modelVersion-n%2)
 		l.env.mu.Unlock()
-		j := newJob(fmt.Sprintf("j%d-%d", number, n), jobSizes[rand.IntN(len(jobSizes))], minVersion, l.checker)
+		j := newJob(fmt.Sprintf("j%d-%d", number, n), jobSizes[rand.IntN(len(jobSizes))], minVersion, l.env)
 		l.mu.Lock()
 		l.jobs = append(l.jobs, j)
 		l.mu.Unlock()
+		l.env.beginStep()
 		for ctx.Err() == nil && !j.isAccepted() {
 			l.submit(j)
 			ticker.Sleep(ctx, retryPause)
@@ -55,7 +56,8 @@
 	}
 }
 
-// train reads a job together with other readers, and ends it according to the policy.
+// train reads a job together with other readers, and ends it according to the policy. It stops reading when the store is taken away at
+// a step, so that further steps arrive in the outage.
 func (l *loadGenerator) train(ctx context.Context, j *job, end endPolicy) {
 	for range extraReadersPerJob {
 		l.readers.Go(func() {
@@ -65,7 +67,7 @@
 		})
 	}
 	early := rand.IntN(len(j.items))
-	for deadline := time.Now().Add(trainerReadTime); time.Now().Before(deadline) && ctx.Err() == nil && !j.isComplete(); {
+	for deadline := time.Now().Add(trainerReadTime); time.Now().Before(deadline) && ctx.Err() == nil && !j.isComplete() && !l.env.isStepOutage(); {
 		if end == endEarly && j.listedCount() >= early/2 {
 			break
 		}
@@ -81,6 +83,7 @@
 
 // submit submits the job, possibly again.
 func (l *loadGenerator) submit(j *job) {
+	l.env.submissions.Add(1)
 	j.recordSubmission(l.do(l.env.randomProcess(), clientRequest{
 		kind: requestSubmission, method: http.MethodPost, path: "/job/" + j.id, key: l.env.currentKey(), id: j.id,
 		body: j.submission(), newConnection: rand.IntN(2) == 0,
--- a/internal/program/soak/trouble.go
+++ b/internal/program/soak/trouble.go
@@ -103,15 +103,17 @@
 		env.store.Compact()
 	case disturbanceServerFault:
 		env.disturbServer(d)
+	case disturbanceStoreAtStep:
+		env.outageAtStep(d)
 	case disturbanceServerDrain:
-		server := env.allServers()[d.target%len(env.allServers())]
+		server := env.disturbedServer(d)
 		env.store.Register(server, true)
 		ticker.Sleep(env.ctx, d.duration)
 		env.store.Register(server, false)
 	case disturbanceEvacuation:
 		env.evacuate(zoneName(d.target%serversPerPool), d.duration+evacuationGrace)
 	case disturbanceServerCold:
-		env.makeCold(env.allServers()[d.target%len(env.allServers())], d.duration+coldGrace)
+		env.makeCold(env.disturbedServer(d), d.duration+coldGrace)
 	case disturbanceKeyRotation:
 		env.rotateKey()
 	case disturbanceModelVersion:
@@ -122,7 +124,7 @@
 }
 
 func (env *environment) disturbServer(d disturbance) {
-	server := env.allServers()[d.target%len(env.allServers())]
+	server := env.disturbedServer(d)
 	behaviour := faultyBehaviours[int(d.draw*float64(len(faultyBehaviours)))]
 	server.SetBehaviour(func(n int, _ platformtest.Request) platformtest.Behaviour {
 		if n%faultInterval == 0 {
--- a/internal/program/soak/world.go
+++ b/internal/program/soak/world.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,6 +32,8 @@
 	// itemEvents is the number of events in the output of an item, eventPause the time between two of them.
 	itemEvents = 12
 	eventPause = 15 * time.Millisecond
+	// hardLoadSettings turns on the settings for servers of uneven speed and for steps that arrive without the store.
+	hardLoadSettings = false
 )
 
 func gatewayName(n int) string { return fmt.Sprintf("entry-%d", n) }
@@ -61,6 +64,12 @@
 	coldTimes   []coldTime
 	// storeTroubles are the past times in which the store served no process, or lost answers.
 	storeTroubles []interval
+	// steps passes a channel that is closed once the outage that waits for a step has begun. stepOutages is held by such an outage,
+	// and stepOutage is set while it lasts. submissions counts the submissions sent.
+	steps       chan chan struct{}
+	stepOutages sync.Mutex
+	stepOutage  atomic.Bool
+	submissions atomic.Int64
 	// isolations are the past times during which a process may have missed messages from the other processes or the store.
 	isolations []interval
 }
@@ -69,14 +78,18 @@
 func newEnvironment(ctx context.Context, o Options, c platformtest.Cleaner) (*environment, error) {
 	env := &environment{
 		ctx: ctx, checker: newChecker(), store: platformtest.NewStore(c), usageReceiver: platformtest.NewUsageReceiver(c),
-		modelVersion: 1, withdrawnKeys: map[string]time.Time{},
+		modelVersion: 1, withdrawnKeys: map[string]time.Time{}, steps: make(chan chan struct{}),
 	}
 	for i := range serversPerPool {
 		env.services = append(env.services, platformtest.NewServer(c, serviceName(i), "desk", nil))
+		env.services[i].Zone = zoneName(i)
+	}
+	for i := range engineCount {
 		env.engines = append(env.engines, platformtest.NewServer(c, engineName(i), "engines", map[string]int{model: 1}))
 		env.engines[i].SetStream(itemEvents, eventPause)
-		env.services[i].Zone, env.engines[i].Zone = zoneName(i), zoneName(i)
+		env.engines[i].Zone = zoneName(i % serversPerPool)
 	}
+	env.makeEnginesUneven()
 	env.rotateKey()
 	for _, server := range env.allServers() {
 		env.setDefaultBehaviour(server)
@@ -107,6 +120,11 @@
 	return append(append([]*platformtest.Server{}, env.services...), env.engines...)
 }
 
+// disturbedServer returns the server that a disturbance is to act on.
+func (env *environment) disturbedServer(d disturbance) *platformtest.Server {
+	return env.allServers()[d.target%disturbedServers]
+}
+
 // rotateKey issues a new key to the organisation and withdraws the former one.
 func (env *environment) rotateKey() {
 	env.mu.Lock()
@@ -137,12 +155,16 @@
 		name: name, program: o.Program, callerURL: "http://" + callerAddress.String(), readyURL: "http://" + adminAddress.String() + "/readyz",
 		storeEndpoint: env.store.NewEndpoint(c), settings: filepath.Join(o.Folder, name+".json"),
 	}
-	settings, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"hostId": name, "availabilityZone": "north-a", "listen": callerAddress, "peerListen": peerAddress, "peerAdvertise": advertised,
 		"adminListen": adminAddress,
 		"platformUrl": p.storeEndpoint.URL(), "reportsUrl": env.usageReceiver.URL(), "seeds": []netip.AddrPort{seed}, "usageWindow": "1s",
 		"leaveDelay": "500ms", "drainTime": "6s", "peerSecret": "the secret of the soak",
-	})
+	}
+	if hardLoadSettings {
+		fields["speedPlacement"], fields["earlyGeneration"] = "auto", "on"
+	}
+	settings, err := json.Marshal(fields)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode settings")
 	}
