--- a/internal/program/soak/trainer.go
+++ b/internal/program/soak/trainer.go
@@ -48,6 +48,7 @@
 		l.env.beginStep()
 		for ctx.Err() == nil && !j.isAccepted() {
 			l.submit(j)
+			l.readUnlessAccepted(j)
 			ticker.Sleep(ctx, retryPause)
 		}
 		if j.isAccepted() {
@@ -90,6 +91,20 @@
 	}))
 }
 
+// readUnlessAccepted reads a job whose submission had no answer that accepts it. It may be unknown, but nothing may be listed that is not in
+// the store.
+func (l *loadGenerator) readUnlessAccepted(j *job) {
+	if j.isAccepted() {
+		return
+	}
+	r := l.do(l.env.randomProcess(), clientRequest{
+		kind: requestRead, method: http.MethodGet, path: platformtest.JobTarget(j.id, 0), key: l.env.currentKey(),
+	})
+	if r.status == http.StatusOK {
+		j.recordResults(0, r)
+	}
+}
+
 // end sends the end request of the job, possibly again, and reports whether it was acknowledged.
 func (l *loadGenerator) end(j *job) bool {
 	j.mu.Lock()
