Soak: check that work begins in outages at a step once the settings are on

A run whose outages happen to miss all work would pass without saying anything about work that begins without the store. Once hardLoadSettings is true, a run with such outages has to have an item that reached a server in one of them before its job was accepted.

--- a/internal/program/soak/check.go
+++ b/internal/program/soak/check.go
@@ -150,6 +150,7 @@
 	}
 	l.checkReports()
 	l.checkZones()
+	l.checkStepOutages()
 	for _, g := range []guarantee{
 		guaranteeComplete, guaranteeItem, guaranteeScore, guaranteeReport, guaranteeStored, guaranteeAcceptanceStored,
 	} {
--- a/internal/program/soak/promise.go
+++ b/internal/program/soak/promise.go
@@ -34,7 +34,7 @@
 	guaranteeEnd              guarantee = "no item or reward call of a job starts after the job has ended"
 	guaranteeReport           guarantee = "a usage window is always reported with the same counts"
 	guaranteeFencing          guarantee = "fencing numbers never decrease"
-	guaranteeStepOutage       guarantee = "a submission arrives in an outage that begins with a step"
+	guaranteeStepOutage       guarantee = "submissions arrive, and work begins, in outages that begin with a step"
 	guaranteeRecovery         guarantee = "the system recovers after the last disturbance"
 )
 
--- a/internal/program/soak/stepoutage.go
+++ b/internal/program/soak/stepoutage.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
@@ -49,6 +50,7 @@
 		return
 	}
 	defer env.beginStoreTrouble()()
+	defer env.recordStepOutage(time.Now())
 	env.stepOutage.Store(true)
 	defer env.stepOutage.Store(false)
 	const variants = 3
@@ -75,3 +77,23 @@
 	env.checker.check(guaranteeStepOutage, env.submissions.Load() > before, "no submission arrived in the outage of %s", d)
 	env.store.SetFault(nil)
 }
+
+// recordStepOutage records an outage that began with a step and is over.
+func (env *environment) recordStepOutage(from time.Time) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.stepOutageTimes = append(env.stepOutageTimes, interval{from: from, to: time.Now()})
+}
+
+// checkStepOutages checks that work began in an outage, before its job was accepted. Without it the run says nothing about such work.
+func (l *loadGenerator) checkStepOutages() {
+	outages := l.env.stepOutageTimes
+	if !hardLoadSettings || len(outages) == 0 {
+		return
+	}
+	begun := slices.ContainsFunc(l.jobs, func(j *job) bool {
+		unaccepted := j.accepted.IsZero() || j.firstStart.Before(j.accepted)
+		return unaccepted && slices.ContainsFunc(outages, func(o interval) bool { return j.firstStart.After(o.from) && j.firstStart.Before(o.to) })
+	})
+	l.checker.check(guaranteeStepOutage, begun, "no item reached a server in %d outages before its job was accepted", len(outages))
+}
--- a/internal/program/soak/world.go
+++ b/internal/program/soak/world.go
@@ -70,6 +70,8 @@
 	stepOutages sync.Mutex
 	stepOutage  atomic.Bool
 	submissions atomic.Int64
+	// stepOutageTimes are the past outages that began with a step.
+	stepOutageTimes []interval
 	// isolations are the past times during which a process may have missed messages from the other processes or the store.
 	isolations []interval
 }
