Soak: give one item in twelve eight times the events

All items had 12 events of 15 ms, so that no item ran long enough to be moved to a faster engine, and the soak said nothing about moves. One item in twelve now has 96 events.

go test -race ./internal/program/soak passes in 25 s.

--- a/internal/program/soak/job.go
+++ b/internal/program/soak/job.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -66,6 +67,14 @@
 // rewardIDPrefix precedes the item ID in the ID of a reward call.
 const rewardIDPrefix = "score-"
 
+// eventsOf returns the number of events in the output of an item.
+func eventsOf(item string) int {
+	if number, err := strconv.Atoi(item[strings.LastIndex(item, "-")+1:]); err == nil && number%longItemInterval == longItemInterval-1 {
+		return longItemEvents
+	}
+	return itemEvents
+}
+
 // groupSize is the number of items in a group.
 const groupSize = 2
 
@@ -238,7 +247,7 @@
 			continue
 		}
 		result := observed.result
-		complete := result.State == platformtest.Completed && result.Text == platformtest.OutputText(result.ID, itemEvents)
+		complete := result.State == platformtest.Completed && result.Text == platformtest.OutputText(result.ID, eventsOf(result.ID))
 		older := func(v int) bool { return v < j.minVersion }
 		allowed := len(result.Versions) > 0 && !slices.ContainsFunc(result.Versions, older)
 		j.checker.check(guaranteeItem, !seen[result.ID] && complete && allowed, "job %s (minimum model version %d) lists %v; listed before: %v",
--- a/internal/program/soak/world.go
+++ b/internal/program/soak/world.go
@@ -29,9 +29,12 @@
 	// recoveryTimeout is how long a condition may take to become true, such as a process being ready again.
 	recoveryTimeout = 40 * time.Second
 	pollInterval    = 50 * time.Millisecond
-	// itemEvents is the number of events in the output of an item, eventPause the time between two of them.
-	itemEvents = 12
-	eventPause = 15 * time.Millisecond
+	// itemEvents is the number of events in the output of an item, longItemEvents that of one in longItemInterval, and eventPause the time
+	// between two of them. The rest of a long item at an engine of the usual speed is long enough to be worth a move to the fast one.
+	itemEvents       = 12
+	longItemEvents   = 96
+	longItemInterval = 12
+	eventPause       = 15 * time.Millisecond
 	// hardLoadSettings turns on the settings for servers of uneven speed and for steps that arrive without the store.
 	hardLoadSettings = false
 )
@@ -89,6 +92,7 @@
 	for i := range engineCount {
 		env.engines = append(env.engines, platformtest.NewServer(c, engineName(i), "engines", map[string]int{model: 1}))
 		env.engines[i].SetStream(itemEvents, eventPause)
+		env.engines[i].SetItemEvents(eventsOf)
 		env.engines[i].Zone = zoneName(i % serversPerPool)
 	}
 	env.makeEnginesUneven()
