List the failures of hard load with their tests in FAULTS.md

docs/FAULTS.md names tests for steps of requests only. A table now lists the failures of speed estimates, placement and work without the store with the tests that cause them, and TestMatrix checks that these tests exist.

--- a/internal/program/faults/matrix_test.go
+++ b/internal/program/faults/matrix_test.go
@@ -38,6 +38,7 @@
 func TestMatrix(t *testing.T) {
 	knownTests := testNames(t)
 	cells := buildCells(t, knownTests)
+	checkFailures(t, knownTests)
 	got := render(cells)
 	if *update {
 		if err := os.WriteFile(pagePath, []byte(got), 0o644); err != nil {
@@ -157,6 +158,7 @@
 	for _, name := range open {
 		fmt.Fprintf(&out, "- %s\n", name)
 	}
+	writeFailures(&out)
 	return out.String()
 }
 
