--- a/internal/program/soak/trainer.go
+++ b/internal/program/soak/trainer.go
@@ -41,12 +41,14 @@
 		l.env.mu.Lock()
 		minVersion := max(1, l.env.modelVersion-n%2)
 		l.env.mu.Unlock()
-		j := newJob(fmt.Sprintf("j%d-%d", number, n), jobSizes[rand.IntN(len(jobSizes))], minVersion, l.checker)
+		j := newJob(fmt.Sprintf("j%d-%d", number, n), jobSizes[rand.IntN(len(jobSizes))], minVersion, l.env)
 		l.mu.Lock()
 		l.jobs = append(l.jobs, j)
 		l.mu.Unlock()
+		l.env.beginStep()
 		for ctx.Err() == nil && !j.isAccepted() {
 			l.submit(j)
+			l.readUnlessAccepted(j)
 			ticker.Sleep(ctx, retryPause)
 		}
 		if j.isAccepted() {
@@ -55,7 +57,8 @@
 	}
 }
 
-// train reads a job together with other readers, and ends it according to the policy.
+// train reads a job together with other readers, and ends it according to the policy. It stops reading when the store is taken away at
+// a step, so that further steps arrive in the outage.
 func (l *loadGenerator) train(ctx context.Context, j *job, end endPolicy) {
 	for range extraReadersPerJob {
 		l.readers.Go(func() {
@@ -65,7 +68,7 @@
 		})
 	}
 	early := rand.IntN(len(j.items))
-	for deadline := time.Now().Add(trainerReadTime); time.Now().Before(deadline) && ctx.Err() == nil && !j.isComplete(); {
+	for deadline := time.Now().Add(trainerReadTime); time.Now().Before(deadline) && ctx.Err() == nil && !j.isComplete() && !l.env.isStepOutage(); {
 		if end == endEarly && j.listedCount() >= early/2 {
 			break
 		}
@@ -81,12 +84,27 @@
 
 // submit submits the job, possibly again.
 func (l *loadGenerator) submit(j *job) {
+	l.env.submissions.Add(1)
 	j.recordSubmission(l.do(l.env.randomProcess(), clientRequest{
 		kind: requestSubmission, method: http.MethodPost, path: "/job/" + j.id, key: l.env.currentKey(), id: j.id,
 		body: j.submission(), newConnection: rand.IntN(2) == 0,
 	}))
 }
 
+// readUnlessAccepted reads a job whose submission had no answer that accepts it. It may be unknown, but nothing may be listed that is not in
+// the store.
+func (l *loadGenerator) readUnlessAccepted(j *job) {
+	if j.isAccepted() {
+		return
+	}
+	r := l.do(l.env.randomProcess(), clientRequest{
+		kind: requestRead, method: http.MethodGet, path: platformtest.JobTarget(j.id, 0), key: l.env.currentKey(),
+	})
+	if r.status == http.StatusOK {
+		j.recordResults(0, r)
+	}
+}
+
 // end sends the end request of the job, possibly again, and reports whether it was acknowledged.
 func (l *loadGenerator) end(j *job) bool {
 	j.mu.Lock()
