Take shares of the engines by speed out again

Change: the planner of weight versions counts servers as before; Engine.Speed, the exchange of servers and their log line and metric are gone.

--- a/internal/core/weights/planner.go
+++ b/internal/core/weights/planner.go
@@ -7,8 +7,8 @@
 // If all servers loaded every version of every model, most of the time no server would serve requests, and every load
 // would be slow.
 //
-// Each model is therefore assigned a share of the servers in proportion to the token rate that its jobs require; a server
-// counts as much as its speed. Of these servers, those whose version the next step doesn't accept load first, even while they run requests. The others
+// Each model is therefore assigned a share of the servers in proportion to the token rate that its jobs require. Of
+// these servers, those whose version the next step doesn't accept load first, even while they run requests. The others
 // serve the next step with the version that they have, and load the new one when they are idle. In addition, half of a
 // model's servers load each version within its step even if they are busy; otherwise all servers could be two versions
 // behind at the next version, and none could serve its step at once. A server that is only one version behind
@@ -55,8 +55,6 @@
 	backend.Server
 	// Running is the number of requests known to run on the server.
 	Running int
-	// Speed is the work that the server does in a given time, divided by that of the pool's median server; 0 counts as 1.
-	Speed float64
 	// Hold is set while the server must not get orders.
 	Hold bool
 }
@@ -80,8 +78,6 @@
 	pending map[backend.Key]pendingOrder
 	// announced holds the newest version of each model.
 	announced map[string]announcement
-	// changes holds the changes of the last call of Next.
-	changes []Change
 }
 
 // NewPlanner returns a planner without assignments or orders.
@@ -126,44 +122,36 @@
 }
 
 // assign assigns each new server to a model: the one whose versions it has loaded so far, otherwise one that is below its
-// share. It then makes at most one change: a move of a server between models, otherwise an exchange.
+// share. It then moves at most one server between models.
 func (p *Planner) assign(engines []Engine, newest map[string]int, rates map[string]float64) {
-	p.changes = nil
 	if len(engines) == 0 {
 		return
 	}
-	normalizeSpeeds(engines)
 	shares := newShares(slices.Sorted(maps.Keys(engines[0].Models)), rates)
-	total := 0.0
-	for _, engine := range engines {
-		total += engine.Speed
-		if model, ok := p.models[engine.Key()]; ok {
-			shares.add(model, engine.Speed)
-		}
+	for _, model := range p.models {
+		shares.counts[model]++
 	}
 	for _, engine := range engines {
 		if _, ok := p.models[engine.Key()]; ok {
 			continue
 		}
-		model := modelFor(engine, newest, shares, total)
+		model := modelFor(engine, newest, shares, len(engines))
 		p.models[engine.Key()] = model
-		shares.add(model, engine.Speed)
-	}
-	if !p.balance(engines, shares) {
-		p.exchange(engines, newest, shares)
+		shares.counts[model]++
 	}
+	p.balance(engines, shares)
 }
 
-// modelFor returns the model for a server without an assignment; total is the speed of all servers.
-func modelFor(engine Engine, newest map[string]int, shares shares, total float64) string {
+// modelFor returns the model for a server without an assignment.
+func modelFor(engine Engine, newest map[string]int, shares shares, servers int) string {
 	if model, ok := previousModel(engine, newest); ok {
 		return model
 	}
 	models := slices.Sorted(maps.Keys(engine.Models))
 	return slices.MinFunc(models, func(a, b string) int {
 		return cmp.Or(
-			cmp.Compare(shares.rank(a, newest[a]-engine.Models[a], total), shares.rank(b, newest[b]-engine.Models[b], total)),
-			cmp.Compare(shares.rateWith(b, engine.Speed), shares.rateWith(a, engine.Speed)),
+			cmp.Compare(shares.rank(a, newest[a]-engine.Models[a], servers), shares.rank(b, newest[b]-engine.Models[b], servers)),
+			cmp.Compare(shares.ratePerServer(b, 1), shares.ratePerServer(a, 1)),
 		)
 	})
 }
@@ -188,6 +176,20 @@
 	return model, unique
 }
 
+// balance moves at most one server, from a model with a low token rate per server to the one with the highest; see shares.nextMove.
+func (p *Planner) balance(engines []Engine, shares shares) {
+	from, to, ok := shares.nextMove()
+	if !ok {
+		return
+	}
+	for _, engine := range engines {
+		if _, has := engine.Models[to]; has && p.models[engine.Key()] == from {
+			p.models[engine.Key()] = to
+			return
+		}
+	}
+}
+
 // dueEngines returns the servers that should load, most urgent first: those that are the most versions behind, then
 // those that run the fewest requests.
 func (p *Planner) dueEngines(now time.Time, engines []Engine, newest map[string]int) []Engine {
--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -56,9 +56,8 @@
 	// TokenRates returns, by model, the recent peak of the token rate that its jobs require.
 	TokenRates func(now time.Time) map[string]float64
 	// Window is the length of a usage window.
-	Window  time.Duration
-	Metrics *Metrics
-	Log     zerolog.Logger
+	Window time.Duration
+	Log    zerolog.Logger
 }
 
 // Leader does the holder's work while this entry holds the lease.
--- a/internal/edge/leader/weights.go
+++ b/internal/edge/leader/weights.go
@@ -8,7 +8,6 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
-	"github.com/oleandershelf/oleandershelf/internal/core/pace"
 	"github.com/oleandershelf/oleandershelf/internal/core/weights"
 	"github.com/oleandershelf/oleandershelf/platform"
 )
@@ -79,10 +78,8 @@
 		if len(server.Models) == 0 || s.deps.Balancer.Evacuated(server.ID) {
 			continue
 		}
-		engines[server.Pool] = append(engines[server.Pool], weights.Engine{
-			Server: server, Running: running[server.ID], Speed: relativeSpeed(s.deps.Balancer, now, server),
-			Hold: now.Before(s.retryAt[server.Key()]),
-		})
+		hold := now.Before(s.retryAt[server.Key()])
+		engines[server.Pool] = append(engines[server.Pool], weights.Engine{Server: server, Running: running[server.ID], Hold: hold})
 	}
 	for pool, members := range engines {
 		planner, ok := s.planners[pool]
@@ -90,38 +87,7 @@
 			planner = weights.NewPlanner()
 			s.planners[pool] = planner
 		}
-		orders := planner.Next(now, members, snapshot.Versions, rates)
-		s.reportChanges(now, planner.Changes())
-		s.sendAll(ctx, now, planner, orders)
-	}
-}
-
-// speedSource tells how fast servers are; it is implemented by backend.Balancer.
-type speedSource interface {
-	Uneven(pool string) bool
-	Estimate(now time.Time, id string) (pace.Estimate, bool)
-}
-
-// relativeSpeed returns the server's speed as a multiple of that of its pool's median server; 1 if the pool's servers
-// don't differ or nothing is known of this one.
-func relativeSpeed(source speedSource, now time.Time, server backend.Server) float64 {
-	if !source.Uneven(server.Pool) {
-		return 1
-	}
-	estimate, ok := source.Estimate(now, server.ID)
-	if !ok || estimate.Lasting <= 0 {
-		return 1
-	}
-	return 1 / estimate.Lasting
-}
-
-// reportChanges logs and counts the servers that were assigned to another model.
-func (s *orderSender) reportChanges(now time.Time, changes []weights.Change) {
-	for _, change := range changes {
-		estimate, _ := s.deps.Balancer.Estimate(now, change.Server)
-		s.deps.Log.Info().Str("server", change.Server).Str("from", change.From).Str("to", change.To).Str("exchangedFor", change.ExchangedFor).
-			Float64("speed", change.Speed).Dur("age", estimate.Age).Float64("gain", change.Gain).Msg("server assigned to another model")
-		s.deps.Metrics.countChange(change)
+		s.sendAll(ctx, now, planner, planner.Next(now, members, snapshot.Versions, rates))
 	}
 }
 
--- a/internal/edge/leader/weights_test.go
+++ b/internal/edge/leader/weights_test.go
@@ -7,7 +7,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
-	"github.com/oleandershelf/oleandershelf/internal/core/pace"
 	"github.com/oleandershelf/oleandershelf/internal/core/weights"
 	"github.com/oleandershelf/oleandershelf/internal/edge/duty"
 	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
@@ -46,32 +45,3 @@
 		t.Errorf("accepted orders = %d, want %d", got, version-1)
 	}
 }
-
-// fakeSpeeds knows the lasting factor of servers of the pool uneven.
-type fakeSpeeds map[string]float64
-
-func (f fakeSpeeds) Uneven(pool string) bool { return pool == "uneven" }
-
-func (f fakeSpeeds) Estimate(_ time.Time, id string) (pace.Estimate, bool) {
-	lasting, ok := f[id]
-	return pace.Estimate{Lasting: lasting}, ok
-}
-
-// Guards against shares by speed in pools of equal servers, and against servers without a known speed that count as none.
-func TestRelativeSpeed(t *testing.T) {
-	speeds := fakeSpeeds{"fast": 0.5, "slow": 1.25, "none": 0}
-	for _, test := range []struct {
-		id, pool string
-		want     float64
-	}{
-		{id: "fast", pool: "uneven", want: 2},
-		{id: "slow", pool: "uneven", want: 0.8},
-		{id: "none", pool: "uneven", want: 1},
-		{id: "unlisted", pool: "uneven", want: 1},
-		{id: "fast", pool: "even", want: 1},
-	} {
-		if got := relativeSpeed(speeds, time.Unix(0, 0), backend.Server{ID: test.id, Pool: test.pool}); got != test.want {
-			t.Errorf("%s in pool %s: speed %v, want %v", test.id, test.pool, got, test.want)
-		}
-	}
-}
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -180,7 +180,7 @@
 	}
 	g.work.Go(func() { g.register(ctx, self) })
 	g.work.Go(func() { g.updateEntries(ctx, time.Now()) })
-	g.startDuties(ctx, self, store.NewHTTPTransport(reportsAddress, platformCalls), serverCalls, leader.NewMetrics(metrics))
+	g.startDuties(ctx, self, store.NewHTTPTransport(reportsAddress, platformCalls), serverCalls)
 	g.work.Go(func() {
 		if g.view.WaitReady(ctx) {
 			g.admin.SetReady(true)
@@ -224,7 +224,7 @@
 	return nil
 }
 
-func (g *Gateway) startDuties(ctx context.Context, self gossip.Member, reports store.Transport, serverCalls *exchange.Client, metrics *leader.Metrics) {
+func (g *Gateway) startDuties(ctx context.Context, self gossip.Member, reports store.Transport, serverCalls *exchange.Client) {
 	started := time.Now()
 	holder := duty.Holder{HostID: self.HostID, Address: self.Address, Incarnation: self.Incarnation}
 	// While skipTakeover returns true, this entry neither polls the lease nor contends for it.
@@ -255,7 +255,6 @@
 		CountsMissing: g.heartbeats.memberLostRecently,
 		TokenRates:    g.heartbeats.tokenRates,
 		Window:        g.set.UsageWindow,
-		Metrics:       metrics,
 		Log:           g.log,
 	})
 }
