Count releases against a server's load report

A report counts for 500 ms and a release did not lower it, so that in pools of uneven speed a server that reported all slots in use got no item for up to half a second after one of ours had ended. Requests that ended since the report are subtracted now, never below the requests that are known to run.

--- a/internal/core/backend/balancer.go
+++ b/internal/core/backend/balancer.go
@@ -74,8 +74,8 @@
 	running, peerRunning int
 	// load is the server's last load report.
 	load receivedLoad
-	// sentSinceLoad counts the requests that this entry sent since that report.
-	sentSinceLoad int
+	// sentSinceLoad and releasedSinceLoad count the requests of this entry that began and ended since that report.
+	sentSinceLoad, releasedSinceLoad int
 	// backoffUntil is when the server's backoff ends; until then it is chosen last. Refusals counts its consecutive
 	// refusals.
 	backoffUntil time.Time
@@ -258,6 +258,7 @@
 	defer b.mu.Unlock()
 	if state, ok := b.servers[id]; ok {
 		state.running = max(0, state.running-1)
+		state.releasedSinceLoad++
 		b.notifyChanged()
 	}
 }
@@ -267,7 +268,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if state, ok := b.servers[id]; ok {
-		state.load, state.sentSinceLoad = receivedLoad{LoadReport: load, at: now}, 0
+		state.load, state.sentSinceLoad, state.releasedSinceLoad = receivedLoad{LoadReport: load, at: now}, 0, 0
 		b.guard.Answered(state.readiness)
 		if b.pace != nil {
 			b.pace.Report(now, state.key, load.Slowdown)
--- a/internal/core/backend/speed.go
+++ b/internal/core/backend/speed.go
@@ -82,11 +82,12 @@
 
 // knownRequests returns the number of requests that are known to be at the server.
 func knownRequests(now time.Time, state *serverState) int {
-	return max(state.running+state.peerRunning, state.load.requests(now))
+	return max(state.running+state.peerRunning, state.load.requests(now)-state.releasedSinceLoad)
 }
 
 // freeSlots returns the number of slots that the request may use and that no known request takes. Requests sent since the last load report
-// are added to those that it counted: several may be sent before the next one.
+// are added to those that it counted: several may be sent before the next one. Those that ended since are subtracted: otherwise a slot that
+// this entry frees would stay unused until the report is out of date.
 func (b *Balancer) freeSlots(now time.Time, state *serverState, need Requirements) int {
 	slots := max(1, state.server.Slots)
 	if need.Deferrable {
@@ -94,7 +95,7 @@
 	}
 	known := knownRequests(now, state)
 	if reported := state.load.requests(now); reported > 0 {
-		known = max(known, reported+state.sentSinceLoad)
+		known = max(known, reported+state.sentSinceLoad-state.releasedSinceLoad)
 	}
 	return slots - known
 }
--- a/internal/core/backend/speed_test.go
+++ b/internal/core/backend/speed_test.go
@@ -172,6 +172,42 @@
 	}
 }
 
+// Guards against a freed slot that stays unused as long as a load report counts: a request that ended since then no longer takes a slot, but
+// never fewer count than this entry and the others are known to run.
+func TestReleaseFreesAReportedSlot(t *testing.T) {
+	need := Requirements{Pool: "engines", Model: "m", Deferrable: true}
+	balancer, at := newSpeedBalancer(fastIsSix, WithSpeedPlacement())
+	free := func() int {
+		for _, candidate := range balancer.Candidates(at, need) {
+			if candidate.Server.ID == "e1" {
+				return candidate.Free
+			}
+		}
+		return 0
+	}
+	for range 3 {
+		if _, ok := balancer.AcquireServer(at, need, "e1"); !ok {
+			t.Fatal("no slot")
+		}
+	}
+	balancer.RecordLoad(at, "e1", LoadReport{Running: 8})
+	if got := free(); got != 0 {
+		t.Fatalf("%d slots free at a full server", got)
+	}
+	balancer.Release("e1")
+	if got := free(); got != 1 {
+		t.Errorf("%d slots free after a release, want 1", got)
+	}
+	if _, ok := balancer.AcquireServer(at, need, "e1"); !ok || free() != 0 {
+		t.Errorf("the freed slot isn't taken once: acquired %v, %d free", ok, free())
+	}
+	balancer.RecordPeerRequests(map[string]int{"e1": 6})
+	balancer.Release("e1")
+	if got := free(); got != 0 {
+		t.Errorf("%d slots free while 8 requests are known to run", got)
+	}
+}
+
 // Guards against a list of candidates that begins the trial of an ejected server, which would then get no request.
 func TestCandidatesBeginNoTrial(t *testing.T) {
 	balancer, at := newSpeedBalancer(usual, WithSpeedPlacement())
