Never move an item to the server on which it runs

A server that is a candidate for a move can be the item's own, if its estimate for one more request is shorter than the one of the ranking. Such a move restarts the item for nothing and counts against its three moves. The plan and the move itself exclude it.

--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -83,6 +83,7 @@
 			[]Slot{{Server: "other", Free: 1, Interval: 48 * time.Millisecond}}, []string{}},
 		{"an item moves to a server that is slow at the moment", newState(nil, []Item{newItem("short", "g", 13).at("slow", slowInterval)}),
 			[]Slot{{Server: "fast", Free: 1, Interval: fastInterval, Present: 2.5}}, []string{}},
+		{"an item moves to the server on which it runs", newState(nil, []Item{long.at("fast", slowInterval)}), []Slot{fastSlot(1)}, []string{}},
 		{"two items move to one slot, or one item to two", newState(nil, []Item{long.at("slow", slowInterval), longer.at("slow", slowInterval)}),
 			[]Slot{fastSlot(1)}, []string{"longer>fast"}},
 		{"of two items of similar gain the group that needs more than one gets the slot",
--- a/internal/core/dispatch/plan.go
+++ b/internal/core/dispatch/plan.go
@@ -126,7 +126,7 @@
 	for i := range r.running {
 		item := r.running[i]
 		gain := item.moveGain(slot)
-		if moved[i] || gain == 0 {
+		if moved[i] || gain == 0 || item.Server == slot.Server {
 			continue
 		}
 		if best < 0 || item.movesBefore(r.running[best], float64(gain), float64(bestGain)) {
--- a/internal/edge/batchjob/move.go
+++ b/internal/edge/batchjob/move.go
@@ -48,12 +48,12 @@
 }
 
 // moveItem moves a running item: it acquires a slot at the destination and ends the run, which continues there once it has ended. It
-// returns false if the item no longer runs where the action says, or the destination may not take it.
+// returns false if the item no longer runs where the action says or already runs at the destination, or the destination may not take it.
 func (m *Manager) moveItem(j *job, action dispatch.Action) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	r, ok := j.runs[action.Item]
-	if !ok || r.server.ID != action.From || r.cancel == nil || r.next != nil || j.progress.Ended() {
+	if !ok || r.server.ID != action.From || action.From == action.To || r.cancel == nil || r.next != nil || j.progress.Ended() {
 		return false
 	}
 	server, ok := m.balancer.AcquireServer(time.Now(), j.requirements(), action.To)
--- a/internal/edge/batchjob/place_test.go
+++ b/internal/edge/batchjob/place_test.go
@@ -262,6 +262,11 @@
 			r := p.newRunLocked(j, j.progress.Item("a"), backend.Server{ID: "slow"})
 			_, r.cancel = context.WithCancelCause(ctx)
 			j.mu.Unlock()
+			p.balancer.Release("slow")
+			if p.moveItem(j, moveAction("a", "slow", "slow")) {
+				t.Error("the item moves to the server on which it runs")
+			}
+			p.acquire(t, "slow")
 			action := moveAction("a", "slow", "fast")
 			if !p.moveItem(j, action) || p.moveItem(j, action) {
 				t.Fatal("the item doesn't move, or moves twice")
