Read a job's due time under its lock when ranking

The acceptance of a job that began without the store changes the time of acceptance under the job's lock, while the ranking read it without: a data race. The ranking reads it in its locked part.

--- a/internal/edge/batchjob/earlysettle.go
+++ b/internal/edge/batchjob/earlysettle.go
@@ -192,7 +192,8 @@
 	}
 	m.takeUnacceptedLocked(stored.ID)
 	j.mu.Lock()
-	// The runs of items don't read these fields, all others of the stored object are the same.
+	// Items run meanwhile. The ranking reads the time of acceptance under the job's lock, and the runs of items read none of these fields. All
+	// others of the stored object are the same.
 	j.spec.Accepted, j.spec.Owner, j.spec.OwnerRun = stored.Accepted, stored.Owner, stored.OwnerRun
 	j.unaccepted = false
 	j.writeAtOnce = true
--- a/internal/edge/batchjob/place.go
+++ b/internal/edge/batchjob/place.go
@@ -119,6 +119,7 @@
 		}
 	}
 	groups, complete := j.progress.GroupCounts()
+	due := j.spec.Accepted.Add(j.spec.ResultDeadline)
 	j.rankingStale = false
 	j.mu.Unlock()
 	intervals := map[string]time.Duration{}
@@ -136,7 +137,7 @@
 		p.fastest = fastest
 	}
 	state := dispatch.State{
-		Now: now, Due: j.spec.Accepted.Add(j.spec.ResultDeadline), Fastest: p.fastest, Usual: usual,
+		Now: now, Due: due, Fastest: p.fastest, Usual: usual,
 		Groups: groups, Complete: complete, Wanted: j.spec.WantedGroups,
 	}
 	for _, work := range waiting {
--- a/internal/edge/batchjob/place_test.go
+++ b/internal/edge/batchjob/place_test.go
@@ -360,6 +360,31 @@
 	}
 }
 
+// Guards against a data race between the ranking of a job's items and the acceptance of the job, which changes the due time.
+func TestRankingDuringAcceptance(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	m := newTestManager(ctx, newMemoryStore().client(), fakeMembers{self: "self"})
+	defer m.Wait()
+	defer cancel()
+	j := newPlacedJob("j", "a")
+	stored := *j.spec
+	stored.Accepted = j.spec.Accepted.Add(time.Second)
+	m.mu.Lock()
+	m.early.jobs[j.spec.ID] = j
+	m.mu.Unlock()
+	ranked := make(chan struct{})
+	go func() {
+		defer close(ranked)
+		for range 100 {
+			m.rank(time.Now(), j, &placer{}, nil)
+		}
+	}()
+	if !m.join(j, &stored) {
+		t.Error("the job isn't accepted")
+	}
+	<-ranked
+}
+
 func moveAction(item, from, to string) dispatch.Action {
 	return dispatch.Action{Item: item, From: from, To: to, Remaining: 40, IntervalFrom: slowInterval, IntervalTo: fastInterval}
 }
