Leave faulty servers of uneven pools, and rank only when an item waits again

In an uneven pool nothing moved an item off an engine that turned slow before twelve items had finished, or after three moves: the exit after two slow spans applies there as well now, outside the bound of moves. The ranking becomes stale only if the ended run's item waits again, and not at each end.

--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -148,7 +148,9 @@
 	default:
 		progress.Requeue(r.item.ID)
 	}
-	r.job.rankingStale = true
+	if progress.IsWaiting(r.item.ID) {
+		r.job.rankingStale = true
+	}
 }
 
 // execute sends the item and reads its stream.
@@ -286,8 +288,9 @@
 			r.cause = errEventOrder
 			return outcomeInterrupted
 		}
-		if monitor.eventReceived(time.Now()) && !r.manager.balancer.Uneven(r.job.spec.Pool) {
-			// In a pool whose servers differ in speed, the job's control loop decides on all moves.
+		if monitor.eventReceived(time.Now()) {
+			// In a pool whose servers differ in speed, the job's control loop also moves items, but only once the usual length of outputs is known
+			// and a bounded number of times. Neither bounds the exit from a faulty server.
 			r.cause = errSlow
 			r.slowInterval = monitor.lastInterval
 			return outcomeMoved
--- a/internal/edge/batchjob/place_test.go
+++ b/internal/edge/batchjob/place_test.go
@@ -370,21 +370,70 @@
 	stored := *j.spec
 	stored.Accepted = j.spec.Accepted.Add(time.Second)
 	m.mu.Lock()
-	m.early.jobs[j.spec.ID] = j
+	m.early = newEarlyJobs(nil)
+	m.early.jobs[j.spec.ID], j.settled = j, make(chan struct{})
 	m.mu.Unlock()
-	ranked := make(chan struct{})
+	started, ranked := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(ranked)
-		for range 100 {
+		close(started)
+		for range 2000 {
 			m.rank(time.Now(), j, &placer{}, nil)
 		}
 	}()
+	<-started
+	time.Sleep(time.Millisecond)
 	if !m.join(j, &stored) {
 		t.Error("the job isn't accepted")
 	}
 	<-ranked
 }
 
+// Guards against items that stay on an engine which turns faulty-slow in an uneven pool before enough items have finished for planned moves.
+func TestItemLeavesAFaultyServerOfAnUnevenPool(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p := newUnevenPool(ctx, t)
+	defer p.Wait()
+	defer cancel()
+	p.slow.SetStream(placedEvents, 8*slowInterval)
+	j := newPlacedJob("j", "a")
+	// No length of an output of this model is known, so that no move is planned.
+	j.spec.Model = "other"
+	servers := p.balancer.Servers()
+	for i := range servers {
+		servers[i].Models = map[string]int{"m": 1, "other": 1}
+	}
+	p.balancer.Sync(time.Now(), servers)
+	p.startJob(j)
+	waitFor(t, "the item runs", func() bool { return j.produced("a") >= 1 })
+	p.balancer.Release("fast")
+	waitFor(t, "the job is complete", j.finished)
+	if results, ok := p.awaitResult(j); !ok || results.Text != platformtest.OutputText("a", placedEvents) {
+		t.Errorf("the item has the text %q", results.Text)
+	}
+	if !strings.Contains(p.log(), `"reason":"slow"`) {
+		t.Errorf("no move from a slow server is logged:\n%s", p.log())
+	}
+}
+
+// Guards against a ranking that is renewed at each end of a run, though only an item that waits again is missing in it.
+func TestOnlyAWaitingItemMakesTheRankingStale(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	m := newTestManager(ctx, newMemoryStore().client(), fakeMembers{self: "self"})
+	defer m.Wait()
+	defer cancel()
+	for result, want := range map[outcome]bool{outcomeCompleted: false, outcomeImpossible: false, outcomeInterrupted: true, outcomeRefused: true} {
+		j := newPlacedJob("j", "a", "b")
+		j.mu.Lock()
+		r := m.newRunLocked(j, j.progress.Item("a"), backend.Server{ID: "slow"})
+		j.mu.Unlock()
+		r.applyOutcome(result)
+		if j.rankingStale != want {
+			t.Errorf("%v: the ranking is stale: %v, want %v", result, j.rankingStale, want)
+		}
+	}
+}
+
 func moveAction(item, from, to string) dispatch.Action {
 	return dispatch.Action{Item: item, From: from, To: to, Remaining: 40, IntervalFrom: slowInterval, IntervalTo: fastInterval}
 }
