--- a/internal/core/dispatch/plan.go
+++ b/internal/core/dispatch/plan.go
@@ -88,8 +88,10 @@
 			actions = append(actions, newAction(waiting[0], slot))
 			waiting = waiting[1:]
 		default:
-			// A slower slot gains no item more than this one.
-			return actions
+			// Slots are ordered by the time of an item of typical length. The next one may be worth a move to an item with more left to do, if
+			// this one is in a slow period.
+			slot.Free = 0
+			continue
 		}
 		slot.Free--
 		slot.Interval += slot.Interval / crowding
