Pass second-hand speed summaries on as received

An entry sent what it had learned from others after relating it to the median of the few servers that it knows. It sends the value as received now, and of copies of about the same age with as many samples the first one stays.

--- a/internal/core/pace/estimator_test.go
+++ b/internal/core/pace/estimator_test.go
@@ -265,3 +265,31 @@
 		t.Errorf("a summary without meaning was used: %v", got)
 	}
 }
+
+// Guards against second-hand summaries that drift from entry to entry: an entry that knows few servers must pass on the value that it
+// received, and a copy of about the same age and as many samples must not replace the first one.
+func TestSecondHandSummariesAreSentAsReceived(t *testing.T) {
+	s := newSimulation(1, 8, oneInFour)
+	s.run(6*time.Second, nil)
+	received := s.estimator.SummariesInTurn(s.time(), 3)
+	relay := newSimulation(2, 8, oneInFour).estimator
+	relay.Merge(s.time(), received)
+	values := map[string]float32{}
+	for _, summary := range received {
+		values[summary.ID] = summary.Lasting
+	}
+	for _, r := range relay.records {
+		if !r.fromSummary {
+			continue
+		}
+		if got := summarise(s.time(), []*record{r})[0]; math.Abs(float64(got.Lasting-values[got.ID])) > 0.001 {
+			t.Errorf("%s: received %v, sent %v", got.ID, values[got.ID], got.Lasting)
+		}
+	}
+	first := learned{lasting: 0.5, samples: 8, at: s.time()}
+	for age, want := range map[time.Duration]bool{time.Second: false, 2 * time.Second: true, -2 * time.Second: false} {
+		if got := (learned{lasting: 0.6, samples: 8, at: first.at.Add(age)}).prevails(first); got != want {
+			t.Errorf("a summary younger by %v prevails: %v", age, got)
+		}
+	}
+}
--- a/internal/core/pace/summary.go
+++ b/internal/core/pace/summary.go
@@ -92,10 +92,15 @@
 	summaries := make([]Summary, 0, len(records))
 	for _, r := range records {
 		at, samples := r.basis()
+		lasting := r.lasting
+		if r.fromSummary {
+			// The own value is relative to the median of the servers that this entry knows, which may be few.
+			lasting = r.summary.lasting
+		}
 		summaries = append(summaries, Summary{
 			ID:        r.server.Key.ID,
 			Started:   r.server.Key.Started,
-			Lasting:   float32(math.Exp(r.lasting)),
+			Lasting:   float32(math.Exp(lasting)),
 			Samples:   uint8(min(samples, math.MaxUint8)),
 			AgeMillis: uint32(min(max(0, now.Sub(at).Milliseconds()), math.MaxUint32)),
 		})
@@ -133,6 +138,7 @@
 	case l.samples != other.samples:
 		return l.samples > other.samples
 	default:
-		return difference > 0
+		// Summaries of about the same age are copies of one observation, which only took different ways here.
+		return false
 	}
 }
