Log the group of items, and no unknown interval of a move

The lines about items name their group, so that reports can tell groups apart. A move to a server of unknown speed has no intervalTo in the log instead of 0.

--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -106,10 +106,10 @@
 	if result == outcomeCompleted {
 		m.lengths.RecordFinished(j.spec.Model, item.ExpectedTokens, output.LastEvent)
 		m.metrics.observeLength(item.ExpectedTokens, output.LastEvent)
-		m.log.Debug().Str("request", j.spec.ID).Str("item", item.ID).Str("server", server.ID).Int("fromEvent", from).
+		m.log.Debug().Str("request", j.spec.ID).Str("item", item.ID).Str("group", item.Group).Str("server", server.ID).Int("fromEvent", from).
 			Int("lastEvent", output.LastEvent).Int("expectedTokens", item.ExpectedTokens).Dur("took", time.Since(started)).Msg("item completed")
 	} else if ctx.Err() == nil {
-		m.log.Info().Str("request", j.spec.ID).Str("item", item.ID).Str("server", server.ID).Stringer("outcome", result).
+		m.log.Info().Str("request", j.spec.ID).Str("item", item.ID).Str("group", item.Group).Str("server", server.ID).Stringer("outcome", result).
 			Int("fromEvent", from).Int("lastEvent", output.LastEvent).Int("version", r.version).Dur("took", time.Since(started)).AnErr("cause", r.cause).
 			Msg("item run not completed")
 	}
--- a/internal/edge/batchjob/move.go
+++ b/internal/edge/batchjob/move.go
@@ -118,16 +118,19 @@
 // logStart logs the start of a run, and the move that led to it.
 func (m *Manager) logStart(r *itemRun, from int) {
 	if r.move != nil {
-		m.log.Info().Str("request", r.job.spec.ID).Str("item", r.item.ID).Str("from", r.move.from).Str("to", r.server.ID).Int("event", from).
-			Float64("expectedRemaining", r.move.remaining).Dur("intervalFrom", r.move.intervalFrom).Dur("intervalTo", r.move.intervalTo).
-			Str("reason", string(r.move.reason)).Msg("item moved")
+		line := m.log.Info().Str("request", r.job.spec.ID).Str("item", r.item.ID).Str("group", r.item.Group).Str("from", r.move.from).
+			Str("to", r.server.ID).Int("event", from).Float64("expectedRemaining", r.move.remaining).Dur("intervalFrom", r.move.intervalFrom)
+		if r.move.intervalTo > 0 {
+			line.Dur("intervalTo", r.move.intervalTo)
+		}
+		line.Str("reason", string(r.move.reason)).Msg("item moved")
 	}
 	line := m.log.Debug()
 	if !line.Enabled() {
 		return
 	}
 	estimate, _ := m.balancer.Estimate(time.Now(), r.server.ID)
-	line.Str("request", r.job.spec.ID).Str("item", r.item.ID).Str("server", r.server.ID).Int("fromEvent", from).
+	line.Str("request", r.job.spec.ID).Str("item", r.item.ID).Str("group", r.item.Group).Str("server", r.server.ID).Int("fromEvent", from).
 		Float64("expectedRemaining", m.lengths.Remaining(r.job.spec.Model, r.item.ExpectedTokens, from).Mean).
 		Dur("interval", estimate.Interval).Float64("lasting", estimate.Lasting).Float64("present", estimate.Present).Dur("age", estimate.Age).
 		Msg("item started")
--- a/internal/edge/batchjob/place_test.go
+++ b/internal/edge/batchjob/place_test.go
@@ -434,6 +434,27 @@
 	}
 }
 
+// Guards against lines about items without their group, and against an interval of 0 where the speed of the server isn't known.
+func TestLinesOfItemsNameTheGroup(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p := newUnevenPool(ctx, t)
+	defer p.Wait()
+	defer cancel()
+	p.slow.SetStream(3, time.Millisecond)
+	j := newPlacedJob("j", "a")
+	p.startJob(j)
+	waitFor(t, "the job is complete", j.finished)
+	p.logStart(&itemRun{job: j, item: &j.spec.Items[0], move: &move{from: "slow", reason: moveSlow, intervalFrom: slowInterval}}, 0)
+	for _, line := range strings.Split(strings.TrimSpace(p.log()), "\n") {
+		if strings.Contains(line, `"item":`) && !strings.Contains(line, `"group":"a"`) {
+			t.Errorf("no group in %s", line)
+		}
+	}
+	if log := p.log(); !strings.Contains(log, `"item moved"`) || strings.Contains(log, "intervalTo") {
+		t.Errorf("an unknown interval is logged:\n%s", log)
+	}
+}
+
 func moveAction(item, from, to string) dispatch.Action {
 	return dispatch.Action{Item: item, From: from, To: to, Remaining: 40, IntervalFrom: slowInterval, IntervalTo: fastInterval}
 }
