--- a/internal/core/dispatch/plan.go
+++ b/internal/core/dispatch/plan.go
@@ -88,8 +88,10 @@
 			actions = append(actions, newAction(waiting[0], slot))
 			waiting = waiting[1:]
 		default:
-			// A slower slot gains no item more than this one.
-			return actions
+			// Slots are ordered by the time of an item of typical length. The next one may be worth a move to an item with more left to do, if
+			// this one is in a slow period.
+			slot.Free = 0
+			continue
 		}
 		slot.Free--
 		slot.Interval += slot.Interval / crowding
@@ -126,7 +128,7 @@
 	for i := range r.running {
 		item := r.running[i]
 		gain := item.moveGain(slot)
-		if moved[i] || gain == 0 {
+		if moved[i] || gain == 0 || item.Server == slot.Server {
 			continue
 		}
 		if best < 0 || item.movesBefore(r.running[best], float64(gain), float64(bestGain)) {
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -106,10 +106,10 @@
 	if result == outcomeCompleted {
 		m.lengths.RecordFinished(j.spec.Model, item.ExpectedTokens, output.LastEvent)
 		m.metrics.observeLength(item.ExpectedTokens, output.LastEvent)
-		m.log.Debug().Str("request", j.spec.ID).Str("item", item.ID).Str("server", server.ID).Int("fromEvent", from).
+		m.log.Debug().Str("request", j.spec.ID).Str("item", item.ID).Str("group", item.Group).Str("server", server.ID).Int("fromEvent", from).
 			Int("lastEvent", output.LastEvent).Int("expectedTokens", item.ExpectedTokens).Dur("took", time.Since(started)).Msg("item completed")
 	} else if ctx.Err() == nil {
-		m.log.Info().Str("request", j.spec.ID).Str("item", item.ID).Str("server", server.ID).Stringer("outcome", result).
+		m.log.Info().Str("request", j.spec.ID).Str("item", item.ID).Str("group", item.Group).Str("server", server.ID).Stringer("outcome", result).
 			Int("fromEvent", from).Int("lastEvent", output.LastEvent).Int("version", r.version).Dur("took", time.Since(started)).AnErr("cause", r.cause).
 			Msg("item run not completed")
 	}
@@ -148,7 +148,9 @@
 	default:
 		progress.Requeue(r.item.ID)
 	}
-	r.job.rankingStale = true
+	if progress.IsWaiting(r.item.ID) {
+		r.job.rankingStale = true
+	}
 }
 
 // execute sends the item and reads its stream.
@@ -286,8 +288,9 @@
 			r.cause = errEventOrder
 			return outcomeInterrupted
 		}
-		if monitor.eventReceived(time.Now()) && !r.manager.balancer.Uneven(r.job.spec.Pool) {
-			// In a pool whose servers differ in speed, the job's control loop decides on all moves.
+		if monitor.eventReceived(time.Now()) {
+			// In a pool whose servers differ in speed, the job's control loop also moves items, but only once the usual length of outputs is known
+			// and a bounded number of times. Neither bounds the exit from a faulty server.
 			r.cause = errSlow
 			r.slowInterval = monitor.lastInterval
 			return outcomeMoved
--- a/internal/edge/batchjob/move.go
+++ b/internal/edge/batchjob/move.go
@@ -28,8 +28,10 @@
 // newRunLocked marks an item as running at a server whose slot was acquired, and returns the run. The caller holds the job's lock.
 func (m *Manager) newRunLocked(j *job, item *batch.Item, server backend.Server) *itemRun {
 	r := &itemRun{manager: m, job: j, item: item, output: j.progress.Start(item.ID), server: server}
-	if slow, ok := j.slowMoves[item.ID]; ok {
-		delete(j.slowMoves, item.ID)
+	slow, ok := j.slowMoves[item.ID]
+	delete(j.slowMoves, item.ID)
+	// An item that resumes where it was, because no other server is free, has not moved.
+	if ok && slow.from != server.ID {
 		slow.remaining = m.lengths.Remaining(j.spec.Model, item.ExpectedTokens, r.output.LastEvent).Mean
 		if estimate, ok := m.balancer.Estimate(time.Now(), server.ID); ok {
 			slow.intervalTo = estimate.Interval
@@ -48,12 +50,12 @@
 }
 
 // moveItem moves a running item: it acquires a slot at the destination and ends the run, which continues there once it has ended. It
-// returns false if the item no longer runs where the action says, or the destination may not take it.
+// returns false if the item no longer runs where the action says or already runs at the destination, or the destination may not take it.
 func (m *Manager) moveItem(j *job, action dispatch.Action) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	r, ok := j.runs[action.Item]
-	if !ok || r.server.ID != action.From || r.cancel == nil || r.next != nil || j.progress.Ended() {
+	if !ok || r.server.ID != action.From || action.From == action.To || r.cancel == nil || r.next != nil || j.progress.Ended() {
 		return false
 	}
 	server, ok := m.balancer.AcquireServer(time.Now(), j.requirements(), action.To)
@@ -116,16 +118,19 @@
 // logStart logs the start of a run, and the move that led to it.
 func (m *Manager) logStart(r *itemRun, from int) {
 	if r.move != nil {
-		m.log.Info().Str("request", r.job.spec.ID).Str("item", r.item.ID).Str("from", r.move.from).Str("to", r.server.ID).Int("event", from).
-			Float64("expectedRemaining", r.move.remaining).Dur("intervalFrom", r.move.intervalFrom).Dur("intervalTo", r.move.intervalTo).
-			Str("reason", string(r.move.reason)).Msg("item moved")
+		line := m.log.Info().Str("request", r.job.spec.ID).Str("item", r.item.ID).Str("group", r.item.Group).Str("from", r.move.from).
+			Str("to", r.server.ID).Int("event", from).Float64("expectedRemaining", r.move.remaining).Dur("intervalFrom", r.move.intervalFrom)
+		if r.move.intervalTo > 0 {
+			line.Dur("intervalTo", r.move.intervalTo)
+		}
+		line.Str("reason", string(r.move.reason)).Msg("item moved")
 	}
 	line := m.log.Debug()
 	if !line.Enabled() {
 		return
 	}
 	estimate, _ := m.balancer.Estimate(time.Now(), r.server.ID)
-	line.Str("request", r.job.spec.ID).Str("item", r.item.ID).Str("server", r.server.ID).Int("fromEvent", from).
+	line.Str("request", r.job.spec.ID).Str("item", r.item.ID).Str("group", r.item.Group).Str("server", r.server.ID).Int("fromEvent", from).
 		Float64("expectedRemaining", m.lengths.Remaining(r.job.spec.Model, r.item.ExpectedTokens, from).Mean).
 		Dur("interval", estimate.Interval).Float64("lasting", estimate.Lasting).Float64("present", estimate.Present).Dur("age", estimate.Age).
 		Msg("item started")
--- a/internal/edge/batchjob/place_test.go
+++ b/internal/edge/batchjob/place_test.go
@@ -262,6 +262,11 @@
 			r := p.newRunLocked(j, j.progress.Item("a"), backend.Server{ID: "slow"})
 			_, r.cancel = context.WithCancelCause(ctx)
 			j.mu.Unlock()
+			p.balancer.Release("slow")
+			if p.moveItem(j, moveAction("a", "slow", "slow")) {
+				t.Error("the item moves to the server on which it runs")
+			}
+			p.acquire(t, "slow")
 			action := moveAction("a", "slow", "fast")
 			if !p.moveItem(j, action) || p.moveItem(j, action) {
 				t.Fatal("the item doesn't move, or moves twice")
@@ -355,6 +360,101 @@
 	}
 }
 
+// Guards against a data race between the ranking of a job's items and the acceptance of the job, which changes the due time.
+func TestRankingDuringAcceptance(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	m := newTestManager(ctx, newMemoryStore().client(), fakeMembers{self: "self"})
+	defer m.Wait()
+	defer cancel()
+	j := newPlacedJob("j", "a")
+	stored := *j.spec
+	stored.Accepted = j.spec.Accepted.Add(time.Second)
+	m.mu.Lock()
+	m.early = newEarlyJobs(nil)
+	m.early.jobs[j.spec.ID], j.settled = j, make(chan struct{})
+	m.mu.Unlock()
+	started, ranked := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ranked)
+		close(started)
+		for range 2000 {
+			m.rank(time.Now(), j, &placer{}, nil)
+		}
+	}()
+	<-started
+	time.Sleep(time.Millisecond)
+	if !m.join(j, &stored) {
+		t.Error("the job isn't accepted")
+	}
+	<-ranked
+}
+
+// Guards against items that stay on an engine which turns faulty-slow in an uneven pool before enough items have finished for planned moves.
+func TestItemLeavesAFaultyServerOfAnUnevenPool(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p := newUnevenPool(ctx, t)
+	defer p.Wait()
+	defer cancel()
+	p.slow.SetStream(placedEvents, 8*slowInterval)
+	j := newPlacedJob("j", "a")
+	// No length of an output of this model is known, so that no move is planned.
+	j.spec.Model = "other"
+	servers := p.balancer.Servers()
+	for i := range servers {
+		servers[i].Models = map[string]int{"m": 1, "other": 1}
+	}
+	p.balancer.Sync(time.Now(), servers)
+	p.startJob(j)
+	waitFor(t, "the item runs", func() bool { return j.produced("a") >= 1 })
+	p.balancer.Release("fast")
+	waitFor(t, "the job is complete", j.finished)
+	if results, ok := p.awaitResult(j); !ok || results.Text != platformtest.OutputText("a", placedEvents) {
+		t.Errorf("the item has the text %q", results.Text)
+	}
+	if !strings.Contains(p.log(), `"reason":"slow"`) {
+		t.Errorf("no move from a slow server is logged:\n%s", p.log())
+	}
+}
+
+// Guards against a ranking that is renewed at each end of a run, though only an item that waits again is missing in it.
+func TestOnlyAWaitingItemMakesTheRankingStale(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	m := newTestManager(ctx, newMemoryStore().client(), fakeMembers{self: "self"})
+	defer m.Wait()
+	defer cancel()
+	for result, want := range map[outcome]bool{outcomeCompleted: false, outcomeImpossible: false, outcomeInterrupted: true, outcomeRefused: true} {
+		j := newPlacedJob("j", "a", "b")
+		j.mu.Lock()
+		r := m.newRunLocked(j, j.progress.Item("a"), backend.Server{ID: "slow"})
+		j.mu.Unlock()
+		r.applyOutcome(result)
+		if j.rankingStale != want {
+			t.Errorf("%v: the ranking is stale: %v, want %v", result, j.rankingStale, want)
+		}
+	}
+}
+
+// Guards against lines about items without their group, and against an interval of 0 where the speed of the server isn't known.
+func TestLinesOfItemsNameTheGroup(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p := newUnevenPool(ctx, t)
+	defer p.Wait()
+	defer cancel()
+	p.slow.SetStream(3, time.Millisecond)
+	j := newPlacedJob("j", "a")
+	p.startJob(j)
+	waitFor(t, "the job is complete", j.finished)
+	p.logStart(&itemRun{job: j, item: &j.spec.Items[0], move: &move{from: "slow", reason: moveSlow, intervalFrom: slowInterval}}, 0)
+	for _, line := range strings.Split(strings.TrimSpace(p.log()), "\n") {
+		if strings.Contains(line, `"item":`) && !strings.Contains(line, `"group":"a"`) {
+			t.Errorf("no group in %s", line)
+		}
+	}
+	if log := p.log(); !strings.Contains(log, `"item moved"`) || strings.Contains(log, "intervalTo") {
+		t.Errorf("an unknown interval is logged:\n%s", log)
+	}
+}
+
 func moveAction(item, from, to string) dispatch.Action {
 	return dispatch.Action{Item: item, From: from, To: to, Remaining: 40, IntervalFrom: slowInterval, IntervalTo: fastInterval}
 }
