End the soak's checked cold time when the server stops being cold

Cause: makeCold counted the duration from the end of the registration, although the server is cold from before it. In a busy run the registration took 3.86 s, so that the checked time ended 3.86 s after the cold time. The requests in that time were few enough to pass the check.

Change: the checked time ends the duration after the time before SetCold. The server is cold at least until then.

--- a/internal/program/soak/zone.go
+++ b/internal/program/soak/zone.go
@@ -70,13 +70,15 @@
 	}
 }
 
-// makeCold makes a server cold for the duration.
+// makeCold makes a server cold for the duration. The server is cold from before its registration on, which takes seconds when the machine is
+// busy: the duration doesn't start anew with the end of the registration.
 func (env *environment) makeCold(server *platformtest.Server, duration time.Duration) {
+	until := time.Now().Add(duration)
 	server.SetCold(duration)
 	env.store.Register(server, false)
 	from := time.Now()
 	env.mu.Lock()
-	env.coldTimes = append(env.coldTimes, coldTime{server: server, interval: interval{from: from, to: from.Add(duration)}})
+	env.coldTimes = append(env.coldTimes, coldTime{server: server, interval: interval{from: from, to: until}})
 	env.mu.Unlock()
 	ticker.Sleep(env.ctx, duration)
 	env.store.Register(server, false)
