Accept repeats of an accepted batch job while the store is slow

While creates took longer than a submission waits, an entry that doesn't run the job refused each repeat: the conflict arrived after the answer, and the job was known to run elsewhere, so that no entry was asked.

The entry that runs the job is now asked, and its answer accepts the repeat. The create's result still counts while that call is under way. Repeats share one create per entry, job and organisation. A submission waits 500 ms for the store, as a slow store's answer takes up to a third of a second.

--- a/internal/core/earlystart/earlystart.go
+++ b/internal/core/earlystart/earlystart.go
@@ -13,7 +13,7 @@
 const (
 	// AnswerWait is how long a submission waits for the store before its job begins. A slow store answers within a third of a second; the
 	// trainer loses the rest of the time that an unresponsive store takes.
-	AnswerWait = 300 * time.Millisecond
+	AnswerWait = 500 * time.Millisecond
 	// MaxJobs is how many jobs an entry runs without the store at most.
 	MaxJobs = 16
 	// MaxBytes bounds the request bodies and the text of all these jobs together.
--- a/internal/edge/batchjob/early.go
+++ b/internal/edge/batchjob/early.go
@@ -12,6 +12,7 @@
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
 	"github.com/oleandershelf/oleandershelf/internal/core/earlystart"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 	product "github.com/oleandershelf/oleandershelf/internal/edge/platform"
 )
@@ -28,10 +29,14 @@
 	routeInForce func(spec *batch.Job) bool
 	// settling is set while settleUnaccepted runs.
 	settling bool
+	// creates are the creates of submitted jobs that are under way.
+	creates map[createKey]*pendingCreate
 }
 
 func newEarlyJobs(routeInForce func(spec *batch.Job) bool) *earlyJobs {
-	return &earlyJobs{jobs: map[string]*job{}, book: earlystart.NewBook(), routeInForce: routeInForce}
+	return &earlyJobs{
+		jobs: map[string]*job{}, book: earlystart.NewBook(), routeInForce: routeInForce, creates: map[createKey]*pendingCreate{},
+	}
 }
 
 // unacceptedLocked returns the unaccepted jobs. The caller holds the lock and must not change the map.
@@ -77,7 +82,7 @@
 }
 
 // submitEarly accepts a job like Submit. If the store doesn't answer in time, it has the job begin, and refuses the submission with an
-// unknown outcome; the create continues and may settle the job.
+// unknown outcome unless the job turns out to be accepted; the create continues and may settle the job.
 func (m *Manager) submitEarly(spec *batch.Job) error {
 	if j, ok := m.findUnaccepted(spec.ID); ok {
 		return m.answerUnaccepted(j, spec)
@@ -91,35 +96,73 @@
 	if err != nil {
 		return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "job %s: %v", spec.ID, err)
 	}
-	result := make(chan error, 1)
 	started := time.Now()
-	m.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(m.ctx, createTimeout)
-		defer cancel()
-		_, err := m.store.Create(ctx, KindJobs, spec.ID, value)
-		result <- err
-	})
+	created := m.createShared(spec, value)
 	timer := time.NewTimer(earlystart.AnswerWait)
 	defer timer.Stop()
 	answer := earlystart.AnswerPending
 	select {
-	case err = <-result:
-		answer = answerOf(err)
+	case <-created.done:
+		answer = created.answer
 	case <-timer.C:
 	}
 	if earlystart.NextAction(time.Since(started), false, answer) == earlystart.ActionSettle {
-		return m.handleCreated(m.ctx, spec, value, err)
+		return created.refusal
 	}
 	if answer == earlystart.AnswerNone {
-		return m.beginAndRefuse(spec, m.handleCreated(m.ctx, spec, value, err))
+		return m.beginAndRefuse(spec, created.refusal)
 	}
-	m.wg.Go(func() {
-		if err := m.handleCreated(m.ctx, spec, value, <-result); err != nil {
-			m.log.Info().Err(err).Str("request", spec.ID).Msg("batch job not accepted by a late answer of the store")
+	begun := m.requestBegin(spec)
+	done := created.done
+	for {
+		select {
+		case <-done:
+			if created.answer == earlystart.AnswerDecided {
+				return created.refusal
+			}
+			done = nil
+		case answer := <-begun:
+			if answer.Accepted {
+				return nil
+			}
+			return refuseUnknownOutcome(outageRetryAfter, "the store hasn't answered yet")
 		}
+	}
+}
+
+// pendingCreate is a create of a job that is under way. The answer and the refusal of the submission are set before done is closed.
+type pendingCreate struct {
+	done    chan struct{}
+	answer  earlystart.Answer
+	refusal error
+}
+
+// createKey identifies the submissions that share a create. Organisations don't share one, as only one of them may use the id.
+type createKey struct{ id, organisation string }
+
+// createShared creates the object of a job, or returns the create of an earlier submission of it that is under way here. A trainer repeats
+// a submission every half second, and each create sends the whole job to a store that is slow already.
+func (m *Manager) createShared(spec *batch.Job, value json.RawMessage) *pendingCreate {
+	key := createKey{id: spec.ID, organisation: spec.Organisation}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if pending, ok := m.early.creates[key]; ok {
+		return pending
+	}
+	pending := &pendingCreate{done: make(chan struct{})}
+	m.early.creates[key] = pending
+	m.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(m.ctx, createTimeout)
+		defer cancel()
+		_, err := m.store.Create(ctx, KindJobs, spec.ID, value)
+		pending.answer = answerOf(err)
+		pending.refusal = m.handleCreated(m.ctx, spec, value, err)
+		m.mu.Lock()
+		delete(m.early.creates, key)
+		m.mu.Unlock()
+		close(pending.done)
 	})
-	m.requestBegin(spec)
-	return refuseUnknownOutcome(outageRetryAfter, "the store hasn't answered yet")
+	return pending
 }
 
 // answerOf returns what an error of a create says of the store's answer.
@@ -175,27 +218,24 @@
 // requestBegin has a job begin at its preferred runner, or here if that entry doesn't answer. The channel returns what became of it.
 //
 // Every entry asks the same runner, so that a submission that is repeated at another entry finds the job there and doesn't begin it twice.
+// If another living entry is known to run the job, that entry is asked instead, since it knows whether the job is accepted.
 func (m *Manager) requestBegin(spec *batch.Job) <-chan BeginAnswer {
 	answers := make(chan BeginAnswer, 1)
-	runner := m.preferredRunner(spec)
+	self := m.members.Self().HostID
+	runner, owned := m.livingOwner(spec.ID)
+	owned = owned && runner.HostID != self
+	if !owned {
+		runner = m.preferredRunner(spec)
+	}
 	switch {
-	case m.isEndedOrRunning(spec.ID):
-		// The job was accepted before.
+	case m.isEnded(spec.ID):
 		answers <- BeginAnswer{}
-	case runner.HostID == m.members.Self().HostID:
+	case !owned && runner.HostID == self:
 		answers <- m.begin(spec)
 	default:
 		m.wg.Go(func() {
-			ctx, cancel := context.WithTimeout(m.ctx, preferredRunnerTimeout)
-			defer cancel()
-			value, err := json.Marshal(spec)
-			var answer BeginAnswer
-			if err == nil {
-				answer, err = peer.Call[BeginRequest, BeginAnswer](ctx, m.peers, runner.Address, MethodBegin, BeginRequest{SpecJSON: value})
-			}
-			m.log.Info().Str("request", spec.ID).Str("entry", runner.HostID).Bool("begun", answer.Begun).Bool("accepted", answer.Accepted).
-				AnErr("answer", err).Msg("asked the preferred runner to begin a batch job without the store")
-			if err != nil {
+			answer, err := m.callBegin(spec, runner)
+			if err != nil && !owned {
 				answer = m.begin(spec)
 			}
 			answers <- answer
@@ -204,6 +244,20 @@
 	return answers
 }
 
+// callBegin asks another entry to begin a job.
+func (m *Manager) callBegin(spec *batch.Job, runner gossip.Member) (BeginAnswer, error) {
+	ctx, cancel := context.WithTimeout(m.ctx, preferredRunnerTimeout)
+	defer cancel()
+	value, err := json.Marshal(spec)
+	var answer BeginAnswer
+	if err == nil {
+		answer, err = peer.Call[BeginRequest, BeginAnswer](ctx, m.peers, runner.Address, MethodBegin, BeginRequest{SpecJSON: value})
+	}
+	m.log.Info().Str("request", spec.ID).Str("entry", runner.HostID).Bool("begun", answer.Begun).Bool("accepted", answer.Accepted).
+		AnErr("answer", err).Msg("asked another entry to begin a batch job without the store")
+	return answer, err
+}
+
 // handleBegin begins a job for an entry that could not store it.
 func (m *Manager) handleBegin(_ context.Context, q BeginRequest) (BeginAnswer, error) {
 	if m.isLeaving() {
--- a/internal/edge/batchjob/early_test.go
+++ b/internal/edge/batchjob/early_test.go
@@ -357,3 +357,36 @@
 		}
 	}
 }
+
+// Guards against a trainer that is never told that its job is accepted while creates take longer than a submission waits: the entry that it
+// calls doesn't run the job, and the conflict arrives after the answer. Repeats share one create, and another organisation isn't accepted.
+func TestRepeatOfAnAcceptedJobIsAcceptedWhileTheStoreIsSlow(t *testing.T) {
+	f := newEarlyFleet(t, 2)
+	f.server.SetStream(1000, 10*time.Millisecond)
+	if err := f.managers[0].Submit(t.Context(), newStep("j", 2)); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the items run", func() bool { return f.requests() == 2 })
+	runner := slices.IndexFunc(f.managers, func(m *Manager) bool { _, ok := m.find("j"); return ok })
+	other, client := f.managers[1-runner], f.clients[1-runner]
+	other.recordOwner("j", testHostID(runner))
+	client.mu.Lock()
+	before := client.creates
+	client.delay = 4 * earlystart.AnswerWait
+	client.mu.Unlock()
+	for range 2 {
+		if err := other.Submit(t.Context(), newStep("j", 2)); err != nil {
+			t.Errorf("repeat answered with %v", err)
+		}
+	}
+	client.mu.Lock()
+	if got := client.creates - before; got != 1 {
+		t.Errorf("%d creates at once", got)
+	}
+	client.mu.Unlock()
+	stranger := newStep("j", 2)
+	stranger.Organisation = "south"
+	if err := other.Submit(t.Context(), stranger); err == nil {
+		t.Error("accepted for another organisation")
+	}
+}
