Start the stored job after a lost answer, and poll for it once

After a create without an answer, the job was started with the fields of the submission, though the store may hold an earlier submission with other terms, and each repeat added a poll of the store, also while no entry reached it.

The object that was read is now started. There is one poll per job, which a repeat prolongs, and it makes no calls during a known outage.

--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -103,7 +103,9 @@
 	ended      map[string]time.Time
 	// reopened are the jobs that were open before this process started and that it has tried to restart, each once.
 	reopened map[string]bool
-	started  time.Time
+	// lostAnswers are the jobs that resolveLostAnswer polls for, with the time until which it does.
+	lostAnswers map[string]time.Time
+	started     time.Time
 	// early holds the unaccepted jobs; nil unless jobs may begin without the store.
 	early *earlyJobs
 	// leaving is set once the process hands its jobs over.
@@ -137,26 +139,27 @@
 // NewManager returns a manager whose work ends with ctx; other entries call it through the registry.
 func NewManager(ctx context.Context, deps Deps, registry *peer.Registry) *Manager {
 	m := &Manager{
-		ctx:        ctx,
-		store:      deps.Store,
-		balancer:   deps.Balancer,
-		servers:    deps.Servers,
-		calls:      deps.Calls,
-		route:      deps.Route,
-		peers:      deps.Peers,
-		members:    deps.Members,
-		outage:     deps.Outage,
-		demand:     deps.Demand,
-		region:     deps.Region,
-		metrics:    deps.Metrics,
-		log:        deps.Log,
-		lengths:    length.NewEstimator(),
-		jobs:       map[string]*job{},
-		owners:     map[string]owner{},
-		lastOwners: map[string]owner{},
-		ended:      map[string]time.Time{},
-		reopened:   map[string]bool{},
-		started:    time.Now(),
+		ctx:         ctx,
+		store:       deps.Store,
+		balancer:    deps.Balancer,
+		servers:     deps.Servers,
+		calls:       deps.Calls,
+		route:       deps.Route,
+		peers:       deps.Peers,
+		members:     deps.Members,
+		outage:      deps.Outage,
+		demand:      deps.Demand,
+		region:      deps.Region,
+		metrics:     deps.Metrics,
+		log:         deps.Log,
+		lengths:     length.NewEstimator(),
+		jobs:        map[string]*job{},
+		owners:      map[string]owner{},
+		lastOwners:  map[string]owner{},
+		ended:       map[string]time.Time{},
+		reopened:    map[string]bool{},
+		lostAnswers: map[string]time.Time{},
+		started:     time.Now(),
 	}
 	if deps.EarlyGeneration {
 		m.early = newEarlyJobs(deps.RouteInForce)
--- a/internal/edge/batchjob/slowstore_test.go
+++ b/internal/edge/batchjob/slowstore_test.go
@@ -144,3 +144,20 @@
 		m.Wait()
 	}
 }
+
+// Guards against a job that runs with the terms of a later submission, whose create had no answer, instead of the stored ones, and against
+// a poll of the store for each repeat.
+func TestLostAnswerStartsTheStoredJob(t *testing.T) {
+	f := newEarlyFleet(t, 1)
+	m, stored := f.managers[0], newStep("j", 1)
+	stored.MaxAttempts = 7
+	f.store.put(t, KindJobs, "j", stored)
+	m.wg.Go(func() { m.resolveLostAnswer(newStep("j", 1)) })
+	eventually(t, "polling", func() bool { m.mu.Lock(); defer m.mu.Unlock(); return !m.lostAnswers["j"].IsZero() })
+	started := time.Now()
+	m.resolveLostAnswer(newStep("j", 1))
+	if time.Since(started) >= lostAnswerPollInterval {
+		t.Error("polled twice")
+	}
+	eventually(t, "started", func() bool { j, ok := m.find("j"); return ok && j.spec.MaxAttempts == 7 })
+}
--- a/internal/edge/batchjob/submit.go
+++ b/internal/edge/batchjob/submit.go
@@ -109,21 +109,51 @@
 	return nil
 }
 
-// resolveLostAnswer polls the store for a job whose create had no answer, and has it run if it was accepted.
+// resolveLostAnswer polls the store for a job whose create had no answer, and has it run if it was accepted. One poll per job is enough,
+// however often its submission is repeated; a repeat prolongs it, as its own create may be carried out late as well.
 func (m *Manager) resolveLostAnswer(spec *batch.Job) {
-	end := time.Now().Add(lostAnswerTimeout)
-	for time.Now().Before(end) && ticker.Sleep(m.ctx, lostAnswerPollInterval) {
+	m.mu.Lock()
+	_, polled := m.lostAnswers[spec.ID]
+	m.lostAnswers[spec.ID] = time.Now().Add(lostAnswerTimeout)
+	m.mu.Unlock()
+	if polled {
+		return
+	}
+	defer m.forgetLostAnswer(spec.ID)
+	for m.isAnswerLost(spec.ID) && ticker.Sleep(m.ctx, lostAnswerPollInterval) {
 		if m.isEndedOrRunning(spec.ID) {
 			return
 		}
+		if m.outage(time.Now()) {
+			continue
+		}
 		object, err := m.store.Get(m.ctx, KindJobs, spec.ID)
 		if err == nil {
 			if _, ok := m.findUnaccepted(spec.ID); ok && (!m.acceptExisting(m.ctx, spec.ID, object.Value) || m.isEndedOrRunning(spec.ID)) {
 				continue
 			}
+			var stored batch.Job
+			if err := json.Unmarshal(object.Value, &stored); err != nil {
+				m.log.Error().Err(err).Str("request", spec.ID).Msg("batch job can't be read")
+				return
+			}
 			m.log.Info().Str("request", spec.ID).Msg("batch job was accepted though the store's answer was lost")
-			m.assign(spec, nil)
+			// The stored job may be another submission's, whose terms differ.
+			m.assign(&stored, nil)
 			return
 		}
 	}
 }
+
+// isAnswerLost reports whether the store is to be polled for a job.
+func (m *Manager) isAnswerLost(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Now().Before(m.lostAnswers[id])
+}
+
+func (m *Manager) forgetLostAnswer(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.lostAnswers, id)
+}
