Keep requested ends so that no batch job starts again after one

A job that was given up because its end was requested could start again: from a repeated submission, from a late create or after a lost answer. A handover lost the request if the receiver ran the job already, accepted or not.

An entry now keeps the requested ends by job and organisation until the end is stored or the job's time is over, in a bounded number. Such a job doesn't begin, an accepted one starts held and its end is still stored, and requests to run a job carry the requested end.

--- a/internal/edge/batchjob/assign.go
+++ b/internal/edge/batchjob/assign.go
@@ -68,7 +68,8 @@
 }
 
 // assign has an accepted job run by its preferred runner, or here if this entry is the preferred runner or the preferred runner doesn't
-// confirm. A job that runs here as unaccepted stays here with its output. SpecJSON is the stored form of a job that was accepted just now and has no pages yet; it is nil for any other job.
+// confirm. A job that runs here as unaccepted stays here with its output. SpecJSON is the stored form of a job that was accepted just now
+// and has no pages yet; it is nil for any other job.
 func (m *Manager) assign(spec *batch.Job, specJSON []byte) {
 	if m.accept(spec, earlyFound) {
 		return
@@ -111,15 +112,25 @@
 
 // newRunRequest returns a request that asks another entry to run a job.
 func (m *Manager) newRunRequest(spec *batch.Job) RunRequest {
-	return RunRequest{Job: spec.ID, Organisation: spec.Organisation, From: m.members.Self().HostID}
+	return RunRequest{
+		Job: spec.ID, Organisation: spec.Organisation, From: m.members.Self().HostID, EndRequested: m.isEndRequested(spec),
+	}
 }
 
 // handleRun runs a job for another entry that accepted it or is leaving.
 //
 // A leaving entry may hand its jobs over before gossip has announced here that it leaves. The sender is therefore never regarded as the
 // owner: otherwise this entry left the job to the sender, and no entry ran it for more than a second until its results were read.
+//
+// A requested end is recorded first, so that the job is held however it is started.
 func (m *Manager) handleRun(ctx context.Context, q RunRequest) error {
+	if q.EndRequested {
+		m.recordRequestedEnd(q.Job, q.Organisation)
+	}
 	if j, ok := m.find(q.Job); ok && j.isRunning() {
+		if q.EndRequested {
+			m.holdJob(j)
+		}
 		return nil
 	}
 	if m.isLeaving() {
--- a/internal/edge/batchjob/early.go
+++ b/internal/edge/batchjob/early.go
@@ -31,11 +31,14 @@
 	settling bool
 	// creates are the creates of submitted jobs that are under way.
 	creates map[createKey]*pendingCreate
+	// ends are the ends that were requested and aren't known to be stored, with the time until which each is kept.
+	ends map[createKey]time.Time
 }
 
 func newEarlyJobs(routeInForce func(spec *batch.Job) bool) *earlyJobs {
 	return &earlyJobs{
 		jobs: map[string]*job{}, book: earlystart.NewBook(), routeInForce: routeInForce, creates: map[createKey]*pendingCreate{},
+		ends: map[createKey]time.Time{},
 	}
 }
 
@@ -137,7 +140,8 @@
 	refusal error
 }
 
-// createKey identifies the submissions that share a create. Organisations don't share one, as only one of them may use the id.
+// createKey identifies the submissions that share a create, and the requests to end a job. Organisations share none, as only one of them
+// may use the id.
 type createKey struct{ id, organisation string }
 
 // createShared creates the object of a job, or returns the create of an earlier submission of it that is under way here. A trainer repeats
@@ -297,7 +301,7 @@
 	defer m.mu.Unlock()
 	_, accepted := m.jobs[id]
 	_, ended := m.ended[id]
-	if _, known := m.early.jobs[id]; known || accepted || ended || m.leaving || m.ctx.Err() != nil {
+	if _, known := m.early.jobs[id]; known || accepted || ended || m.isEndRequestedLocked(j.spec) || m.leaving || m.ctx.Err() != nil {
 		return known
 	}
 	size := bodyBytes(j.spec)
--- a/internal/edge/batchjob/early_test.go
+++ b/internal/edge/batchjob/early_test.go
@@ -390,3 +390,55 @@
 		t.Error("accepted for another organisation")
 	}
 }
+
+// Guards against items that start again after their end was requested: an unaccepted job was given up, and its object is created late, or is
+// found after a lost answer, or its submission is repeated.
+func TestGivenUpJobStartsHeld(t *testing.T) {
+	f := newEarlyFleet(t, 1)
+	f.server.SetStream(1000, 10*time.Millisecond)
+	m := f.managers[0]
+	f.setStore(faultDown, true)
+	spec := newStep("j", 2*earlySlots)
+	refuseUnknown(t, m, spec)
+	eventually(t, "the items run", func() bool { return f.requests() == earlySlots })
+	_ = m.End(t.Context(), "j", "north")
+	refuseUnknown(t, m, spec)
+	if got := len(f.runners("j")); got != 0 {
+		t.Errorf("begun again at %d entries", got)
+	}
+	f.store.put(t, KindJobs, "j", spec)
+	f.setStore(faultNone, true)
+	m.assign(spec, nil)
+	eventually(t, "started", func() bool { j, ok := m.find("j"); return ok && j.isRunning() })
+	time.Sleep(200 * time.Millisecond)
+	if got := f.requests(); got != earlySlots {
+		t.Errorf("%d runs", got)
+	}
+	f.setStore(faultNone, false)
+	eventually(t, "the end is stored", func() bool { return m.isEnded("j") })
+	if _, err := f.clients[0].Get(t.Context(), KindEnds, "j"); err != nil || len(m.early.ends) > 0 {
+		t.Errorf("end: %v, %d requests kept", err, len(m.early.ends))
+	}
+}
+
+// Guards against a requested end that is lost on a handover, because the receiver runs the job already, as accepted or not.
+func TestRequestedEndReachesAReceiverThatRunsTheJob(t *testing.T) {
+	for _, accepted := range []bool{true, false} {
+		f := newEarlyFleet(t, 1)
+		f.server.SetStream(1000, 10*time.Millisecond)
+		m, spec := f.managers[0], newStep("j", 2*earlySlots)
+		if accepted {
+			m.runNewJob(spec)
+		} else {
+			m.begin(spec)
+		}
+		f.store.put(t, KindJobs, "j", spec)
+		f.down.Store(true)
+		if err := m.handleRun(t.Context(), RunRequest{Job: "j", Organisation: "north", From: "other", EndRequested: true}); err != nil {
+			t.Fatal(err)
+		}
+		if j, ok := m.find("j"); !ok || j.mayStart() {
+			t.Errorf("accepted %v: found %v, not held", accepted, ok)
+		}
+	}
+}
--- a/internal/edge/batchjob/earlysettle.go
+++ b/internal/edge/batchjob/earlysettle.go
@@ -197,6 +197,9 @@
 	j.unaccepted = false
 	j.writeAtOnce = true
 	j.lastUse = time.Now()
+	if m.isEndRequestedLocked(j.spec) {
+		m.holdJobLocked(j)
+	}
 	j.mu.Unlock()
 	m.jobs[stored.ID] = j
 	m.evictIdle(time.Now())
--- a/internal/edge/batchjob/end.go
+++ b/internal/edge/batchjob/end.go
@@ -119,6 +119,7 @@
 	if _, known := m.ended[id]; !known {
 		m.ended[id] = time.Now()
 	}
+	m.forgetRequestedEndsLocked(id)
 	if known, ok := m.owners[id]; ok {
 		// The owner keeps the results in memory for a while; reading them there saves calls to the store.
 		m.lastOwners[id] = owner{hostID: known.hostID, learnedAt: time.Now()}
--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -57,7 +57,7 @@
 	q := m.newRunRequest(j.spec)
 	j.mu.Lock()
 	q.Partials = j.progress.Partials()
-	q.EndRequested = j.endRequested
+	q.EndRequested = q.EndRequested || j.endRequested
 	j.mu.Unlock()
 	for _, member := range candidates {
 		_, err := peer.Call[RunRequest, RunAnswer](ctx, m.peers, member.Address, MethodRun, q)
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -36,7 +36,7 @@
 // The end of a job may arrive before the request to run it. Without the check for a known end its items would run at servers until their
 // time is up, long after the trainer got the confirmation that nothing of it runs.
 //
-// What this entry received of the job before it was accepted is taken over.
+// What this entry received of the job before it was accepted is taken over. A job whose end was requested starts as held.
 func (m *Manager) startJob(j *job) *job {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -53,6 +53,9 @@
 		}
 		return j
 	}
+	if m.isEndRequestedLocked(j.spec) {
+		m.holdJobLocked(j)
+	}
 	m.startRunLocked(j, early)
 	return j
 }
--- a/internal/edge/batchjob/state.go
+++ b/internal/edge/batchjob/state.go
@@ -44,6 +44,11 @@
 func (j *job) state() JobState {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	return j.stateLocked()
+}
+
+// stateLocked is state for callers that hold the lock.
+func (j *job) stateLocked() JobState {
 	return JobState{
 		ID:         j.spec.ID,
 		Owner:      j.spec.Owner,
--- a/internal/edge/batchjob/takeover.go
+++ b/internal/edge/batchjob/takeover.go
@@ -34,6 +34,9 @@
 // was received of it.
 func (m *Manager) takeOver(ctx context.Context, q RunRequest) error {
 	if m.acceptFromStore(ctx, q.Job) {
+		if j, ok := m.find(q.Job); ok && q.EndRequested {
+			m.holdJob(j)
+		}
 		return nil
 	}
 	j, err := m.readJob(ctx, q.Job, q.Organisation)
