Send the requested end of a batch job to all entries

Only the preferred runners of the listed models were told of an end that can't be stored. A job that another entry had begun, or whose recorded holder didn't know it or didn't answer, ran on without its trainer.

All living entries are now asked unless the holder is known and knows the job.

--- a/internal/edge/batchjob/early_test.go
+++ b/internal/edge/batchjob/early_test.go
@@ -442,3 +442,22 @@
 		}
 	}
 }
+
+// Guards against a job that runs on at an entry that isn't a preferred runner, because the requested end didn't reach it: nobody is known to
+// hold the job, or the recorded holder doesn't know it.
+func TestRequestedEndReachesEveryEntry(t *testing.T) {
+	for _, recorded := range []bool{false, true} {
+		f := newEarlyFleet(t, 3)
+		f.server.SetStream(1000, 10*time.Millisecond)
+		f.setStore(faultDown, true)
+		spec := newStep("j", earlySlots)
+		f.managers[1].begin(spec)
+		f.managers[2].begin(spec)
+		if recorded {
+			f.managers[0].recordOwner("j", testHostID(2))
+			f.managers[2].giveUp("j", earlyDropped)
+		}
+		_ = f.managers[0].End(t.Context(), "j", "north")
+		eventually(t, "given up", func() bool { return len(f.runners("j")) == 0 })
+	}
+}
--- a/internal/edge/batchjob/earlyend.go
+++ b/internal/edge/batchjob/earlyend.go
@@ -73,48 +73,34 @@
 
 // requestHold has the entry that runs a job start no further items of it, because its end could not be stored.
 //
-// Nothing may be known here of a job, or of who runs it, if it isn't accepted yet. The job's preferred runner has it then, and since its
-// model isn't known either, those of all models are asked.
+// Nothing may be known here of a job, or of who runs it, if it isn't accepted yet. All entries are asked then: any of them may have begun
+// the job when its preferred runner didn't answer, or may begin it later.
 func (m *Manager) requestHold(id, organisation string) {
 	if m.hold(id, organisation) {
 		return
 	}
-	recipients := m.preferredRunners()
-	if holder, ok := m.holder(id); ok {
-		recipients = []gossip.Member{holder}
-	}
-	for _, member := range recipients {
-		m.wg.Go(func() {
-			ctx, cancel := context.WithTimeout(m.ctx, peerTimeout)
-			defer cancel()
-			q := EndRequest{Job: id, Organisation: organisation, Requested: true}
-			answer, err := peer.Call[EndRequest, EndAnswer](ctx, m.peers, member.Address, MethodEnd, q)
-			m.log.Debug().Err(err).Str("request", id).Str("entry", member.HostID).Bool("known", answer.Known).
-				Msg("told an entry that the end of a batch job can't be stored")
-		})
-	}
-}
-
-// preferredRunners returns the other living entries that are the preferred runners of any model.
-func (m *Manager) preferredRunners() []gossip.Member {
-	now, self, demand := time.Now(), m.members.Self(), m.demand()
-	runners := []batch.Runner{{HostID: self.HostID, Cores: self.Cores}}
-	for _, member := range m.members.Alive(now) {
-		if !member.Leaving {
-			runners = append(runners, batch.Runner{HostID: member.HostID, Cores: member.Cores})
+	q := EndRequest{Job: id, Organisation: organisation, Requested: true}
+	holder, held := m.holder(id)
+	m.wg.Go(func() {
+		if held && m.callHold(holder, q) {
+			return
 		}
-	}
-	chosen := map[string]bool{self.HostID: true}
-	var members []gossip.Member
-	for _, model := range demand.Models {
-		for _, hostID := range batch.PreferredRunners(model, demand, runners) {
-			if member, ok := m.members.Find(now, hostID); ok && !chosen[hostID] {
-				chosen[hostID] = true
-				members = append(members, member)
+		for _, member := range m.members.Alive(time.Now()) {
+			if !held || member.HostID != holder.HostID {
+				m.wg.Go(func() { m.callHold(member, q) })
 			}
 		}
-	}
-	return members
+	})
+}
+
+// callHold tells another entry that the end of a job can't be stored; false if that entry doesn't know the job or doesn't answer.
+func (m *Manager) callHold(member gossip.Member, q EndRequest) bool {
+	ctx, cancel := context.WithTimeout(m.ctx, peerTimeout)
+	defer cancel()
+	answer, err := peer.Call[EndRequest, EndAnswer](ctx, m.peers, member.Address, MethodEnd, q)
+	m.log.Debug().Err(err).Str("request", q.Job).Str("entry", member.HostID).Bool("known", answer.Known).
+		Msg("told an entry that the end of a batch job can't be stored")
+	return err == nil && answer.Known
 }
 
 // hold starts no further items of a job that runs here, and stores its end as soon as that is possible. An unaccepted job is given up. The
