Give up an unaccepted batch job whose end is stored

An entry ignored the message that the store holds the end of a job if it had that job as unaccepted, whose items ran on. It now records the end whether or not the job is in memory.

--- a/internal/edge/batchjob/early_test.go
+++ b/internal/edge/batchjob/early_test.go
@@ -461,3 +461,17 @@
 		eventually(t, "given up", func() bool { return len(f.runners("j")) == 0 })
 	}
 }
+
+// Guards against an unaccepted job that runs on although the store holds its end.
+func TestStoredEndGivesUpAnUnacceptedJob(t *testing.T) {
+	f := newEarlyFleet(t, 1)
+	m := f.managers[0]
+	f.setStore(faultDown, true)
+	m.begin(newStep("j", 1))
+	if answer, err := m.handleEnd(t.Context(), EndRequest{Job: "j", Organisation: "north", Stored: true}); err != nil || !answer.Known {
+		t.Errorf("answered %v, %v", answer, err)
+	}
+	if len(f.runners("j")) > 0 || !m.isEnded("j") {
+		t.Error("not ended")
+	}
+}
--- a/internal/edge/batchjob/end.go
+++ b/internal/edge/batchjob/end.go
@@ -98,14 +98,15 @@
 	if q.Requested {
 		return EndAnswer{Known: m.hold(q.Job, q.Organisation)}, nil
 	}
-	j, ok := m.find(q.Job)
-	if !ok {
-		return EndAnswer{}, nil
-	}
 	if q.Stored {
+		// The job may be unaccepted here.
 		m.markEnded(q.Job)
 		return EndAnswer{Known: true}, nil
 	}
+	j, ok := m.find(q.Job)
+	if !ok {
+		return EndAnswer{}, nil
+	}
 	err := m.endJob(ctx, j, q.Organisation)
 	if err != nil {
 		m.hold(q.Job, q.Organisation)
