--- a/internal/edge/batchjob/earlysettle.go
+++ b/internal/edge/batchjob/earlysettle.go
@@ -214,16 +214,19 @@
 		m.recordSettled(early, earlyDropped)
 		return
 	}
-	m.recordSettled(early, earlyFound)
 	early.mu.Lock()
 	results, partials := early.progress.Unwritten()
 	early.mu.Unlock()
+	outcome := earlyFound
 	j.mu.Lock()
-	if !j.progress.Ended() {
+	if j.progress.Ended() {
+		outcome = earlyEnded
+	} else {
 		j.progress.Merge(time.Now(), results, partials)
 		j.writeAtOnce = true
 	}
 	j.mu.Unlock()
+	m.recordSettled(early, outcome)
 	j.wake()
 }
 
