Match the end of a create with the begun batch job it belongs to

A job that was given up during its create and begun again lost the mark of its new create when the old one ended, and could be created twice at once. Creates now carry the serial of the job's record.

--- a/internal/core/earlystart/book.go
+++ b/internal/core/earlystart/book.go
@@ -34,7 +34,9 @@
 
 // record is what a Book knows of a job.
 type record struct {
-	job       Job
+	job Job
+	// serial distinguishes this record from others of the same id before and after it.
+	serial    int
 	textBytes int
 	// createAt is the earliest time of the next create; creating is set while one is in progress.
 	createAt time.Time
@@ -57,6 +59,15 @@
 	down bool
 	// creating is the number of creates in progress, including those of jobs that have left the book.
 	creating int
+	// lastSerial is the serial of the newest record.
+	lastSerial int
+}
+
+// Create is a create of a job's object that is to be sent. The serial is of the job's record: the job may be given up during the create,
+// and be begun again.
+type Create struct {
+	ID     string
+	Serial int
 }
 
 // NewBook returns a book without jobs.
@@ -67,7 +78,8 @@
 	if len(b.records) >= MaxJobs || b.Bytes()+job.Bytes > MaxBytes {
 		return false
 	}
-	b.records[job.ID] = &record{job: job, createAt: job.Begun.Add(createOffset(job.ID))}
+	b.lastSerial++
+	b.records[job.ID] = &record{job: job, serial: b.lastSerial, createAt: job.Begun.Add(createOffset(job.ID))}
 	return true
 }
 
@@ -110,7 +122,7 @@
 //
 // Once the store answers again, all entries create their jobs. Each job has its own time within createSpread, so that the store, which
 // has just recovered, isn't called by all of them at once.
-func (b *Book) Creates(now time.Time, down bool) []string {
+func (b *Book) Creates(now time.Time, down bool) []Create {
 	if b.down && !down {
 		b.spread(now)
 	}
@@ -127,19 +139,19 @@
 	slices.SortFunc(due, func(x, y *record) int {
 		return cmp.Or(x.createAt.Compare(y.createAt), cmp.Compare(x.job.ID, y.job.ID))
 	})
-	var ids []string
+	var creates []Create
 	for _, r := range due[:min(len(due), max(0, maxCreates-b.creating))] {
 		r.creating = true
 		b.creating++
-		ids = append(ids, r.job.ID)
+		creates = append(creates, Create{ID: r.job.ID, Serial: r.serial})
 	}
-	return ids
+	return creates
 }
 
 // CreateEnded records the end of a create. Answered is whether the store answered; without an answer the create is sent again.
-func (b *Book) CreateEnded(now time.Time, id string, answered bool) {
+func (b *Book) CreateEnded(now time.Time, create Create, answered bool) {
 	b.creating--
-	if r, ok := b.records[id]; ok {
+	if r, ok := b.records[create.ID]; ok && r.serial == create.Serial {
 		r.creating = false
 		r.createAt = now.Add(createRetryDelay)
 	}
--- a/internal/core/earlystart/earlystart_test.go
+++ b/internal/core/earlystart/earlystart_test.go
@@ -104,14 +104,14 @@
 			inProgress := 0
 			for id, r := range b.records {
 				if r.creating && !now.Before(r.createAt.Add(took)) {
-					b.CreateEnded(now, id, true)
+					b.CreateEnded(now, Create{ID: id, Serial: r.serial}, true)
 					b.Remove(id)
 				} else if r.creating {
 					inProgress++
 				}
 			}
-			for _, id := range b.Creates(now, false) {
-				b.records[id].createAt = now
+			for _, create := range b.Creates(now, false) {
+				b.records[create.ID].createAt = now
 				created[at/(100*time.Millisecond)]++
 				inProgress++
 				total++
@@ -146,7 +146,7 @@
 		t.Fatal("not created after the outage")
 	}
 	failed := up.Add(2 * time.Second)
-	b.CreateEnded(failed, "j", false)
+	b.CreateEnded(failed, Create{ID: "j", Serial: 1}, false)
 	if ids := b.Creates(failed.Add(createRetryDelay-1), false); len(ids) > 0 {
 		t.Error("repeated without a pause")
 	}
@@ -163,10 +163,27 @@
 	if ids := b.Creates(failed, false); len(ids) > 0 {
 		t.Error("two creates of a job at once")
 	}
-	b.CreateEnded(failed, "j", false)
+	b.CreateEnded(failed, Create{ID: "j", Serial: 1}, false)
 	b.records["j"].createAt = failed.Add(time.Minute)
 	b.StoreAnswered(failed)
 	if ids := b.Creates(failed.Add(createSpread), false); len(ids) != 1 {
 		t.Error("not repeated")
 	}
 }
+
+// Guards against two creates of a job at once: the job was given up during its create and begun again, and the old create ends.
+func TestOldCreateDoesNotEndTheNewOne(t *testing.T) {
+	b := NewBook()
+	at := base.Add(createSpread)
+	b.Begin(Job{ID: "j", Begun: base})
+	old := b.Creates(at, false)
+	b.Remove("j")
+	b.Begin(Job{ID: "j", Begun: base})
+	if creates := b.Creates(at, false); len(old) != 1 || len(creates) != 1 {
+		t.Fatalf("creates: %v, %v", old, creates)
+	}
+	b.CreateEnded(at, old[0], false)
+	if creates := b.Creates(at.Add(time.Minute), false); len(creates) > 0 {
+		t.Errorf("created again: %v", creates)
+	}
+}
--- a/internal/edge/batchjob/earlysettle.go
+++ b/internal/edge/batchjob/earlysettle.go
@@ -44,9 +44,9 @@
 			routeless = append(routeless, id)
 		}
 	}
-	for _, id := range m.early.book.Creates(now, down) {
-		j := m.early.jobs[id]
-		m.wg.Go(func() { m.createUnaccepted(j) })
+	for _, create := range m.early.book.Creates(now, down) {
+		j := m.early.jobs[create.ID]
+		m.wg.Go(func() { m.createUnaccepted(j, create) })
 	}
 	m.mu.Unlock()
 	for _, id := range expired {
@@ -75,7 +75,7 @@
 }
 
 // createUnaccepted tries to create the object of an unaccepted job.
-func (m *Manager) createUnaccepted(j *job) {
+func (m *Manager) createUnaccepted(j *job, create earlystart.Create) {
 	ctx, cancel := context.WithTimeout(m.ctx, createTimeout)
 	defer cancel()
 	j.mu.Lock()
@@ -102,7 +102,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.early.book.CreateEnded(time.Now(), spec.ID, answered)
+	m.early.book.CreateEnded(time.Now(), create, answered)
 }
 
 // resolveExisting accepts an unaccepted job whose object exists, or gives it up if that is another job or has ended. It returns false if
