Make tests of slow creates, requested ends and lost answers stricter

Three tests passed without the rule that they guard: the recorded owner was also the preferred runner, the request to run the job carried the requested end, and the stored job was of the same organisation. They now cover the other cases as well.

--- a/internal/edge/batchjob/early_test.go
+++ b/internal/edge/batchjob/early_test.go
@@ -362,63 +362,70 @@
 // Guards against a trainer that is never told that its job is accepted while creates take longer than a submission waits: the entry that it
 // calls doesn't run the job, and the conflict arrives after the answer. Repeats share one create, and another organisation isn't accepted.
 func TestRepeatOfAnAcceptedJobIsAcceptedWhileTheStoreIsSlow(t *testing.T) {
-	f := newEarlyFleet(t, 2)
-	f.server.SetStream(1000, 10*time.Millisecond)
-	if err := f.managers[0].Submit(t.Context(), newStep("j", 2)); err != nil {
-		t.Fatal(err)
-	}
-	eventually(t, "the items run", func() bool { return f.requests() == 2 })
-	runner := slices.IndexFunc(f.managers, func(m *Manager) bool { _, ok := m.find("j"); return ok })
-	other, client := f.managers[1-runner], f.clients[1-runner]
-	other.recordOwner("j", testHostID(runner))
-	client.mu.Lock()
-	before := client.creates
-	client.delay = 4 * earlystart.AnswerWait
-	client.mu.Unlock()
-	for range 2 {
-		if err := other.Submit(t.Context(), newStep("j", 2)); err != nil {
-			t.Errorf("repeat answered with %v", err)
+	// One of the two is the preferred runner, which doesn't run the job in the other case.
+	for runner := range 2 {
+		f := newEarlyFleet(t, 2)
+		f.server.SetStream(1000, 10*time.Millisecond)
+		spec := newStep("j", 2)
+		f.store.put(t, KindJobs, "j", spec)
+		f.managers[runner].runNewJob(spec)
+		other, client := f.managers[1-runner], f.clients[1-runner]
+		other.recordOwner("j", testHostID(runner))
+		client.mu.Lock()
+		before := client.creates
+		client.delay = 4 * earlystart.AnswerWait
+		client.mu.Unlock()
+		for range 2 {
+			if err := other.Submit(t.Context(), newStep("j", 2)); err != nil {
+				t.Errorf("repeat answered with %v", err)
+			}
+		}
+		client.mu.Lock()
+		if got := client.creates - before; got != 1 {
+			t.Errorf("%d creates at once", got)
+		}
+		client.mu.Unlock()
+		stranger := newStep("j", 2)
+		stranger.Organisation = "south"
+		if err := other.Submit(t.Context(), stranger); err == nil {
+			t.Error("accepted for another organisation")
 		}
-	}
-	client.mu.Lock()
-	if got := client.creates - before; got != 1 {
-		t.Errorf("%d creates at once", got)
-	}
-	client.mu.Unlock()
-	stranger := newStep("j", 2)
-	stranger.Organisation = "south"
-	if err := other.Submit(t.Context(), stranger); err == nil {
-		t.Error("accepted for another organisation")
 	}
 }
 
 // Guards against items that start again after their end was requested: an unaccepted job was given up, and its object is created late, or is
 // found after a lost answer, or its submission is repeated.
 func TestGivenUpJobStartsHeld(t *testing.T) {
-	f := newEarlyFleet(t, 1)
-	f.server.SetStream(1000, 10*time.Millisecond)
-	m := f.managers[0]
-	f.setStore(faultDown, true)
-	spec := newStep("j", 2*earlySlots)
-	refuseUnknown(t, m, spec)
-	eventually(t, "the items run", func() bool { return f.requests() == earlySlots })
-	_ = m.End(t.Context(), "j", "north")
-	refuseUnknown(t, m, spec)
-	if got := len(f.runners("j")); got != 0 {
-		t.Errorf("begun again at %d entries", got)
-	}
-	f.store.put(t, KindJobs, "j", spec)
-	f.setStore(faultNone, true)
-	m.assign(spec, nil)
-	eventually(t, "started", func() bool { j, ok := m.find("j"); return ok && j.isRunning() })
-	time.Sleep(200 * time.Millisecond)
-	if got := f.requests(); got != earlySlots {
-		t.Errorf("%d runs", got)
-	}
-	f.setStore(faultNone, false)
-	eventually(t, "the end is stored", func() bool { return m.isEnded("j") })
-	if _, err := f.clients[0].Get(t.Context(), KindEnds, "j"); err != nil || len(m.early.ends) > 0 {
-		t.Errorf("end: %v, %d requests kept", err, len(m.early.ends))
+	for _, lateCreate := range []bool{true, false} {
+		f := newEarlyFleet(t, 1)
+		f.server.SetStream(1000, 10*time.Millisecond)
+		m := f.managers[0]
+		f.setStore(faultDown, true)
+		spec := newStep("j", 2*earlySlots)
+		refuseUnknown(t, m, spec)
+		eventually(t, "the items run", func() bool { return f.requests() == earlySlots })
+		_ = m.End(t.Context(), "j", "north")
+		refuseUnknown(t, m, spec)
+		if got := len(f.runners("j")); got != 0 {
+			t.Errorf("begun again at %d entries", got)
+		}
+		f.store.put(t, KindJobs, "j", spec)
+		f.setStore(faultNone, true)
+		if lateCreate {
+			m.runNewJob(spec)
+		} else {
+			m.assign(spec, nil)
+		}
+		eventually(t, "started", func() bool { j, ok := m.find("j"); return ok && j.isRunning() })
+		time.Sleep(200 * time.Millisecond)
+		if got := f.requests(); got != earlySlots {
+			t.Errorf("%d runs", got)
+		}
+		f.setStore(faultNone, false)
+		eventually(t, "the end is stored", func() bool { return m.isEnded("j") })
+		if _, err := f.clients[0].Get(t.Context(), KindEnds, "j"); err != nil || len(m.early.ends) > 0 {
+			t.Errorf("end: %v, %d requests kept", err, len(m.early.ends))
+		}
 	}
 }
 
--- a/internal/edge/batchjob/slowstore_test.go
+++ b/internal/edge/batchjob/slowstore_test.go
@@ -145,12 +145,12 @@
 	}
 }
 
-// Guards against a job that runs with the terms of a later submission, whose create had no answer, instead of the stored ones, and against
-// a poll of the store for each repeat.
+// Guards against a job that runs with the terms of a later submission, whose create had no answer, instead of the stored ones, or that
+// nobody runs because it is another organisation's, and against a poll of the store for each repeat.
 func TestLostAnswerStartsTheStoredJob(t *testing.T) {
 	f := newEarlyFleet(t, 1)
 	m, stored := f.managers[0], newStep("j", 1)
-	stored.MaxAttempts = 7
+	stored.MaxAttempts, stored.Organisation = 7, "south"
 	f.store.put(t, KindJobs, "j", stored)
 	m.wg.Go(func() { m.resolveLostAnswer(newStep("j", 1)) })
 	eventually(t, "polling", func() bool { m.mu.Lock(); defer m.mu.Unlock(); return !m.lostAnswers["j"].IsZero() })
@@ -159,5 +159,5 @@
 	if time.Since(started) >= lostAnswerPollInterval {
 		t.Error("polled twice")
 	}
-	eventually(t, "started", func() bool { j, ok := m.find("j"); return ok && j.spec.MaxAttempts == 7 })
+	eventually(t, "started", func() bool { j, ok := m.find("j"); return ok && j.isRunning() && j.spec.MaxAttempts == 7 })
 }
