--- a/internal/edge/batchjob/early_test.go
+++ b/internal/edge/batchjob/early_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -357,3 +358,147 @@
 		}
 	}
 }
+
+// Guards against a trainer that is never told that its job is accepted while creates take longer than a submission waits: the entry that it
+// calls doesn't run the job, and the conflict arrives after the answer. Repeats share one create, and another organisation isn't accepted.
+func TestRepeatOfAnAcceptedJobIsAcceptedWhileTheStoreIsSlow(t *testing.T) {
+	// One of the two is the preferred runner, which doesn't run the job in the other case.
+	for runner := range 2 {
+		f := newEarlyFleet(t, 2)
+		f.server.SetStream(1000, 10*time.Millisecond)
+		spec := newStep("j", 2)
+		f.store.put(t, KindJobs, "j", spec)
+		f.managers[runner].runNewJob(spec)
+		other, client := f.managers[1-runner], f.clients[1-runner]
+		other.recordOwner("j", testHostID(runner))
+		client.mu.Lock()
+		before := client.creates
+		client.delay = 4 * earlystart.AnswerWait
+		client.mu.Unlock()
+		for range 2 {
+			if err := other.Submit(t.Context(), newStep("j", 2)); err != nil {
+				t.Errorf("repeat answered with %v", err)
+			}
+		}
+		client.mu.Lock()
+		if got := client.creates - before; got != 1 {
+			t.Errorf("%d creates at once", got)
+		}
+		client.mu.Unlock()
+		stranger := newStep("j", 2)
+		stranger.Organisation = "south"
+		if err := other.Submit(t.Context(), stranger); err == nil {
+			t.Error("accepted for another organisation")
+		}
+	}
+}
+
+// Guards against items that start again after their end was requested: an unaccepted job was given up, and its object is created late, or is
+// found after a lost answer, or its submission is repeated.
+func TestGivenUpJobStartsHeld(t *testing.T) {
+	for _, lateCreate := range []bool{true, false} {
+		f := newEarlyFleet(t, 1)
+		f.server.SetStream(1000, 10*time.Millisecond)
+		m := f.managers[0]
+		f.setStore(faultDown, true)
+		spec := newStep("j", 2*earlySlots)
+		refuseUnknown(t, m, spec)
+		eventually(t, "the items run", func() bool { return f.requests() == earlySlots })
+		_ = m.End(t.Context(), "j", "north")
+		refuseUnknown(t, m, spec)
+		if got := len(f.runners("j")); got != 0 {
+			t.Errorf("begun again at %d entries", got)
+		}
+		f.store.put(t, KindJobs, "j", spec)
+		f.setStore(faultNone, true)
+		if lateCreate {
+			m.runNewJob(spec)
+		} else {
+			m.assign(spec, nil)
+		}
+		eventually(t, "started", func() bool { j, ok := m.find("j"); return ok && j.isRunning() })
+		time.Sleep(200 * time.Millisecond)
+		if got := f.requests(); got != earlySlots {
+			t.Errorf("%d runs", got)
+		}
+		f.setStore(faultNone, false)
+		eventually(t, "the end is stored", func() bool { return m.isEnded("j") })
+		if _, err := f.clients[0].Get(t.Context(), KindEnds, "j"); err != nil || len(m.early.ends) > 0 {
+			t.Errorf("end: %v, %d requests kept", err, len(m.early.ends))
+		}
+	}
+}
+
+// Guards against a requested end that is lost on a handover, because the receiver runs the job already, as accepted or not.
+func TestRequestedEndReachesAReceiverThatRunsTheJob(t *testing.T) {
+	for _, accepted := range []bool{true, false} {
+		f := newEarlyFleet(t, 1)
+		f.server.SetStream(1000, 10*time.Millisecond)
+		m, spec := f.managers[0], newStep("j", 2*earlySlots)
+		if accepted {
+			m.runNewJob(spec)
+		} else {
+			m.begin(spec)
+		}
+		f.store.put(t, KindJobs, "j", spec)
+		f.down.Store(true)
+		if err := m.handleRun(t.Context(), RunRequest{Job: "j", Organisation: "north", From: "other", EndRequested: true}); err != nil {
+			t.Fatal(err)
+		}
+		if j, ok := m.find("j"); !ok || j.mayStart() {
+			t.Errorf("accepted %v: found %v, not held", accepted, ok)
+		}
+	}
+}
+
+// Guards against a job that runs on at an entry that isn't a preferred runner, because the requested end didn't reach it: nobody is known to
+// hold the job, or the recorded holder doesn't know it.
+func TestRequestedEndReachesEveryEntry(t *testing.T) {
+	for _, recorded := range []bool{false, true} {
+		f := newEarlyFleet(t, 3)
+		f.server.SetStream(1000, 10*time.Millisecond)
+		f.setStore(faultDown, true)
+		spec := newStep("j", earlySlots)
+		f.managers[1].begin(spec)
+		f.managers[2].begin(spec)
+		if recorded {
+			f.managers[0].recordOwner("j", testHostID(2))
+			f.managers[2].giveUp("j", earlyDropped)
+		}
+		_ = f.managers[0].End(t.Context(), "j", "north")
+		eventually(t, "given up", func() bool { return len(f.runners("j")) == 0 })
+	}
+}
+
+// Guards against an unaccepted job that runs on although the store holds its end.
+func TestStoredEndGivesUpAnUnacceptedJob(t *testing.T) {
+	f := newEarlyFleet(t, 1)
+	m := f.managers[0]
+	f.setStore(faultDown, true)
+	m.begin(newStep("j", 1))
+	if answer, err := m.handleEnd(t.Context(), EndRequest{Job: "j", Organisation: "north", Stored: true}); err != nil || !answer.Known {
+		t.Errorf("answered %v, %v", answer, err)
+	}
+	if len(f.runners("j")) > 0 || !m.isEnded("j") {
+		t.Error("not ended")
+	}
+}
+
+// Guards against a job that begins although its object would be larger than the store allows: the forms that are measured when the job
+// begins and when it is created differ by some bytes.
+func TestJobCloseToTheStoresLimitDoesNotBegin(t *testing.T) {
+	f := newEarlyFleet(t, 1)
+	f.setStore(faultDown, true)
+	for _, spare := range []int{100, 1000} {
+		spec := newStep(fmt.Sprint("j", spare), 1)
+		value, err := json.Marshal(spec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The header is stored as it is, whereas bodies may be encoded.
+		spec.Items[0].Header[0].Value += strings.Repeat("x", earlystart.MaxStoredBytes-len(value)-spare)
+		if got := f.managers[0].begin(spec).Begun; got != (spare == 1000) {
+			t.Errorf("%d bytes below the limit: begun %v", spare, got)
+		}
+	}
+}
--- a/internal/edge/batchjob/earlysettle.go
+++ b/internal/edge/batchjob/earlysettle.go
@@ -44,9 +44,9 @@
 			routeless = append(routeless, id)
 		}
 	}
-	for _, id := range m.early.book.Creates(now, down) {
-		j := m.early.jobs[id]
-		m.wg.Go(func() { m.createUnaccepted(j) })
+	for _, create := range m.early.book.Creates(now, down) {
+		j := m.early.jobs[create.ID]
+		m.wg.Go(func() { m.createUnaccepted(j, create) })
 	}
 	m.mu.Unlock()
 	for _, id := range expired {
@@ -75,7 +75,7 @@
 }
 
 // createUnaccepted tries to create the object of an unaccepted job.
-func (m *Manager) createUnaccepted(j *job) {
+func (m *Manager) createUnaccepted(j *job, create earlystart.Create) {
 	ctx, cancel := context.WithTimeout(m.ctx, createTimeout)
 	defer cancel()
 	j.mu.Lock()
@@ -102,7 +102,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.early.book.CreateEnded(time.Now(), spec.ID, answered)
+	m.early.book.CreateEnded(time.Now(), create, answered)
 }
 
 // resolveExisting accepts an unaccepted job whose object exists, or gives it up if that is another job or has ended. It returns false if
@@ -198,6 +198,9 @@
 	j.unaccepted = false
 	j.writeAtOnce = true
 	j.lastUse = time.Now()
+	if m.isEndRequestedLocked(j.spec) {
+		m.holdJobLocked(j)
+	}
 	j.mu.Unlock()
 	m.jobs[stored.ID] = j
 	m.evictIdle(time.Now())
@@ -212,16 +215,19 @@
 		m.recordSettled(early, earlyDropped)
 		return
 	}
-	m.recordSettled(early, earlyFound)
 	early.mu.Lock()
 	results, partials := early.progress.Unwritten()
 	early.mu.Unlock()
+	outcome := earlyFound
 	j.mu.Lock()
-	if !j.progress.Ended() {
+	if j.progress.Ended() {
+		outcome = earlyEnded
+	} else {
 		j.progress.Merge(time.Now(), results, partials)
 		j.writeAtOnce = true
 	}
 	j.mu.Unlock()
+	m.recordSettled(early, outcome)
 	j.wake()
 }
 
--- a/internal/edge/batchjob/end.go
+++ b/internal/edge/batchjob/end.go
@@ -98,14 +98,15 @@
 	if q.Requested {
 		return EndAnswer{Known: m.hold(q.Job, q.Organisation)}, nil
 	}
-	j, ok := m.find(q.Job)
-	if !ok {
-		return EndAnswer{}, nil
-	}
 	if q.Stored {
+		// The job may be unaccepted here.
 		m.markEnded(q.Job)
 		return EndAnswer{Known: true}, nil
 	}
+	j, ok := m.find(q.Job)
+	if !ok {
+		return EndAnswer{}, nil
+	}
 	err := m.endJob(ctx, j, q.Organisation)
 	if err != nil {
 		m.hold(q.Job, q.Organisation)
@@ -119,6 +120,7 @@
 	if _, known := m.ended[id]; !known {
 		m.ended[id] = time.Now()
 	}
+	m.forgetRequestedEndsLocked(id)
 	if known, ok := m.owners[id]; ok {
 		// The owner keeps the results in memory for a while; reading them there saves calls to the store.
 		m.lastOwners[id] = owner{hostID: known.hostID, learnedAt: time.Now()}
