Name the label of metrics that are counted by outcome

Cause: the linter counts five occurrences of the same string since the metrics of moves and of unaccepted jobs. Change: a constant.

--- a/internal/edge/batchjob/metrics.go
+++ b/internal/edge/batchjob/metrics.go
@@ -6,6 +6,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
+// outcomeLabel is the label of metrics that are counted by how something ended.
+const outcomeLabel = "outcome"
+
 // readBasis says on what a read of results was answered.
 type readBasis string
 
@@ -105,7 +108,7 @@
 		runs: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "oleandershelf_batch_item_runs_total",
 			Help: "Runs of batch items at backend servers by outcome.",
-		}, []string{"outcome"}),
+		}, []string{outcomeLabel}),
 		runSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "oleandershelf_batch_item_run_seconds",
 			Help:    "Time of the runs of batch items.",
@@ -114,12 +117,12 @@
 		pages: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "oleandershelf_batch_pages_total",
 			Help: "Tries to write a page of results, and whether the store answered that it was written.",
-		}, []string{"outcome"}),
+		}, []string{outcomeLabel}),
 	}
 	m.rewards = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "oleandershelf_batch_reward_calls_total",
 		Help: "Reward calls of batch items by outcome.",
-	}, []string{"outcome"})
+	}, []string{outcomeLabel})
 	m.rewardSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name:    "oleandershelf_batch_reward_call_seconds",
 		Help:    "Time of reward calls over all their attempts.",
@@ -128,7 +131,7 @@
 	m.moves = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "oleandershelf_batch_moves_total",
 		Help: "Moves of running items to other servers by reason, and by how the first run after the move went.",
-	}, []string{"reason", "outcome"})
+	}, []string{"reason", outcomeLabel})
 	m.lengthRatio = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name:    "oleandershelf_batch_item_length_ratio",
 		Help:    "Events of completed items divided by the tokens that their trainers expected.",
@@ -144,7 +147,7 @@
 	m.earlyTotal = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "oleandershelf_batch_early_jobs_total",
 		Help: "Batch jobs that began, or were to begin, without the store, by outcome.",
-	}, []string{"outcome"})
+	}, []string{outcomeLabel})
 	m.earlyNow = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "oleandershelf_batch_early_jobs",
 		Help: "Batch jobs that run although the store isn't known to hold them.",
