--- a/internal/edge/batchjob/slowstore_test.go
+++ b/internal/edge/batchjob/slowstore_test.go
@@ -149,6 +149,7 @@
 // nobody runs because it is another organisation's, and against a poll of the store for each repeat.
 func TestLostAnswerStartsTheStoredJob(t *testing.T) {
 	f := newEarlyFleet(t, 1)
+	f.server.SetStream(1000, 10*time.Millisecond)
 	m, stored := f.managers[0], newStep("j", 1)
 	stored.MaxAttempts, stored.Organisation = 7, "south"
 	f.store.put(t, KindJobs, "j", stored)
