Subtract released requests only from the slots that a pool of uneven speed counts

Cause: the repair of unused slots also changed the utilization by which servers are chosen in all pools. Change: the utilization counts requests as before; only free slots in uneven pools subtract the requests that ended since the report.

--- a/internal/core/backend/speed.go
+++ b/internal/core/backend/speed.go
@@ -82,7 +82,7 @@
 
 // knownRequests returns the number of requests that are known to be at the server.
 func knownRequests(now time.Time, state *serverState) int {
-	return max(state.running+state.peerRunning, state.load.requests(now)-state.releasedSinceLoad)
+	return max(state.running+state.peerRunning, state.load.requests(now))
 }
 
 // freeSlots returns the number of slots that the request may use and that no known request takes. Requests sent since the last load report
@@ -93,7 +93,7 @@
 	if need.Deferrable {
 		slots = max(1, slots-need.ReservedSlots)
 	}
-	known := knownRequests(now, state)
+	known := state.running + state.peerRunning
 	if reported := state.load.requests(now); reported > 0 {
 		known = max(known, reported+state.sentSinceLoad-state.releasedSinceLoad)
 	}
