Log how the store is called and which entries follow it

The incident's hypotheses differ in the path that a watch takes and in which entries follow the store, and the logs showed neither. An entry now logs when it begins or stops to follow, which watches it restarts and how long they had waited, and at level debug the entry through which a call was sent.

--- a/internal/edge/store/relay.go
+++ b/internal/edge/store/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
@@ -41,12 +42,13 @@
 	client       *peer.Client
 	members      Members
 	reachesStore func(now time.Time, host string) bool
+	log          zerolog.Logger
 }
 
 // NewRelay returns a relay through the live entries of members; reachesStore reports whether the entry on a host reached
 // the store recently.
-func NewRelay(client *peer.Client, members Members, reachesStore func(now time.Time, host string) bool) *Relay {
-	return &Relay{client: client, members: members, reachesStore: reachesStore}
+func NewRelay(client *peer.Client, members Members, reachesStore func(now time.Time, host string) bool, log zerolog.Logger) *Relay {
+	return &Relay{client: client, members: members, reachesStore: reachesStore, log: log}
 }
 
 // candidates returns the entries to send a call through, at most maxRelayAttempts: first those that reached the store recently, then the
@@ -95,7 +97,10 @@
 func (r *Relay) Send(ctx context.Context, call platform.Call) (platform.Reply, error) {
 	candidates := r.candidates(time.Now())
 	for _, member := range candidates {
+		started := time.Now()
 		reply, err := r.callThrough(ctx, member, call)
+		r.log.Debug().Str("method", call.Method).Str("target", call.Target).Str("entry", member.HostID).Int("status", reply.Status).Err(err).
+			Dur("took", time.Since(started)).Msg("store called through another entry")
 		if err == nil || errors.Is(err, product.ErrOutcomeUnknown) && call.Writes() {
 			return reply, err
 		}
--- a/internal/edge/store/relay_test.go
+++ b/internal/edge/store/relay_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 )
 
@@ -21,7 +23,7 @@
 		all = append(all, gossip.Member{HostID: fmt.Sprintf("entry-%02d", i), Leaving: i == 20})
 	}
 	served := map[string]bool{"entry-07": true, "entry-19": true, "entry-20": true}
-	relay := NewRelay(nil, all, func(_ time.Time, host string) bool { return served[host] })
+	relay := NewRelay(nil, all, func(_ time.Time, host string) bool { return served[host] }, zerolog.Nop())
 	others := map[string]bool{}
 	for range 50 {
 		candidates := relay.candidates(time.Now())
--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -183,13 +185,25 @@
 		}
 		failures, failing := f.contacts.failureState()
 		if following && !failing && (!followed || failures != knownFailures) {
-			f.watches.restartAll()
+			f.logRestart(f.watches.restartAll(now))
 			knownFailures = failures
 		}
+		if following != followed {
+			f.log.Info().Bool("following", following).Int("position", f.position(now)).Interface("contactAges", f.contacts.ages(now)).
+				Msg("follower of the store changed")
+		}
 		followed = following
 	}
 }
 
+// logRestart logs the watches that were restarted, with how long each had been waiting.
+func (f *Follower) logRestart(waited map[string]time.Duration) {
+	for _, kind := range slices.Sorted(maps.Keys(waited)) {
+		collection, _ := f.view.Collection(kind)
+		f.log.Info().Str("kind", kind).Uint64("revision", collection.Revision).Dur("waited", waited[kind]).Msg("watch restarted")
+	}
+}
+
 func (f *Follower) probeOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/internal/edge/view/watches.go
+++ b/internal/edge/view/watches.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -22,6 +23,7 @@
 }
 
 type pendingWatch struct {
+	started   time.Time
 	cancel    context.CancelFunc
 	restarted bool
 }
@@ -30,7 +32,7 @@
 // after the watch, which reports whether it was to be restarted.
 func (w *watchSet) start(ctx context.Context, kind string) (watchCtx context.Context, done func() bool) {
 	watchCtx, cancel := context.WithCancel(ctx)
-	watch := &pendingWatch{cancel: cancel}
+	watch := &pendingWatch{started: time.Now(), cancel: cancel}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.pending == nil {
@@ -46,12 +48,15 @@
 	}
 }
 
-// restartAll cancels all watches so that their callers restart them.
-func (w *watchSet) restartAll() {
+// restartAll cancels all watches so that their callers restart them. It returns how long each had been waiting, by kind.
+func (w *watchSet) restartAll(now time.Time) map[string]time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, watch := range w.pending {
+	waited := make(map[string]time.Duration, len(w.pending))
+	for kind, watch := range w.pending {
+		waited[kind] = now.Sub(watch.started)
 		watch.restarted = true
 		watch.cancel()
 	}
+	return waited
 }
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -172,7 +172,8 @@
 		Log:             g.log,
 	}, g.registry)
 	g.gossip = gossip.New(ctx, self, g.client, g.registry, g.heartbeats, g.log)
-	relay.set(store.NewRelay(g.client, sameRegion{members: g.gossip, region: g.region, self: self}, g.follower.ReachesStore))
+	relay.set(store.NewRelay(g.client, sameRegion{members: g.gossip, region: g.region, self: self},
+		g.follower.ReachesStore, g.log))
 	members.set(g.gossip)
 	g.gossip.Meet(g.set.Seeds...)
 	if err := g.serve(ctx, metrics, options); err != nil {
