Send watches of the store directly only

What callers saw: requests handled by a configuration older than the one acknowledged two seconds before, at entries that nothing disturbed.

Cause: for two seconds after a failed direct call an entry sent its calls through another entry first, watches included. After an outage of the store, most entries are in these two seconds, and all of their watches go through the one or two entries that are not. If such an entry is then rejected by the store, paused or cut off, the watches hang for up to 8.8 s each. The entries that sent them still count as followers, because the probes that prove it go directly, so no other entry takes over.

Evidence: with calls logged at level debug, the watches of all four entries end at one of them after an outage.

Fix: a watch is sent directly or not at all. An entry whose watch fails isn't a follower, and learns of changes from those that are.

--- a/internal/edge/store/relay.go
+++ b/internal/edge/store/relay.go
@@ -111,7 +111,7 @@
 
 // callThrough sends the call through one entry.
 func (r *Relay) callThrough(ctx context.Context, member gossip.Member, call platform.Call) (platform.Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+call.Wait)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	answer, err := peer.Call[platform.Call, relayResponse](ctx, r.client, member.Address, MethodCall, call)
 	switch {
--- a/internal/edge/store/store.go
+++ b/internal/edge/store/store.go
@@ -51,7 +51,7 @@
 	return s
 }
 
-// DirectUnavailable reports whether a direct call that was not a watch failed within the last unavailableTime.
+// DirectUnavailable reports whether a direct call other than a watch or a probe failed within the last unavailableTime.
 func (s *Store) DirectUnavailable(now time.Time) bool {
 	until := s.unavailableUntil.Load()
 	return until != nil && now.Before(*until)
@@ -80,7 +80,7 @@
 	statusServerError     = 500
 )
 
-// call sends a call to the store directly or through another entry.
+// call sends a call that the store answers at once, directly or through another entry.
 //
 // A write may be sent over several paths, and each of them may have taken effect although its answer was lost. When
 // only the last attempt decided, a write was reported as without effect although the job or the end of a job that it wrote was
@@ -106,7 +106,7 @@
 		return reply, nil
 	}
 	noteUncertain(err)
-	if ctx.Err() == nil && call.Wait == 0 {
+	if ctx.Err() == nil {
 		s.recordUnavailable(reply, err)
 		relayed, relayErr := s.relay.Send(ctx, call)
 		if relayErr == nil && !rejected(relayed) {
@@ -185,10 +185,10 @@
 	return readError(err)
 }
 
-// Watch waits up to wait for a change to an object of the kind after the revision. A watch whose direct call failed is not
-// retried through the relay.
+// Watch waits up to wait for a change to an object of the kind after the revision. It is never sent through another entry: Probe,
+// by which a caller tells whether a watch without an answer still hears of changes, only checks this host's own path to the store.
 func (s *Store) Watch(ctx context.Context, kind string, after product.Version, wait time.Duration) (platform.Changes, error) {
-	reply, err := s.call(ctx, platform.Watch(kind, after, wait))
+	reply, err := s.CallDirect(ctx, platform.Watch(kind, after, wait))
 	if err != nil {
 		return platform.Changes{}, readError(err)
 	}
