Count only an entry's own path to the store as a contact

The same class of fault as watches that hang at another entry: a read that another entry sent counted as a contact of this entry with the store. An entry that the store rejects then counted as a follower after each list, and the entries after it stopped to follow for a second. A list counts no longer; a watch, which is always direct, and a probe do.

--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -226,7 +226,6 @@
 		if errors.Is(err, errWatchRestarted) {
 			continue
 		}
-		f.contacts.record(time.Now(), err)
 		if err == nil {
 			pause = retryPause
 			if kind == platform.KindServers {
@@ -234,6 +233,7 @@
 			}
 			continue
 		}
+		f.contacts.record(time.Now(), err)
 		f.log.Debug().Err(err).Str("kind", kind).Msg("failed to read or watch the store")
 		if !ticker.Sleep(ctx, jitter(f.contacts.retryDelay(time.Now(), pause))) {
 			return
@@ -307,11 +307,12 @@
 	if restarted := done(); restarted && err != nil {
 		return watched, errWatchRestarted
 	}
-	if errors.Is(err, platform.ErrCompacted) {
-		return f.list(ctx, kind)
+	if err != nil && !errors.Is(err, platform.ErrCompacted) {
+		return watched, err
 	}
+	f.contacts.record(time.Now(), nil)
 	if err != nil {
-		return watched, err
+		return f.list(ctx, kind)
 	}
 	if len(changes.Changes) == 0 {
 		return max(watched, changes.Revision), nil
@@ -324,7 +325,8 @@
 	return changes.Revision, nil
 }
 
-// list reads all objects of a kind from the store and returns their revision.
+// list reads all objects of a kind from the store and returns their revision. Its answer doesn't count as a contact with the store, because
+// it may have come through another entry.
 func (f *Follower) list(ctx context.Context, kind string) (product.Version, error) {
 	objects, revision, err := f.source.List(ctx, kind)
 	if err != nil {
--- a/internal/edge/view/watchpath_test.go
+++ b/internal/edge/view/watchpath_test.go
@@ -107,6 +107,13 @@
 	return platform.Reply{}, errors.Wrap(product.ErrOutcomeUnknown, ctx.Err().Error())
 }
 
+// answeringRelay is another entry that reaches the store.
+type answeringRelay struct{ server *storeServer }
+
+func (r answeringRelay) Send(ctx context.Context, call platform.Call) (platform.Reply, error) {
+	return r.server.Send(ctx, call)
+}
+
 // oneMember is the list of entries of a deployment with one entry.
 type oneMember struct{}
 
@@ -149,3 +156,22 @@
 	server.set(false, 2)
 	awaitVersion(t, v, 2, 2*time.Second)
 }
+
+// Guards against an entry that counts as a follower of the store although only its reads through another entry are answered. Others would
+// stop to follow the store, and their configuration would be out of date.
+func TestReadsThroughOtherEntriesDoNotMakeAFollower(t *testing.T) {
+	unreachable, reachable := newStoreServer(), newStoreServer()
+	unreachable.set(true, 1)
+	source := store.New(unreachable, answeringRelay{reachable}, nil, zerolog.Nop())
+	v := view.New(zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	f := view.NewFollower(ctx, oneMember{}, v, source, nil, peer.NewRegistry(), zerolog.Nop())
+	defer f.Wait()
+	defer cancel()
+	awaitVersion(t, v, 1, 5*time.Second)
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if now := time.Now(); f.ReachesStore(now, oneMember{}.Self().HostID) {
+			t.Fatalf("the entry counts as reaching the store, last contacts in ms: %v", f.Contacts(now))
+		}
+	}
+}
