Restart a watch that hides a change

The same class of fault as watches that hang at another entry: a follower's probes showed that the store could be reached, and not that its watch still heard of changes. A watch whose answer was lost on the way counted as "nothing changed" for up to 8.8 s. The probes of a follower now ask, in a cheap read, for changes of the configuration and of the evacuations after the revision that the watch starts from, and a watch that has not reported one is restarted. The servers and the named weight versions, which may be some seconds old, are not checked.

The stand-in of the older test of watches that are lost in an outage reports no change, so that it still tests the restart after an outage.

--- a/internal/edge/store/store.go
+++ b/internal/edge/store/store.go
@@ -175,18 +175,22 @@
 	}
 }
 
-// Probe checks whether this host can call the store directly, with a read that is cheap because its answer may be stale.
-func (s *Store) Probe(ctx context.Context) error {
-	reply, err := s.CallDirect(ctx, platform.List(platform.KindModelVersions, "", true))
+// Changed reports whether an object of the kind may have changed after the revision. It is a cheap direct call, which also shows whether this
+// host reaches the store. A change of the last seconds may be missing.
+func (s *Store) Changed(ctx context.Context, kind string, after product.Version) (bool, error) {
+	reply, err := s.CallDirect(ctx, platform.CheckChanges(kind, after))
 	if err != nil {
-		return readError(err)
+		return false, readError(err)
 	}
-	_, err = platform.ReadList(reply)
-	return readError(err)
+	changes, err := platform.ReadChanges(reply)
+	if errors.Is(err, platform.ErrCompacted) {
+		return true, nil
+	}
+	return len(changes.Changes) > 0, errors.Wrap(readError(err), kind)
 }
 
-// Watch waits up to wait for a change to an object of the kind after the revision. It is never sent through another entry: Probe,
-// by which a caller tells whether a watch without an answer still hears of changes, only checks this host's own path to the store.
+// Watch waits up to wait for a change to an object of the kind after the revision. It is never sent through another entry:
+// Changed, by which a caller tells whether a watch without an answer still hears of changes, only checks this host's own path to the store.
 func (s *Store) Watch(ctx context.Context, kind string, after product.Version, wait time.Duration) (platform.Changes, error) {
 	reply, err := s.CallDirect(ctx, platform.Watch(kind, after, wait))
 	if err != nil {
--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -43,12 +43,16 @@
 	maxInitialWait = 2 * time.Second
 )
 
+// promptKinds are the kinds whose changes must be in force within two seconds.
+var promptKinds = []string{platform.KindConfiguration, platform.KindEvacuations}
+
 // Source is the part of the store's interface that a Follower uses.
 type Source interface {
 	List(ctx context.Context, kind string) ([]product.Object, product.Version, error)
 	Watch(ctx context.Context, kind string, after product.Version, wait time.Duration) (platform.Changes, error)
-	// Probe checks at low cost whether the store can be reached.
-	Probe(ctx context.Context) error
+	// Changed reports, at low cost, whether an object of the kind may have changed after the revision. A change of the last seconds may be
+	// missing. Like Watch, it uses only this entry's own path to the store.
+	Changed(ctx context.Context, kind string, after product.Version) (bool, error)
 }
 
 // Members lists the entries of the deployment.
@@ -172,16 +176,17 @@
 // MergeContacts adds the contacts that another entry sent, as ages in milliseconds.
 func (f *Follower) MergeContacts(now time.Time, ages map[string]int64) { f.contacts.merge(now, ages) }
 
-// probe checks regularly whether the store is down, and that this entry reaches the store while it follows it. A watch on a connection that a network
-// partition cut stays silent for seconds, and all entries that rely on it would keep an old configuration meanwhile.
+// probe checks regularly whether the store is down, and while this entry follows the store, that it reaches it and that no watch hides a
+// change. A watch on a connection that a network partition cut stays silent for seconds, and all entries that rely on it would keep an old
+// configuration meanwhile.
 func (f *Follower) probe(ctx context.Context) {
 	followed, knownFailures := false, 0
 	for ticker.Sleep(ctx, probeInterval) {
 		now := time.Now()
 		f.view.UpdateOutage(now, f.contacts.outage(now))
 		following := f.contacts.shouldFollow(now, f.position(now), configurationFollowers)
-		if following && f.contacts.sinceLastContact(now) >= probeInterval {
-			f.probeOnce(ctx)
+		if following {
+			f.probeStore(ctx, now)
 		}
 		failures, failing := f.contacts.failureState()
 		if following && !failing && (!followed || failures != knownFailures) {
@@ -204,10 +209,36 @@
 	}
 }
 
-func (f *Follower) probeOnce(ctx context.Context) {
+// probeStore asks for unreported changes of the kinds that must be in force in time, if their watches have been waiting for a while, or if
+// this entry has not reached the store lately.
+func (f *Follower) probeStore(ctx context.Context, now time.Time) {
+	for _, kind := range promptKinds {
+		watch, waiting := f.watches.waiting(kind)
+		stale := kind == platform.KindConfiguration && f.contacts.sinceLastContact(now) >= probeInterval
+		if !stale && (!waiting || now.Sub(watch.started) < probeInterval) {
+			continue
+		}
+		collection, _ := f.view.Collection(kind)
+		after := product.Version(collection.Revision)
+		if waiting {
+			after = watch.after
+		}
+		changed, err := f.checkChanged(ctx, kind, after)
+		if err != nil {
+			return
+		}
+		if changed && waiting && f.watches.restart(kind, watch) {
+			f.logRestart(map[string]time.Duration{kind: time.Since(watch.started)})
+		}
+	}
+}
+
+func (f *Follower) checkChanged(ctx context.Context, kind string, after product.Version) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	f.contacts.record(time.Now(), f.source.Probe(ctx))
+	changed, err := f.source.Changed(ctx, kind, after)
+	f.contacts.record(time.Now(), err)
+	return changed, err
 }
 
 // follow reads a kind and then watches it whenever this entry is one of those that follow the store, until ctx ends.
@@ -250,7 +281,7 @@
 		return f.shouldReadInitially(now)
 	}
 	wanted := otherFollowers
-	if kind == platform.KindConfiguration || kind == platform.KindEvacuations {
+	if slices.Contains(promptKinds, kind) {
 		wanted = configurationFollowers
 	}
 	mayTry := kind == platform.KindConfiguration || !f.contacts.failing()
@@ -302,7 +333,7 @@
 		}
 	}
 	watched = max(watched, product.Version(complete))
-	watchCtx, done := f.watches.start(ctx, kind)
+	watchCtx, done := f.watches.start(ctx, kind, watched)
 	changes, err := f.source.Watch(watchCtx, kind, watched, watchTimeout)
 	if restarted := done(); restarted && err != nil {
 		return watched, errWatchRestarted
--- a/internal/edge/view/follow_test.go
+++ b/internal/edge/view/follow_test.go
@@ -86,13 +86,14 @@
 	}
 }
 
-func (s *stallingStore) Probe(ctx context.Context) error {
+// Changed never finds a change, as if its answers were seconds old.
+func (s *stallingStore) Changed(ctx context.Context, _ string, _ product.Version) (bool, error) {
 	unresponsive, _, _ := s.state()
 	if unresponsive {
 		<-ctx.Done()
-		return ctx.Err()
+		return false, ctx.Err()
 	}
-	return nil
+	return false, nil
 }
 
 // Guards against requests being served with a withdrawn key. The store stalls for two seconds, in which an entry starts,
--- a/internal/edge/view/watchpath_test.go
+++ b/internal/edge/view/watchpath_test.go
@@ -25,8 +25,10 @@
 // storeServer answers the calls of one entry like the platform's store. It holds one object of each kind, whose revision is that of the
 // store.
 type storeServer struct {
-	mu       sync.Mutex
-	down     bool
+	mu   sync.Mutex
+	down bool
+	// deaf is set while watches that arrive are never answered; other calls are.
+	deaf     bool
 	revision int
 	changed  chan struct{}
 }
@@ -48,6 +50,18 @@
 	s.changed = make(chan struct{})
 }
 
+func (s *storeServer) setDeaf(deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = deaf
+}
+
+func (s *storeServer) isDeaf() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.deaf
+}
+
 // Send answers a call. A call that arrives while the store is down is never answered.
 func (s *storeServer) Send(ctx context.Context, call platform.Call) (platform.Reply, error) {
 	if down, _, _ := s.state(); down {
@@ -61,6 +75,10 @@
 	}
 	wait := time.NewTimer(call.Wait)
 	defer wait.Stop()
+	if s.isDeaf() && call.Wait > 0 {
+		<-ctx.Done()
+		return platform.Reply{}, errors.Wrap(product.ErrOutcomeUnknown, ctx.Err().Error())
+	}
 	for {
 		_, revision, changed := s.state()
 		if revision > after {
@@ -175,3 +193,24 @@
 		}
 	}
 }
+
+// Guards against requests handled by an old configuration because a watch hangs for no reason that other calls show.
+func TestConfigurationIsFollowedAfterAWatchWasLost(t *testing.T) {
+	server := newStoreServer()
+	source := store.New(server, hangingRelay{}, nil, zerolog.Nop())
+	v := view.New(zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	f := view.NewFollower(ctx, oneMember{}, v, source, nil, peer.NewRegistry(), zerolog.Nop())
+	defer f.Wait()
+	defer cancel()
+	awaitVersion(t, v, 1, 3*time.Second)
+	time.Sleep(time.Second)
+	server.setDeaf(true)
+	// The change ends the watch that is waiting, and the next one is lost.
+	server.set(false, 2)
+	awaitVersion(t, v, 2, 2*time.Second)
+	time.Sleep(500 * time.Millisecond)
+	server.setDeaf(false)
+	server.set(false, 3)
+	awaitVersion(t, v, 3, 2*time.Second)
+}
