Check the watch of the servers by probes, too

The same class as the watch of the configuration: one entry alone watches the servers, and a watch whose answer was lost hid for up to 8.8 s that a server leaves.

--- a/internal/edge/view/follow.go
+++ b/internal/edge/view/follow.go
@@ -43,8 +43,13 @@
 	maxInitialWait = 2 * time.Second
 )
 
-// promptKinds are the kinds whose changes must be in force within two seconds.
-var promptKinds = []string{platform.KindConfiguration, platform.KindEvacuations}
+var (
+	// promptKinds are the kinds whose changes must be in force within two seconds even if a follower fails.
+	promptKinds = []string{platform.KindConfiguration, platform.KindEvacuations}
+	// probedKinds are the kinds whose watches are checked for changes that they don't report. A server that leaves must be known within
+	// seconds, too. New weight versions only cost time if they are known late.
+	probedKinds = append([]string{platform.KindServers}, promptKinds...)
+)
 
 // Source is the part of the store's interface that a Follower uses.
 type Source interface {
@@ -209,10 +214,10 @@
 	}
 }
 
-// probeStore asks for unreported changes of the kinds that must be in force in time, if their watches have been waiting for a while, or if
-// this entry has not reached the store lately.
+// probeStore asks for changes that a watch hasn't reported, if it has been waiting for a while, and whether the store can be reached, if this
+// entry has not reached it lately.
 func (f *Follower) probeStore(ctx context.Context, now time.Time) {
-	for _, kind := range promptKinds {
+	for _, kind := range probedKinds {
 		watch, waiting := f.watches.waiting(kind)
 		stale := kind == platform.KindConfiguration && f.contacts.sinceLastContact(now) >= probeInterval
 		if !stale && (!waiting || now.Sub(watch.started) < probeInterval) {
--- a/internal/edge/view/watchpath_test.go
+++ b/internal/edge/view/watchpath_test.go
@@ -214,3 +214,34 @@
 	server.set(false, 3)
 	awaitVersion(t, v, 3, 2*time.Second)
 }
+
+// Guards against requests sent to servers that leave, because the watch of the servers hangs.
+func TestServersAreFollowedAfterAWatchWasLost(t *testing.T) {
+	server := newStoreServer()
+	source := store.New(server, hangingRelay{}, nil, zerolog.Nop())
+	v := view.New(zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	f := view.NewFollower(ctx, oneMember{}, v, source, nil, peer.NewRegistry(), zerolog.Nop())
+	defer f.Wait()
+	defer cancel()
+	awaitServersRevision(t, v, 1, 3*time.Second)
+	time.Sleep(time.Second)
+	server.setDeaf(true)
+	// The change ends the watch that is waiting, and the next one is lost.
+	server.set(false, 2)
+	awaitServersRevision(t, v, 2, 2*time.Second)
+	time.Sleep(time.Second)
+	server.setDeaf(false)
+	server.set(false, 3)
+	awaitServersRevision(t, v, 3, 2*time.Second)
+}
+
+// awaitServersRevision waits until the servers are known as of the revision.
+func awaitServersRevision(t *testing.T, v *view.View, revision uint64, limit time.Duration) {
+	t.Helper()
+	for deadline := time.Now().Add(limit); v.Revisions()[platform.KindServers] < revision; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the servers of revision %d are not known after %v", revision, limit)
+		}
+	}
+}
