Share only counts of suspects, and count each ended server once

After a server with many items ended, heartbeats carried a count for each of them to all neighbours for five minutes. They carry at most sixteen now, and only those of items under which two servers ended; a single end is kept at the entry and in the pages. A server whose run broke off twice before its registration was removed counted twice; it counts once for each item.

The state dump has the number of withheld items of each job.

--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -30,6 +30,8 @@
 	slowMoves map[string]move
 	// brokenRuns are runs that broke off lately at servers that are not known to have ended.
 	brokenRuns []brokenRun
+	// endedUnder holds the servers that were counted as ended under the items.
+	endedUnder map[serverUse]bool
 	// rankingStale is set when an item waits again that ran when the placer last ranked the items.
 	rankingStale bool
 	// unaccepted is set while the store isn't known to hold the job, which then has no pages; see early.go. Its text and events are counted.
@@ -79,6 +81,7 @@
 		progress:   batch.NewProgress(spec, rand.Uint64()),
 		runs:       map[string]*itemRun{},
 		slowMoves:  map[string]move{},
+		endedUnder: map[serverUse]bool{},
 		changed:    make(chan struct{}),
 		wakeup:     make(chan struct{}, 1),
 		storeQuery: make(chan struct{}, 1),
--- a/internal/edge/batchjob/serverend.go
+++ b/internal/edge/batchjob/serverend.go
@@ -27,8 +27,8 @@
 	endConfirmTime = 5 * time.Second
 	// serverEndRetention is how long counts of ended servers are kept. Items of a step that was not completed come again with later steps.
 	serverEndRetention = 5 * time.Minute
-	// maxSharedServerEnds bounds how many counts a heartbeat carries.
-	maxSharedServerEnds = 64
+	// maxSharedServerEnds bounds how many counts a heartbeat carries, to some 500 bytes.
+	maxSharedServerEnds = 16
 )
 
 // serverEndTracker keeps, for the items of all jobs, how many servers ended under them, and where suspects run. It is safe for concurrent
@@ -76,22 +76,23 @@
 	return true
 }
 
-// shared returns the counts to send to other entries, the highest and latest ones if there are many.
+// shared returns the counts of suspects to send to other entries, the highest and latest ones if there are many.
 func (t *serverEndTracker) shared(now time.Time) map[string]batch.ServerEnds {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.counts) == 0 {
-		return nil
+	var items []string
+	for item, count := range t.counts {
+		if count.ends.Suspect() && now.Sub(count.changedAt) <= serverEndRetention {
+			items = append(items, item)
+		}
 	}
-	items := slices.SortedFunc(maps.Keys(t.counts), func(x, y string) int {
+	slices.SortFunc(items, func(x, y string) int {
 		a, b := t.counts[x], t.counts[y]
 		return cmp.Or(cmp.Compare(b.ends.Item+b.ends.Reward, a.ends.Item+a.ends.Reward), b.changedAt.Compare(a.changedAt), cmp.Compare(x, y))
 	})
 	shared := map[string]batch.ServerEnds{}
 	for _, item := range items[:min(len(items), maxSharedServerEnds)] {
-		if now.Sub(t.counts[item].changedAt) <= serverEndRetention {
-			shared[item] = t.counts[item].ends
-		}
+		shared[item] = t.counts[item].ends
 	}
 	return shared
 }
@@ -167,19 +168,24 @@
 	return !j.progress.Suspect(item) || !m.serverEnds.suspectServers(item)[server]
 }
 
+// serverUse is the use of a server by an item or, if reward is set, by its reward call.
+type serverUse struct {
+	item   string
+	server backend.Key
+	reward bool
+}
+
 // brokenRun is a run that broke off at a server that is not known to have ended.
 type brokenRun struct {
-	item, server string
-	key          backend.Key
-	at           time.Time
-	// reward is set for a run of the item's reward call.
-	reward bool
+	serverUse
+
+	at time.Time
 }
 
 // checkServer finds out whether the server of a run that broke off has ended, and counts that for the item. If a probe can't tell, the
 // registration of the server may tell later.
 func (m *Manager) checkServer(ctx context.Context, j *job, item string, server backend.Server, reward bool) {
-	broken := brokenRun{item: item, server: server.ID, key: server.Key(), at: time.Now(), reward: reward}
+	broken := brokenRun{serverUse: serverUse{item: item, server: server.Key(), reward: reward}, at: time.Now()}
 	if errors.Is(m.probes.probe(ctx, server.Address), exchange.ErrEnded) {
 		m.countServerEnd(j, broken, "connectionRefused")
 		return
@@ -197,7 +203,7 @@
 	j.mu.Unlock()
 	for _, b := range broken {
 		switch {
-		case !m.balancer.Registered(b.key):
+		case !m.balancer.Registered(b.server):
 			m.countServerEnd(j, b, "registration")
 		case now.Sub(b.at) < endConfirmTime:
 			j.mu.Lock()
@@ -207,10 +213,15 @@
 	}
 }
 
-// countServerEnd counts a server that ended under an item or its reward call.
+// countServerEnd counts a server that ended under an item or its reward call, once for each of these.
 func (m *Manager) countServerEnd(j *job, b brokenRun, evidence string) {
 	now := time.Now()
 	j.mu.Lock()
+	if j.endedUnder[b.serverUse] {
+		j.mu.Unlock()
+		return
+	}
+	j.endedUnder[b.serverUse] = true
 	if b.reward {
 		j.progress.RecordRewardServerEnd(b.item)
 	} else {
@@ -224,7 +235,7 @@
 	if max(ends.Item, ends.Reward) >= batch.MaxServerEnds {
 		line = m.log.Warn().Bool("withheld", true)
 	}
-	line.Str("request", j.spec.ID).Str("item", b.item).Str("server", b.server).Bool("reward", b.reward).Str("evidence", evidence).
+	line.Str("request", j.spec.ID).Str("item", b.item).Str("server", b.server.ID).Bool("reward", b.reward).Str("evidence", evidence).
 		Int("ends", ends.Item).Int("rewardEnds", ends.Reward).Dur("after", now.Sub(b.at)).Msg("server ended under an item")
 	j.wake()
 }
--- /dev/null
+++ b/internal/edge/batchjob/serverend_test.go
@@ -0,0 +1,74 @@
+package batchjob
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/backend"
+	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+)
+
+// Guards against heartbeats that grow with each server that ends, and against entries that never learn of an item that is withheld.
+func TestOnlySuspectsAreShared(t *testing.T) {
+	now := time.Now()
+	tracker := newServerEndTracker()
+	for i := range 200 {
+		tracker.merge(now, fmt.Sprintf("once-%d", i), batch.ServerEnds{Item: 1})
+		tracker.merge(now, fmt.Sprintf("twice-%d", i), batch.ServerEnds{Item: 1})
+		tracker.merge(now, fmt.Sprintf("twice-%d", i), batch.ServerEnds{Item: 2})
+	}
+	tracker.merge(now, "withheld", batch.ServerEnds{Item: batch.MaxServerEnds})
+	tracker.merge(now, "reward", batch.ServerEnds{Reward: batch.MaxServerEnds})
+	shared := tracker.shared(now)
+	if len(shared) != maxSharedServerEnds || shared["withheld"].Item != batch.MaxServerEnds || shared["reward"].Reward != batch.MaxServerEnds {
+		t.Errorf("shared %v", shared)
+	}
+	for item, ends := range shared {
+		if !ends.Suspect() {
+			t.Errorf("%s with %+v is shared", item, ends)
+		}
+	}
+	if late := tracker.shared(now.Add(serverEndRetention + time.Second)); len(late) != 0 {
+		t.Errorf("shared after the retention: %v", late)
+	}
+}
+
+// Guards against a suspect that runs beside another one, so that the third end could be due to either.
+func TestSuspectsDoNotShareAServer(t *testing.T) {
+	tracker := newServerEndTracker()
+	tracker.started("s1", "a")
+	if tracker.suspectServers("a")["s1"] || !tracker.suspectServers("b")["s1"] {
+		t.Error("a server is closed to the suspect that runs there, or open to another one")
+	}
+	tracker.ended("s1", "b")
+	if !tracker.suspectServers("b")["s1"] {
+		t.Error("the end of another item's run opened the server")
+	}
+	tracker.ended("s1", "a")
+	if tracker.suspectServers("b")["s1"] {
+		t.Error("the server stays closed after the run")
+	}
+}
+
+// Guards against servers that end without refusing connections and count nowhere, against those that run on and count, and against one that
+// counts twice.
+func TestServerEndsAreConfirmedByRegistrations(t *testing.T) {
+	pool := newUnevenPool(t.Context(), t)
+	j := newJob(&batch.Job{ID: "j", Submission: batch.Submission{Items: []batch.Item{{ID: "a"}}}})
+	now := time.Now()
+	gone := serverUse{item: "a", server: backend.Key{ID: "gone"}}
+	alive := serverUse{item: "a", server: backend.Server{ID: "slow2"}.Key()}
+	restarted := serverUse{item: "a", server: backend.Server{ID: "slow3", Started: time.UnixMilli(5)}.Key()}
+	j.brokenRuns = []brokenRun{{gone, now}, {alive, now}, {gone, now}, {restarted, now}, {alive, now.Add(-endConfirmTime)}}
+	pool.confirmServerEnds(now, j)
+	if ends := j.progress.ServerEnds("a"); ends.Item != 2 {
+		t.Errorf("%d servers ended, want 2: one is gone and one restarted", ends.Item)
+	}
+	if len(j.brokenRuns) != 1 || j.brokenRuns[0].serverUse != alive {
+		t.Errorf("pending runs %v, want the recent one at the server that is registered", j.brokenRuns)
+	}
+	if pool.serverEnds.get("a").Item != 2 {
+		t.Errorf("known to other jobs: %+v", pool.serverEnds.get("a"))
+	}
+}
--- a/internal/edge/batchjob/state.go
+++ b/internal/edge/batchjob/state.go
@@ -19,7 +19,9 @@
 	Waiting    int  `json:"waiting"`
 	// Scoring counts the items whose text is complete and has no score.
 	Scoring int `json:"scoring"`
-	Pages   int `json:"pages"`
+	// Withheld counts the items that are sent to no server any more because servers ended under them.
+	Withheld int `json:"withheld,omitempty"`
+	Pages    int `json:"pages"`
 }
 
 // State returns the states of the jobs in memory for the debug dump, unaccepted ones included, sorted by id.
@@ -59,6 +61,7 @@
 		Listed:     j.progress.Published(),
 		Running:    j.progress.Running(),
 		Waiting:    j.progress.Waiting(),
+		Withheld:   j.progress.Withheld(),
 		Scoring:    j.progress.AwaitingScore(),
 		Pages:      j.progress.Pages(),
 	}
