--- a/internal/edge/batchjob/serverend.go
+++ b/internal/edge/batchjob/serverend.go
@@ -18,7 +18,7 @@
 
 const (
 	// serverProbeTimeout bounds the probe of a server after a run broke off there. The item waits for it.
-	serverProbeTimeout = 250 * time.Millisecond
+	serverProbeTimeout = 500 * time.Millisecond
 	// probeReuse is how long the result of a probe serves other runs at the same server: all that run at a server that ends break off
 	// within some milliseconds.
 	probeReuse = 50 * time.Millisecond
