--- a/internal/core/batch/serverend.go
+++ b/internal/core/batch/serverend.go
@@ -25,8 +25,8 @@
 // Suspect reports whether an item with these counts may be what ends the servers.
 func (e ServerEnds) Suspect() bool { return max(e.Item, e.Reward) >= suspectServerEnds }
 
-// RecordServerEnd records that a server ended while it ran the item. At the last end before the limit, an item that waits is withheld at once,
-// and one that runs when it is to wait again.
+// RecordServerEnd records that a server ended while it ran the item. At the limit, an item that waits is withheld at once, and one that runs
+// when it would wait again.
 func (p *Progress) RecordServerEnd(id string) {
 	if state, ok := p.items[id]; ok && state.unfinished() {
 		state.ends.Item++
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -73,8 +73,8 @@
 	version int
 	// cause says why the run did not complete.
 	cause error
-	// broken is set if the connection broke, or stalled, after the server may have begun to run the item.
-	broken bool
+	// connectionLost is set if the connection broke, or stalled, after the server may have begun to run the item.
+	connectionLost bool
 	// move is the move that led to this run; nil if there was none.
 	move *move
 	// slowInterval is the time between events for which the item left the server.
@@ -116,7 +116,7 @@
 			Int("fromEvent", from).Int("lastEvent", output.LastEvent).Int("version", r.version).Dur("took", time.Since(started)).AnErr("cause", r.cause).
 			Msg("item run not completed")
 	}
-	if r.broken && ctx.Err() == nil {
+	if r.connectionLost && ctx.Err() == nil {
 		m.checkServer(ctx, j, item.ID, server, false)
 	}
 	if next := m.continueMove(ctx, r, result); next != nil {
@@ -217,7 +217,7 @@
 	case errors.Is(err, exchange.ErrNotSent):
 		return outcomeRefused
 	default:
-		r.broken = true
+		r.connectionLost = true
 		return outcomeInterrupted
 	}
 }
--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -28,8 +28,8 @@
 	runs map[string]*itemRun
 	// slowMoves are the items that left a slow server and haven't started elsewhere yet.
 	slowMoves map[string]move
-	// brokenRuns are runs that broke off lately at servers that are not known to have ended.
-	brokenRuns []brokenRun
+	// interruptedRuns are runs that were interrupted lately at servers that are not known to have ended.
+	interruptedRuns []interruptedRun
 	// endedUnder holds the servers that were counted as ended under the items.
 	endedUnder map[serverUse]bool
 	// rankingStale is set when an item waits again that ran when the placer last ranked the items.
--- a/internal/edge/batchjob/reward.go
+++ b/internal/edge/batchjob/reward.go
@@ -103,8 +103,8 @@
 	if err == nil && tally.Failed == 0 {
 		pause = rewardDeniedDelay
 	}
-	for _, broken := range tally.BrokenOff {
-		m.checkServer(ctx, j, item.ID, broken, true)
+	for _, used := range tally.Interrupted {
+		m.checkServer(ctx, j, item.ID, used, true)
 	}
 	ticker.Sleep(ctx, pause)
 	j.applyNoScore(time.Now(), item.ID, tally.Failed, route.MaxAttempts)
--- a/internal/edge/batchjob/serverend_test.go
+++ b/internal/edge/batchjob/serverend_test.go
@@ -60,13 +60,13 @@
 	gone := serverUse{item: "a", server: backend.Key{ID: "gone"}}
 	alive := serverUse{item: "a", server: backend.Server{ID: "slow2"}.Key()}
 	restarted := serverUse{item: "a", server: backend.Server{ID: "slow3", Started: time.UnixMilli(5)}.Key()}
-	j.brokenRuns = []brokenRun{{gone, now}, {alive, now}, {gone, now}, {restarted, now}, {alive, now.Add(-endConfirmTime)}}
+	j.interruptedRuns = []interruptedRun{{gone, now}, {alive, now}, {gone, now}, {restarted, now}, {alive, now.Add(-endConfirmTime)}}
 	pool.confirmServerEnds(now, j)
 	if ends := j.progress.ServerEnds("a"); ends.Item != 2 {
 		t.Errorf("%d servers ended, want 2: one is gone and one restarted", ends.Item)
 	}
-	if len(j.brokenRuns) != 1 || j.brokenRuns[0].serverUse != alive {
-		t.Errorf("pending runs %v, want the recent one at the server that is registered", j.brokenRuns)
+	if len(j.interruptedRuns) != 1 || j.interruptedRuns[0].serverUse != alive {
+		t.Errorf("pending runs %v, want the recent one at the server that is registered", j.interruptedRuns)
 	}
 	if pool.serverEnds.get("a").Item != 2 {
 		t.Errorf("known to other jobs: %+v", pool.serverEnds.get("a"))
--- a/internal/edge/call/attempt.go
+++ b/internal/edge/call/attempt.go
@@ -44,7 +44,7 @@
 		if errors.Is(err, exchange.ErrNotSent) {
 			attempt.Outcome = verdict.NotRun
 		}
-		attempt.BrokenOff = attempt.Outcome != verdict.NotRun
+		attempt.Interrupted = attempt.Outcome != verdict.NotRun
 		return
 	}
 	defer func() {
@@ -60,7 +60,7 @@
 	body, err := io.ReadAll(io.LimitReader(stream, maxAnswerBytes+1))
 	if err != nil {
 		attempt.Cause = err
-		attempt.BrokenOff = true
+		attempt.Interrupted = true
 		return
 	}
 	switch {
--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -50,8 +50,8 @@
 	Body   []byte
 	// Outcome is Ran if the server's complete answer was received.
 	Outcome verdict.Verdict
-	// BrokenOff is set if the connection broke after the server may have begun to run the request.
-	BrokenOff bool
+	// Interrupted is set if the connection broke after the server may have begun to run the request.
+	Interrupted bool
 	// Cause says why no answer can be passed on; nil if Outcome is Ran.
 	Cause error
 }
@@ -62,8 +62,8 @@
 	Sent, NotRun int
 	// Failed counts the attempts that the server answered with status 500.
 	Failed int
-	// BrokenOff are the servers at which an attempt broke off that may have run.
-	BrokenOff []backend.Server
+	// Interrupted are the servers at which an attempt was interrupted that may have run.
+	Interrupted []backend.Server
 }
 
 // Sender sends requests to backend servers. It is safe for concurrent use.
--- a/internal/edge/call/tries.go
+++ b/internal/edge/call/tries.go
@@ -16,8 +16,8 @@
 const (
 	// maxNotRunRetries is how often a request is sent again after attempts that did not run it; those don't count towards MaxAttempts.
 	maxNotRunRetries = 3
-	// maxBrokenOff is after how many broken attempts a request is sent to no further server: it may be what ends the servers that run it.
-	maxBrokenOff = 3
+	// maxInterruptions is after how many interrupted attempts a request is sent to no further server: it may be what ends the servers that run it.
+	maxInterruptions = 3
 	// poolRetryAfter is how long a caller should wait before it retries if a pool has no free slot: some calls have ended by then.
 	poolRetryAfter = 60 * time.Millisecond
 	// evacuationRetryAfter is that wait if all servers are in evacuated availability zones. Nobody says how long an evacuation lasts.
@@ -75,7 +75,7 @@
 
 // mayRunAgain reports whether the request may be sent once more although earlier attempts may have run or are not finished.
 func (r *retrier) mayRunAgain() bool {
-	return r.request.Idempotent && r.Sent < max(1, r.request.MaxAttempts) && len(r.BrokenOff) < maxBrokenOff
+	return r.request.Idempotent && r.Sent < max(1, r.request.MaxAttempts) && len(r.Interrupted) < maxInterruptions
 }
 
 // sendFirst makes the first attempt; false if there is no server for it.
@@ -125,8 +125,8 @@
 	if attempt.Outcome == verdict.Ran && attempt.Answer.Status == fasthttp.StatusInternalServerError {
 		r.Failed++
 	}
-	if attempt.BrokenOff && ctx.Err() == nil {
-		r.BrokenOff = append(r.BrokenOff, attempt.Server)
+	if attempt.Interrupted && ctx.Err() == nil {
+		r.Interrupted = append(r.Interrupted, attempt.Server)
 	}
 	switch {
 	case attempt.Outcome == verdict.NotRun:
--- a/internal/edge/view/watchpath_test.go
+++ b/internal/edge/view/watchpath_test.go
@@ -27,10 +27,10 @@
 type storeServer struct {
 	mu   sync.Mutex
 	down bool
-	// deaf is set while watches that arrive are never answered; other calls are.
-	deaf     bool
-	revision int
-	changed  chan struct{}
+	// losesWatches is set while watches that arrive are never answered; other calls are.
+	losesWatches bool
+	revision     int
+	changed      chan struct{}
 }
 
 func newStoreServer() *storeServer { return &storeServer{revision: 1, changed: make(chan struct{})} }
@@ -50,16 +50,16 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *storeServer) setDeaf(deaf bool) {
+func (s *storeServer) loseWatches(lose bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.deaf = deaf
+	s.losesWatches = lose
 }
 
-func (s *storeServer) isDeaf() bool {
+func (s *storeServer) isLosingWatches() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.deaf
+	return s.losesWatches
 }
 
 // Send answers a call. A call that arrives while the store is down is never answered.
@@ -75,7 +75,7 @@
 	}
 	wait := time.NewTimer(call.Wait)
 	defer wait.Stop()
-	if s.isDeaf() && call.Wait > 0 {
+	if s.isLosingWatches() && call.Wait > 0 {
 		<-ctx.Done()
 		return platform.Reply{}, errors.Wrap(product.ErrOutcomeUnknown, ctx.Err().Error())
 	}
@@ -205,12 +205,12 @@
 	defer cancel()
 	awaitVersion(t, v, 1, 3*time.Second)
 	time.Sleep(time.Second)
-	server.setDeaf(true)
+	server.loseWatches(true)
 	// The change ends the watch that is waiting, and the next one is lost.
 	server.set(false, 2)
 	awaitVersion(t, v, 2, 2*time.Second)
 	time.Sleep(500 * time.Millisecond)
-	server.setDeaf(false)
+	server.loseWatches(false)
 	server.set(false, 3)
 	awaitVersion(t, v, 3, 2*time.Second)
 }
@@ -226,12 +226,12 @@
 	defer cancel()
 	awaitServersRevision(t, v, 1, 3*time.Second)
 	time.Sleep(time.Second)
-	server.setDeaf(true)
+	server.loseWatches(true)
 	// The change ends the watch that is waiting, and the next one is lost.
 	server.set(false, 2)
 	awaitServersRevision(t, v, 2, 2*time.Second)
 	time.Sleep(time.Second)
-	server.setDeaf(false)
+	server.loseWatches(false)
 	server.set(false, 3)
 	awaitServersRevision(t, v, 3, 2*time.Second)
 }
