--- a/internal/core/batch/partial.go
+++ b/internal/core/batch/partial.go
@@ -73,7 +73,7 @@
 		}
 		state.failures = max(state.failures, partial.Failures)
 		state.rewardFailures = max(state.rewardFailures, partial.RewardFailures)
-		state.ends = state.ends.merge(ServerEnds{Item: partial.ServerEnds, Reward: partial.RewardServerEnds})
+		state.ends = state.ends.Merge(ServerEnds{Item: partial.ServerEnds, Reward: partial.RewardServerEnds})
 		state.withholdIfWaiting()
 		if partial.LastEvent <= state.output.LastEvent || state.phase == phaseWithheld {
 			continue
--- a/internal/core/batch/serverend.go
+++ b/internal/core/batch/serverend.go
@@ -17,12 +17,12 @@
 	Reward int `msgpack:"r"`
 }
 
-// merge returns the higher counts of both. The counts of two entries may include the same server.
-func (e ServerEnds) merge(other ServerEnds) ServerEnds {
+// Merge returns the higher counts of both. The counts of two entries may include the same server.
+func (e ServerEnds) Merge(other ServerEnds) ServerEnds {
 	return ServerEnds{Item: max(e.Item, other.Item), Reward: max(e.Reward, other.Reward)}
 }
 
-// Suspect reports whether an item with these counts may be what ends the servers.
+// Suspect reports whether an item with these counts may be what ends the servers. It may only run at a server without another suspect.
 func (e ServerEnds) Suspect() bool { return max(e.Item, e.Reward) >= suspectServerEnds }
 
 // RecordServerEnd records that a server ended while it ran the item. At the limit, an item that waits is withheld at once, and one that runs
@@ -46,7 +46,7 @@
 func (p *Progress) MergeServerEnds(known func(item string) ServerEnds) {
 	for id, state := range p.items {
 		if state.unfinished() {
-			state.ends = state.ends.merge(known(id))
+			state.ends = state.ends.Merge(known(id))
 			state.withholdIfWaiting()
 		}
 	}
@@ -60,8 +60,8 @@
 	return ServerEnds{}
 }
 
-// Suspect reports whether the item may only run at a server without another suspect.
-func (p *Progress) Suspect(id string) bool { return p.ServerEnds(id).Item >= suspectServerEnds }
+// Suspect reports whether the item is a suspect.
+func (p *Progress) Suspect(id string) bool { return p.ServerEnds(id).Suspect() }
 
 // Withheld returns the number of items that are sent to no server any more.
 func (p *Progress) Withheld() int { return p.count(phaseWithheld) }
--- a/internal/core/dispatch/simulation_test.go
+++ b/internal/core/dispatch/simulation_test.go
@@ -16,7 +16,7 @@
 	name string
 	// plan assigns slots; nil means the least used server for the item with the longest estimate, without moves.
 	plan func(r Ranking, slots []Slot) []Action
-	// high has running items judged by the high quantile of what is left.
+	// high has running items ranked by the high quantile of what is left.
 	high bool
 	// all has the trainer wait for all groups, so that none yields as a spare one.
 	all bool
@@ -262,8 +262,7 @@
 	return all, wanted
 }
 
-// Guards against a policy that is worse than the one it was chosen over: moves by the expected work that is left, also while short items
-// wait.
+// Guards against moves that complete fewer groups in time than moves by the expected work that is left, also while short items wait.
 func TestChosenPolicyCompletesMostGroupsInTime(t *testing.T) {
 	const seeds = 3
 	shares := map[string]float64{}
--- a/internal/core/earlystart/book.go
+++ b/internal/core/earlystart/book.go
@@ -171,7 +171,7 @@
 	}
 }
 
-// spread sets the time of every job's next create anew.
+// spread reschedules every job's next create.
 func (b *Book) spread(now time.Time) {
 	for id, r := range b.records {
 		r.createAt = now.Add(createOffset(id))
--- a/internal/core/earlystart/earlystart.go
+++ b/internal/core/earlystart/earlystart.go
@@ -1,11 +1,7 @@
 // Package earlystart decides when an entry runs the items of a batch job that the store doesn't hold yet, and what becomes of such a job.
 //
-// A step's results are due some seconds after the step was submitted, and an outage of the store takes most of that time. Running work
-// requires no agreement: an item may run more than once, and only what a page holds counts. So the items run while the store is down, and
-// the job is created when the store answers again.
-//
-// The load is three steps of two hundred items that arrive within a second at any entries, several times an outage, with the repeats that
-// trainers send every half second until a step is accepted.
+// An outage of the store takes most of the time in which a step's results are due. Items may run without agreement, because they may run
+// more than once and only what a page holds counts. The job is created when the store answers again.
 package earlystart
 
 import "time"
@@ -21,8 +17,7 @@
 	// MaxStoredBytes is the store's limit for the value of an object. A larger job can never be accepted, and its submission is refused
 	// as not run, so that it must not begin.
 	MaxStoredBytes = 1 << 20
-	// MaxBegunBytes is the limit for a job that begins. Its stored form names another owner than the one that is measured at its create, and
-	// may differ from it by some hundred bytes.
+	// MaxBegunBytes is the limit for a job that begins. It leaves room for the owner, who is known only when the job is created.
 	MaxBegunBytes = MaxStoredBytes - 512
 )
 
--- a/internal/edge/batchjob/place.go
+++ b/internal/edge/batchjob/place.go
@@ -14,7 +14,7 @@
 // 150 ms, so that hardly more is known after a shorter time, and a job has some hundred items.
 const rankInterval = 100 * time.Millisecond
 
-// maxPlans is how often slots are planned anew at once because a server didn't take an item or an item couldn't move. Otherwise a slot
+// maxPlans is how often slots are planned again at once because a server didn't take an item or an item couldn't move. Otherwise a slot
 // would stay free while items wait.
 const maxPlans = 4
 
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -123,7 +123,6 @@
 		if j.finished() {
 			break
 		}
-		m.confirmServerEnds(time.Now(), j)
 		if now := time.Now(); now.Sub(checked) >= endCheckInterval {
 			checked = now
 			j.wg.Go(func() { m.checkEnd(ctx, j) })
@@ -132,7 +131,8 @@
 		case <-ctx.Done():
 		case <-j.wakeup:
 		case <-changed:
-		case <-timer.C:
+		case now := <-timer.C:
+			m.confirmServerEnds(now, j)
 		case <-written:
 			writing = false
 		}
--- a/internal/edge/batchjob/serverend_test.go
+++ b/internal/edge/batchjob/serverend_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/core/dispatch"
 )
 
 // Guards against heartbeats that grow with each server that ends, and against entries that never learn of an item that is withheld.
@@ -51,6 +52,24 @@
 	}
 }
 
+// Guards against suspects that share a server of a pool whose servers differ in speed, where items are placed and moved by plan.
+func TestSuspectIsNotPlacedBesideAnother(t *testing.T) {
+	pool := newUnevenPool(t.Context(), t)
+	j := newPlacedJob("j", "a", "b")
+	for range batch.MaxServerEnds - 1 {
+		j.progress.RecordServerEnd("a")
+		j.progress.RecordServerEnd("b")
+	}
+	pool.serverEnds.started("slow", "b")
+	if pool.startItem(t.Context(), j, dispatch.Action{Item: "a", To: "slow"}) {
+		t.Error("started beside another suspect")
+	}
+	j.runs["a"] = &itemRun{server: backend.Server{ID: "fast"}, cancel: func(error) {}}
+	if pool.moveItem(j, dispatch.Action{Item: "a", From: "fast", To: "slow"}) {
+		t.Error("moved beside another suspect")
+	}
+}
+
 // Guards against servers that end without refusing connections and count nowhere, against those that run on and count, and against one that
 // counts twice.
 func TestServerEndsAreConfirmedByRegistrations(t *testing.T) {
--- a/internal/edge/batchjob/serverendtracker.go
+++ b/internal/edge/batchjob/serverendtracker.go
@@ -20,8 +20,8 @@
 // serverEndTracker keeps, for the items of all jobs, how many servers ended under them, and where suspects run. It is safe for concurrent
 // use.
 //
-// The same items come again in later jobs, and jobs move from one entry to another. A count that each job began anew would let an item end
-// three servers in each of them.
+// The same items come again in later jobs, and jobs move from one entry to another. With a count for each job, an item could end three
+// servers in each of them.
 type serverEndTracker struct {
 	mu     sync.Mutex
 	counts map[string]serverEndCount
@@ -51,14 +51,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.counts[item].ends
-	if ends.Item <= known.Item && ends.Reward <= known.Reward {
+	merged := known.Merge(ends)
+	if merged == known {
 		return false
 	}
 	maps.DeleteFunc(t.counts, func(_ string, c serverEndCount) bool { return now.Sub(c.changedAt) > serverEndRetention })
-	t.counts[item] = serverEndCount{
-		ends:      batch.ServerEnds{Item: max(known.Item, ends.Item), Reward: max(known.Reward, ends.Reward)},
-		changedAt: now,
-	}
+	t.counts[item] = serverEndCount{ends: merged, changedAt: now}
 	return true
 }
 
--- a/internal/edge/call/call_test.go
+++ b/internal/edge/call/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -99,3 +100,26 @@
 		})
 	}
 }
+
+// Guards against a caller's request that ends the servers that run it, and is sent to as many as its route allows.
+func TestRequestIsNotSentOnAfterThreeInterruptions(t *testing.T) {
+	balancer := backend.NewBalancer("self", "north-a")
+	var servers []backend.Server
+	for i := range 6 {
+		server := platformtest.NewServer(t, fmt.Sprintf("server-%d", i), testPool, nil)
+		server.SetBehaviour(behaveAs(platformtest.Crash))
+		servers = append(servers, backend.Server{ID: server.ID, Pool: testPool, Address: server.Address(), AvailabilityZone: server.Zone, Slots: 4})
+	}
+	balancer.Sync(time.Now(), servers)
+	client := exchange.NewClient()
+	t.Cleanup(client.Close)
+	request := newTestRequest(time.Minute, "x")
+	request.MaxAttempts = len(servers)
+	_, tally, err := NewSender(balancer, client, zerolog.Nop()).Send(t.Context(), request)
+	if refusal, ok := verdict.As(err); !ok || refusal.Verdict != verdict.MayHaveRun || refusal.Reason != verdict.ReasonServerLost {
+		t.Errorf("got %v", err)
+	}
+	if tally.Sent != maxInterruptions || len(tally.Interrupted) != maxInterruptions {
+		t.Errorf("%d attempts, %d interrupted, want %d", tally.Sent, len(tally.Interrupted), maxInterruptions)
+	}
+}
--- a/internal/edge/view/watchpath_test.go
+++ b/internal/edge/view/watchpath_test.go
@@ -139,15 +139,33 @@
 func (oneMember) Find(time.Time, string) (_ gossip.Member, ok bool) { return }
 func (oneMember) Alive(time.Time) []gossip.Member                   { return nil }
 
-// awaitVersion waits until the version of the configuration is in force.
-func awaitVersion(t *testing.T, v *view.View, version uint64, limit time.Duration) {
+// startFollower starts the only entry of a deployment, which calls the store directly and through the relay.
+func startFollower(t *testing.T, direct *storeServer, relay store.Transport) (*view.Follower, *view.View, *store.Store) {
+	t.Helper()
+	source := store.New(direct, relay, nil, zerolog.Nop())
+	v := view.New(zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	f := view.NewFollower(ctx, oneMember{}, v, source, nil, peer.NewRegistry(), zerolog.Nop())
+	t.Cleanup(func() {
+		cancel()
+		f.Wait()
+	})
+	return f, v, source
+}
+
+// awaitRevision waits until the kind is known as of the revision, which is also the version of the configuration that must be in force.
+func awaitRevision(t *testing.T, v *view.View, kind string, revision uint64, limit time.Duration) {
 	t.Helper()
 	for deadline := time.Now().Add(limit); ; time.Sleep(5 * time.Millisecond) {
-		if table := v.Snapshot().Table; table != nil && table.Version >= version {
+		known := v.Revisions()[kind]
+		if table := v.Snapshot().Table; kind == platform.KindConfiguration && table != nil {
+			known = table.Version
+		}
+		if known >= revision {
 			return
 		}
 		if time.Now().After(deadline) {
-			t.Fatalf("configuration %d is not in force %v after it was acknowledged", version, limit)
+			t.Fatalf("%s: revision %d is not known %v after it was acknowledged", kind, revision, limit)
 		}
 	}
 }
@@ -156,23 +174,18 @@
 // proves by direct probes that it reaches the store.
 func TestConfigurationIsFollowedWhileWatchesThroughOtherEntriesHang(t *testing.T) {
 	server := newStoreServer()
-	source := store.New(server, hangingRelay{}, nil, zerolog.Nop())
-	v := view.New(zerolog.Nop())
-	ctx, cancel := context.WithCancel(t.Context())
-	f := view.NewFollower(ctx, oneMember{}, v, source, nil, peer.NewRegistry(), zerolog.Nop())
-	defer f.Wait()
-	defer cancel()
-	awaitVersion(t, v, 1, 3*time.Second)
+	_, v, source := startFollower(t, server, hangingRelay{})
+	awaitRevision(t, v, platform.KindConfiguration, 1, 3*time.Second)
 
 	server.set(true, 1)
-	if _, err := source.Get(ctx, platform.KindConfiguration, platform.NameConfiguration); err == nil {
+	if _, err := source.Get(t.Context(), platform.KindConfiguration, platform.NameConfiguration); err == nil {
 		t.Fatal("a call to a store that is down succeeded")
 	}
 	server.set(false, 1)
 	// Within this time the entry has reached the store again, and its direct calls still count as failing.
 	time.Sleep(time.Second)
 	server.set(false, 2)
-	awaitVersion(t, v, 2, 2*time.Second)
+	awaitRevision(t, v, platform.KindConfiguration, 2, 2*time.Second)
 }
 
 // Guards against an entry that counts as a follower of the store although only its reads through another entry are answered. Others would
@@ -180,13 +193,8 @@
 func TestReadsThroughOtherEntriesDoNotMakeAFollower(t *testing.T) {
 	unreachable, reachable := newStoreServer(), newStoreServer()
 	unreachable.set(true, 1)
-	source := store.New(unreachable, answeringRelay{reachable}, nil, zerolog.Nop())
-	v := view.New(zerolog.Nop())
-	ctx, cancel := context.WithCancel(t.Context())
-	f := view.NewFollower(ctx, oneMember{}, v, source, nil, peer.NewRegistry(), zerolog.Nop())
-	defer f.Wait()
-	defer cancel()
-	awaitVersion(t, v, 1, 5*time.Second)
+	f, v, _ := startFollower(t, unreachable, answeringRelay{reachable})
+	awaitRevision(t, v, platform.KindConfiguration, 1, 5*time.Second)
 	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if now := time.Now(); f.ReachesStore(now, oneMember{}.Self().HostID) {
 			t.Fatalf("the entry counts as reaching the store, last contacts in ms: %v", f.Contacts(now))
@@ -194,54 +202,23 @@
 	}
 }
 
-// Guards against requests handled by an old configuration because a watch hangs for no reason that other calls show.
-func TestConfigurationIsFollowedAfterAWatchWasLost(t *testing.T) {
-	server := newStoreServer()
-	source := store.New(server, hangingRelay{}, nil, zerolog.Nop())
-	v := view.New(zerolog.Nop())
-	ctx, cancel := context.WithCancel(t.Context())
-	f := view.NewFollower(ctx, oneMember{}, v, source, nil, peer.NewRegistry(), zerolog.Nop())
-	defer f.Wait()
-	defer cancel()
-	awaitVersion(t, v, 1, 3*time.Second)
-	time.Sleep(time.Second)
-	server.loseWatches(true)
-	// The change ends the watch that is waiting, and the next one is lost.
-	server.set(false, 2)
-	awaitVersion(t, v, 2, 2*time.Second)
-	time.Sleep(500 * time.Millisecond)
-	server.loseWatches(false)
-	server.set(false, 3)
-	awaitVersion(t, v, 3, 2*time.Second)
-}
-
-// Guards against requests sent to servers that leave, because the watch of the servers hangs.
-func TestServersAreFollowedAfterAWatchWasLost(t *testing.T) {
-	server := newStoreServer()
-	source := store.New(server, hangingRelay{}, nil, zerolog.Nop())
-	v := view.New(zerolog.Nop())
-	ctx, cancel := context.WithCancel(t.Context())
-	f := view.NewFollower(ctx, oneMember{}, v, source, nil, peer.NewRegistry(), zerolog.Nop())
-	defer f.Wait()
-	defer cancel()
-	awaitServersRevision(t, v, 1, 3*time.Second)
-	time.Sleep(time.Second)
-	server.loseWatches(true)
-	// The change ends the watch that is waiting, and the next one is lost.
-	server.set(false, 2)
-	awaitServersRevision(t, v, 2, 2*time.Second)
-	time.Sleep(time.Second)
-	server.loseWatches(false)
-	server.set(false, 3)
-	awaitServersRevision(t, v, 3, 2*time.Second)
-}
-
-// awaitServersRevision waits until the servers are known as of the revision.
-func awaitServersRevision(t *testing.T, v *view.View, revision uint64, limit time.Duration) {
-	t.Helper()
-	for deadline := time.Now().Add(limit); v.Revisions()[platform.KindServers] < revision; time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatalf("the servers of revision %d are not known after %v", revision, limit)
-		}
+// Guards against requests that are handled by an old configuration, or sent to a server that leaves, because a watch hangs for no reason that
+// other calls show.
+func TestChangesAreFollowedAfterAWatchWasLost(t *testing.T) {
+	for _, kind := range []string{platform.KindConfiguration, platform.KindServers} {
+		t.Run(kind, func(t *testing.T) {
+			server := newStoreServer()
+			_, v, _ := startFollower(t, server, hangingRelay{})
+			awaitRevision(t, v, kind, 1, 3*time.Second)
+			time.Sleep(time.Second)
+			server.loseWatches(true)
+			// The change ends the watch that is waiting, and the next one is lost.
+			server.set(false, 2)
+			awaitRevision(t, v, kind, 2, 2*time.Second)
+			time.Sleep(time.Second)
+			server.loseWatches(false)
+			server.set(false, 3)
+			awaitRevision(t, v, kind, 3, 2*time.Second)
+		})
 	}
 }
--- a/internal/program/soak/zone.go
+++ b/internal/program/soak/zone.go
@@ -71,7 +71,7 @@
 }
 
 // makeCold makes a server cold for the duration. The server is cold from before its registration on, which takes seconds when the machine is
-// busy: the duration doesn't start anew with the end of the registration.
+// busy: the duration doesn't start again with the end of the registration.
 func (env *environment) makeCold(server *platformtest.Server, duration time.Duration) {
 	until := time.Now().Add(duration)
 	server.SetCold(duration)
