--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -74,7 +74,7 @@
 	env.Cleanups.Cleanup(func() { _ = e.server.Close() })
 	env.Store.Put("servers", id, map[string]any{
 		"service": EnginePool, "address": listener.Addr().String(), "zone": zone, "version": "v1", "slots": slots, "state": "ready",
-		"cold_left_ms": 0, "stage": "prefill_decode", "models": []any{map[string]any{"name": Model, "version": 1, "adapters": []string{}}},
+		"cold_left_ms": 0, "stage": "prefill_decode", "models": []any{named(Model, map[string]any{"version": 1, "adapters": []string{}})},
 		"seq": 0, "born": time.Now().UnixMilli(),
 	})
 	return e, nil
--- a/review/harness/run.go
+++ b/review/harness/run.go
@@ -140,31 +140,33 @@
 
 // Configure writes a version of the manifest.
 func (env *Env) Configure(version int) {
+	rollouts := named("rollouts", map[string]any{
+		"host": Host, "path_prefix": JobPrefix, "kind": "weight_rollout", "timeout_ms": 10000, "target_latency_ms": 400, "priority": 0,
+		"service": EnginePool, "max_attempts": 3, "queue_ttl_s": 40.0, "result_deadline_ms": 7500, "single_version": false, "public": false,
+		"sticky": true, "resumable": true,
+	})
+	fees := named("fees", map[string]any{
+		"host": Host, "path_prefix": CallPrefix, "kind": "safe", "timeout_ms": 5000, "target_latency_ms": 2000, "priority": 2,
+		"service": ServicePool, "max_attempts": 2, "public": false,
+	})
+	engines := named(EnginePool, map[string]any{
+		"health_path": "/health", "max_conns": 150, "protocol": "h1", "tls": false,
+		"engine": map[string]any{"slots": slots, "stride": 51, "models": []any{named(Model, map[string]any{})}},
+	})
+	services := named(ServicePool, map[string]any{"health_path": "/health", "max_conns": 100, "protocol": "h1", "tls": false})
 	env.Store.Put("config", "main", map[string]any{
-		"version": version,
-		"routes": []any{
-			map[string]any{
-				"name": "rollouts", "host": Host, "path_prefix": JobPrefix, "kind": "weight_rollout", "timeout_ms": 10000, "target_latency_ms": 400,
-				"priority": 0, "service": EnginePool, "max_attempts": 3, "queue_ttl_s": 40.0, "result_deadline_ms": 7500,
-				"single_version": false, "public": false, "sticky": true, "resumable": true,
-			},
-			map[string]any{
-				"name": "fees", "host": Host, "path_prefix": CallPrefix, "kind": "safe", "timeout_ms": 5000, "target_latency_ms": 2000, "priority": 2,
-				"service": ServicePool, "max_attempts": 2, "public": false,
-			},
-		},
-		"services": []any{
-			map[string]any{
-				"name": EnginePool, "health_path": "/health", "max_conns": 150, "protocol": "h1", "tls": false,
-				"engine": map[string]any{"slots": 12, "stride": 51, "models": []any{map[string]any{"name": Model}}},
-			},
-			map[string]any{"name": ServicePool, "health_path": "/health", "max_conns": 100, "protocol": "h1", "tls": false},
-		},
+		"version": version, "routes": []any{rollouts, fees}, "services": []any{engines, services},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 33554432, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
-		"tenants": []any{map[string]any{"name": Organisation, "api_keys": []string{Key}}},
+		"tenants": []any{named(Organisation, map[string]any{"api_keys": []string{Key}})},
 	})
 }
 
+// named returns the fields of an object with its name.
+func named(name string, fields map[string]any) map[string]any {
+	fields["name"] = name
+	return fields
+}
+
 // Zone returns the availability zone of the n-th machine.
 func Zone(n int) string { return "zone-" + string(rune('a'+n%3)) }
 
