review: a form that is sent with its length reaches the server changed

Cause: the gateway's HTTP server parses multipart/form-data bodies, and the forwarded body is written anew from the parsed form.

--- a/review/harness/trainer.go
+++ b/review/harness/trainer.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -171,14 +170,17 @@
 	}
 }
 
-// Post sends a plain call with a body and returns the status of its answer.
-func (env *Env) Post(ctx context.Context, g *Gateway, id, contentType string, body []byte) (int, error) {
+// Post sends a plain call with a body, with its length or in chunks, and returns the status of its answer.
+func (env *Env) Post(ctx context.Context, g *Gateway, id, contentType string, body []byte, chunked bool) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.URL+CallPrefix+id, strings.NewReader(string(body)))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.URL+CallPrefix+id, bytes.NewReader(body))
 	if err != nil {
 		return 0, errors.Wrap(err, id)
 	}
+	if chunked {
+		request.ContentLength = -1
+	}
 	request.Host = Host
 	request.Header.Set("X-Credential", Key)
 	request.Header.Set("X-Request-Id", id)
