review: an order that a cut held up arrives after a newer one

Cause: a call that is given up closes its connection without a reset, so that TCP delivers its bytes after a cut, and the fencing token of one holder grows with each renewal of its lease.

--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -35,6 +37,9 @@
 // slots is the number of requests that an engine runs at once.
 const slots = 12
 
+// loadTime is how long a change of version takes.
+const loadTime = 900 * time.Millisecond
+
 // Run is a run of an item at an engine.
 type Run struct {
 	Engine *Engine
@@ -56,28 +61,89 @@
 	env    *Env
 	zone   string
 	server *http.Server
-	mu     sync.Mutex
+	// link is the proxy before the engine; nil if there is none.
+	link *Link
+	born int64
+
+	mu sync.Mutex
 	// running are the items that run.
 	running map[string]bool
 	runs    int
+	// version is the weight version that is loaded, orders are the orders that arrived, accepted counts those that were accepted, and busy
+	// is set while one is carried out.
+	version, accepted int
+	busy              bool
+	orders            []Order
+}
+
+// Order is an order that arrived at an engine.
+type Order struct {
+	At      time.Time
+	Holder  string `json:"holder"`
+	Fence   uint64 `json:"fence_token"`
+	Version int    `json:"version"`
+	Expect  *int   `json:"expect"`
+	Status  int
 }
 
 // StartEngine starts an engine and registers it.
 func (env *Env) StartEngine(id, zone string, events int, interval time.Duration, decide func(Run) Action) (*Engine, error) {
-	e := &Engine{ID: id, Events: events, Interval: interval, Decide: decide, env: env, zone: zone, running: map[string]bool{}}
+	e, address, err := env.newEngine(id, zone, events, interval, decide)
+	if err != nil {
+		return nil, err
+	}
+	e.register(address)
+	return e, nil
+}
+
+// StartEngineBehindLink starts an engine that is reached through a link.
+func (env *Env) StartEngineBehindLink(id, zone string) (*Engine, *Link, error) {
+	e, address, err := env.newEngine(id, zone, 1, 0, nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	if e.link, err = env.NewLink(address); err != nil {
+		return nil, nil, err
+	}
+	e.register(address)
+	return e, e.link, nil
+}
+
+func (env *Env) newEngine(id, zone string, events int, interval time.Duration, decide func(Run) Action) (*Engine, string, error) {
+	e := &Engine{
+		ID: id, Events: events, Interval: interval, Decide: decide, env: env, zone: zone, running: map[string]bool{}, version: 1,
+		born: time.Now().UnixMilli(),
+	}
 	listener, err := (&net.ListenConfig{}).Listen(env.ctx, "tcp", platformtest.UnusedAddress().String())
 	if err != nil {
-		return nil, errors.Wrap(err, id)
+		return nil, "", errors.Wrap(err, id)
 	}
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.server.Serve(listener) }()
 	env.Cleanups.Cleanup(func() { _ = e.server.Close() })
-	env.Store.Put("servers", id, map[string]any{
-		"service": EnginePool, "address": listener.Addr().String(), "zone": zone, "version": "v1", "slots": slots, "state": "ready",
-		"cold_left_ms": 0, "stage": "prefill_decode", "models": []any{named(Model, map[string]any{"version": 1, "adapters": []string{}})},
-		"seq": 0, "born": time.Now().UnixMilli(),
+	return e, listener.Addr().String(), nil
+}
+
+// register writes the engine's entry, as at its start and whenever its version changes.
+func (e *Engine) register(address string) {
+	if e.link != nil {
+		address = e.link.Address.String()
+	}
+	e.mu.Lock()
+	version, seq := e.version, e.accepted
+	e.mu.Unlock()
+	e.env.Store.Put("servers", e.ID, map[string]any{
+		"service": EnginePool, "address": address, "zone": e.zone, "version": "v1", "slots": slots, "state": "ready",
+		"cold_left_ms": 0, "stage": "prefill_decode", "models": []any{named(Model, map[string]any{"version": version, "adapters": []string{}})},
+		"seq": seq, "born": e.born,
 	})
-	return e, nil
+}
+
+// Orders returns the orders that arrived.
+func (e *Engine) Orders() []Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
 }
 
 // Crash ends the engine: its address refuses connections, and those that are open are closed. Its registration expires later.
@@ -99,9 +165,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if r.URL.Path == "/report" {
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = fmt.Fprintf(w, `{"stage":"prefill_decode","models":[{"name":%q,"version":1,"adapters":[]}],"busy":false,"seq":0}`, Model)
+	switch r.URL.Path {
+	case "/report":
+		e.report(w)
+		return
+	case "/order":
+		e.order(w, r)
 		return
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
@@ -123,6 +192,50 @@
 	e.answer(w, r, run, action)
 }
 
+func (e *Engine) report(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, `{"stage":"prefill_decode","models":[{"name":%q,"version":%d,"adapters":[]}],"busy":%v,"seq":%d}`,
+		Model, e.version, e.busy, e.accepted)
+}
+
+// order takes an order to load a version.
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	order := Order{At: time.Now()}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	switch {
+	case order.Version <= e.version:
+		order.Status = http.StatusOK
+	case e.busy || order.Expect != nil && *order.Expect != e.accepted:
+		order.Status = http.StatusConflict
+	default:
+		order.Status = http.StatusAccepted
+		e.accepted++
+		e.busy = true
+		go e.load(order.Version)
+	}
+	e.orders = append(e.orders, order)
+	e.mu.Unlock()
+	e.env.Record("engine %s gets the order for version %d from %s with fencing token %d: status %d", e.ID, order.Version, order.Holder, order.Fence, order.Status)
+	w.WriteHeader(order.Status)
+}
+
+// load carries out an order.
+func (e *Engine) load(version int) {
+	if !e.env.Pause(loadTime) {
+		return
+	}
+	e.mu.Lock()
+	e.version, e.busy = version, false
+	e.mu.Unlock()
+	e.register("")
+}
+
 // begin takes a slot for a run; false if there is none.
 func (e *Engine) begin(r *http.Request, item string) (Run, bool) {
 	e.mu.Lock()
--- a/review/harness/trainer.go
+++ b/review/harness/trainer.go
@@ -169,28 +169,3 @@
 		}
 	}
 }
-
-// Post sends a plain call with a body, with its length or in chunks, and returns the status of its answer.
-func (env *Env) Post(ctx context.Context, g *Gateway, id, contentType string, body []byte, chunked bool) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.URL+CallPrefix+id, bytes.NewReader(body))
-	if err != nil {
-		return 0, errors.Wrap(err, id)
-	}
-	if chunked {
-		request.ContentLength = -1
-	}
-	request.Host = Host
-	request.Header.Set("X-Credential", Key)
-	request.Header.Set("X-Request-Id", id)
-	request.Header.Set("X-Deadline-Ms", "4000")
-	request.Header.Set("Content-Type", contentType)
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return 0, errors.Wrap(err, id)
-	}
-	defer func() { _ = response.Body.Close() }()
-	_, err = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, errors.Wrap(err, id)
-}
