Log what tells chance from cause when a server ends under an item

Cause: the line "server ended under an item" had the count alone.

Change: the balancer remembers which servers of each pool ended without leaving, by refused connections and by registrations. The line has the ends in the pool, the servers that run, and whether the run had stalled.

--- a/internal/core/backend/balancer.go
+++ b/internal/core/backend/balancer.go
@@ -110,6 +110,8 @@
 	denials map[readiness.Denial]uint64
 	// pace estimates the speed of the servers; nil unless speed placement is on.
 	pace *pace.Estimator
+	// ends remembers the servers that have ended.
+	ends endHistory
 	// changed is closed and replaced by notifyChanged.
 	changed chan struct{}
 }
@@ -132,6 +134,7 @@
 		guard:   readiness.NewGuard(host, nil),
 		servers: map[string]*serverState{},
 		denials: map[readiness.Denial]uint64{},
+		ends:    endHistory{pools: map[string][]serverEnd{}},
 		changed: make(chan struct{}),
 	}
 	for _, option := range options {
@@ -184,10 +187,14 @@
 		state.server, state.key = server, server.Key()
 		next[server.ID] = state
 	}
-	for id := range b.servers {
-		if _, listed := next[id]; !listed {
+	for id, former := range b.servers {
+		current, listed := next[id]
+		if !listed {
 			b.guard.RemoveServer(id)
 		}
+		if !listed || current.key != former.key {
+			b.recordEnd(now, former)
+		}
 	}
 	b.servers = next
 	b.pools = map[string][]*serverState{}
--- /dev/null
+++ b/internal/core/backend/ends_test.go
@@ -0,0 +1,52 @@
+package backend
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against ends that count twice, once by a refused connection and once by the registration, and against planned stops that count.
+func TestServerEndsAreRecordedOnce(t *testing.T) {
+	now := time.Now()
+	b := NewBalancer("self", "north-a")
+	running := func(id string, started int64) Server {
+		return Server{ID: id, Pool: "p", Started: time.UnixMilli(started)}
+	}
+	leaving := running("leaving", 1)
+	leaving.Draining = true
+	b.Sync(now, []Server{running("a", 1), running("b", 1), running("c", 1), leaving})
+	b.RecordEnd(now, running("a", 1).Key())
+	b.RecordEnd(now, running("a", 1).Key())
+	b.RecordEnd(now, leaving.Key())
+	b.RecordEnd(now, running("b", 7).Key())
+	if ended, running := b.Ends("p", now, now); ended != 1 || running != 3 {
+		t.Errorf("%d servers ended and %d run, want one, and three", ended, running)
+	}
+	later := now.Add(time.Second)
+	b.Sync(later, []Server{running("b", 2), running("c", 1)})
+	if ended, running := b.Ends("p", now, later); ended != 2 || running != 2 {
+		t.Errorf("%d servers ended and %d run, want a and the first run of b, and two", ended, running)
+	}
+	if ended, _ := b.Ends("p", later, later); ended != 1 {
+		t.Errorf("%d servers ended later, want the first run of b", ended)
+	}
+	if ended, _ := b.Ends("other", now, later); ended != 0 {
+		t.Errorf("%d servers of another pool ended", ended)
+	}
+}
+
+// Guards against a history that grows with each server that ends.
+func TestServerEndsAreForgotten(t *testing.T) {
+	h := endHistory{pools: map[string][]serverEnd{}}
+	now := time.Now()
+	for i := range 2 * maxRemembered {
+		h.record(now, "p", Key{ID: "s", Started: int64(i)})
+	}
+	if got := len(h.pools["p"]); got != maxRemembered {
+		t.Errorf("%d ends are remembered, want %d", got, maxRemembered)
+	}
+	h.record(now.Add(endRetention+time.Second), "p", Key{ID: "t"})
+	if got := len(h.pools["p"]); got != 1 {
+		t.Errorf("%d ends are remembered after the retention, want 1", got)
+	}
+}
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -117,7 +117,8 @@
 			Msg("item run not completed")
 	}
 	if r.connectionLost && ctx.Err() == nil {
-		m.checkServer(ctx, j, item.ID, server, false)
+		use := serverUse{item: item.ID, server: server.Key(), pool: server.Pool, stalled: output.LastEvent == from}
+		m.checkServer(ctx, j, use, server.Address)
 	}
 	if next := m.continueMove(ctx, r, result); next != nil {
 		return next
--- a/internal/edge/batchjob/reward.go
+++ b/internal/edge/batchjob/reward.go
@@ -104,7 +104,7 @@
 		pause = rewardDeniedDelay
 	}
 	for _, used := range tally.Interrupted {
-		m.checkServer(ctx, j, item.ID, used, true)
+		m.checkServer(ctx, j, serverUse{item: item.ID, server: used.Key(), reward: true, pool: used.Pool}, used.Address)
 	}
 	ticker.Sleep(ctx, pause)
 	j.applyNoScore(time.Now(), item.ID, tally.Failed, route.MaxAttempts)
--- a/internal/edge/batchjob/serverend.go
+++ b/internal/edge/batchjob/serverend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -65,6 +66,15 @@
 	item   string
 	server backend.Key
 	reward bool
+	// pool is the server's pool.
+	pool string
+	// stalled is set if the run brought no event. It isn't known of reward calls.
+	stalled bool
+}
+
+// identity returns what tells the uses of servers apart.
+func (u serverUse) identity() serverUse {
+	return serverUse{item: u.item, server: u.server, reward: u.reward}
 }
 
 // interruptedRun is a run that was interrupted at a server that is not known to have ended.
@@ -76,9 +86,10 @@
 
 // checkServer finds out whether the server of an interrupted run has ended, and counts that for the item. If a probe can't tell, the
 // registration of the server may tell later.
-func (m *Manager) checkServer(ctx context.Context, j *job, item string, server backend.Server, reward bool) {
-	run := interruptedRun{serverUse: serverUse{item: item, server: server.Key(), reward: reward}, at: time.Now()}
-	if errors.Is(m.probes.probe(ctx, server.Address), exchange.ErrEnded) {
+func (m *Manager) checkServer(ctx context.Context, j *job, use serverUse, address netip.AddrPort) {
+	run := interruptedRun{serverUse: use, at: time.Now()}
+	if errors.Is(m.probes.probe(ctx, address), exchange.ErrEnded) {
+		m.balancer.RecordEnd(time.Now(), use.server)
 		m.countServerEnd(j, run, "connectionRefused")
 		return
 	}
@@ -109,11 +120,11 @@
 func (m *Manager) countServerEnd(j *job, run interruptedRun, evidence string) {
 	now := time.Now()
 	j.mu.Lock()
-	if j.endedUnder[run.serverUse] {
+	if j.endedUnder[run.identity()] {
 		j.mu.Unlock()
 		return
 	}
-	j.endedUnder[run.serverUse] = true
+	j.endedUnder[run.identity()] = true
 	if run.reward {
 		j.progress.RecordRewardServerEnd(run.item)
 	} else {
@@ -123,8 +134,9 @@
 	j.mu.Unlock()
 	m.serverEnds.merge(now, run.item, ends)
 	m.metrics.countServerEnd()
+	ended, running := m.balancer.Ends(run.pool, run.at.Add(-endConfirmTime), now)
 	m.log.Info().Str("request", j.spec.ID).Str("item", run.item).Str("server", run.server.ID).Bool("reward", run.reward).Str("evidence", evidence).
-		Int("ends", ends.Item).Int("rewardEnds", ends.Reward).Bool("withheld", max(ends.Item, ends.Reward) >= batch.MaxServerEnds).
+		Bool("stalled", run.stalled).Int("poolEnds", ended).Int("poolServers", running).Int("ends", ends.Item).Int("rewardEnds", ends.Reward).Bool("withheld", max(ends.Item, ends.Reward) >= batch.MaxServerEnds).
 		Dur("after", now.Sub(run.at)).Msg("server ended under an item")
 	j.wake()
 }
