Run sound items again after servers ended under them by chance

What callers saw: while model servers crashed one after the other, some items of a batch job were at a server that crashed three times. They were sent to no server after that, in this job and in later ones for five minutes, at every entry. The trainer's steps lacked them and ran out of time (LOST).

Cause: three ended servers withheld an item whoever caused the ends, and nothing could clear it, since a withheld item was not run again. Each crash counts against the dozen items that ran there.

Change: beside the counts stands what tells chance from cause. As many ends are explained as a server of the pool had on average at that time, nine at most. A withheld item is released for a run at an idle server 2 s after its last end if its ends look like chance (most runs brought events, or other servers ended), else after 30 s, doubled with each server that ends under such a run. A run that completes explains all ends. Counts carry their age in heartbeats, so that two entries don't return expired ones to each other; the evidence goes with pages, handovers and heartbeats. Reward calls follow the same rules. A withheld item keeps its output, also at a successor.

Why it works: a wave explains its own ends, a sound item completes its run alone and is cleared, and an item that ends its servers at its start has neither progress nor other ends on its side: it ends three, and a fourth 30 s later.

--- a/internal/core/batch/output.go
+++ b/internal/core/batch/output.go
@@ -53,6 +53,18 @@
 	// ServerEnds and RewardServerEnds count the servers that ended while they ran the item and its reward call.
 	ServerEnds       int `json:"serverEnds,omitempty" msgpack:"e"`
 	RewardServerEnds int `json:"rewardServerEnds,omitempty" msgpack:"s"`
+	// ServerEndsExplained, RewardServerEndsExplained and StalledServerEnds are those of type ServerEnds.
+	ServerEndsExplained       int `json:"serverEndsExplained,omitempty" msgpack:"x"`
+	RewardServerEndsExplained int `json:"rewardServerEndsExplained,omitempty" msgpack:"y"`
+	StalledServerEnds         int `json:"stalledServerEnds,omitempty" msgpack:"d"`
+}
+
+// serverEnds returns the counts of ended servers.
+func (p Partial) serverEnds() ServerEnds {
+	return ServerEnds{
+		Item: p.ServerEnds, Reward: p.RewardServerEnds,
+		ItemExplained: p.ServerEndsExplained, RewardExplained: p.RewardServerEndsExplained, Stalled: p.StalledServerEnds,
+	}
 }
 
 // outputFromPartial returns an output that continues a partial.
--- a/internal/core/batch/partial.go
+++ b/internal/core/batch/partial.go
@@ -63,19 +63,18 @@
 	return partials
 }
 
-// Resume applies the partials of another entry to items that wait to run. Output is used only if the job allows its
+// Resume applies the partials of another entry to items that wait to run or are withheld. Output is used only if the job allows its
 // weight versions and it is longer than what is known; failure counts always are.
 func (p *Progress) Resume(partials []Partial) {
 	for _, partial := range partials {
 		state, known := p.items[partial.Item]
-		if !known || state.phase != phaseWaiting {
+		if !known || state.textComplete() || state.phase != phaseWaiting && state.phase != phaseWithheld {
 			continue
 		}
 		state.failures = max(state.failures, partial.Failures)
 		state.rewardFailures = max(state.rewardFailures, partial.RewardFailures)
-		state.ends = state.ends.Merge(ServerEnds{Item: partial.ServerEnds, Reward: partial.RewardServerEnds})
-		state.withholdIfWaiting()
-		if partial.LastEvent <= state.output.LastEvent || state.phase == phaseWithheld {
+		p.MergeItemServerEnds(partial.Item, partial.serverEnds())
+		if partial.LastEvent <= state.output.LastEvent {
 			continue
 		}
 		output := outputFromPartial(partial)
@@ -100,7 +99,10 @@
 		Failures:       s.failures,
 		RewardFailures: s.rewardFailures,
 
-		ServerEnds:       s.ends.Item,
-		RewardServerEnds: s.ends.Reward,
+		ServerEnds:                s.ends.Item,
+		RewardServerEnds:          s.ends.Reward,
+		ServerEndsExplained:       s.ends.ItemExplained,
+		RewardServerEndsExplained: s.ends.RewardExplained,
+		StalledServerEnds:         s.ends.Stalled,
 	}
 }
--- a/internal/core/batch/progress.go
+++ b/internal/core/batch/progress.go
@@ -30,7 +30,7 @@
 	// reward call in progress.
 	phaseAwaitingScore
 	phaseScoring
-	// phaseWithheld items are sent to no server any more and have no result yet.
+	// phaseWithheld items are sent to no server, unless they are released for a run alone, and have no result yet.
 	phaseWithheld
 	// phaseDone items have a result that is not in a page yet.
 	phaseDone
@@ -46,8 +46,13 @@
 	// failures counts failed runs, rewardFailures failed reward calls.
 	failures       int
 	rewardFailures int
-	// ends counts the servers that ended under the item and its reward call.
-	ends ServerEnds
+	// ends counts the servers that ended under the item and its reward call. releasedEnds are the counts with which it was last released
+	// for a run alone, at releasedAt.
+	ends         ServerEnds
+	releasedEnds ServerEnds
+	releasedAt   time.Time
+	// rewardWithheld is set while the item is withheld and its text is complete.
+	rewardWithheld bool
 	// moves counts how often the item has moved to a faster server.
 	moves int
 	// rewardWaitingSince is when the reward call first reached the head of its queue; zero before.
@@ -61,13 +66,13 @@
 }
 
 func (s *itemState) totalFailures() int {
-	return s.failures + s.rewardFailures + s.ends.Item + s.ends.Reward
+	return s.failures + s.rewardFailures + s.ends.Item + s.ends.Reward + s.ends.ItemExplained + s.ends.RewardExplained
 }
 
 func (s *itemState) unfinished() bool { return s.phase < phaseDone }
 
 func (s *itemState) textComplete() bool {
-	return s.phase == phaseAwaitingScore || s.phase == phaseScoring
+	return s.phase == phaseAwaitingScore || s.phase == phaseScoring || s.rewardWithheld
 }
 
 // groupState counts the results of a group.
--- a/internal/core/batch/reward.go
+++ b/internal/core/batch/reward.go
@@ -7,7 +7,7 @@
 
 // queueReward queues an item whose text is complete for its reward call.
 func (p *Progress) queueReward(state *itemState) {
-	state.phase = phaseAwaitingScore
+	state.phase, state.rewardWithheld = phaseAwaitingScore, false
 	state.withholdIfWaiting()
 	p.rewardQueue = append(p.rewardQueue, state)
 }
--- a/internal/core/batch/serverend.go
+++ b/internal/core/batch/serverend.go
@@ -1,54 +1,160 @@
 package batch
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 const (
-	// MaxServerEnds is how many servers may end under an item, or under its reward call, before it is withheld: it is sent to no other
-	// server and is lost once the time of its job is up.
+	// MaxServerEnds is how many servers may end under an item, or under its reward call, before it is withheld. Ends that the other ends in
+	// the pool explain don't count. A withheld item is sent to no other server until it is due for a run alone, and is lost once the time of
+	// its job is up.
 	MaxServerEnds = 3
 	// suspectServerEnds is the number of ended servers from which an item is a suspect. Suspects never share a server, so that the last end
 	// before an item is withheld has one possible cause.
 	suspectServerEnds = MaxServerEnds - 1
+	// maxChanceEnds bounds how many ends of an item other ends in the pool may explain. Several items that each end their servers would
+	// otherwise explain one another without a limit.
+	maxChanceEnds = 9
+)
+
+const (
+	// likelySoundDelay is how long after its last end a withheld item waits for a run alone if its ends look like chance. Trainers wait
+	// for it.
+	likelySoundDelay = 2 * time.Second
+	// retryDelay is that time for any other item. It doubles with each run alone under which the server ended.
+	retryDelay    = 30 * time.Second
+	maxRetryDelay = 5 * time.Minute
+	// idleServerWait is how long an item that is due for a run alone waits for a server that runs nothing else, before it takes one that
+	// runs no other suspect.
+	idleServerWait = time.Second
 )
 
 // ServerEnds counts the servers that ended while they ran an item or its reward call.
+//
+// A count alone doesn't tell an item that ends its servers from a sound one whose servers happened to end. What does is kept beside it: how
+// many other servers of the pool ended at that time, whether the runs made progress, and whether the item has completed since.
 type ServerEnds struct {
 	Item   int `msgpack:"i"`
 	Reward int `msgpack:"r"`
+	// ItemExplained and RewardExplained are how many of these ends don't count: those that the other ends in the pool explain, or all of
+	// them once a run has completed.
+	ItemExplained   int `msgpack:"x"`
+	RewardExplained int `msgpack:"y"`
+	// Stalled is how many of the item's ends came before its run brought an event.
+	Stalled int `msgpack:"s"`
+	// Age is the time since the last end. It is set only in heartbeats.
+	Age time.Duration `msgpack:"a"`
 }
 
 // Merge returns the higher counts of both. The counts of two entries may include the same server.
 func (e ServerEnds) Merge(other ServerEnds) ServerEnds {
-	return ServerEnds{Item: max(e.Item, other.Item), Reward: max(e.Reward, other.Reward)}
+	return ServerEnds{
+		Item:            max(e.Item, other.Item),
+		Reward:          max(e.Reward, other.Reward),
+		ItemExplained:   max(e.ItemExplained, other.ItemExplained),
+		RewardExplained: max(e.RewardExplained, other.RewardExplained),
+		Stalled:         max(e.Stalled, other.Stalled),
+	}
+}
+
+// Unexplained returns how many servers ended under the item and its reward call without another explanation.
+func (e ServerEnds) Unexplained() (item, reward int) {
+	return max(0, e.Item-e.ItemExplained), max(0, e.Reward-e.RewardExplained)
 }
 
 // Suspect reports whether an item with these counts may be what ends the servers. It may only run at a server without another suspect.
-func (e ServerEnds) Suspect() bool { return max(e.Item, e.Reward) >= suspectServerEnds }
+func (e ServerEnds) Suspect() bool { return e.mostUnexplained() >= suspectServerEnds }
+
+// OverLimit reports whether the item or its reward call may only run alone, and only when RetryDelay has passed.
+func (e ServerEnds) OverLimit() bool { return e.mostUnexplained() >= MaxServerEnds }
+
+// WorthSharing reports whether other entries need to know the counts: of a suspect, or of an item that was one.
+func (e ServerEnds) WorthSharing() bool { return max(e.Item, e.Reward) >= suspectServerEnds }
+
+// TotalUnexplained returns how many servers ended under the item or its reward call without another explanation.
+func (e ServerEnds) TotalUnexplained() int {
+	item, reward := e.Unexplained()
+	return item + reward
+}
+
+func (e ServerEnds) mostUnexplained() int {
+	item, reward := e.Unexplained()
+	return max(item, reward)
+}
+
+// RetryDelay returns how long after the last end an item over the limit waits for a run alone.
+//
+// The first run alone comes early if the item is likely to be sound: other servers of the pool ended too, or most of its runs made progress
+// before their servers ended. An item that ends its servers by its input does so before its first event, also when it resumes where it
+// ended the last one.
+func (e ServerEnds) RetryDelay() time.Duration {
+	runsAlone := e.mostUnexplained() - MaxServerEnds
+	if runsAlone <= 0 && e.likelySound() {
+		return likelySoundDelay
+	}
+	delay := retryDelay
+	for range runsAlone {
+		delay = min(2*delay, maxRetryDelay)
+	}
+	return delay
+}
+
+func (e ServerEnds) likelySound() bool {
+	if item, _ := e.Unexplained(); item >= MaxServerEnds {
+		return e.ItemExplained > 0 || 2*e.Stalled < e.Item
+	}
+	return e.RewardExplained > 0
+}
+
+// ExplainedByChance returns how many of the ends under an item those of other servers explain: as many as a server of the pool is expected to
+// have had at that time. Ended counts all ends in the pool, own those under the item, and running the servers of the pool that run.
+func ExplainedByChance(ended, own, running int) int {
+	others := max(0, ended-own)
+	rest := max(1, running-1)
+	return min((others+rest-1)/rest, own, maxChanceEnds)
+}
 
 // RecordServerEnd records that a server ended while it ran the item. At the limit, an item that waits is withheld at once, and one that runs
 // when it would wait again.
 func (p *Progress) RecordServerEnd(id string) {
-	if state, ok := p.items[id]; ok && state.unfinished() {
-		state.ends.Item++
-		state.withholdIfWaiting()
-	}
+	p.updateServerEnds(id, func(ends *ServerEnds) { ends.Item++ })
+}
+
+// RecordStalledServerEnd records that a server ended while it ran the item, before the run brought an event.
+func (p *Progress) RecordStalledServerEnd(id string) {
+	p.updateServerEnds(id, func(ends *ServerEnds) {
+		ends.Item++
+		ends.Stalled++
+	})
 }
 
 // RecordRewardServerEnd records that a server ended while it ran the item's reward call.
 func (p *Progress) RecordRewardServerEnd(id string) {
-	if state, ok := p.items[id]; ok && state.unfinished() {
-		state.ends.Reward++
-		state.withholdIfWaiting()
-	}
+	p.updateServerEnds(id, func(ends *ServerEnds) { ends.Reward++ })
 }
 
 // MergeServerEnds applies what is known of items from other jobs and other entries.
 func (p *Progress) MergeServerEnds(known func(item string) ServerEnds) {
-	for id, state := range p.items {
-		if state.unfinished() {
-			state.ends = state.ends.Merge(known(id))
-			state.withholdIfWaiting()
-		}
+	for id := range p.items {
+		p.MergeItemServerEnds(id, known(id))
+	}
+}
+
+// MergeItemServerEnds applies what is known of one item. A withheld item waits again if its ends are explained by now.
+func (p *Progress) MergeItemServerEnds(id string, known ServerEnds) {
+	p.updateServerEnds(id, func(ends *ServerEnds) { *ends = ends.Merge(known) })
+}
+
+func (p *Progress) updateServerEnds(id string, update func(ends *ServerEnds)) {
+	state, ok := p.items[id]
+	if !ok || !state.unfinished() {
+		return
+	}
+	update(&state.ends)
+	state.withholdIfWaiting()
+	if state.phase == phaseWithheld && !state.overLimit() {
+		p.release(state)
 	}
 }
 
@@ -63,9 +169,43 @@
 // Suspect reports whether the item is a suspect.
 func (p *Progress) Suspect(id string) bool { return p.ServerEnds(id).Suspect() }
 
-// Withheld returns the number of items that are sent to no server any more.
+// Withheld returns the number of items that are sent to no server.
 func (p *Progress) Withheld() int { return p.count(phaseWithheld) }
 
+// WithheldItems returns the items that are sent to no server, in their order of submission.
+func (p *Progress) WithheldItems() []string {
+	var ids []string
+	for _, state := range p.order {
+		if state.phase == phaseWithheld {
+			ids = append(ids, state.item.ID)
+		}
+	}
+	return ids
+}
+
+// IsWithheld reports whether the item is sent to no server.
+func (p *Progress) IsWithheld(id string) bool {
+	state, ok := p.items[id]
+	return ok && state.phase == phaseWithheld
+}
+
+// ReleaseForRunAlone lets a withheld item wait for a server again, until another server ends under it. NeedsIdleServer tells where it may run.
+func (p *Progress) ReleaseForRunAlone(now time.Time, id string) {
+	state, ok := p.items[id]
+	if !ok || state.phase != phaseWithheld {
+		return
+	}
+	state.releasedAt = now
+	state.releasedEnds = state.ends
+	p.release(state)
+}
+
+// NeedsIdleServer reports whether the item may only be sent to a server that runs nothing else.
+func (p *Progress) NeedsIdleServer(now time.Time, id string) bool {
+	state, ok := p.items[id]
+	return ok && state.ends.OverLimit() && now.Sub(state.releasedAt) < idleServerWait
+}
+
 // Postpone lets the items that wait go before this one.
 func (p *Progress) Postpone(id string) {
 	if p.IsWaiting(id) {
@@ -74,13 +214,30 @@
 	}
 }
 
+// release queues a withheld item, or its reward call if the text is complete.
+func (p *Progress) release(state *itemState) {
+	if state.rewardWithheld {
+		state.phase, state.rewardWithheld = phaseAwaitingScore, false
+		p.rewardQueue = slices.Insert(p.rewardQueue, 0, state)
+		return
+	}
+	state.phase = phaseWaiting
+	p.queue = slices.Insert(slices.DeleteFunc(p.queue, func(other *itemState) bool { return other == state }), 0, state)
+}
+
 // withholdIfWaiting withholds the item if it waits to be sent and too many servers have ended under it.
 func (s *itemState) withholdIfWaiting() {
-	switch {
-	case s.phase == phaseWaiting && s.ends.Item >= MaxServerEnds:
-		s.phase = phaseWithheld
-	case s.phase == phaseAwaitingScore && s.ends.Reward >= MaxServerEnds:
+	if (s.phase == phaseWaiting || s.phase == phaseAwaitingScore) && s.overLimit() {
+		s.rewardWithheld = s.phase == phaseAwaitingScore
 		s.phase = phaseWithheld
-	default:
 	}
 }
+
+// overLimit reports whether too many servers have ended under what the item would be sent for, and one of them since it was last released.
+func (s *itemState) overLimit() bool {
+	item, reward := s.ends.Unexplained()
+	if s.textComplete() {
+		return reward >= MaxServerEnds && s.ends.Reward > s.releasedEnds.Reward
+	}
+	return item >= MaxServerEnds && s.ends.Item > s.releasedEnds.Item
+}
--- /dev/null
+++ b/internal/core/batch/serverend_load_test.go
@@ -0,0 +1,229 @@
+package batch
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+const (
+	poolSize   = 9
+	poolSlots  = 12
+	eventTime  = 50 * time.Millisecond
+	itemEvents = 20
+	// restartTime is how long a server that ended is away.
+	restartTime = time.Second
+)
+
+// serverEndLoad plays a job at a pool whose servers end, by chance or under some of the items, in virtual time.
+type serverEndLoad struct {
+	random   *rand.Rand
+	progress *Progress
+	now      time.Time
+	// backAt is when each server that ended returns; runs holds the items that run at each.
+	backAt [poolSize]time.Time
+	runs   [poolSize]map[string]int
+	// ends are the times of all ends, firstEnd and lastEnd those of each item, and sends counts the runs of each item.
+	ends              []time.Time
+	firstEnd, lastEnd map[string]time.Time
+	sends             map[string]int
+	// stopped counts the servers that the harmful items ended.
+	stopped map[string]int
+}
+
+func newServerEndLoad(seed uint64, items int, harmful ...string) *serverEndLoad {
+	job := &Job{ID: "j", Accepted: start, Terms: Terms{ItemTimeout: time.Hour, MaxAttempts: 2}}
+	for i := range items {
+		job.Items = append(job.Items, Item{ID: fmt.Sprint(i), Group: fmt.Sprint(i)})
+	}
+	l := &serverEndLoad{
+		random: rand.New(rand.NewPCG(seed, 1)), progress: NewProgress(job, 1), now: start,
+		firstEnd: map[string]time.Time{}, lastEnd: map[string]time.Time{}, sends: map[string]int{}, stopped: map[string]int{},
+	}
+	for i := range l.runs {
+		l.runs[i] = map[string]int{}
+	}
+	for _, item := range harmful {
+		l.stopped[item] = 0
+	}
+	return l
+}
+
+// endServer ends a server under all that runs there.
+func (l *serverEndLoad) endServer(server int) {
+	if l.now.Before(l.backAt[server]) {
+		return
+	}
+	l.backAt[server] = l.now.Add(restartTime)
+	l.ends = append(l.ends, l.now)
+	for _, item := range slices.Sorted(maps.Keys(l.runs[server])) {
+		events := l.runs[server][item]
+		if _, known := l.firstEnd[item]; !known {
+			l.firstEnd[item] = l.now
+		}
+		l.lastEnd[item] = l.now
+		if events == 0 {
+			l.progress.RecordStalledServerEnd(item)
+		} else {
+			l.progress.RecordServerEnd(item)
+		}
+		l.explain(item)
+		l.progress.Requeue(item)
+	}
+	clear(l.runs[server])
+}
+
+func (l *serverEndLoad) explain(item string) {
+	ended := 0
+	for _, at := range l.ends {
+		if !at.Before(l.firstEnd[item].Add(-5*time.Second)) && !at.After(l.lastEnd[item].Add(5*time.Second)) {
+			ended++
+		}
+	}
+	own := l.progress.ServerEnds(item).Item
+	l.progress.MergeItemServerEnds(item, ServerEnds{ItemExplained: ExplainedByChance(ended, own, poolSize)})
+}
+
+// step plays the next event of all runs, and starts what waits.
+func (l *serverEndLoad) step() {
+	l.now = l.now.Add(eventTime)
+	for server, runs := range l.runs {
+		for _, item := range slices.Sorted(maps.Keys(runs)) {
+			if _, harmful := l.stopped[item]; harmful {
+				l.stopped[item]++
+				l.endServer(server)
+				break
+			}
+			output := l.progress.items[item].output
+			output.Append(Event{Number: output.LastEvent + 1}, 1)
+			runs[item]++
+			if output.LastEvent == itemEvents {
+				delete(runs, item)
+				l.progress.RecordCompletion(l.now, item)
+			}
+		}
+	}
+	for _, item := range l.progress.WithheldItems() {
+		l.explain(item)
+		if l.now.Sub(l.lastEnd[item]) >= l.progress.ServerEnds(item).RetryDelay() {
+			l.progress.ReleaseForRunAlone(l.now, item)
+		}
+	}
+	l.startItems()
+}
+
+func (l *serverEndLoad) startItems() {
+	for range len(l.progress.items) {
+		item, ok := l.progress.Next()
+		if !ok {
+			return
+		}
+		l.progress.Postpone(item.ID)
+		first := l.random.IntN(poolSize)
+		for i := range poolSize {
+			if server := (first + i) % poolSize; l.mayRunAt(item.ID, server) {
+				l.progress.Start(item.ID)
+				l.runs[server][item.ID] = 0
+				l.sends[item.ID]++
+				break
+			}
+		}
+	}
+}
+
+func (l *serverEndLoad) mayRunAt(item string, server int) bool {
+	if l.now.Before(l.backAt[server]) || len(l.runs[server]) >= poolSlots {
+		return false
+	}
+	if l.progress.NeedsIdleServer(l.now, item) && len(l.runs[server]) > 0 {
+		return false
+	}
+	for other := range l.runs[server] {
+		if l.progress.Suspect(item) && l.progress.Suspect(other) {
+			return false
+		}
+	}
+	return true
+}
+
+// play runs the load for a time, in which servers end by chance at the given interval, count at once; 0 stands for none.
+func (l *serverEndLoad) play(duration, interval time.Duration, count int) {
+	next := l.now.Add(interval)
+	for end := l.now.Add(duration); l.now.Before(end); l.step() {
+		if interval > 0 && !l.now.Before(next) {
+			next = next.Add(interval)
+			for _, server := range l.random.Perm(poolSize)[:count] {
+				l.endServer(server)
+			}
+		}
+	}
+}
+
+// checkCompleted checks that all items but the harmful ones have completed.
+func (l *serverEndLoad) checkCompleted(t *testing.T) {
+	t.Helper()
+	for id, state := range l.progress.items {
+		if _, harmful := l.stopped[id]; !harmful && state.result.State != StateCompleted {
+			t.Errorf("item %s has not completed after %d runs; its counts are %+v", id, l.sends[id], state.ends)
+		}
+	}
+}
+
+// Guards against sound items that stay withheld after waves in which servers end.
+func TestSoundItemsCompleteAfterWavesOfServerEnds(t *testing.T) {
+	for _, wave := range []struct {
+		name     string
+		interval time.Duration
+		count    int
+	}{
+		{name: "a server or two at a time", interval: 150 * time.Millisecond, count: 1},
+		{name: "half of the pool", interval: 1200 * time.Millisecond, count: 5},
+		{name: "one after another", interval: 400 * time.Millisecond, count: 1},
+	} {
+		for seed := range uint64(50) {
+			t.Run(fmt.Sprintf("%s, seed %d", wave.name, seed), func(t *testing.T) {
+				load := newServerEndLoad(seed, 60)
+				load.play(4*time.Second, wave.interval, wave.count)
+				load.play(8*time.Second, 0, 0)
+				load.checkCompleted(t)
+			})
+		}
+	}
+}
+
+// Guards against items that end servers without a bound, alone, beside others like them, and while servers end by chance.
+func TestServerEndsOfHarmfulItemsStayBounded(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		harmful []string
+		// interval is the time between two ends by chance.
+		interval time.Duration
+		// most is the limit, what the ends of the others explain, and one run alone.
+		most int
+	}{
+		{name: "one", harmful: []string{"3"}, most: MaxServerEnds},
+		{name: "two", harmful: []string{"3", "7"}, most: MaxServerEnds + 1 + 1},
+		{name: "five", harmful: []string{"3", "7", "11", "12", "13"}, most: MaxServerEnds + 4 + 1},
+		{name: "one, and ends by chance", harmful: []string{"3"}, interval: 300 * time.Millisecond, most: MaxServerEnds + maxChanceEnds + 1},
+		{name: "as many as servers", harmful: []string{"1", "2", "3", "4", "5", "6", "7", "8", "9"}, most: MaxServerEnds + maxChanceEnds + 1},
+	} {
+		for seed := range uint64(50) {
+			t.Run(fmt.Sprintf("%s, seed %d", test.name, seed), func(t *testing.T) {
+				load := newServerEndLoad(seed, 60, test.harmful...)
+				load.play(25*time.Second, test.interval, 1)
+				for _, item := range test.harmful {
+					if load.stopped[item] > test.most {
+						t.Errorf("item %s ended %d servers, want at most %d; its counts are %+v", item, load.stopped[item], test.most,
+							load.progress.ServerEnds(item))
+					}
+				}
+				if test.interval == 0 {
+					load.checkCompleted(t)
+				}
+			})
+		}
+	}
+}
--- a/internal/core/batch/serverend_test.go
+++ b/internal/core/batch/serverend_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -113,3 +114,133 @@
 		t.Errorf("order %v", order)
 	}
 }
+
+// Guards against sound items that are withheld because servers of the whole pool end, and against items that explain one another's ends
+// without a limit.
+func TestExplainedByChance(t *testing.T) {
+	for _, test := range []struct {
+		name                string
+		ended, own, running int
+		want                int
+	}{
+		{name: "no other server ended", ended: 3, own: 3, running: 9},
+		{name: "ends that aren't known here", ended: 1, own: 3, running: 9},
+		{name: "a single other one", ended: 4, own: 3, running: 9, want: 1},
+		{name: "another item ended three", ended: 6, own: 3, running: 9, want: 1},
+		{name: "half of the pool, three times", ended: 14, own: 3, running: 9, want: 2},
+		{name: "each server twice", ended: 19, own: 3, running: 9, want: 2},
+		{name: "more than all ends", ended: 60, own: 3, running: 9, want: 3},
+		{name: "at the bound", ended: 300, own: 40, running: 9, want: maxChanceEnds},
+		{name: "one server of a pool of one", ended: 4, own: 3, running: 1, want: 1},
+		{name: "an empty pool", ended: 4, own: 3, running: 0, want: 1},
+		{name: "a large pool", ended: 23, own: 3, running: 2000, want: 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := ExplainedByChance(test.ended, test.own, test.running); got != test.want {
+				t.Errorf("got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a sound item that waits for minutes, and against an item that soon ends a fourth server.
+func TestRetryDelayFollowsTheEvidence(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		ends ServerEnds
+		want time.Duration
+	}{
+		{name: "each run stalled", ends: ServerEnds{Item: 3, Stalled: 3}, want: retryDelay},
+		{name: "only the first run made progress", ends: ServerEnds{Item: 3, Stalled: 2}, want: retryDelay},
+		{name: "most runs made progress", ends: ServerEnds{Item: 3, Stalled: 1}, want: likelySoundDelay},
+		{name: "other servers ended too", ends: ServerEnds{Item: 4, Stalled: 4, ItemExplained: 1}, want: likelySoundDelay},
+		{name: "ended a server alone", ends: ServerEnds{Item: 4}, want: 2 * retryDelay},
+		{name: "ended two servers alone", ends: ServerEnds{Item: 5}, want: 4 * retryDelay},
+		{name: "ended many servers alone", ends: ServerEnds{Item: 30}, want: maxRetryDelay},
+		{name: "reward call", ends: ServerEnds{Reward: 3}, want: retryDelay},
+		{name: "reward call of an item that made progress", ends: ServerEnds{Item: 1, Reward: 3}, want: retryDelay},
+		{name: "reward call while other servers ended", ends: ServerEnds{Reward: 4, RewardExplained: 1}, want: likelySoundDelay},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.ends.RetryDelay(); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against an item that is withheld for good because servers ended under it, and against one that ends more than one server after
+// each release.
+func TestWithheldItemIsReleasedForRunAlone(t *testing.T) {
+	p := NewProgress(newTestJob(2, 1), 1)
+	now := start
+	endServers(p, "0a", MaxServerEnds)
+	for range 3 {
+		if !slices.Equal(p.WithheldItems(), []string{"0a"}) {
+			t.Fatalf("withheld: %v", p.WithheldItems())
+		}
+		now = now.Add(time.Minute)
+		p.ReleaseForRunAlone(now, "0a")
+		if item, ok := p.Next(); !ok || item.ID != "0a" {
+			t.Fatal("the released item doesn't run next")
+		}
+		if !p.NeedsIdleServer(now, "0a") || p.NeedsIdleServer(now.Add(idleServerWait), "0a") {
+			t.Error("an idle server is needed for the first moments only")
+		}
+		p.Start("0a")
+		p.Requeue("0a")
+		if !p.IsWaiting("0a") {
+			t.Error("withheld again although no server ended")
+		}
+		endServers(p, "0a", 1)
+	}
+	p.MergeItemServerEnds("0a", ServerEnds{ItemExplained: p.ServerEnds("0a").Item})
+	if !p.IsWaiting("0a") || p.Suspect("0a") {
+		t.Error("still a suspect once its ends are explained")
+	}
+}
+
+// Guards against a reward call that is withheld for good, and against the text of its item, which is complete, being generated again.
+func TestWithheldRewardCallIsReleased(t *testing.T) {
+	job := newTestJob(1, 1)
+	job.Items[0].Reward = &RewardCall{ID: "r"}
+	former := NewProgress(job, 1)
+	finishItem(t, former, start, "0a")
+	for range MaxServerEnds {
+		former.StartReward("0a")
+		former.RecordRewardServerEnd("0a")
+		former.RecordUnscored(start, "0a", 0, 2)
+	}
+	successor := NewProgress(job, 2)
+	successor.Resume(former.Partials())
+	for name, p := range map[string]*Progress{"the same entry": former, "a successor": successor} {
+		t.Run(name, func(t *testing.T) {
+			if _, _, ok := p.NextReward(start); ok || !p.IsWithheld("0a") {
+				t.Fatal("the reward call is not withheld")
+			}
+			p.ReleaseForRunAlone(start, "0a")
+			if item, _, ok := p.NextReward(start); !ok || item.ID != "0a" {
+				t.Fatal("the reward call was not released")
+			}
+			p.StartReward("0a")
+			p.RecordScore(start, "0a", "s")
+			if got := p.items["0a"].result; got.State != StateCompleted || got.Score != "s" || got.Text == "" {
+				t.Errorf("result %+v", got)
+			}
+		})
+	}
+}
+
+// Guards against the output of a withheld item being lost with the entry that received it.
+func TestWithheldItemKeepsItsOutput(t *testing.T) {
+	former := NewProgress(newTestJob(1, 1), 1)
+	former.Start("0a").Append(Event{Number: 1, Data: "x"}, 1)
+	former.Requeue("0a")
+	endServers(former, "0a", MaxServerEnds)
+	successor := NewProgress(newTestJob(1, 1), 2)
+	successor.Resume(former.Partials())
+	successor.ReleaseForRunAlone(start, "0a")
+	if output := successor.Start("0a"); output.LastEvent != 1 {
+		t.Errorf("resumes after event %d", output.LastEvent)
+	}
+}
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -107,6 +107,7 @@
 	m.metrics.observeRun(result, time.Since(started))
 	r.countMove(result, from)
 	if result == outcomeCompleted {
+		m.clearServerEnds(j, item.ID, false)
 		m.lengths.RecordFinished(j.spec.Model, item.ExpectedTokens, output.LastEvent)
 		m.metrics.observeLength(item.ExpectedTokens, output.LastEvent)
 		m.log.Debug().Str("request", j.spec.ID).Str("item", item.ID).Str("group", item.Group).Str("server", server.ID).Int("fromEvent", from).
--- a/internal/edge/batchjob/reward.go
+++ b/internal/edge/batchjob/reward.go
@@ -63,7 +63,8 @@
 		return false
 	}
 	failures := j.progress.StartReward(item.ID)
-	attempts := min(max(1, route.MaxAttempts-failures), batch.MaxServerEnds-j.progress.ServerEnds(item.ID).Reward)
+	_, ends := j.progress.ServerEnds(item.ID).Unexplained()
+	attempts := max(1, min(route.MaxAttempts-failures, batch.MaxServerEnds-ends))
 	j.wg.Go(func() { m.sendReward(ctx, j, item, route, server, attempts) })
 	return true
 }
@@ -96,6 +97,7 @@
 	}
 	m.logReward(ctx, j, item, attempt, tally, err, started)
 	if score != "" {
+		m.clearServerEnds(j, item.ID, true)
 		j.applyScore(time.Now(), item.ID, score)
 		return
 	}
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -133,6 +133,7 @@
 		case <-changed:
 		case now := <-timer.C:
 			m.confirmServerEnds(now, j)
+			m.reviewWithheld(now, j)
 		case <-written:
 			writing = false
 		}
@@ -205,7 +206,7 @@
 	}
 	suspect := j.progress.Suspect(item.ID)
 	if suspect {
-		need.Exclude = m.serverEnds.suspectServers(item.ID)
+		need.Exclude = m.excludedServers(j, item.ID)
 	}
 	server, ok := m.balancer.Acquire(time.Now(), need)
 	switch {
--- a/internal/edge/batchjob/serverend.go
+++ b/internal/edge/batchjob/serverend.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
@@ -56,9 +57,24 @@
 	}
 }
 
-// mayRunAt reports whether the item may run at the server: a suspect runs only where no other one does. The caller holds the job's lock.
+// mayRunAt reports whether the item may run at the server: a suspect runs only where no other one does, and one that needs an idle server
+// only where nothing else runs. The caller holds the job's lock.
 func (m *Manager) mayRunAt(j *job, item, server string) bool {
-	return !j.progress.Suspect(item) || !m.serverEnds.suspectServers(item)[server]
+	if !j.progress.Suspect(item) {
+		return true
+	}
+	return !m.excludedServers(j, item)[server]
+}
+
+// excludedServers returns the servers at which a suspect may not run, as a set. The caller holds the job's lock.
+func (m *Manager) excludedServers(j *job, item string) map[string]bool {
+	excluded := m.serverEnds.suspectServers(item)
+	if j.progress.NeedsIdleServer(time.Now(), item) {
+		for server := range m.balancer.TotalRunning() {
+			excluded[server] = true
+		}
+	}
+	return excluded
 }
 
 // serverUse is the use of a server by an item or, if reward is set, by its reward call.
@@ -125,18 +141,94 @@
 		return
 	}
 	j.endedUnder[run.identity()] = true
-	if run.reward {
+	switch {
+	case run.reward:
 		j.progress.RecordRewardServerEnd(run.item)
-	} else {
+	case run.stalled:
+		j.progress.RecordStalledServerEnd(run.item)
+	default:
 		j.progress.RecordServerEnd(run.item)
 	}
-	ends := j.progress.ServerEnds(run.item)
+	counted := j.progress.ServerEnds(run.item)
+	j.mu.Unlock()
+	m.serverEnds.count(now, run.serverUse, counted)
+	ends, ended, running := m.explainServerEnds(run.item)
+	j.mu.Lock()
+	j.progress.MergeItemServerEnds(run.item, ends)
 	j.mu.Unlock()
-	m.serverEnds.merge(now, run.item, ends)
 	m.metrics.countServerEnd()
-	ended, running := m.balancer.Ends(run.pool, run.at.Add(-endConfirmTime), now)
 	m.log.Info().Str("request", j.spec.ID).Str("item", run.item).Str("server", run.server.ID).Bool("reward", run.reward).Str("evidence", evidence).
-		Bool("stalled", run.stalled).Int("poolEnds", ended).Int("poolServers", running).Int("ends", ends.Item).Int("rewardEnds", ends.Reward).Bool("withheld", max(ends.Item, ends.Reward) >= batch.MaxServerEnds).
-		Dur("after", now.Sub(run.at)).Msg("server ended under an item")
+		Bool("stalled", run.stalled).Int("poolEnds", ended).Int("poolServers", running).Object("counts", endCounts(ends)).
+		Bool("overLimit", ends.OverLimit()).Dur("after", now.Sub(run.at)).Msg("server ended under an item")
 	j.wake()
 }
+
+// explainServerEnds applies what other ends in the pools say about the ends under an item. It returns the counts, and for the pool of the last
+// counted end, how many of its servers ended at that time and how many run.
+func (m *Manager) explainServerEnds(item string) (ends batch.ServerEnds, ended, running int) {
+	known := m.serverEnds.find(item)
+	from, to := known.firstAt.Add(-endConfirmTime), known.changedAt.Add(endConfirmTime)
+	ends = known.ends
+	if known.pool != "" {
+		ended, running = m.balancer.Ends(known.pool, from, to)
+		ends.ItemExplained = max(ends.ItemExplained, batch.ExplainedByChance(ended, ends.Item, running))
+	}
+	if known.rewardPool != "" {
+		ended, running = m.balancer.Ends(known.rewardPool, from, to)
+		ends.RewardExplained = max(ends.RewardExplained, batch.ExplainedByChance(ended, ends.Reward, running))
+	}
+	m.serverEnds.merge(time.Now(), item, ends)
+	return ends, ended, running
+}
+
+// reviewWithheld lets withheld items of the job run again whose ends are explained by now, or that are due for a run alone.
+func (m *Manager) reviewWithheld(now time.Time, j *job) {
+	j.mu.Lock()
+	withheld := j.progress.WithheldItems()
+	j.mu.Unlock()
+	for _, item := range withheld {
+		ends, ended, running := m.explainServerEnds(item)
+		due := m.serverEnds.dueAlone(now, item)
+		j.mu.Lock()
+		j.progress.MergeItemServerEnds(item, ends)
+		if due {
+			j.progress.ReleaseForRunAlone(now, item)
+		}
+		released := !j.progress.IsWithheld(item)
+		j.mu.Unlock()
+		if released {
+			m.log.Info().Str("request", j.spec.ID).Str("item", item).Bool("alone", ends.OverLimit()).Int("poolEnds", ended).
+				Int("poolServers", running).Object("counts", endCounts(ends)).Dur("delay", ends.RetryDelay()).Msg("withheld item released")
+			j.wake()
+		}
+	}
+}
+
+// clearServerEnds records that a run of the item or, if reward is set, its reward call has completed, so that it isn't what ended the
+// servers before.
+func (m *Manager) clearServerEnds(j *job, item string, reward bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	ends := j.progress.ServerEnds(item)
+	if reward {
+		ends.RewardExplained = ends.Reward
+	} else {
+		ends.ItemExplained = ends.Item
+	}
+	if ends == j.progress.ServerEnds(item) {
+		return
+	}
+	j.progress.MergeItemServerEnds(item, ends)
+	m.serverEnds.merge(time.Now(), item, ends)
+	m.log.Info().Str("request", j.spec.ID).Str("item", item).Bool("reward", reward).Object("counts", endCounts(ends)).
+		Msg("item completed after servers ended under it")
+}
+
+// endCounts logs counts of ended servers.
+type endCounts batch.ServerEnds
+
+// MarshalZerologObject adds the counts to a log line.
+func (c endCounts) MarshalZerologObject(line *zerolog.Event) {
+	line.Int("ends", c.Item).Int("explained", c.ItemExplained).Int("stalled", c.Stalled).Int("rewardEnds", c.Reward).
+		Int("rewardExplained", c.RewardExplained)
+}
--- a/internal/edge/batchjob/serverend_test.go
+++ b/internal/edge/batchjob/serverend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -91,3 +92,86 @@
 		t.Errorf("known to other jobs: %+v", pool.serverEnds.get("a"))
 	}
 }
+
+// Guards against counts that two entries send to each other for ever, and against a delay that begins anew at each entry.
+func TestSharedServerEndsKeepTheirAge(t *testing.T) {
+	now := time.Now()
+	sender, receiver := newServerEndTracker(), newServerEndTracker()
+	sender.merge(now.Add(-time.Minute), "a", batch.ServerEnds{Item: batch.MaxServerEnds})
+	received := sender.shared(now)["a"]
+	if received.Age != time.Minute {
+		t.Errorf("age %v", received.Age)
+	}
+	if !receiver.merge(now, "a", received) || receiver.merge(now, "a", received) {
+		t.Error("the counts are not merged once")
+	}
+	if !receiver.dueAlone(now, "a") {
+		t.Error("the item waits anew at the receiver")
+	}
+	late := now.Add(serverEndRetention - time.Minute)
+	if again := receiver.shared(late); len(again) != 1 {
+		t.Errorf("shared at the end of the retention: %v", again)
+	}
+	if returned := receiver.shared(late)["a"]; newServerEndTracker().merge(late.Add(time.Second), "a", batch.ServerEnds{
+		Item: returned.Item, Age: returned.Age + time.Second,
+	}) {
+		t.Error("counts that have expired are merged")
+	}
+}
+
+// Guards against an item that runs alone at two servers at the same time, in two jobs that bring it.
+func TestItemIsNotDueWhileItRuns(t *testing.T) {
+	now := time.Now()
+	tracker := newServerEndTracker()
+	tracker.merge(now.Add(-time.Minute), "a", batch.ServerEnds{Item: batch.MaxServerEnds})
+	tracker.started("s1", "a")
+	if tracker.dueAlone(now, "a") {
+		t.Error("due while it runs")
+	}
+	tracker.ended("s1", "a")
+	if !tracker.dueAlone(now, "a") {
+		t.Error("not due after its run")
+	}
+}
+
+// Guards against withheld items that stay withheld although other servers of the pool ended, which is known only later.
+func TestWithheldItemIsReleasedOnceItsEndsAreExplained(t *testing.T) {
+	pool := newUnevenPool(t.Context(), t)
+	j := newJob(&batch.Job{ID: "j", Submission: batch.Submission{Items: []batch.Item{{ID: "a"}}}})
+	now := time.Now()
+	for i := range batch.MaxServerEnds {
+		use := serverUse{item: "a", server: backend.Key{ID: fmt.Sprintf("ended-%d", i)}, pool: "p", stalled: true}
+		pool.countServerEnd(j, interruptedRun{use, now}, "connectionRefused")
+	}
+	pool.reviewWithheld(now, j)
+	if !j.progress.IsWithheld("a") {
+		t.Fatal("an item under which three servers ended at once is not withheld")
+	}
+	servers := pool.balancer.Servers()
+	for _, server := range servers {
+		server.Started = now
+		pool.balancer.Sync(now, append(slices.DeleteFunc(pool.balancer.Servers(), func(s backend.Server) bool { return s.ID == server.ID }), server))
+	}
+	pool.reviewWithheld(now, j)
+	if j.progress.IsWithheld("a") {
+		t.Errorf("still withheld after %d other servers ended: %+v", len(servers), j.progress.ServerEnds("a"))
+	}
+}
+
+// Guards against an item that counts as a suspect, here and at other entries, after it has completed.
+func TestCompletionClearsServerEnds(t *testing.T) {
+	pool := newUnevenPool(t.Context(), t)
+	j := newJob(&batch.Job{ID: "j", Submission: batch.Submission{Items: []batch.Item{{ID: "a"}}}})
+	now := time.Now()
+	pool.MergeServerEnds(now, map[string]batch.ServerEnds{"a": {Item: batch.MaxServerEnds}})
+	j.progress.MergeServerEnds(pool.serverEnds.get)
+	other := newServerEndTracker()
+	other.merge(now, "a", pool.ServerEnds(now)["a"])
+	pool.clearServerEnds(j, "a", false)
+	for item, ends := range pool.ServerEnds(now) {
+		other.merge(now, item, ends)
+	}
+	if j.progress.Suspect("a") || pool.serverEnds.get("a").Suspect() || other.get("a").Suspect() {
+		t.Error("the item is still a suspect")
+	}
+}
--- a/internal/edge/batchjob/serverendtracker.go
+++ b/internal/edge/batchjob/serverendtracker.go
@@ -31,52 +31,110 @@
 
 type serverEndCount struct {
 	ends batch.ServerEnds
-	// changedAt is when the counts last increased.
-	changedAt time.Time
+	// firstAt and changedAt are when the first and the last server ended, or when this process learned of it.
+	firstAt, changedAt time.Time
+	// pool and rewardPool are the pools of the servers that ended under the item and its reward call; empty if only other entries know.
+	pool, rewardPool string
 }
 
+func (c serverEndCount) expired(now time.Time) bool { return now.Sub(c.changedAt) > serverEndRetention }
+
 func newServerEndTracker() *serverEndTracker {
 	return &serverEndTracker{counts: map[string]serverEndCount{}, suspects: map[string]string{}}
 }
 
 // get returns the counts of an item.
-func (t *serverEndTracker) get(item string) batch.ServerEnds {
+func (t *serverEndTracker) get(item string) batch.ServerEnds { return t.find(item).ends }
+
+// find returns what is known of an item, the zero value if that has expired.
+func (t *serverEndTracker) find(item string) serverEndCount {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.counts[item]
+	if known.expired(time.Now()) {
+		return serverEndCount{}
+	}
+	return known
+}
+
+// count raises the counts of an item under which a server ended here.
+func (t *serverEndTracker) count(now time.Time, use serverUse, ends batch.ServerEnds) {
+	t.merge(now, use.item, ends)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.counts[item].ends
+	known := t.counts[use.item]
+	known.changedAt = now
+	if use.reward {
+		known.rewardPool = use.pool
+	} else {
+		known.pool = use.pool
+	}
+	t.counts[use.item] = known
 }
 
-// merge raises the counts of an item to the given ones, and reports whether they increased.
+// merge raises the counts of an item to the given ones, and reports whether they increased. Counts whose last end is older than the
+// retention are ignored: two entries would otherwise keep sending them to each other.
 func (t *serverEndTracker) merge(now time.Time, item string, ends batch.ServerEnds) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.counts[item].ends
-	merged := known.Merge(ends)
-	if merged == known {
+	received := serverEndCount{firstAt: now.Add(-ends.Age), changedAt: now.Add(-ends.Age)}
+	if received.expired(now) {
 		return false
 	}
-	maps.DeleteFunc(t.counts, func(_ string, c serverEndCount) bool { return now.Sub(c.changedAt) > serverEndRetention })
-	t.counts[item] = serverEndCount{ends: merged, changedAt: now}
+	known, ok := t.counts[item]
+	if !ok || known.expired(now) {
+		known = received
+	}
+	merged := known.ends.Merge(ends)
+	if merged == known.ends {
+		return false
+	}
+	if merged.Item > known.ends.Item || merged.Reward > known.ends.Reward {
+		known.changedAt = received.changedAt
+	}
+	known.ends = merged
+	maps.DeleteFunc(t.counts, func(_ string, c serverEndCount) bool { return c.expired(now) })
+	t.counts[item] = known
 	return true
 }
 
-// shared returns the counts of suspects to send to other entries, the highest and latest ones if there are many.
+// dueAlone reports whether a withheld item may run alone: it has waited as long as its counts ask for, and runs nowhere. An item whose
+// counts have expired may.
+func (t *serverEndTracker) dueAlone(now time.Time, item string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, ok := t.counts[item]
+	if !ok || known.expired(now) {
+		return true
+	}
+	for _, suspect := range t.suspects {
+		if suspect == item {
+			return false
+		}
+	}
+	return now.Sub(known.changedAt) >= known.ends.RetryDelay()
+}
+
+// shared returns the counts of items under which at least as many servers ended as make a suspect, to send to other entries: suspects first,
+// then the highest and latest counts.
 func (t *serverEndTracker) shared(now time.Time) map[string]batch.ServerEnds {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var items []string
 	for item, count := range t.counts {
-		if count.ends.Suspect() && now.Sub(count.changedAt) <= serverEndRetention {
+		if count.ends.WorthSharing() && !count.expired(now) {
 			items = append(items, item)
 		}
 	}
 	slices.SortFunc(items, func(x, y string) int {
 		a, b := t.counts[x], t.counts[y]
-		return cmp.Or(cmp.Compare(b.ends.Item+b.ends.Reward, a.ends.Item+a.ends.Reward), b.changedAt.Compare(a.changedAt), cmp.Compare(x, y))
+		return cmp.Or(cmp.Compare(b.ends.TotalUnexplained(), a.ends.TotalUnexplained()), b.changedAt.Compare(a.changedAt), cmp.Compare(x, y))
 	})
 	shared := map[string]batch.ServerEnds{}
 	for _, item := range items[:min(len(items), maxSharedServerEnds)] {
-		shared[item] = t.counts[item].ends
+		ends := t.counts[item].ends
+		ends.Age = now.Sub(t.counts[item].changedAt)
+		shared[item] = ends
 	}
 	return shared
 }
--- a/internal/edge/batchjob/state.go
+++ b/internal/edge/batchjob/state.go
@@ -19,7 +19,7 @@
 	Waiting    int  `json:"waiting"`
 	// Scoring counts the items whose text is complete and has no score.
 	Scoring int `json:"scoring"`
-	// Withheld counts the items that are sent to no server any more because servers ended under them.
+	// Withheld counts the items that are sent to no server for now because servers ended under them.
 	Withheld int `json:"withheld,omitempty"`
 	Pages    int `json:"pages"`
 }
--- a/internal/program/process/gateway_serverend_test.go
+++ b/internal/program/process/gateway_serverend_test.go
@@ -134,3 +134,67 @@
 		t.Errorf("the reward call reached %d servers, all of which ended; want at most %d", sent, serverEndLimit)
 	}
 }
+
+// endServersUnder ends as many engines as the limit while they run the item, each after some events of it.
+func (d *deployment) endServersUnder(item string) {
+	ended := map[*platformtest.Server]bool{}
+	for range serverEndLimit {
+		var engine *platformtest.Server
+		d.eventually(item+" runs at a further engine", func() bool {
+			engine = d.lastEngineOf(item)
+			return engine != nil && !ended[engine]
+		})
+		time.Sleep(150 * time.Millisecond)
+		engine.Crash()
+		ended[engine] = true
+	}
+}
+
+// lastEngineOf returns the engine that got the item last; nil if none did.
+func (d *deployment) lastEngineOf(item string) *platformtest.Server {
+	var last *platformtest.Server
+	var at time.Time
+	for _, engine := range d.engines {
+		for _, request := range engine.Requests() {
+			if request.ID() == item && request.ReceivedAt.After(at) {
+				last, at = engine, request.ReceivedAt
+			}
+		}
+	}
+	return last
+}
+
+// newStreamingDeployment starts gateways before eight engines whose streams take 1.2 s.
+func newStreamingDeployment(t *testing.T, gateways int) *deployment {
+	d := newDeployment(t, gateways)
+	d.addEngines(8)
+	for _, engine := range d.engines {
+		engine.SetStream(40, 30*time.Millisecond)
+	}
+	return d
+}
+
+// Guards against a sound item that is sent to no server any more because three servers that ran it happened to end.
+func TestSoundItemRunsAgainAfterServerEnds(t *testing.T) {
+	d := newStreamingDeployment(t, 1)
+	d.submit(d.gateways[0], "j1", submission(2, 2, 1))
+	d.endServersUnder("item-0a")
+	d.eventually("all items are completed", func() bool { return d.completed(d.gateways[0], "j1") == 4 })
+}
+
+// Guards against a sound item that later jobs and other entries don't run because three servers happened to end under it.
+func TestSoundItemRunsInLaterJobsOfOtherEntries(t *testing.T) {
+	d := newStreamingDeployment(t, 2)
+	d.submit(d.gateways[0], "j1", submission(2, 2, 1))
+	owner, other := d.owner("j1")
+	d.endServersUnder("item-0a")
+	d.eventually("the other entry knows of three engines that ended", func() bool {
+		return other.jobs.ServerEnds(time.Now())["item-0a"].Item == serverEndLimit
+	})
+	if got := d.call(owner, http.MethodDelete, platformtest.JobTarget("j1", 0), keyNorth, "e", ""); got.status != http.StatusOK {
+		t.Fatalf("%+v", got)
+	}
+	owner.kill()
+	d.submit(other, "j2", submission(2, 2, 1))
+	d.eventually("all items are completed", func() bool { return d.completed(other, "j2") == 4 })
+}
