Replace connections between entries that went silent in a busy process

What callers saw: after open connections between entries had gone silent for good, a server that left got requests for more than two seconds (DRAIN), as long as the entry that sent them could not fetch the change.

Cause: a silent connection is given up after 2.5 s, but intervals in which the process was short of processor time don't count, up to 10 s. Heartbeats on the others' new connections announced the change, and the fetches went over the old one.

Evidence: with logs, two entries ended their connections as silent after 5.9 s and 10.0 s, with four to eight requests open on each; the followers of the store had the change after 0.25 s.

Change: before a request is sent, a connection on which nothing has arrived for the timeout, and in whose socket nothing waits, is replaced by a new one. The kernel takes data in whether or not the process is busy, so that a connection that was only not read in time is kept.

--- a/internal/edge/peer/channel.go
+++ b/internal/edge/peer/channel.go
@@ -16,9 +16,10 @@
 	lastStreamID uint64
 	// reserved counts the requests that are running or about to be sent.
 	reserved int
-	// draining is set when no new request may be sent on this connection.
-	draining  bool
-	idleTimer *time.Timer
+	// draining is set when no new request may be sent on this connection, and drainCause says why it then ends with its last request.
+	draining   bool
+	drainCause error
+	idleTimer  *time.Timer
 }
 
 func newClientConn(transport *frameConn) *clientConn {
@@ -32,7 +33,7 @@
 	c.reportEnd(true, requests, cause)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.draining = true
+	c.draining, c.drainCause = true, cause
 	c.idleTimer.Stop()
 }
 
@@ -42,13 +43,18 @@
 	return c.reserved
 }
 
-// reserve counts a request that is about to be sent. It returns false if the connection takes no new requests.
+// reserve counts a request that is about to be sent. It returns false if the connection takes no new requests, as one that is silent.
 func (c *clientConn) reserve() bool {
+	silent := c.netConn.isSilent(time.Now())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.draining || c.ctx.Err() != nil {
 		return false
 	}
+	if silent {
+		c.drainLocked(errors.Wrap(ErrSilent, "replaced by a new connection"))
+		return false
+	}
 	c.reserved++
 	c.idleTimer.Stop()
 	return true
@@ -62,7 +68,7 @@
 		return
 	}
 	if c.draining {
-		c.cancel(ErrClosed)
+		c.cancel(c.drainCause)
 		return
 	}
 	c.idleTimer.Reset(c.settings.idleTimeout)
@@ -72,8 +78,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.reserved == 0 {
-		c.draining = true
-		c.cancel(ErrClosed)
+		c.drainLocked(ErrClosed)
 	}
 }
 
@@ -114,8 +119,13 @@
 func (c *clientConn) handleGoAway() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.draining = true
+	c.drainLocked(ErrClosed)
+}
+
+// drainLocked has the connection take no new requests, and ends it with the cause once none is open. The caller holds the lock.
+func (c *clientConn) drainLocked(cause error) {
+	c.draining, c.drainCause = true, cause
 	if c.reserved == 0 {
-		c.cancel(ErrClosed)
+		c.cancel(cause)
 	}
 }
--- a/internal/edge/peer/progress.go
+++ b/internal/edge/peer/progress.go
@@ -28,6 +28,8 @@
 	lastReturn time.Time
 
 	mu sync.Mutex
+	// lastArrival is lastRead for other goroutines.
+	lastArrival time.Time
 	// lastAwake is when a goroutine of this connection last ran; zero before the first one did.
 	lastAwake time.Time
 	// lastWrite is when the last Write ended, and writing is set while one is in progress. The peer expects heartbeats only after the
@@ -50,6 +52,7 @@
 		busy:         s.busy,
 		lastRead:     now,
 		lastReturn:   now,
+		lastArrival:  now,
 	}
 }
 
@@ -73,7 +76,7 @@
 		c.lastReturn = now
 		if n > 0 || !isTimeout(err) {
 			c.readDelay = max(0, delay)
-			c.lastRead = now
+			c.recordRead(now)
 			return n, err
 		}
 		if time.Since(started) < 2*interval && !c.busy() && !c.handshake {
@@ -85,6 +88,23 @@
 	}
 }
 
+// recordRead records that Read returned data.
+func (c *progressConn) recordRead(now time.Time) {
+	c.lastRead = now
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastArrival = now
+}
+
+// isSilent reports whether nothing has arrived from the peer for the timeout. Read waits longer than that in a busy process, because data may
+// have arrived that the process had no time to read; here the socket tells.
+func (c *progressConn) isSilent(now time.Time) bool {
+	c.mu.Lock()
+	quiet := now.Sub(c.lastArrival)
+	c.mu.Unlock()
+	return quiet > c.readTimeout && !hasUnread(c.Conn)
+}
+
 // Write limits how long each part of a frame may wait for the peer to read.
 func (c *progressConn) Write(p []byte) (int, error) {
 	if err := c.beginWrite(time.Now()); err != nil {
--- a/internal/edge/peer/proxy_test.go
+++ b/internal/edge/peer/proxy_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 
@@ -19,6 +20,8 @@
 	wg       conc.WaitGroup
 	mu       sync.Mutex
 	conns    []net.Conn
+	// silent are the connections to the client on which nothing is sent any more.
+	silent []net.Conn
 	// tamper returns the frames that replace f.
 	tamper func(f frame) []frame
 	// frozen, once closed, stops all data to the client while the connections stay open.
@@ -64,6 +67,19 @@
 	}
 }
 
+// silence stops all data to the client on the connections that are open, which stay so.
+func (p *proxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = slices.Clone(p.conns)
+}
+
+func (p *proxy) isSilent(conn net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Contains(p.silent, conn)
+}
+
 func (p *proxy) forward(client, server net.Conn) {
 	defer func() { _ = client.Close() }()
 	reader := newFrameReader(bufio.NewReader(server), defaultMaxFrame)
@@ -78,6 +94,9 @@
 			return
 		default:
 		}
+		if p.isSilent(client) {
+			continue
+		}
 		var buf bytes.Buffer
 		for _, out := range p.tamper(f) {
 			_ = appendFrame(&buf, msgpack.NewEncoder(nil), out)
--- a/internal/edge/peer/suspension.go
+++ b/internal/edge/peer/suspension.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -47,21 +48,37 @@
 
 // isOpen reports whether the peer is known not to have closed the connection.
 func isOpen(conn net.Conn) bool {
+	open := false
+	err := controlSocket(conn, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		open = err == nil && info.State == tcpEstablished
+	})
+	return err == nil && open
+}
+
+// hasUnread reports whether data of the peer, or the end of the connection, waits in the socket to be read.
+func hasUnread(conn net.Conn) bool {
+	unread := false
+	err := controlSocket(conn, func(fd int) {
+		var buffer [1]byte
+		_, _, err := unix.Recvfrom(fd, buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = !errors.Is(err, unix.EAGAIN)
+	})
+	return err == nil && unread
+}
+
+// controlSocket calls f with the file descriptor of the connection. It doesn't wait for reads and writes that are under way.
+func controlSocket(conn net.Conn, f func(fd int)) error {
 	if secured, ok := conn.(*tls.Conn); ok {
 		conn = secured.NetConn()
 	}
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return errors.Errorf("a %T has no socket", conn)
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
-		return false
+		return err
 	}
-	open := false
-	err = control.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		open = err == nil && info.State == tcpEstablished
-	})
-	return err == nil && open
+	return control.Control(func(fd uintptr) { f(int(fd)) })
 }
