Judge answers to items like those to plain calls

What callers saw: an item whose first answer was broken off, and whose second had a content encoding, was listed as completed with part of its text (MIXED).

Cause: the check of the encoding stood with plain calls only. The reader of events skipped what is no field, so that the encoded body counted as the empty rest of a stream.

Change: call.Judge checks request id, refusal, signature and encoding for both.

--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -10,6 +10,8 @@
 
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+	"github.com/oleandershelf/oleandershelf/internal/edge/call"
 	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
 	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 	"github.com/oleandershelf/oleandershelf/platform"
@@ -196,7 +198,6 @@
 
 var (
 	errStalled      = errors.New("the stream brought no event within the stall timeout")
-	errWrongRequest = errors.New("the answer belongs to another request")
 	errWrongVersion = errors.New("the job may not use the server's weight version")
 	errSlow         = errors.New("the server is slow")
 	errMoved        = errors.New("the item moves to a faster server")
@@ -227,15 +228,15 @@
 // checkHeader decides by the status and header of an answer whether its stream is read.
 func (r *itemRun) checkHeader(answer platform.Answer) (outcome, bool) {
 	balancer, now := r.manager.balancer, time.Now()
+	judged, cause := call.Judge(answer, r.item.ID)
+	r.cause = cause
 	switch {
-	case answer.RequestID != "" && answer.RequestID != r.item.ID:
-		r.cause = errWrongRequest
-		balancer.RecordFailure(now, r.server.ID)
-		return outcomeInterrupted, false
-	case answer.NotRun:
-		r.cause = errors.Errorf("status %d", answer.Status)
+	case judged == verdict.NotRun:
 		balancer.RecordRefusal(now, r.server.ID)
 		return outcomeRefused, false
+	case judged != verdict.Ran:
+		balancer.RecordFailure(now, r.server.ID)
+		return outcomeInterrupted, false
 	case answer.Status == fasthttp.StatusUnprocessableEntity:
 		r.cause = errors.New("the item can never succeed")
 		return outcomeImpossible, false
@@ -243,7 +244,7 @@
 		r.cause = errors.New("status 500")
 		balancer.RecordFailure(now, r.server.ID)
 		return outcomeFailed, false
-	case answer.Status != fasthttp.StatusOK || !answer.Signed():
+	case answer.Status != fasthttp.StatusOK:
 		r.cause = errors.Errorf("status %d", answer.Status)
 		balancer.RecordFailure(now, r.server.ID)
 		return outcomeInterrupted, false
--- a/internal/edge/call/attempt.go
+++ b/internal/edge/call/attempt.go
@@ -52,8 +52,9 @@
 		_ = stream.Close()
 	}()
 	attempt.Answer = platform.ReadAnswer(stream.Header())
-	if attempt.Answer.RequestID != id {
-		attempt.Cause = errors.Errorf("the answer is for request %.40q", attempt.Answer.RequestID)
+	outcome, cause := Judge(attempt.Answer, id)
+	if errors.Is(cause, ErrWrongRequest) {
+		attempt.Cause = cause
 		return
 	}
 	// One byte more than allowed tells an answer of the maximum size from one that would be cut.
@@ -63,16 +64,12 @@
 		attempt.Interrupted = true
 		return
 	}
-	switch {
-	case len(body) > maxAnswerBytes:
+	if len(body) > maxAnswerBytes {
 		attempt.Cause = errors.Wrapf(errAnswerTooLarge, "limit %d bytes", maxAnswerBytes)
-	case attempt.Answer.NotRun:
-		attempt.Outcome = verdict.NotRun
-		attempt.Cause = errors.Errorf("status %d", attempt.Answer.Status)
-	case !attempt.Answer.Signed() || attempt.Answer.ContentEncoded:
-		attempt.Cause = errors.Errorf("status %d without a server's signature", attempt.Answer.Status)
-	default:
-		attempt.Outcome = verdict.Ran
+		return
+	}
+	attempt.Outcome, attempt.Cause = outcome, cause
+	if outcome == verdict.Ran {
 		attempt.Body = body
 		stream.Header().CopyTo(&attempt.Header)
 	}
--- a/internal/program/process/gateway_batch_test.go
+++ b/internal/program/process/gateway_batch_test.go
@@ -98,6 +98,30 @@
 	}
 }
 
+// Guards against items that complete with part of their text because the answer that resumes them is not the server's.
+func TestEncodedAnswerDoesNotCompleteAnItem(t *testing.T) {
+	d := newDeployment(t, 1)
+	var mu sync.Mutex
+	resumed := map[string]bool{}
+	for _, engine := range d.engines {
+		engine.SetBehaviour(func(_ int, r platformtest.Request) platformtest.Behaviour {
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case !r.Resumed():
+				return platformtest.CutConnection
+			case !resumed[r.ID()]:
+				resumed[r.ID()] = true
+				return platformtest.EncodedStream
+			default:
+				return platformtest.Answer
+			}
+		})
+	}
+	d.submit(d.gateways[0], "j1", submission(2, 2, 1))
+	d.checkResults(d.readAll(d.gateways[0], "j1", 4), 4, streamEvents)
+}
+
 func TestFailingItemsAreLost(t *testing.T) {
 	for _, test := range []struct {
 		name      string
