Forward forms byte for byte

Cause: the HTTP library parses multipart/form-data bodies with a length, and the forwarded body was written anew from the parsed form.

Evidence: forms with a length were changed or rejected, the same forms in chunks arrived unchanged.

No handler reads a parsed form.

--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -80,6 +80,8 @@
 		ReadTimeout:    readTimeout,
 		IdleTimeout:    idleTimeout,
 		ErrorHandler:   g.handleError,
+		// A form is forwarded byte for byte. The library would parse it, and write it anew with its fields in another order.
+		DisablePreParseMultipartForm: true,
 	})
 	g.app.Use(g.serve)
 	g.app.Server().NoDefaultContentType = true
--- a/internal/program/process/gateway_call_test.go
+++ b/internal/program/process/gateway_call_test.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -203,3 +204,41 @@
 		return false
 	})
 }
+
+// Guards against forms that reach the server with other bytes than the caller sent, and against a form that is rejected although the server
+// might accept it.
+func TestFormsAreForwardedUnchanged(t *testing.T) {
+	var form strings.Builder
+	for i := range 20 {
+		fmt.Fprintf(&form, "--b\r\nContent-Disposition: form-data; name=\"field-%d\"\r\n\r\nvalue %d\r\n", 20-i, i)
+	}
+	for _, test := range []struct {
+		name, body string
+	}{
+		{name: "valid", body: form.String() + "--b--\r\n"},
+		{name: "with a preamble", body: "preamble\r\n" + form.String() + "--b--\r\n"},
+		{name: "without its end", body: form.String()},
+	} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, chunked %v", test.name, chunked), func(t *testing.T) {
+				d := newDeployment(t, 1)
+				got := d.call(d.gateways[0], http.MethodPost, "/safe/form", keyNorth, "form", test.body, func(r *http.Request) {
+					r.Header.Set("Content-Type", "multipart/form-data; boundary=b")
+					if chunked {
+						r.ContentLength = -1
+					}
+				})
+				if got.status != http.StatusOK {
+					t.Fatalf("%+v", got)
+				}
+				for _, service := range d.services {
+					for _, seen := range service.Requests() {
+						if seen.Body != test.body {
+							t.Errorf("the server received %q", seen.Body)
+						}
+					}
+				}
+			})
+		}
+	}
+}
