Give all orders of one holder one fencing number, and reset given-up calls

Cause: the fencing number was the version of the lease object after the last renewal, so that it grew between two calls of one holder. A call that was given up closed its connection without a reset, and the kernel went on to send it.

In a test, orders for three versions carried three numbers; a server saw the connection of a given-up call end like a complete one.

Change: orders and usage reports carry the version with which their holder took the lease over. It grows with takeovers only. The connection of a call that was given up is reset.

The simulation of the lease checks the numbers, too.

--- a/internal/core/lease/machine.go
+++ b/internal/core/lease/machine.go
@@ -93,6 +93,8 @@
 	grant    *Grant
 	pending  []write
 	renewal  uint64
+	// tenure is the version with which this process last took the duty over.
+	tenure uint64
 	// uncertain is set while the object may differ from what was last seen.
 	uncertain bool
 	// renewed is when the last write was prepared; retry is set if that write failed or its result is unknown.
@@ -223,7 +225,11 @@
 // contender's wait counts from then. It must not be earlier than the success of the write that created the version.
 func (m *Machine) ObservedSince(firstSeen Instant, version uint64, record Record) {
 	if !m.seen.known || m.seen.version != version {
+		renewed := m.heldBySelf()
 		m.seen = observation{known: true, exists: true, version: version, record: record, firstSeen: firstSeen}
+		if m.heldBySelf() && !renewed {
+			m.tenure = version
+		}
 		m.resolvePending()
 	}
 	m.uncertain = false
@@ -280,6 +286,12 @@
 	return *m.grant, true
 }
 
+// Tenure returns the version of the object with which this process last took the duty over. Unlike that of the grant it doesn't grow with
+// renewals, so that calls of one holder which overtake one another carry the same number. Each holder's is higher than those before.
+//
+// A write is conditional on the version last seen, so that no other process has held the duty between two versions that this one wrote.
+func (m *Machine) Tenure() uint64 { return m.tenure }
+
 // Holder returns the holder last seen in the object. It returns false if the lease is free.
 func (m *Machine) Holder() (Holder, bool) {
 	return m.seen.record.Holder, m.seen.exists && !m.seen.record.Released
--- a/internal/core/lease/machine_test.go
+++ b/internal/core/lease/machine_test.go
@@ -63,6 +63,9 @@
 	hosts  []*host
 	// delayedWrites are writes whose senders have stopped waiting; they may still take effect.
 	delayedWrites []Step
+	// lastTenure and lastHolder are those of the last holder.
+	lastTenure uint64
+	lastHolder Holder
 }
 
 func newSimulation(count int, suspends func(int) bool) *simulation {
@@ -210,12 +213,27 @@
 				if held := s.holders(); len(held) > 1 {
 					t.Fatalf("held by %q at once", held)
 				}
+				s.checkTenure(t)
 			},
 		})
 		checkTakeover(t, s)
 	})
 }
 
+// checkTenure checks that no holder has a lower number than an earlier one, or that of another holder.
+func (s *simulation) checkTenure(t *rapid.T) {
+	for _, h := range s.hosts {
+		if !h.held() {
+			continue
+		}
+		tenure := h.machine.Tenure()
+		if tenure < s.lastTenure || tenure == s.lastTenure && h.self != s.lastHolder {
+			t.Fatalf("%v holds the duty with the number %d after %v had %d", h.self, tenure, s.lastHolder, s.lastTenure)
+		}
+		s.lastTenure, s.lastHolder = tenure, h.self
+	}
+}
+
 // spans are durations below, at and above those at which the lease decides differently.
 var spans = []time.Duration{
 	300 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 5 * time.Second, 7 * time.Second, 20 * time.Second,
--- a/internal/edge/duty/keeper.go
+++ b/internal/edge/duty/keeper.go
@@ -41,6 +41,8 @@
 type Fence struct {
 	// Number grows with each renewal and takeover. Receivers can refuse writes with an older number.
 	Number platform.Version
+	// Tenure grows with each takeover only. It is the number for receivers of calls that a network may deliver late.
+	Tenure platform.Version
 	// Deadline is the time by which a write must have ended.
 	Deadline time.Time
 	// Past are the hosts that held the duty before this holder took it over, the most recent one last.
@@ -138,6 +140,7 @@
 type snapshot struct {
 	grant     lease.Grant
 	granted   bool
+	tenure    uint64
 	held      bool
 	holder    Holder
 	hasHolder bool
@@ -190,7 +193,9 @@
 	if k.released.Load() || !s.granted || !k.timing.Held(s.grant, k.instant(now)) {
 		return Fence{}, false
 	}
-	return Fence{Number: platform.Version(s.grant.Version), Deadline: k.deadline(s.grant), Past: s.grant.Past}, true
+	return Fence{
+		Number: platform.Version(s.grant.Version), Tenure: platform.Version(s.tenure), Deadline: k.deadline(s.grant), Past: s.grant.Past,
+	}, true
 }
 
 func (k *Keeper) instant(now time.Time) lease.Instant { return lease.InstantAt(k.startTime, now) }
--- a/internal/edge/duty/run.go
+++ b/internal/edge/duty/run.go
@@ -129,6 +129,7 @@
 	last := k.current.Load()
 	next := &snapshot{changed: last.changed}
 	next.grant, next.granted = k.machine.Grant()
+	next.tenure = k.machine.Tenure()
 	next.holder, next.hasHolder = k.machine.Holder()
 	next.held = next.granted && k.timing.Held(next.grant, k.instant(k.clock()))
 	if failure != nil {
--- a/internal/edge/exchange/client.go
+++ b/internal/edge/exchange/client.go
@@ -159,13 +159,19 @@
 	return trip, nil
 }
 
-// finish returns the connection to the pool if the complete answer was read and the connection can be reused, and closes it otherwise.
+// finish returns the connection to the pool if the complete answer was read and the connection can be reused, and closes it otherwise. The
+// connection of a call that was given up is reset: the kernel would otherwise go on to send the request, and a server behind a network that
+// was cut would get it seconds later.
 func (t *roundTrip) finish(complete bool) {
-	if t.stop() && complete && t.reusable {
+	inTime := t.stop()
+	switch {
+	case inTime && complete && t.reusable:
 		t.client.release(t.conn)
-		return
+	case inTime:
+		t.conn.close()
+	default:
+		t.conn.reset()
 	}
-	t.conn.close()
 }
 
 // cause returns the context's error if the context has ended: err then only says that the connection was aborted.
--- a/internal/edge/exchange/client_test.go
+++ b/internal/edge/exchange/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -281,3 +282,27 @@
 		fasthttp.ReleaseResponse(resp)
 	}
 }
+
+// Guards against a request that a network holds up and delivers seconds after its caller gave it up: the kernel must not go on to send it.
+func TestConnectionOfACallThatWasGivenUpIsReset(t *testing.T) {
+	arrived := make(chan struct{})
+	ended := make(chan error, 1)
+	address := startServer(t, func(_ net.Conn, reader *bufio.Reader) {
+		if !readRequest(reader) {
+			return
+		}
+		close(arrived)
+		_, err := reader.ReadByte()
+		ended <- err
+	})
+	client := exchange.NewClient()
+	defer client.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-arrived; cancel() }()
+	if err := do(ctx, client, address); !errors.Is(err, exchange.ErrAnswerLost) {
+		t.Errorf("got %v, want %v", err, exchange.ErrAnswerLost)
+	}
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v, want %v", err, syscall.ECONNRESET)
+	}
+}
--- a/internal/edge/exchange/connection.go
+++ b/internal/edge/exchange/connection.go
@@ -80,3 +80,12 @@
 	// The outcome of the call is known by now, and a failing close doesn't change it.
 	_ = c.socket.Close()
 }
+
+// reset closes the connection so that the kernel drops what it has not sent yet, and tells the other side.
+func (c *connection) reset() {
+	if tcp, ok := c.raw.(*net.TCPConn); ok {
+		// If the option can't be set, the connection is closed as usual.
+		_ = tcp.SetLinger(0)
+	}
+	c.close()
+}
--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -92,7 +92,7 @@
 	fence, mayAct := l.guard.mayAct(now)
 	if mayAct != l.acting {
 		l.acting = mayAct
-		l.deps.Log.Info().Bool("held", mayAct).Uint64("fencing", uint64(fence.Number)).Time("until", fence.Deadline).Msg("duties")
+		l.deps.Log.Info().Bool("held", mayAct).Uint64("fencing", uint64(fence.Tenure)).Uint64("renewal", uint64(fence.Number)).Time("until", fence.Deadline).Msg("duties")
 	}
 	if !mayAct {
 		l.reports.reset()
--- a/internal/edge/leader/turn.go
+++ b/internal/edge/leader/turn.go
@@ -66,5 +66,5 @@
 // actingHolder returns the holder under whose name to act now and the deadline for doing so; false if this entry may not act.
 func (g *takeoverGuard) actingHolder() (platform.DutyHolder, time.Time, bool) {
 	fence, mayAct := g.mayAct(time.Now())
-	return platform.DutyHolder{HostID: g.deps.HostID, Fencing: fence.Number}, fence.Deadline, mayAct
+	return platform.DutyHolder{HostID: g.deps.HostID, Fencing: fence.Tenure}, fence.Deadline, mayAct
 }
--- a/internal/program/process/gateway_duty_test.go
+++ b/internal/program/process/gateway_duty_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/oleandershelf/oleandershelf/internal/edge/leader"
 	"github.com/oleandershelf/oleandershelf/platform/platformtest"
 )
 
@@ -124,3 +125,29 @@
 		d.eventually(fmt.Sprintf("entry %d knows the token rate", i), func() bool { return g.heartbeats.tokenRates(time.Now())["m"] > 0 })
 	}
 }
+
+// Guards against an order that a network holds up and that reaches its server after a newer one of the same holder, with a lower fencing
+// number.
+func TestOrdersOfOneHolderCarryOneNumber(t *testing.T) {
+	d := newDeployment(t, 1)
+	numbers := map[uint64]bool{}
+	for version := 2; version <= 4; version++ {
+		d.store.PutModelVersion("m", version)
+		d.eventually("an engine is ordered to load the version", func() bool {
+			for _, engine := range d.engines {
+				for _, order := range engine.Orders() {
+					if order.Version == version {
+						numbers[order.FenceToken] = true
+						return true
+					}
+				}
+			}
+			return false
+		})
+		// The lease is renewed meanwhile.
+		time.Sleep(2 * leader.LeaseTiming().Renew)
+	}
+	if len(numbers) != 1 {
+		t.Errorf("the orders carry the numbers %v", numbers)
+	}
+}
