Look up ended servers by key, and log without holding a job's lock

Cause: the history of ended servers was searched from end to end for each server of a pool, under the balancer's lock; 2,200 servers with as many ends take millions of comparisons. A line was logged under a job's lock.

Change: the history is a map by server. The line is logged after the lock is released.

Measured: the tests of core/backend, core/batch and edge/batchjob pass.

--- a/internal/core/backend/balancer.go
+++ b/internal/core/backend/balancer.go
@@ -134,7 +134,7 @@
 		guard:   readiness.NewGuard(host, nil),
 		servers: map[string]*serverState{},
 		denials: map[readiness.Denial]uint64{},
-		ends:    endHistory{pools: map[string][]serverEnd{}},
+		ends:    endHistory{pools: map[string]map[Key]time.Time{}},
 		changed: make(chan struct{}),
 	}
 	for _, option := range options {
--- a/internal/core/backend/ends.go
+++ b/internal/core/backend/ends.go
@@ -1,7 +1,7 @@
 package backend
 
 import (
-	"slices"
+	"maps"
 	"time"
 )
 
@@ -12,36 +12,50 @@
 	maxRemembered = 2048
 )
 
-// serverEnd is the end of one run of a server, as far as its registration or a refused connection showed it.
-type serverEnd struct {
-	key Key
-	at  time.Time
-}
-
-// endHistory remembers which servers of each pool have ended without leaving as planned. It is not safe for concurrent use.
+// endHistory remembers which servers of each pool have ended without leaving as planned, and when. It is not safe for concurrent use.
 type endHistory struct {
-	pools map[string][]serverEnd
+	pools map[string]map[Key]time.Time
 }
 
 // record adds the end of a server, once for each run of it.
 func (h *endHistory) record(now time.Time, pool string, key Key) {
-	ends := slices.DeleteFunc(h.pools[pool], func(e serverEnd) bool { return now.Sub(e.at) > endRetention })
-	h.pools[pool] = ends
-	if !h.contains(pool, key) {
-		ends = append(ends, serverEnd{key: key, at: now})
+	ends, known := h.pools[pool]
+	if !known {
+		ends = map[Key]time.Time{}
+		h.pools[pool] = ends
+	}
+	if _, recorded := ends[key]; recorded {
+		return
+	}
+	maps.DeleteFunc(ends, func(_ Key, at time.Time) bool { return now.Sub(at) > endRetention })
+	if len(ends) == maxRemembered {
+		delete(ends, oldest(ends))
+	}
+	ends[key] = now
+}
+
+// oldest returns the run of a server that ended first.
+func oldest(ends map[Key]time.Time) (first Key) {
+	var at time.Time
+	for key, endedAt := range ends {
+		if at.IsZero() || endedAt.Before(at) {
+			first, at = key, endedAt
+		}
 	}
-	h.pools[pool] = ends[max(0, len(ends)-maxRemembered):]
+	return first
 }
 
+// contains reports whether the run of the server is known to have ended.
 func (h *endHistory) contains(pool string, key Key) bool {
-	return slices.ContainsFunc(h.pools[pool], func(e serverEnd) bool { return e.key == key })
+	_, ended := h.pools[pool][key]
+	return ended
 }
 
 // count returns how many servers of the pool ended in the period, both ends included.
 func (h *endHistory) count(pool string, from, to time.Time) int {
 	count := 0
-	for _, e := range h.pools[pool] {
-		if !e.at.Before(from) && !e.at.After(to) {
+	for _, at := range h.pools[pool] {
+		if !at.Before(from) && !at.After(to) {
 			count++
 		}
 	}
--- a/internal/edge/batchjob/serverend.go
+++ b/internal/edge/batchjob/serverend.go
@@ -208,19 +208,20 @@
 // servers before.
 func (m *Manager) clearServerEnds(j *job, item string, reward bool) {
 	j.mu.Lock()
-	defer j.mu.Unlock()
-	ends := j.progress.ServerEnds(item)
+	known := j.progress.ServerEnds(item)
+	cleared := known
 	if reward {
-		ends.RewardExplained = ends.Reward
+		cleared.RewardExplained = known.Reward
 	} else {
-		ends.ItemExplained = ends.Item
+		cleared.ItemExplained = known.Item
 	}
-	if ends == j.progress.ServerEnds(item) {
+	j.progress.MergeItemServerEnds(item, cleared)
+	j.mu.Unlock()
+	if cleared == known {
 		return
 	}
-	j.progress.MergeItemServerEnds(item, ends)
-	m.serverEnds.merge(time.Now(), item, ends)
-	m.log.Info().Str("request", j.spec.ID).Str("item", item).Bool("reward", reward).Object("counts", endCounts(ends)).
+	m.serverEnds.merge(time.Now(), item, cleared)
+	m.log.Info().Str("request", j.spec.ID).Str("item", item).Bool("reward", reward).Object("counts", endCounts(cleared)).
 		Msg("item completed after servers ended under it")
 }
 
--- a/internal/edge/call/judge.go
+++ b/internal/edge/call/judge.go
@@ -10,8 +10,8 @@
 // ErrWrongRequest is the cause of an answer that belongs to another request.
 var ErrWrongRequest = errors.New("the answer belongs to another request")
 
-// Judge returns what an answer, whose body is complete, says about the request. Ran means that a server produced it for this request; any
-// other outcome comes with its cause. All answers of servers are judged here, those to items of batch jobs included.
+// Judge returns what the status and header of an answer say about the request. Ran means that a server produced the answer for this request;
+// any other outcome comes with its cause. All answers of servers are judged here, those to items of batch jobs included.
 func Judge(answer platform.Answer, request string) (verdict.Verdict, error) {
 	switch {
 	case answer.RequestID != request:
