Plan around the servers that may not run an item

In a pool whose servers differ in speed, a suspect waited beside free slots for as long as another suspect ran at the server that the plan preferred: the plan didn't know which servers a suspect may not use, its start was refused, and the next plan proposed the same server again. An item that needs an idle server waited in the same way until it no longer needed one.

A refused move was dropped from the ranking, but four refused moves used up all plans of a pass, and each pass ranked the items anew. In a job with a single weight version, running items that would gain by a server with another version kept a waiting item from its slot.

The plan now gets the restrictions as data: servers that are excluded by item, items that may not share a server with one another, and items that need a server with nothing else. It gives a slot to the next item that may use it. What is refused nevertheless, because it changed in between, isn't proposed again in the same pass: the pair, or the server if that refused.

startItem and moveItem return an error that says which of the two it was; the tests that called them check for it in place of a bool.

The four tests in suspect_test.go failed before: the suspect and the item that needs an idle server didn't start, the item waited beside the slot that refused moves kept, and of ten suspects one ran at one of two servers.

--- a/internal/core/batch/serverend.go
+++ b/internal/core/batch/serverend.go
@@ -169,6 +169,17 @@
 // Suspect reports whether the item is a suspect.
 func (p *Progress) Suspect(id string) bool { return p.ServerEnds(id).Suspect() }
 
+// SuspectItems returns the suspects that wait to run or run, in their order of submission.
+func (p *Progress) SuspectItems() []string {
+	var ids []string
+	for _, state := range p.order {
+		if (state.phase == phaseWaiting || state.phase == phaseRunning) && state.ends.Suspect() {
+			ids = append(ids, state.item.ID)
+		}
+	}
+	return ids
+}
+
 // Withheld returns the number of items that are sent to no server.
 func (p *Progress) Withheld() int { return p.count(phaseWithheld) }
 
--- a/internal/core/dispatch/plan.go
+++ b/internal/core/dispatch/plan.go
@@ -36,6 +36,9 @@
 	Present float64
 	// OtherZone is set if the server is in another availability zone than the entry.
 	OtherZone bool
+
+	// assigned is what the plan has assigned to the server.
+	assigned assigned
 }
 
 // delay returns how much later an item ends there because of what slows the server down at the moment.
@@ -67,11 +70,11 @@
 	IntervalFrom, IntervalTo time.Duration
 }
 
-// Plan assigns free slots, the fastest first. Each goes to the waiting or running item that gains most by it. An item gets at most one slot.
-// A slot that a move frees isn't assigned: the source's connection must end first. The ranking isn't changed.
+// Plan assigns free slots, the fastest first. Each goes to the waiting or running item that gains most by it, of those that may run there. An
+// item gets at most one slot. A slot that a move frees isn't assigned: the source's connection must end first. The ranking isn't changed.
 func Plan(r Ranking, slots []Slot) []Action {
 	slots = slices.Clone(slots)
-	waiting := r.waiting
+	waiting := slices.Clone(r.waiting)
 	moved := make([]bool, len(r.running))
 	var actions []Action
 	for {
@@ -80,24 +83,39 @@
 			return actions
 		}
 		best := r.bestMove(slot, moved)
+		next := slices.IndexFunc(waiting, func(item *rankedItem) bool { return r.mayRunAt(item, slot) })
 		switch {
-		case best >= 0 && (len(waiting) == 0 || r.prefersMove(r.running[best], waiting[0], slot)):
+		case best >= 0 && (next < 0 || r.prefersMove(r.running[best], waiting[next], slot)):
 			moved[best] = true
-			actions = append(actions, newAction(r.running[best], slot))
-		case len(waiting) > 0:
-			actions = append(actions, newAction(waiting[0], slot))
-			waiting = waiting[1:]
+			actions = append(actions, r.assign(r.running[best], slot))
+		case next >= 0:
+			actions = append(actions, r.assign(waiting[next], slot))
+			waiting = slices.Delete(waiting, next, next+1)
 		default:
 			// Slots are ordered by the time of an item of typical length. The next one may be worth a move to an item with more left to do, if
-			// this one is in a slow period.
+			// this one is in a slow period, and items that may not run here may run there.
 			slot.Free = 0
-			continue
 		}
-		slot.Free--
-		slot.Interval += slot.Interval / crowding
 	}
 }
 
+// mayRunAt reports whether the item may run at the server, beside what the plan has assigned to it.
+func (r *Ranking) mayRunAt(item *rankedItem, slot *Slot) bool {
+	return r.restrictions.allow(item.ID, slot.Server, slot.assigned)
+}
+
+// assign assigns a slot of the server to the item.
+func (r *Ranking) assign(item *rankedItem, slot *Slot) Action {
+	action := newAction(item, slot)
+	slot.Free--
+	slot.Interval += slot.Interval / crowding
+	slot.assigned.items++
+	if r.restrictions.suspects[item.ID] {
+		slot.assigned.suspects++
+	}
+	return action
+}
+
 // cheapest returns the server with a free slot where an item ends first, of equal ones that with the most free slots; nil if there is none.
 func cheapest(slots []Slot) *Slot {
 	var best *Slot
@@ -128,7 +146,7 @@
 	for i := range r.running {
 		item := r.running[i]
 		gain := item.moveGain(slot)
-		if moved[i] || gain == 0 || item.Server == slot.Server {
+		if moved[i] || gain == 0 || item.Server == slot.Server || !r.mayRunAt(item, slot) {
 			continue
 		}
 		if best < 0 || item.movesBefore(r.running[best], float64(gain), float64(bestGain)) {
--- a/internal/core/dispatch/rank.go
+++ b/internal/core/dispatch/rank.go
@@ -84,6 +84,8 @@
 	waiting []*rankedItem
 	// running are the items that may move, those with the longest time left first.
 	running []*rankedItem
+	// restrictions say where items may not run.
+	restrictions Restrictions
 }
 
 // Rank orders the items of a job.
--- /dev/null
+++ b/internal/core/dispatch/restrict.go
@@ -0,0 +1,56 @@
+package dispatch
+
+// Restrictions say which servers may not run an item. They may change between two rankings.
+type Restrictions struct {
+	// excluded holds, by item, the servers that may not run it now.
+	excluded map[string]map[string]bool
+	// suspects are the items of which a server may run one at a time; needIdle are those that need a server that runs nothing else.
+	suspects, needIdle map[string]bool
+}
+
+// Exclude adds a server that may not run the item now.
+func (r *Restrictions) Exclude(item, server string) {
+	if r.excluded == nil {
+		r.excluded = map[string]map[string]bool{}
+	}
+	if r.excluded[item] == nil {
+		r.excluded[item] = map[string]bool{}
+	}
+	r.excluded[item][server] = true
+}
+
+// AddSuspect adds an item that may not share a server with another such item. The servers at which one runs already are excluded by Exclude.
+func (r *Restrictions) AddSuspect(item string) {
+	if r.suspects == nil {
+		r.suspects = map[string]bool{}
+	}
+	r.suspects[item] = true
+}
+
+// AddNeedIdle adds an item that needs a server that runs nothing else. The servers at which something runs already are excluded by Exclude.
+func (r *Restrictions) AddNeedIdle(item string) {
+	if r.needIdle == nil {
+		r.needIdle = map[string]bool{}
+	}
+	r.needIdle[item] = true
+}
+
+// assigned is what a plan has assigned to a server so far.
+type assigned struct {
+	items, suspects int
+}
+
+// allow reports whether the item may run at the server, beside what is assigned to it.
+func (r *Restrictions) allow(item, server string, beside assigned) bool {
+	switch {
+	case r.excluded[item][server]:
+		return false
+	case r.needIdle[item] && beside.items > 0:
+		return false
+	default:
+		return !r.suspects[item] || beside.suspects == 0
+	}
+}
+
+// Restrict replaces the restrictions by which plans are made.
+func (r *Ranking) Restrict(restrictions Restrictions) { r.restrictions = restrictions }
--- a/internal/edge/batchjob/move.go
+++ b/internal/edge/batchjob/move.go
@@ -52,33 +52,37 @@
 	r.cancel = cancel
 }
 
-// moveItem moves a running item: it acquires a slot at the destination and ends the run, which continues there once it has ended. It
-// returns false if the item no longer runs where the action says or already runs at the destination, or the destination may not take it.
-func (m *Manager) moveItem(j *job, action dispatch.Action) bool {
+// moveItem moves a running item: it acquires a slot at the destination and ends the run, which continues there once it has ended.
+func (m *Manager) moveItem(j *job, action dispatch.Action) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	r, ok := j.runs[action.Item]
 	if !ok || r.server.ID != action.From || action.From == action.To || r.cancel == nil || r.next != nil || j.progress.Ended() {
-		return false
+		return errItemChanged
 	}
 	if !m.mayRunAt(j, action.Item, action.To) {
-		return false
+		return errItemExcluded
 	}
 	server, ok := m.balancer.AcquireServer(time.Now(), j.requirements(), action.To)
 	if !ok {
-		return false
+		return errServerRefused
 	}
-	if j.spec.SingleVersion && len(r.output.Versions) > 0 && server.Models[j.spec.Model] != r.output.Versions[0] {
-		// The text would be discarded there.
+	if r.wouldDiscardText(server) {
 		m.balancer.Release(server.ID)
-		return false
+		return errItemExcluded
 	}
 	r.next = &destination{server: server, move: move{
 		from: action.From, reason: moveFaster, remaining: action.Remaining, intervalFrom: action.IntervalFrom, intervalTo: action.IntervalTo,
 	}}
 	j.progress.RecordMove(action.Item)
 	r.cancel(errMoved)
-	return true
+	return nil
+}
+
+// wouldDiscardText reports whether the text received so far would be discarded at the server: the job allows a single weight version, and
+// the server has another one. The caller holds the job's lock.
+func (r *itemRun) wouldDiscardText(server backend.Server) bool {
+	return r.job.spec.SingleVersion && len(r.output.Versions) > 0 && server.Models[r.job.spec.Model] != r.output.Versions[0]
 }
 
 // continueMove returns the run at the server that the item moves to, now that the former run has ended; nil if it doesn't move. The slot
--- a/internal/edge/batchjob/place.go
+++ b/internal/edge/batchjob/place.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
 	"github.com/oleandershelf/oleandershelf/internal/core/dispatch"
@@ -38,25 +40,26 @@
 		return
 	}
 	need := j.requirements()
-	slots := m.freeSlots(now, need)
-	if len(slots) == 0 {
+	var refused refusals
+	candidates := m.balancer.Candidates(now, need)
+	if len(candidates) == 0 {
 		return
 	}
 	if due || stale {
-		m.rank(now, j, p, slots)
+		m.rank(now, j, p, m.slots(candidates))
 	}
 	for range maxPlans {
 		j.retain(p)
-		if m.carryOut(ctx, j, p, dispatch.Plan(p.ranking, slots)) {
+		p.ranking.Restrict(m.restrictions(j, candidates, refused))
+		if m.carryOut(ctx, j, p, dispatch.Plan(p.ranking, m.slots(candidates)), &refused) {
 			return
 		}
-		slots = m.freeSlots(now, need)
+		candidates = slices.DeleteFunc(m.balancer.Candidates(now, need), func(c backend.Candidate) bool { return refused.servers[c.Server.ID] })
 	}
 }
 
-// freeSlots returns the servers that may take an item now.
-func (m *Manager) freeSlots(now time.Time, need backend.Requirements) []dispatch.Slot {
-	candidates := m.balancer.Candidates(now, need)
+// slots returns the free slots of the servers as they are planned.
+func (m *Manager) slots(candidates []backend.Candidate) []dispatch.Slot {
 	zone := m.members.Self().AvailabilityZone
 	slots := make([]dispatch.Slot, 0, len(candidates))
 	for _, c := range candidates {
@@ -67,35 +70,96 @@
 	return slots
 }
 
+// refusals are the planned actions that could not be carried out in one pass over the free slots. The next plan of the pass avoids them.
+type refusals struct {
+	// servers refused an item of the job.
+	servers map[string]bool
+	// actions were refused for the sake of the item.
+	actions []dispatch.Action
+}
+
+func (r *refusals) add(action dispatch.Action, err error) {
+	if !errors.Is(err, errServerRefused) {
+		r.actions = append(r.actions, action)
+		return
+	}
+	if r.servers == nil {
+		r.servers = map[string]bool{}
+	}
+	r.servers[action.To] = true
+}
+
+// restrictions returns which of the candidates may not run an item of the job now.
+func (m *Manager) restrictions(j *job, candidates []backend.Candidate, refused refusals) dispatch.Restrictions {
+	var restrictions dispatch.Restrictions
+	for _, action := range refused.actions {
+		restrictions.Exclude(action.Item, action.To)
+	}
+	now := time.Now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, item := range j.progress.SuspectItems() {
+		restrictions.AddSuspect(item)
+		if j.progress.NeedsIdleServer(now, item) {
+			restrictions.AddNeedIdle(item)
+		}
+		for server := range m.excludedServers(j, item) {
+			restrictions.Exclude(item, server)
+		}
+	}
+	for item, r := range j.runs {
+		for _, candidate := range candidates {
+			if r.wouldDiscardText(candidate.Server) {
+				restrictions.Exclude(item, candidate.Server.ID)
+			}
+		}
+	}
+	return restrictions
+}
+
 // carryOut carries out a plan. It returns false if that failed in part, so that slots may be free for other items.
-func (m *Manager) carryOut(ctx context.Context, j *job, p *placer, actions []dispatch.Action) bool {
+func (m *Manager) carryOut(ctx context.Context, j *job, p *placer, actions []dispatch.Action, refused *refusals) bool {
 	whole := true
 	for _, action := range actions {
-		switch {
-		case action.From == "":
-			whole = m.startItem(ctx, j, action) && whole
-		case !m.moveItem(j, action):
+		var err error
+		if action.From == "" {
+			err = m.startItem(ctx, j, action)
+		} else if err = m.moveItem(j, action); err != nil {
 			p.ranking.DropRunning(action.Item)
+		}
+		if err != nil {
 			whole = false
+			refused.add(action, err)
+			m.log.Debug().Err(err).Str("request", j.spec.ID).Str("item", action.Item).Str("from", action.From).Str("to", action.To).
+				Msg("planned action not carried out")
 		}
 	}
 	return whole
 }
 
-// startItem starts a waiting item at a server; false if it no longer waits, or the server may not take it after all.
-func (m *Manager) startItem(ctx context.Context, j *job, action dispatch.Action) bool {
+var (
+	errItemChanged   = errors.New("the item no longer waits, or runs where it did")
+	errItemExcluded  = errors.New("the item may not run at the server now")
+	errServerRefused = errors.New("the server may not take an item of the job now")
+)
+
+// startItem starts a waiting item at a server.
+func (m *Manager) startItem(ctx context.Context, j *job, action dispatch.Action) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if ctx.Err() != nil || !j.progress.IsWaiting(action.Item) || !m.mayRunAt(j, action.Item, action.To) {
-		return false
+	if ctx.Err() != nil || !j.progress.IsWaiting(action.Item) {
+		return errItemChanged
+	}
+	if !m.mayRunAt(j, action.Item, action.To) {
+		return errItemExcluded
 	}
 	server, ok := m.balancer.AcquireServer(time.Now(), j.requirements(), action.To)
 	if !ok {
-		return false
+		return errServerRefused
 	}
 	r := m.newRunLocked(j, j.progress.Item(action.Item), server)
 	j.wg.Go(func() { m.runItem(ctx, r) })
-	return true
+	return nil
 }
 
 // retain removes from the ranking what has changed since.
--- a/internal/edge/batchjob/place_test.go
+++ b/internal/edge/batchjob/place_test.go
@@ -263,12 +263,12 @@
 			_, r.cancel = context.WithCancelCause(ctx)
 			j.mu.Unlock()
 			p.balancer.Release("slow")
-			if p.moveItem(j, moveAction("a", "slow", "slow")) {
+			if p.moveItem(j, moveAction("a", "slow", "slow")) == nil {
 				t.Error("the item moves to the server on which it runs")
 			}
 			p.acquire(t, "slow")
 			action := moveAction("a", "slow", "fast")
-			if !p.moveItem(j, action) || p.moveItem(j, action) {
+			if p.moveItem(j, action) != nil || p.moveItem(j, action) == nil {
 				t.Fatal("the item doesn't move, or moves twice")
 			}
 			if result == outcomeMoved {
@@ -279,7 +279,7 @@
 				t.Error("the item moved")
 			}
 			p.checkSlots(t)
-			if p.moveItem(j, action) {
+			if p.moveItem(j, action) == nil {
 				t.Error("an item moves that doesn't run")
 			}
 		})
--- a/internal/edge/batchjob/serverend_test.go
+++ b/internal/edge/batchjob/serverend_test.go
@@ -62,11 +62,11 @@
 		j.progress.RecordServerEnd("b")
 	}
 	pool.serverEnds.started("slow", "b")
-	if pool.startItem(t.Context(), j, dispatch.Action{Item: "a", To: "slow"}) {
+	if pool.startItem(t.Context(), j, dispatch.Action{Item: "a", To: "slow"}) == nil {
 		t.Error("started beside another suspect")
 	}
 	j.runs["a"] = &itemRun{server: backend.Server{ID: "fast"}, cancel: func(error) {}}
-	if pool.moveItem(j, dispatch.Action{Item: "a", From: "fast", To: "slow"}) {
+	if pool.moveItem(j, dispatch.Action{Item: "a", From: "fast", To: "slow"}) == nil {
 		t.Error("moved beside another suspect")
 	}
 }
--- /dev/null
+++ b/internal/edge/batchjob/suspect_test.go
@@ -0,0 +1,152 @@
+package batchjob
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/core/backend"
+	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/platform/platformtest"
+)
+
+// setSlots changes the number of slots of a server.
+func (p *unevenPool) setSlots(id string, slots int) {
+	servers := p.balancer.Servers()
+	for i := range servers {
+		if servers[i].ID == id {
+			servers[i].Slots = slots
+		}
+	}
+	p.balancer.Sync(time.Now(), servers)
+}
+
+// makeSuspect records that servers ended under the item, as often as makes a suspect.
+func makeSuspect(j *job, item string) {
+	for range batch.MaxServerEnds - 1 {
+		j.progress.RecordServerEnd(item)
+	}
+}
+
+// startedWithin reports whether a server of the pool got the item within the time.
+func startedWithin(server *platformtest.Server, item string, limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		for _, got := range server.Requests() {
+			if got.ID() == item {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Guards against a suspect that waits beside a free slot for as long as another suspect runs at the server that the plan prefers.
+func TestSuspectStartsWhileThePreferredServerRunsAnother(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p := newUnevenPool(ctx, t)
+	defer p.Wait()
+	defer cancel()
+	p.setSlots("fast", 3)
+	p.serverEnds.started("fast", "other")
+	j := newPlacedJob("j", "a", "b")
+	makeSuspect(j, "a")
+	p.startJob(j)
+	if !startedWithin(p.slow, "a", time.Second) {
+		t.Error("the suspect has not started at the other server within a second")
+	}
+	if !startedWithin(p.fast, "b", time.Second) {
+		t.Error("the item behind the suspect has not started at the preferred server")
+	}
+}
+
+// Guards against an item that waits beside an idle server until it no longer needs one, because the plan prefers a server that runs others.
+func TestItemThatNeedsAnIdleServerGetsIt(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p := newUnevenPool(ctx, t)
+	defer p.Wait()
+	defer cancel()
+	p.setSlots("fast", 3)
+	j := newPlacedJob("j", "a")
+	for range batch.MaxServerEnds {
+		j.progress.RecordServerEnd("a")
+	}
+	j.progress.ReleaseForIsolatedRun(time.Now(), "a")
+	p.startJob(j)
+	if !startedWithin(p.slow, "a", 500*time.Millisecond) {
+		t.Error("the item has not started at the idle server")
+	}
+}
+
+// Guards against a waiting item that no plan starts because running items, more than a pass has plans, would gain by the free slot and can't
+// move to it.
+func TestRefusedMovesDoNotKeepASlotFromAWaitingItem(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p := newUnevenPool(ctx, t)
+	defer p.Wait()
+	defer cancel()
+	servers := p.balancer.Servers()
+	servers[0].Models = map[string]int{"m": 2}
+	p.balancer.Sync(time.Now(), servers)
+	p.acquire(t, "slow")
+	p.balancer.Release("fast")
+	// A short output is expected of the waiting item, so that the others gain more by the fast server.
+	for range 50 {
+		p.lengths.RecordFinished("m", 10, 10)
+	}
+	items := []string{"waits"}
+	for i := range 2 * maxPlans {
+		items = append(items, fmt.Sprintf("runs-%d", i))
+	}
+	j := newPlacedJob("j", items...)
+	j.spec.SingleVersion = true
+	j.spec.Items[0].ExpectedTokens = 10
+	j.mu.Lock()
+	for _, item := range items[1:] {
+		r := p.newRunLocked(j, j.progress.Item(item), backend.Server{ID: "slow"})
+		_, r.cancel = context.WithCancelCause(ctx)
+		r.output.Append(batch.Event{Number: 1, Data: "x"}, 1)
+	}
+	j.mu.Unlock()
+	p.placeItems(ctx, j, &placer{})
+	defer j.wg.Wait()
+	defer cancel()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.progress.IsWaiting("waits") {
+		t.Error("the item waits beside a free slot")
+	}
+}
+
+// Guards against sound items that wait behind more suspects than there are servers, and against suspects that share a server.
+func TestItemsStartBesideMoreSuspectsThanServers(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p := newUnevenPool(ctx, t)
+	defer p.Wait()
+	defer cancel()
+	p.setSlots("fast", 12)
+	p.setSlots("slow", 12)
+	var items []string
+	for i := range 10 {
+		items = append(items, fmt.Sprintf("suspect-%d", i))
+	}
+	items = append(items, "sound-0", "sound-1", "sound-2", "sound-3")
+	j := newPlacedJob("j", items...)
+	for _, item := range items[:10] {
+		makeSuspect(j, item)
+	}
+	p.placeItems(ctx, j, &placer{})
+	defer j.wg.Wait()
+	defer cancel()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	suspects := map[string]int{}
+	for item, r := range j.runs {
+		if j.progress.Suspect(item) {
+			suspects[r.server.ID]++
+		}
+	}
+	if suspects["fast"] != 1 || suspects["slow"] != 1 || len(j.runs) != 6 {
+		t.Errorf("%d items run, and suspects at %v; want the 4 sound ones and a suspect at each server", len(j.runs), suspects)
+	}
+}
