Ignore the end of a run once its item runs again

When a move was given up because the destination ran another suspect by then, the item was queued at once, and the end of its former run was recorded up to 60 ms later. In between the item could start elsewhere. The late record queued it a second time, so that it ran at two servers at once; the second run mixed up the text, failed with an event out of order, and the control loop lost sight of the first.

The item is now queued at that point only if it moves or is withheld, and a recorded end is ignored if another run of the item is under way.

TestEndOfAFormerRunDoesNotQueueAnItemThatRuns failed before in all six cases: the item waited while it ran.

--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -141,6 +141,10 @@
 	now := time.Now()
 	r.job.mu.Lock()
 	defer r.job.mu.Unlock()
+	if current, runs := r.job.runs[r.item.ID]; runs && current != r {
+		// The item was withheld when its move was given up, and runs again by now.
+		return
+	}
 	progress := r.job.progress
 	switch result {
 	case outcomeCompleted:
--- a/internal/edge/batchjob/move.go
+++ b/internal/edge/batchjob/move.go
@@ -98,9 +98,10 @@
 	if r.next == nil {
 		return nil
 	}
-	if ctx.Err() == nil && (result == outcomeMoved || result == outcomeInterrupted || result == outcomeRefused) {
+	moves := result == outcomeMoved || result == outcomeInterrupted || result == outcomeRefused
+	if ctx.Err() == nil && moves && m.mayRunAt(j, r.item.ID, r.next.server.ID) {
 		j.progress.Requeue(r.item.ID)
-		if j.progress.IsWaiting(r.item.ID) && m.mayRunAt(j, r.item.ID, r.next.server.ID) {
+		if j.progress.IsWaiting(r.item.ID) {
 			next := m.newRunLocked(j, r.item, r.next.server)
 			next.move = &r.next.move
 			return next
--- a/internal/edge/batchjob/suspect_test.go
+++ b/internal/edge/batchjob/suspect_test.go
@@ -150,3 +150,60 @@
 		t.Errorf("%d items run, and suspects at %v; want the 4 sound ones and a suspect at each server", len(j.runs), suspects)
 	}
 }
+
+// Guards against an item that runs twice at once: its move is given up, so that it starts elsewhere, and the end of the former run is
+// recorded only after that.
+func TestEndOfAFormerRunDoesNotQueueAnItemThatRuns(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// giveUp makes the move impossible; release lets a withheld item run again.
+		giveUp  func(p *unevenPool, j *job)
+		release bool
+	}{
+		{name: "the destination runs another suspect", giveUp: func(p *unevenPool, j *job) {
+			makeSuspect(j, "a")
+			p.serverEnds.started("fast", "other")
+		}},
+		{name: "the item is withheld, and released", release: true, giveUp: func(_ *unevenPool, j *job) {
+			makeSuspect(j, "a")
+			j.progress.RecordServerEnd("a")
+		}},
+	} {
+		for _, result := range []outcome{outcomeRefused, outcomeInterrupted, outcomeMoved} {
+			t.Run(test.name+", "+result.String(), func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				p := newUnevenPool(ctx, t)
+				defer p.Wait()
+				defer cancel()
+				p.balancer.Release("fast")
+				j := newPlacedJob("j", "a")
+				start := func() *itemRun {
+					j.mu.Lock()
+					defer j.mu.Unlock()
+					if !j.progress.IsWaiting("a") {
+						return nil
+					}
+					return p.newRunLocked(j, j.progress.Item("a"), backend.Server{ID: "slow"})
+				}
+				former := start()
+				_, former.cancel = context.WithCancelCause(ctx)
+				if err := p.moveItem(j, moveAction("a", "slow", "fast")); err != nil {
+					t.Fatal(err)
+				}
+				test.giveUp(p, j)
+				if next := p.continueMove(ctx, former, result); next != nil {
+					t.Fatal("the item moves")
+				}
+				if test.release {
+					j.progress.ReleaseForIsolatedRun(time.Now(), "a")
+				}
+				current := start()
+				former.applyOutcome(result)
+				if waits := j.progress.IsWaiting("a"); waits == (current != nil) {
+					t.Errorf("waits: %v, runs: %v", waits, current != nil)
+				}
+				p.checkSlots(t)
+			})
+		}
+	}
+}
