Keep the place of an item that can't start yet

A suspect that found no server was put behind all other waiting items, also when no server had a free slot at all. In a full pool it then waited for each of them, and with it the text that it had. It is now passed over for the rest of the pass and keeps its place.

Progress.Postpone is gone.

TestSuspectKeepsItsPlaceInTheQueue failed before: the item after the two that were tried was next.

--- a/internal/core/batch/progress.go
+++ b/internal/core/batch/progress.go
@@ -206,16 +206,21 @@
 }
 
 // Next returns the item to run next without starting it, or false if none waits.
-func (p *Progress) Next() (*Item, bool) {
+func (p *Progress) Next() (*Item, bool) { return p.NextExcept(nil) }
+
+// NextExcept returns the item to run next that isn't among the given ones, which keep their places; false if no other item waits.
+func (p *Progress) NextExcept(passedOver map[string]bool) (*Item, bool) {
 	if p.ended {
 		return nil, false
 	}
-	for len(p.queue) > 0 {
-		if p.queue[0].phase == phaseWaiting {
-			return p.queue[0].item, true
-		}
+	for len(p.queue) > 0 && p.queue[0].phase != phaseWaiting {
 		p.queue = p.queue[1:]
 	}
+	for _, state := range p.queue {
+		if state.phase == phaseWaiting && !passedOver[state.item.ID] {
+			return state.item, true
+		}
+	}
 	return nil, false
 }
 
--- a/internal/core/batch/serverend.go
+++ b/internal/core/batch/serverend.go
@@ -217,14 +217,6 @@
 	return ok && state.ends.OverLimit() && now.Sub(state.releasedAt) < idleServerWait
 }
 
-// Postpone lets the items that wait go before this one.
-func (p *Progress) Postpone(id string) {
-	if p.IsWaiting(id) {
-		state := p.items[id]
-		p.queue = append(slices.DeleteFunc(p.queue, func(other *itemState) bool { return other == state }), state)
-	}
-}
-
 // release queues a withheld item, or its reward call if the text is complete.
 func (p *Progress) release(state *itemState) {
 	if state.rewardWithheld {
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -194,19 +194,19 @@
 
 // startItems starts items as long as servers have free slots.
 func (m *Manager) startItems(ctx context.Context, j *job) {
-	postponed := map[string]bool{}
-	for m.startNext(ctx, j, postponed) {
+	passedOver := map[string]bool{}
+	for m.startNext(ctx, j, passedOver) {
 	}
 }
 
-// startNext starts the next item, or postpones it if it is a suspect and all servers with free slots run another one. It returns false if no
-// item waits that was not postponed before, or no server has a free slot.
-func (m *Manager) startNext(ctx context.Context, j *job, postponed map[string]bool) bool {
+// startNext starts the next item, or passes it over if it is a suspect and no server with a free slot may run it. It returns false if no
+// item waits that was not passed over before, or no server has a free slot.
+func (m *Manager) startNext(ctx context.Context, j *job, passedOver map[string]bool) bool {
 	need := j.requirements()
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	item, ok := j.progress.Next()
-	if !ok || postponed[item.ID] {
+	item, ok := j.progress.NextExcept(passedOver)
+	if !ok {
 		return false
 	}
 	suspect := j.progress.Suspect(item.ID)
@@ -220,8 +220,7 @@
 		j.wg.Go(func() { m.runItem(ctx, r) })
 		return true
 	case suspect:
-		postponed[item.ID] = true
-		j.progress.Postpone(item.ID)
+		passedOver[item.ID] = true
 		return true
 	default:
 		return false
--- a/internal/edge/batchjob/suspect_test.go
+++ b/internal/edge/batchjob/suspect_test.go
@@ -207,3 +207,28 @@
 		}
 	}
 }
+
+// Guards against a suspect that goes behind all other items whenever it can't start, and then waits for each of them.
+func TestSuspectKeepsItsPlaceInTheQueue(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p := newUnevenPool(ctx, t)
+	defer p.Wait()
+	defer cancel()
+	p.serverEnds.started("slow", "other")
+	j := newPlacedJob("j", "a", "b", "c")
+	makeSuspect(j, "a")
+	defer j.wg.Wait()
+	defer cancel()
+	// In the first pass the suspect may not use the only free slot, which another item gets. In the second one there is none.
+	for range 2 {
+		p.startItems(ctx, j)
+		j.mu.Lock()
+		next, ok := j.progress.Next()
+		waiting := j.progress.Waiting()
+		j.mu.Unlock()
+		if !ok || next.ID != "a" || waiting != 2 {
+			t.Fatalf("the next item of %d is %+v", waiting, next)
+		}
+		p.serverEnds.ended("slow", "other")
+	}
+}
