--- a/internal/core/batch/serverend.go
+++ b/internal/core/batch/serverend.go
@@ -169,6 +169,17 @@
 // Suspect reports whether the item is a suspect.
 func (p *Progress) Suspect(id string) bool { return p.ServerEnds(id).Suspect() }
 
+// SuspectItems returns the suspects that wait to run or run, in their order of submission.
+func (p *Progress) SuspectItems() []string {
+	var ids []string
+	for _, state := range p.order {
+		if (state.phase == phaseWaiting || state.phase == phaseRunning) && state.ends.Suspect() {
+			ids = append(ids, state.item.ID)
+		}
+	}
+	return ids
+}
+
 // Withheld returns the number of items that are sent to no server.
 func (p *Progress) Withheld() int { return p.count(phaseWithheld) }
 
@@ -206,14 +217,6 @@
 	return ok && state.ends.OverLimit() && now.Sub(state.releasedAt) < idleServerWait
 }
 
-// Postpone lets the items that wait go before this one.
-func (p *Progress) Postpone(id string) {
-	if p.IsWaiting(id) {
-		state := p.items[id]
-		p.queue = append(slices.DeleteFunc(p.queue, func(other *itemState) bool { return other == state }), state)
-	}
-}
-
 // release queues a withheld item, or its reward call if the text is complete.
 func (p *Progress) release(state *itemState) {
 	if state.rewardWithheld {
