Log items that are at no server, and why no entry runs a job

An item of a step lay at no server for over five seconds, and no line at level info said in which state it was, or which entry was believed to run its job. The control loop now writes one bounded line a job for the unfinished items that have been at no server for two seconds, with the state of each, the reason why a waiting one isn't started, the free servers and the weights required; a line when a named item runs again; and a gauge of the longest such time.

--- a/internal/core/batch/progress.go
+++ b/internal/core/batch/progress.go
@@ -63,6 +63,9 @@
 	checkpointEvent int
 	// checkpointFailures is the number of failures, ended servers included, recorded in that checkpoint.
 	checkpointFailures int
+	// starts counts the starts of the item in this process. idle is nil unless the item was at no server when last observed.
+	starts int
+	idle   *idleRecord
 }
 
 func (s *itemState) totalFailures() int {
@@ -223,6 +226,7 @@
 func (p *Progress) Start(id string) *Output {
 	state := p.items[id]
 	state.phase = phaseRunning
+	state.starts++
 	return state.output
 }
 
--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
@@ -59,14 +60,19 @@
 	q.Partials = j.progress.Partials()
 	q.EndRequested = q.EndRequested || j.endRequested
 	j.mu.Unlock()
+	refusals := zerolog.Dict()
 	for _, member := range candidates {
 		_, err := peer.Call[RunRequest, RunAnswer](ctx, m.peers, member.Address, MethodRun, q)
-		m.log.Info().Str("request", j.spec.ID).Str("entry", member.HostID).AnErr("answer", err).Msg("batch job handed over")
 		if err == nil {
+			m.log.Info().Str("request", j.spec.ID).Str("entry", member.HostID).Int("partials", len(q.Partials)).Msg("batch job handed over")
 			m.mergeOwners(m.members.Self(), map[string]string{j.spec.ID: member.HostID})
 			return
 		}
+		refusals.AnErr(member.HostID, err)
 	}
+	state := j.state()
+	m.log.Warn().Str("request", j.spec.ID).Int("candidates", len(candidates)).Dict("refusals", refusals).Int("unfinished", state.unfinished()).
+		Msg("no entry takes a batch job of this leaving entry")
 }
 
 // rankedPeers returns the other entries that are not leaving, in an order that differs between jobs and is the same at all entries.
@@ -86,6 +92,8 @@
 // them and know nothing of the job.
 func (m *Manager) RerunJobsOf(lost gossip.Member) {
 	for _, id := range m.jobsOwnedBy(lost.HostID) {
+		m.log.Info().Str("request", id).Str("entry", lost.HostID).Int("rank", m.ownRank(id)).Dur("lastAnnounced", m.announcedAgo(id)).
+			Msg("batch job lost its entry")
 		m.forgetOwner(id, lost.HostID)
 		m.wg.Go(func() { m.rerunInTurn(id, lost.HostID) })
 	}
@@ -106,13 +114,20 @@
 
 // rerun restarts a job whose entry was lost, and retries after failures. The host id of that entry is only logged.
 func (m *Manager) rerun(id, lost string) {
-	for range maxRerunAttempts {
+	started := time.Now()
+	for attempt := range maxRerunAttempts {
 		err := m.tryRerun(id)
-		m.log.Info().Err(err).Str("request", id).Str("entry", lost).Msg("tried to have a batch job of a lost entry run again")
+		m.log.Info().Err(err).Str("request", id).Str("entry", lost).Int("attempt", attempt+1).
+			Msg("tried to have a batch job of a lost entry run again")
 		if err == nil || isNotFound(err) || !ticker.Sleep(m.ctx, rerunRetryDelay) || m.isEndedOrRunning(id) {
 			return
 		}
 	}
+	line := m.log.Warn().Str("request", id).Str("entry", lost).Dur("after", time.Since(started))
+	if j, ok := m.find(id); ok {
+		line.Int("unfinished", j.state().unfinished())
+	}
+	line.Msg("gave up having a batch job of a lost entry run again")
 }
 
 func (m *Manager) tryRerun(id string) error {
@@ -138,9 +153,26 @@
 // has ended or is known to run.
 func (m *Manager) rerunInTurn(id, lost string) {
 	turn := time.Duration(min(m.ownRank(id), maxRerunTurns)) * rerunTurn
-	if ticker.Sleep(m.ctx, turn) && !m.isEndedOrRunning(id) {
-		m.rerun(id, lost)
+	if !ticker.Sleep(m.ctx, turn) {
+		return
+	}
+	if m.isEndedOrRunning(id) {
+		m.logKnownOwner(id, lost)
+		return
+	}
+	m.rerun(id, lost)
+}
+
+// logKnownOwner logs why this entry doesn't restart a job of a lost entry.
+func (m *Manager) logKnownOwner(id, lost string) {
+	if m.isEnded(id) {
+		return
+	}
+	line := m.log.Info().Str("request", id).Str("entry", lost).Dur("learnedBefore", m.announcedAgo(id))
+	if owner, ok := m.livingOwner(id); ok {
+		line.Str("owner", owner.HostID)
 	}
+	line.Msg("batch job of a lost entry runs again")
 }
 
 func (m *Manager) isEnded(id string) bool {
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -105,6 +105,7 @@
 	from := output.LastEvent
 	m.logStart(r, from)
 	result := r.execute(ctx)
+	r.recordEnd()
 	m.balancer.Release(server.ID)
 	m.serverEnds.ended(server.ID, item.ID)
 	m.metrics.observeRun(result, time.Since(started))
@@ -129,6 +130,7 @@
 	}
 	rejected := result == outcomeInterrupted && !r.connectionLost
 	if result == outcomeRefused || result == outcomeFailed || rejected {
+		j.setBetweenRuns(item.ID, batch.IdlePaused)
 		ticker.Sleep(ctx, itemRetryDelay)
 	}
 	r.applyOutcome(result)
@@ -142,6 +144,7 @@
 	r.job.mu.Lock()
 	defer r.job.mu.Unlock()
 	progress := r.job.progress
+	delete(r.job.betweenRuns, r.item.ID)
 	switch result {
 	case outcomeCompleted:
 		progress.RecordCompletion(now, r.item.ID)
--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -26,6 +26,8 @@
 	run *run
 	// runs are the runs of items at servers that are under way, by item.
 	runs map[string]*itemRun
+	// betweenRuns are the items whose run has ended and that are neither queued nor started again yet.
+	betweenRuns map[string]batch.IdleState
 	// slowMoves are the items that left a slow server and haven't started elsewhere yet.
 	slowMoves map[string]move
 	// interruptedRuns are runs that were interrupted lately at servers that are not known to have ended.
@@ -76,16 +78,17 @@
 // writer identified the process, an earlier page whose create was delayed would be mistaken for the new one.
 func newJob(spec *batch.Job) *job {
 	return &job{
-		spec:       spec,
-		tokenRate:  spec.TokenRate(),
-		progress:   batch.NewProgress(spec, rand.Uint64()),
-		runs:       map[string]*itemRun{},
-		slowMoves:  map[string]move{},
-		endedUnder: map[serverUse]bool{},
-		changed:    make(chan struct{}),
-		wakeup:     make(chan struct{}, 1),
-		storeQuery: make(chan struct{}, 1),
-		lastUse:    time.Now(),
+		spec:        spec,
+		tokenRate:   spec.TokenRate(),
+		progress:    batch.NewProgress(spec, rand.Uint64()),
+		runs:        map[string]*itemRun{},
+		betweenRuns: map[string]batch.IdleState{},
+		slowMoves:   map[string]move{},
+		endedUnder:  map[serverUse]bool{},
+		changed:     make(chan struct{}),
+		wakeup:      make(chan struct{}, 1),
+		storeQuery:  make(chan struct{}, 1),
+		lastUse:     time.Now(),
 	}
 }
 
--- a/internal/edge/batchjob/metrics.go
+++ b/internal/edge/batchjob/metrics.go
@@ -98,6 +98,7 @@
 	earlyTotal  *prometheus.CounterVec
 	earlyNow    prometheus.Gauge
 	earlyEvents prometheus.Counter
+	idle        *idleMetrics
 }
 
 // NewMetrics returns metrics that are registered with the registry.
@@ -145,6 +146,7 @@
 	})
 	registry.MustRegister(m.reads, m.runs, m.runSeconds, m.pages, m.rewards, m.rewardSeconds, m.moves, m.lengthRatio, m.serverEnds)
 	m.registerEarly(registry)
+	m.idle = newIdleMetrics(registry)
 	return m
 }
 
--- a/internal/edge/batchjob/move.go
+++ b/internal/edge/batchjob/move.go
@@ -39,6 +39,7 @@
 		r.move = &slow
 	}
 	j.runs[item.ID] = r
+	delete(j.betweenRuns, item.ID)
 	if j.progress.Suspect(item.ID) {
 		m.serverEnds.started(server.ID, item.ID)
 	}
--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -10,8 +10,9 @@
 // owner is an entry that runs a job.
 type owner struct {
 	hostID string
-	// learnedAt is when this process learned that.
-	learnedAt time.Time
+	// learnedAt is when this process learned that, announcedAt when the entry last announced it here itself; zero if it never did.
+	learnedAt   time.Time
+	announcedAt time.Time
 }
 
 const (
@@ -46,6 +47,28 @@
 	}
 }
 
+// recordAnnouncement records that an entry announced that it runs a job.
+func (m *Manager) recordAnnouncement(id, hostID string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.recordOwnerLocked(id, hostID)
+	known := m.owners[id]
+	known.announcedAt = time.Now()
+	m.owners[id] = known
+}
+
+// announcedAgo returns how long ago the recorded owner of a job last announced here that it runs the job, or, if it never did, how long ago
+// this process learned of it.
+func (m *Manager) announcedAgo(id string) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.owners[id]
+	if known.announcedAt.IsZero() {
+		return time.Since(known.learnedAt)
+	}
+	return time.Since(known.announcedAt)
+}
+
 // forgetOwner removes the record that the entry runs the job.
 func (m *Manager) forgetOwner(id, hostID string) {
 	m.mu.Lock()
@@ -143,11 +166,13 @@
 			m.log.Info().Str("request", id).Str("entry", from.HostID).Msg("entry runs a job that has ended")
 			continue
 		}
-		m.recordOwner(id, from.HostID)
+		m.recordAnnouncement(id, from.HostID)
 		j, ok := m.find(id)
 		// Two entries that run the same job do its work twice until one of them stops.
 		if ok && j.isRunning() && !from.Leaving && from.HostID < self.HostID {
-			m.log.Info().Str("request", id).Str("entry", from.HostID).Msg("batch job left to another entry")
+			state := j.state()
+			m.log.Info().Str("request", id).Str("entry", from.HostID).Uint64("incarnation", from.Incarnation).Int("running", state.Running).
+				Int("unfinished", state.unfinished()).Msg("batch job left to another entry")
 			j.stopRunning()
 		}
 	}
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -106,6 +106,8 @@
 	defer timer.Stop()
 	checked, reviewed := time.Now(), time.Now()
 	var placer placer
+	idle := newIdleReporter(m, j)
+	defer idle.stop()
 	writing := false
 	written := make(chan bool, 1)
 	for ctx.Err() == nil {
@@ -135,6 +137,7 @@
 		case <-changed:
 		case now := <-timer.C:
 			m.confirmServerEnds(now, j)
+			idle.observe(now)
 			if now.Sub(reviewed) >= reviewInterval {
 				reviewed = now
 				m.reviewWithheld(now, j)
--- a/internal/edge/batchjob/state.go
+++ b/internal/edge/batchjob/state.go
@@ -24,6 +24,9 @@
 	Pages    int `json:"pages"`
 }
 
+// unfinished returns the number of items without a listed result.
+func (s JobState) unfinished() int { return s.Total - s.Listed }
+
 // State returns the states of the jobs in memory for the debug dump, unaccepted ones included, sorted by id.
 func (m *Manager) State() any {
 	m.mu.Lock()
--- a/internal/edge/batchjob/takeover.go
+++ b/internal/edge/batchjob/takeover.go
@@ -16,7 +16,8 @@
 	if err != nil || j.finished() {
 		return j, err
 	}
-	if _, owned := m.ownerExcept(j.spec, m.members.Self().HostID); owned {
+	if owner, owned := m.ownerExcept(j.spec, m.members.Self().HostID); owned {
+		m.log.Debug().Str("request", id).Str("entry", owner.HostID).Dur("lastAnnounced", m.announcedAgo(id)).Msg("batch job is known to run")
 		return j, nil
 	}
 	if m.preferredRunner(j.spec).HostID == m.members.Self().HostID {
@@ -45,6 +46,7 @@
 	}
 	owner, owned := m.ownerExcept(j.spec, q.From)
 	if owned && !q.SkipOwnerCheck && m.requestRun(ctx, owner, q) {
+		m.log.Info().Str("request", q.Job).Str("from", q.From).Str("entry", owner.HostID).Msg("batch job stays with the entry that confirmed it")
 		return nil
 	}
 	if q.EndRequested {
@@ -91,9 +93,17 @@
 	j.mu.Lock()
 	j.progress.Resume(partials)
 	resumed := len(j.progress.Partials())
+	state := j.stateLocked()
 	j.mu.Unlock()
-	m.log.Info().Str("request", j.spec.ID).Str("owner", j.spec.Owner).Int("given", len(partials)).Int("itemsGoOn", resumed).
-		Msg("batch job taken over")
+	line := m.log.Info().Str("request", j.spec.ID).Str("owner", j.spec.Owner).Int("given", len(partials)).Int("itemsGoOn", resumed).
+		Int("unfinished", state.unfinished()).Int("pages", state.Pages).Dur("sinceAccepted", time.Since(j.spec.Accepted))
+	m.mu.Lock()
+	known, ok := m.owners[j.spec.ID]
+	m.mu.Unlock()
+	if ok {
+		line.Str("recorded", known.hostID).Dur("lastAnnounced", m.announcedAgo(j.spec.ID))
+	}
+	line.Msg("batch job taken over")
 	return m.startJob(j)
 }
 
