--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -107,6 +107,8 @@
 	ended      map[string]time.Time
 	// reopened are the jobs that were open before this process started and that it has tried to restart, each once.
 	reopened map[string]bool
+	// reruns are the jobs that this entry tries to have run again.
+	reruns map[string]bool
 	// lostAnswers are the jobs that resolveLostAnswer polls for, with the time until which it does.
 	lostAnswers map[string]time.Time
 	started     time.Time
@@ -164,6 +166,7 @@
 		lastOwners:  map[string]owner{},
 		ended:       map[string]time.Time{},
 		reopened:    map[string]bool{},
+		reruns:      map[string]bool{},
 		lostAnswers: map[string]time.Time{},
 		started:     time.Now(),
 	}
--- /dev/null
+++ b/internal/edge/batchjob/rerunjobs_test.go
@@ -0,0 +1,78 @@
+package batchjob
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
+)
+
+// maxIdleOfJob is how long a job may run at no entry while the store answers and no entry is lost.
+const maxIdleOfJob = 4 * time.Second
+
+// runsWithin reports whether the manager runs the job within the time.
+func runsWithin(m *Manager, id string, limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if j, ok := m.find(id); ok && j.isRunning() {
+			return true
+		}
+	}
+	return false
+}
+
+// newManagerWithLostOwner returns a manager that knows a living entry and has another one, which isn't alive, on record as the owner of the
+// stored job "j".
+func newManagerWithLostOwner(ctx context.Context, t *testing.T) (*Manager, *storeClient) {
+	t.Helper()
+	spec := newStoredSpec()
+	spec.Accepted = time.Now().Add(-ownerGracePeriod)
+	store := newMemoryStore()
+	store.put(t, KindJobs, spec.ID, spec)
+	client := store.client()
+	m := newTestManager(ctx, client, fakeMembers{self: "self", others: []gossip.Member{{HostID: "other"}}})
+	m.recordOwner(spec.ID, "lost")
+	return m, client
+}
+
+// Guards against a job that no entry runs after an outage of the store: each entry gave up 2.5 s after the loss of the one that ran the job,
+// since the store refused every call at once.
+func TestJobOfALostEntryRunsOnceTheStoreIsBack(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	m, client := newManagerWithLostOwner(ctx, t)
+	defer m.Wait()
+	defer cancel()
+	client.setFault(faultDown)
+	m.RerunJobsOf(gossip.Member{HostID: "lost"})
+	time.Sleep(9 * time.Second)
+	client.setFault(faultNone)
+	if !runsWithin(m, "j", maxIdleOfJob) {
+		t.Errorf("the job doesn't run %v after the store is back", maxIdleOfJob)
+	}
+}
+
+// Guards against calls to the store while it is known to be down, and against waiting after it is back.
+func TestRerunWaitsForTheEndOfAnOutage(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	m, client := newManagerWithLostOwner(ctx, t)
+	var outage atomic.Bool
+	reads := map[string]int{}
+	m.outage = func(time.Time) bool { return outage.Load() }
+	m.store = countingStore{storeClient: client, mu: &sync.Mutex{}, reads: reads}
+	defer m.Wait()
+	defer cancel()
+	outage.Store(true)
+	m.RerunJobsOf(gossip.Member{HostID: "lost"})
+	time.Sleep(2 * time.Second)
+	if len(reads) > 0 {
+		t.Errorf("reads during the outage: %v", reads)
+	}
+	outage.Store(false)
+	if limit := outageCheckInterval + 2*rerunTurn; !runsWithin(m, "j", limit) {
+		t.Errorf("the job doesn't run %v after the outage", limit)
+	}
+}
