Go on starting an accepted job whose preferred runner doesn't answer

An entry that has a job run again, or accepts one that the store held already, asks the job's preferred runner to run it, and runs it itself if that one doesn't answer. It then reads the job, and made one attempt: if the store refused it, no entry ran the job until its trainer read. The entry now goes on as it does for the jobs of a lost entry.

--- a/internal/edge/batchjob/assign.go
+++ b/internal/edge/batchjob/assign.go
@@ -95,7 +95,8 @@
 	})
 }
 
-// startHere runs an accepted job here. Unless the job is new, its pages are read from the store first.
+// startHere runs an accepted job here. Unless the job is new, its pages are read from the store first, for which the store is tried until the
+// job is known to run.
 func (m *Manager) startHere(spec *batch.Job, specJSON []byte) {
 	if specJSON != nil {
 		m.runNewJob(spec)
@@ -104,8 +105,9 @@
 	m.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(m.ctx, handoverTimeout)
 		defer cancel()
-		if err := m.takeOver(ctx, m.newRunRequest(spec)); err != nil {
-			m.log.Warn().Err(err).Str("request", spec.ID).Msg("could not start an accepted batch job")
+		if err := m.takeOver(ctx, m.newRunRequest(spec)); err != nil && !isNotFound(err) {
+			m.log.Warn().Err(err).Str("request", spec.ID).Msg("could not start an accepted batch job yet")
+			m.rerun(spec.ID, "")
 		}
 	})
 }
--- a/internal/edge/batchjob/rerunjobs_test.go
+++ b/internal/edge/batchjob/rerunjobs_test.go
@@ -76,3 +76,26 @@
 		t.Errorf("the job doesn't run %v after the outage", limit)
 	}
 }
+
+// Guards against a job that no entry runs because its preferred runner didn't answer and the store refused the one read that followed.
+func TestAssignedJobRunsOnceTheStoreIsBack(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	spec := newStoredSpec()
+	store := newMemoryStore()
+	store.put(t, KindJobs, spec.ID, spec)
+	client := store.client()
+	m := newTestManager(ctx, client, fakeMembers{self: "self", others: []gossip.Member{{HostID: "other", Cores: 100}}})
+	defer m.Wait()
+	defer cancel()
+	if runner := m.preferredRunner(spec).HostID; runner != "other" {
+		t.Fatalf("the preferred runner is %s", runner)
+	}
+	client.setFault(faultDown)
+	m.assign(spec, nil)
+	time.Sleep(time.Second)
+	client.setFault(faultNone)
+	if !runsWithin(m, spec.ID, maxIdleOfJob) {
+		t.Errorf("the job doesn't run %v after the store is back", maxIdleOfJob)
+	}
+}
