Refuse a job when this entry begins to leave before it runs it

An entry was asked to run a job, began to read it from the store, and began to leave before it had read it. The job didn't start, as a leaving entry starts none, and wasn't among those that the entry handed over. Yet the entry agreed, so that the others took it for the owner: no entry ran the job until its trainer read. Two entries that are restarted one after the other meet this. The entry now refuses.

--- a/internal/edge/batchjob/assign.go
+++ b/internal/edge/batchjob/assign.go
@@ -146,5 +146,8 @@
 		return errors.Wrapf(err, "job %s", q.Job)
 	}
 	m.runNewJob(&spec)
+	if j, ok := m.find(q.Job); m.isLeaving() && (!ok || !j.isRunning()) {
+		return errors.Errorf("job %s: this entry began to leave", q.Job)
+	}
 	return nil
 }
--- a/internal/edge/batchjob/takeover.go
+++ b/internal/edge/batchjob/takeover.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
@@ -52,7 +54,10 @@
 	if q.EndRequested {
 		m.holdJob(j)
 	}
-	m.resumeHere(j, q.Partials)
+	if j = m.resumeHere(j, q.Partials); !j.isRunning() && !j.finished() {
+		// The sender would take this entry for the owner.
+		return errors.Errorf("job %s: this entry began to leave or left the job to another one", q.Job)
+	}
 	return nil
 }
 
