--- a/internal/edge/batchjob/assign.go
+++ b/internal/edge/batchjob/assign.go
@@ -95,7 +95,8 @@
 	})
 }
 
-// startHere runs an accepted job here. Unless the job is new, its pages are read from the store first.
+// startHere runs an accepted job here. Unless the job is new, its pages are read from the store first, for which the store is tried until the
+// job is known to run.
 func (m *Manager) startHere(spec *batch.Job, specJSON []byte) {
 	if specJSON != nil {
 		m.runNewJob(spec)
@@ -104,8 +105,9 @@
 	m.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(m.ctx, handoverTimeout)
 		defer cancel()
-		if err := m.takeOver(ctx, m.newRunRequest(spec)); err != nil {
-			m.log.Warn().Err(err).Str("request", spec.ID).Msg("could not start an accepted batch job")
+		if err := m.takeOver(ctx, m.newRunRequest(spec)); err != nil && !isNotFound(err) {
+			m.log.Warn().Err(err).Str("request", spec.ID).Msg("could not start an accepted batch job yet")
+			m.rerun(spec.ID, "")
 		}
 	})
 }
@@ -144,5 +146,8 @@
 		return errors.Wrapf(err, "job %s", q.Job)
 	}
 	m.runNewJob(&spec)
+	if j, ok := m.find(q.Job); m.isLeaving() && (!ok || !j.isRunning()) {
+		return errors.Errorf("job %s: this entry began to leave", q.Job)
+	}
 	return nil
 }
--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
-	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 )
 
 // handoverTimeout bounds each attempt to have another entry run a job, or to load a job and run it here.
@@ -59,14 +59,19 @@
 	q.Partials = j.progress.Partials()
 	q.EndRequested = q.EndRequested || j.endRequested
 	j.mu.Unlock()
+	refusals := zerolog.Dict()
 	for _, member := range candidates {
 		_, err := peer.Call[RunRequest, RunAnswer](ctx, m.peers, member.Address, MethodRun, q)
-		m.log.Info().Str("request", j.spec.ID).Str("entry", member.HostID).AnErr("answer", err).Msg("batch job handed over")
 		if err == nil {
+			m.log.Info().Str("request", j.spec.ID).Str("entry", member.HostID).Int("partials", len(q.Partials)).Msg("batch job handed over")
 			m.mergeOwners(m.members.Self(), map[string]string{j.spec.ID: member.HostID})
 			return
 		}
+		refusals.AnErr(member.HostID, err)
 	}
+	state := j.state()
+	m.log.Warn().Str("request", j.spec.ID).Int("candidates", len(candidates)).Dict("refusals", refusals).Int("unfinished", state.unfinished()).
+		Msg("no entry takes a batch job of this leaving entry")
 }
 
 // rankedPeers returns the other entries that are not leaving, in an order that differs between jobs and is the same at all entries.
@@ -77,97 +82,3 @@
 	})
 	return members
 }
-
-// RerunJobsOf restarts the jobs that ran in a lost process of an entry, here or at their preferred runners. It doesn't wait for a trainer
-// to read results: a trainer that is connected to the lost entry may take seconds to connect to another one.
-//
-// All living entries try one after the other, in an order that depends on the job, until the job is known to run. If only the first entry
-// tried, the job could stall until its trainer reads: when several entries die at once and restart a moment later, the first may be one of
-// them and know nothing of the job.
-func (m *Manager) RerunJobsOf(lost gossip.Member) {
-	for _, id := range m.jobsOwnedBy(lost.HostID) {
-		m.forgetOwner(id, lost.HostID)
-		m.wg.Go(func() { m.rerunInTurn(id, lost.HostID) })
-	}
-}
-
-const (
-	// rerunTurn is how long each entry in the order for a job has to announce that it runs the job: a request and a gossip message.
-	rerunTurn = 300 * time.Millisecond
-	// maxRerunTurns bounds the wait of the last entries in the order; by then all of them have learned by gossip who runs the job.
-	maxRerunTurns = 7
-)
-
-const (
-	// maxRerunAttempts and rerunRetryDelay bound how long an entry tries to have a job run again; outages of the store take some seconds.
-	maxRerunAttempts = 5
-	rerunRetryDelay  = 500 * time.Millisecond
-)
-
-// rerun restarts a job whose entry was lost, and retries after failures. The host id of that entry is only logged.
-func (m *Manager) rerun(id, lost string) {
-	for range maxRerunAttempts {
-		err := m.tryRerun(id)
-		m.log.Info().Err(err).Str("request", id).Str("entry", lost).Msg("tried to have a batch job of a lost entry run again")
-		if err == nil || isNotFound(err) || !ticker.Sleep(m.ctx, rerunRetryDelay) || m.isEndedOrRunning(id) {
-			return
-		}
-	}
-}
-
-func (m *Manager) tryRerun(id string) error {
-	ctx, cancel := context.WithTimeout(m.ctx, handoverTimeout)
-	defer cancel()
-	_, err := m.loadAndEnsureRun(ctx, id, "")
-	return err
-}
-
-// isEndedOrRunning reports whether a job has ended, runs here, or is known to run at another living entry.
-func (m *Manager) isEndedOrRunning(id string) bool {
-	if m.isEnded(id) {
-		return true
-	}
-	if _, runs := m.livingOwner(id); runs {
-		return true
-	}
-	j, ok := m.find(id)
-	return ok && j.isRunning()
-}
-
-// rerunInTurn waits until the entries that precede this one in the job's order have had their turns, and then restarts the job unless it
-// has ended or is known to run.
-func (m *Manager) rerunInTurn(id, lost string) {
-	turn := time.Duration(min(m.ownRank(id), maxRerunTurns)) * rerunTurn
-	if ticker.Sleep(m.ctx, turn) && !m.isEndedOrRunning(id) {
-		m.rerun(id, lost)
-	}
-}
-
-func (m *Manager) isEnded(id string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	_, ended := m.ended[id]
-	return ended
-}
-
-// jobsOwnedBy returns the jobs that the entry is recorded as running and that haven't ended.
-func (m *Manager) jobsOwnedBy(hostID string) []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var ids []string
-	for id, known := range m.owners {
-		_, ended := m.ended[id]
-		if known.hostID == hostID && !ended {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
-// ownRank returns how many living entries precede this one in the order for the job.
-func (m *Manager) ownRank(id string) int {
-	own := xxhash.Sum64String(id + m.members.Self().HostID)
-	return slices.IndexFunc(append(m.rankedPeers(id), m.members.Self()), func(member gossip.Member) bool {
-		return xxhash.Sum64String(id+member.HostID) >= own
-	})
-}
