Let a suspect share a server after 2.5 s without one of its own

An item under which two servers ended isn't sent to a server that runs another such item. Where servers end quickly one after another, or a small pool loses two of them, many sound items are suspects, and each server runs one of them at a time. The others were at no server for up to 13.25 s in virtual time while the servers were less than half full, with items of five seconds; five seconds are the limit.

A suspect now waits for 2.5 s at most, from the first time that it could start otherwise, and then takes any free slot. If that server ends as well, the end counts for each suspect there, so that a sound one may be withheld until its ends are explained.

TestSuspectJoinsAnotherOneAfterAWhile failed before at servers of equal and of uneven speed: the suspect had not started after 4 s.

--- a/internal/core/batch/progress.go
+++ b/internal/core/batch/progress.go
@@ -51,6 +51,8 @@
 	ends         ServerEnds
 	releasedEnds ServerEnds
 	releasedAt   time.Time
+	// apartSince is since when the item has been waiting for a server that runs no suspect; zero if it hasn't.
+	apartSince time.Time
 	// rewardWithheld is set while the item is withheld and its text is complete.
 	rewardWithheld bool
 	// moves counts how often the item has moved to a faster server.
@@ -228,6 +230,7 @@
 func (p *Progress) Start(id string) *Output {
 	state := p.items[id]
 	state.phase = phaseRunning
+	state.apartSince = time.Time{}
 	return state.output
 }
 
--- a/internal/core/batch/serverend.go
+++ b/internal/core/batch/serverend.go
@@ -10,8 +10,8 @@
 	// the pool explain don't count. A withheld item is sent to no other server until it is due for an isolated run, and is lost once the time of
 	// its job is up.
 	MaxServerEnds = 3
-	// suspectServerEnds is the number of ended servers from which an item is a suspect. Suspects never share a server, so that the last end
-	// before an item is withheld has one possible cause.
+	// suspectServerEnds is the number of ended servers from which an item is a suspect. Suspects don't share a server unless they have waited
+	// for suspectWait, so that the last end before an item is withheld usually has one possible cause.
 	suspectServerEnds = MaxServerEnds - 1
 	// maxChanceEnds bounds how many ends of an item other ends in the pool may explain. Several items that each end their servers would
 	// otherwise explain one another without a limit.
@@ -28,6 +28,9 @@
 	// idleServerWait is how long an item that is due for an isolated run waits for a server that runs nothing else, before it takes one that
 	// runs no other suspect.
 	idleServerWait = time.Second
+	// suspectWait is how long a suspect waits for a server that runs no other one. Where a small pool has lost servers, most items may be suspects,
+	// and others run for up to ten seconds. An item may be at no server for five seconds, those of an interruption included.
+	suspectWait = 2500 * time.Millisecond
 )
 
 // ServerEnds counts the servers that ended while they ran an item or its reward call.
@@ -63,7 +66,7 @@
 	return max(0, e.Item-e.ItemExplained), max(0, e.Reward-e.RewardExplained)
 }
 
-// Suspect reports whether an item with these counts may be what ends the servers. It may only run at a server without another suspect.
+// Suspect reports whether an item with these counts may be what ends the servers.
 func (e ServerEnds) Suspect() bool { return e.mostUnexplained() >= suspectServerEnds }
 
 // OverLimit reports whether the item or its reward call may only isolated run, and only when RetryDelay has passed.
@@ -211,6 +214,22 @@
 	p.release(state)
 }
 
+// KeepsApart reports whether the item may only be sent to a server that runs no suspect: it is one itself, and since it was first asked for after
+// its last run, less than suspectWait has passed.
+func (p *Progress) KeepsApart(now time.Time, id string) bool {
+	state, ok := p.items[id]
+	if !ok || !state.ends.Suspect() {
+		return false
+	}
+	if state.phase != phaseWaiting {
+		return true
+	}
+	if state.apartSince.IsZero() {
+		state.apartSince = now
+	}
+	return now.Sub(state.apartSince) < suspectWait
+}
+
 // NeedsIdleServer reports whether the item may only be sent to a server that runs nothing else.
 func (p *Progress) NeedsIdleServer(now time.Time, id string) bool {
 	state, ok := p.items[id]
--- a/internal/core/batch/serverend_load_test.go
+++ b/internal/core/batch/serverend_load_test.go
@@ -23,6 +23,8 @@
 	random   *rand.Rand
 	progress *Progress
 	now      time.Time
+	// events is the length of the items.
+	events int
 	// backAt is when each server that ended returns; runs holds the items that run at each.
 	backAt [poolSize]time.Time
 	runs   [poolSize]map[string]int
@@ -40,7 +42,7 @@
 		job.Items = append(job.Items, Item{ID: fmt.Sprint(i), Group: fmt.Sprint(i)})
 	}
 	l := &serverEndLoad{
-		random: rand.New(rand.NewPCG(seed, 1)), progress: NewProgress(job, 1), now: start,
+		random: rand.New(rand.NewPCG(seed, 1)), progress: NewProgress(job, 1), now: start, events: itemEvents,
 		firstEnd: map[string]time.Time{}, lastEnd: map[string]time.Time{}, sends: map[string]int{}, stopped: map[string]int{},
 	}
 	for i := range l.runs {
@@ -100,7 +102,7 @@
 			output := l.progress.items[item].output
 			output.Append(Event{Number: output.LastEvent + 1}, 1)
 			runs[item]++
-			if output.LastEvent == itemEvents {
+			if output.LastEvent == l.events {
 				delete(runs, item)
 				l.progress.RecordCompletion(l.now, item)
 			}
@@ -148,7 +150,7 @@
 		return false
 	}
 	for other := range l.runs[server] {
-		if l.progress.Suspect(item) && l.progress.Suspect(other) {
+		if l.progress.KeepsApart(l.now, item) && l.progress.Suspect(other) {
 			return false
 		}
 	}
--- a/internal/core/batch/serverend_test.go
+++ b/internal/core/batch/serverend_test.go
@@ -247,3 +247,24 @@
 		t.Errorf("resumes after event %d", output.LastEvent)
 	}
 }
+
+// Guards against a suspect that waits for as long as others run, and against one that shares a server after each of its runs.
+func TestSuspectKeepsApartForALimitedTime(t *testing.T) {
+	p := NewProgress(newTestJob(2, 1), 1)
+	endServers(p, "0a", suspectServerEnds)
+	now := start
+	for range 2 {
+		if !p.KeepsApart(now, "0a") || !p.KeepsApart(now.Add(suspectWait-1), "0a") || p.KeepsApart(now.Add(suspectWait), "0a") {
+			t.Error("the suspect doesn't keep apart for the time, or longer")
+		}
+		p.Start("0a")
+		now = now.Add(time.Minute)
+		if !p.KeepsApart(now, "0a") {
+			t.Error("a suspect that runs may move to another one")
+		}
+		p.Requeue("0a")
+	}
+	if p.KeepsApart(now, "0b") {
+		t.Error("an item that is no suspect keeps apart")
+	}
+}
--- a/internal/core/dispatch/plan.go
+++ b/internal/core/dispatch/plan.go
@@ -110,7 +110,7 @@
 	slot.Free--
 	slot.Interval += slot.Interval / crowding
 	slot.assigned.items++
-	if r.restrictions.suspects[item.ID] {
+	if _, suspect := r.restrictions.suspects[item.ID]; suspect {
 		slot.assigned.suspects++
 	}
 	return action
--- a/internal/core/dispatch/restrict.go
+++ b/internal/core/dispatch/restrict.go
@@ -4,8 +4,10 @@
 type Restrictions struct {
 	// excluded holds, by item, the servers that may not run it now.
 	excluded map[string]map[string]bool
-	// suspects are the items of which a server may run one at a time; needIdle are those that need a server that runs nothing else.
-	suspects, needIdle map[string]bool
+	// suspects holds the suspects, with true for those that may only run where no other suspect does.
+	suspects map[string]bool
+	// needIdle are the items that need a server that runs nothing else.
+	needIdle map[string]bool
 }
 
 // Exclude adds a server that may not run the item now.
@@ -19,12 +21,13 @@
 	r.excluded[item][server] = true
 }
 
-// AddSuspect adds an item that may not share a server with another such item. The servers at which one runs already are excluded by Exclude.
-func (r *Restrictions) AddSuspect(item string) {
+// AddSuspect adds a suspect. If it keeps apart, it may not share a server with another suspect; the servers at which one runs already are
+// excluded by Exclude.
+func (r *Restrictions) AddSuspect(item string, keepsApart bool) {
 	if r.suspects == nil {
 		r.suspects = map[string]bool{}
 	}
-	r.suspects[item] = true
+	r.suspects[item] = keepsApart
 }
 
 // AddNeedIdle adds an item that needs a server that runs nothing else. The servers at which something runs already are excluded by Exclude.
--- a/internal/core/dispatch/restrict_test.go
+++ b/internal/core/dispatch/restrict_test.go
@@ -15,7 +15,7 @@
 	suspects := func(items ...string) func(r *Restrictions) {
 		return func(r *Restrictions) {
 			for _, item := range items {
-				r.AddSuspect(item)
+				r.AddSuspect(item, true)
 			}
 		}
 	}
@@ -37,6 +37,14 @@
 			[]Slot{fastSlot(1)}, []string{"c>fast"}},
 		{"suspects share a server", suspects("a", "b"), newState([]Item{a, b, c}, nil), []Slot{fastSlot(3), slowSlot(3)},
 			[]string{"a>fast", "c>fast", "b>slow"}},
+		{"a suspect waits although it has done so for too long", func(r *Restrictions) {
+			r.AddSuspect("a", true)
+			r.AddSuspect("b", false)
+		}, newState([]Item{a, b}, nil), []Slot{fastSlot(2)}, []string{"a>fast", "b>fast"}},
+		{"a suspect joins one that has waited for too long", func(r *Restrictions) {
+			r.AddSuspect("a", false)
+			r.AddSuspect("b", true)
+		}, newState([]Item{a, b}, nil), []Slot{fastSlot(2)}, []string{"a>fast"}},
 		{"a suspect moves to another one", suspects("a", "b"), newState([]Item{a}, []Item{running}), []Slot{fastSlot(2)}, []string{"a>fast"}},
 		{"an item that needs an idle server starts beside another one", func(r *Restrictions) { r.AddNeedIdle("b") },
 			newState([]Item{a, b, c}, nil), []Slot{fastSlot(2), slowSlot(2)}, []string{"a>fast", "c>fast", "b>slow"}},
--- a/internal/edge/batchjob/move.go
+++ b/internal/edge/batchjob/move.go
@@ -40,6 +40,10 @@
 	}
 	j.runs[item.ID] = r
 	if j.progress.Suspect(item.ID) {
+		if m.serverEnds.suspectServers(item.ID)[server.ID] {
+			m.log.Info().Str("request", j.spec.ID).Str("item", item.ID).Str("server", server.ID).
+				Object("counts", endCounts(j.progress.ServerEnds(item.ID))).Msg("suspect item started beside another one")
+		}
 		m.serverEnds.started(server.ID, item.ID)
 	}
 	return r
--- a/internal/edge/batchjob/place.go
+++ b/internal/edge/batchjob/place.go
@@ -99,7 +99,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, item := range j.progress.SuspectItems() {
-		restrictions.AddSuspect(item)
+		restrictions.AddSuspect(item, j.progress.KeepsApart(now, item))
 		if j.progress.NeedsIdleServer(now, item) {
 			restrictions.AddNeedIdle(item)
 		}
--- a/internal/edge/batchjob/serverend.go
+++ b/internal/edge/batchjob/serverend.go
@@ -57,8 +57,8 @@
 	}
 }
 
-// mayRunAt reports whether the item may run at the server: a suspect runs only where no other one does, and one that needs an idle server
-// only where nothing else runs. The caller holds the job's lock.
+// mayRunAt reports whether the item may run at the server: a suspect runs only where no other one does, unless it has waited for too long,
+// and one that needs an idle server only where nothing else runs. The caller holds the job's lock.
 func (m *Manager) mayRunAt(j *job, item, server string) bool {
 	if !j.progress.Suspect(item) {
 		return true
@@ -68,8 +68,12 @@
 
 // excludedServers returns the servers at which a suspect may not run, as a set. The caller holds the job's lock.
 func (m *Manager) excludedServers(j *job, item string) map[string]bool {
-	excluded := m.serverEnds.suspectServers(item)
-	if j.progress.NeedsIdleServer(time.Now(), item) {
+	now := time.Now()
+	excluded := map[string]bool{}
+	if j.progress.KeepsApart(now, item) {
+		excluded = m.serverEnds.suspectServers(item)
+	}
+	if j.progress.NeedsIdleServer(now, item) {
 		for server := range m.balancer.TotalRunning() {
 			excluded[server] = true
 		}
--- a/internal/edge/batchjob/serverend_test.go
+++ b/internal/edge/batchjob/serverend_test.go
@@ -53,6 +53,17 @@
 	}
 }
 
+// Guards against a server that is taken for one without suspects while one of several runs there.
+func TestServerOfSeveralSuspectsStaysClosed(t *testing.T) {
+	tracker := newServerEndTracker()
+	tracker.started("s1", "a")
+	tracker.started("s1", "b")
+	tracker.ended("s1", "b")
+	if !tracker.suspectServers("b")["s1"] || tracker.suspectServers("a")["s1"] {
+		t.Error("the server is open to the suspect that has ended, or closed to the one that runs there")
+	}
+}
+
 // Guards against suspects that share a server of a pool whose servers differ in speed, where items are placed and moved by plan.
 func TestSuspectIsNotPlacedBesideAnother(t *testing.T) {
 	pool := newUnevenPool(t.Context(), t)
--- a/internal/edge/batchjob/serverendtracker.go
+++ b/internal/edge/batchjob/serverendtracker.go
@@ -25,8 +25,8 @@
 type serverEndTracker struct {
 	mu     sync.Mutex
 	counts map[string]serverEndCount
-	// suspects maps servers to the suspect item that runs there.
-	suspects map[string]string
+	// suspects holds the suspects that run at each server.
+	suspects map[string]map[string]bool
 }
 
 type serverEndCount struct {
@@ -40,7 +40,7 @@
 func (c serverEndCount) expired(now time.Time) bool { return now.Sub(c.changedAt) > serverEndRetention }
 
 func newServerEndTracker() *serverEndTracker {
-	return &serverEndTracker{counts: map[string]serverEndCount{}, suspects: map[string]string{}}
+	return &serverEndTracker{counts: map[string]serverEndCount{}, suspects: map[string]map[string]bool{}}
 }
 
 // get returns the counts of an item.
@@ -113,8 +113,8 @@
 	if !ok || known.expired(now) {
 		return true
 	}
-	for _, suspect := range t.suspects {
-		if suspect == item {
+	for _, suspects := range t.suspects {
+		if suspects[item] {
 			return false
 		}
 	}
@@ -150,8 +150,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	servers := make(map[string]bool, len(t.suspects))
-	for server, suspect := range t.suspects {
-		if suspect != item {
+	for server, suspects := range t.suspects {
+		if len(suspects) > 1 || !suspects[item] {
 			servers[server] = true
 		}
 	}
@@ -162,13 +162,17 @@
 func (t *serverEndTracker) started(server, item string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.suspects[server] = item
+	if t.suspects[server] == nil {
+		t.suspects[server] = map[string]bool{}
+	}
+	t.suspects[server][item] = true
 }
 
 func (t *serverEndTracker) ended(server, item string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.suspects[server] == item {
+	delete(t.suspects[server], item)
+	if len(t.suspects[server]) == 0 {
 		delete(t.suspects, server)
 	}
 }
--- a/internal/edge/batchjob/suspect_test.go
+++ b/internal/edge/batchjob/suspect_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -232,3 +233,38 @@
 		p.serverEnds.ended("slow", "other")
 	}
 }
+
+// Guards against a suspect that waits beside free slots for as long as other suspects run at all servers that have some.
+func TestSuspectJoinsAnotherOneAfterAWhile(t *testing.T) {
+	for name, uneven := range map[string]bool{"servers of equal speed": false, "servers of uneven speed": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithCancel(t.Context())
+			p := newUnevenPool(ctx, t)
+			defer p.Wait()
+			defer cancel()
+			p.setSlots("slow", 2)
+			p.serverEnds.started("slow", "other")
+			j := newPlacedJob("j", "a")
+			makeSuspect(j, "a")
+			defer j.wg.Wait()
+			defer cancel()
+			var placer placer
+			start := time.Now()
+			for len(p.slow.Requests()) == 0 && time.Since(start) < 4*time.Second {
+				if uneven {
+					p.placeItems(ctx, j, &placer)
+				} else {
+					p.startItems(ctx, j)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			if took := time.Since(start); took < time.Second || took > 4*time.Second {
+				t.Errorf("the suspect started after %v", took)
+			}
+			if !strings.Contains(p.log(), "suspect item started beside another one") {
+				t.Error("no line says that it shares the server")
+			}
+		})
+	}
+}
