Open a new connection for an item whose stream stalled

Where open connections to servers go silent while new ones work, an item that was sent on an idle connection waited for the stall timeout of 2.5 s, and its next run took an idle connection to another server, which was silent as well. The item was at no server for over five seconds.

The next run of an item whose stream stalled opens a new connection, until a run brings an event. exchange.Client.OpenNew does that.

--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -78,6 +78,8 @@
 	cause error
 	// connectionLost is set if the connection broke, or stalled, after the server may have begun to run the item.
 	connectionLost bool
+	// newConnection is set if the request may not use an idle connection.
+	newConnection bool
 	// move is the move that led to this run; nil if there was none.
 	move *move
 	// slowInterval is the time between events for which the item left the server.
@@ -109,6 +111,7 @@
 	m.serverEnds.ended(server.ID, item.ID)
 	m.metrics.observeRun(result, time.Since(started))
 	r.countMove(result, from)
+	r.recordStall(from)
 	if result == outcomeCompleted {
 		m.clearServerEnds(j, item.ID, false)
 		m.lengths.RecordFinished(j.spec.Model, item.ExpectedTokens, output.LastEvent)
@@ -136,6 +139,19 @@
 	return nil
 }
 
+// recordStall records whether the stream of the item, which began after the given event, stalled: its next run opens a new connection. Where
+// connections go silent, idle ones to other servers may have gone silent too, and each costs another stall timeout.
+func (r *itemRun) recordStall(from int) {
+	r.job.mu.Lock()
+	defer r.job.mu.Unlock()
+	switch {
+	case errors.Is(r.cause, errStalled):
+		r.job.stalledItems[r.item.ID] = true
+	case r.output.LastEvent > from:
+		delete(r.job.stalledItems, r.item.ID)
+	}
+}
+
 // applyOutcome records in the job's progress how the run ended.
 func (r *itemRun) applyOutcome(result outcome) {
 	now := time.Now()
@@ -180,7 +196,11 @@
 	defer fasthttp.ReleaseRequest(req)
 	hop := platform.Hop{Server: r.server, Organisation: r.job.spec.Organisation}
 	platform.BuildItemRequest(req, r.job.spec, r.item, r.output.LastEvent, hop)
-	stream, err := r.manager.servers.Open(ctx, req)
+	open := r.manager.servers.Open
+	if r.newConnection {
+		open = r.manager.servers.OpenNew
+	}
+	stream, err := open(ctx, req)
 	if err != nil {
 		return r.handleStreamError(ctx, err)
 	}
--- a/internal/edge/exchange/client.go
+++ b/internal/edge/exchange/client.go
@@ -91,7 +91,7 @@
 // Do sends the request and reads the complete answer. It doesn't follow redirects.
 func (c *Client) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
 	resp.StreamBody = false
-	trip, err := c.start(ctx, req, resp)
+	trip, err := c.start(ctx, req, resp, c.acquire)
 	if err != nil {
 		return err
 	}
@@ -101,9 +101,18 @@
 
 // Open sends the request and returns once the header of the answer has arrived. The stream must be closed.
 func (c *Client) Open(ctx context.Context, req *fasthttp.Request) (*Stream, error) {
+	return c.open(ctx, req, c.acquire)
+}
+
+// OpenNew is Open on a new connection. An idle one may have gone silent, which shows only once a request is sent on it.
+func (c *Client) OpenNew(ctx context.Context, req *fasthttp.Request) (*Stream, error) {
+	return c.open(ctx, req, c.connect)
+}
+
+func (c *Client) open(ctx context.Context, req *fasthttp.Request, connect connector) (*Stream, error) {
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
-	trip, err := c.start(ctx, req, resp)
+	trip, err := c.start(ctx, req, resp, connect)
 	if err != nil {
 		fasthttp.ReleaseResponse(resp)
 		return nil, err
@@ -135,9 +144,12 @@
 	reusable bool
 }
 
+// connector returns a connection for a request.
+type connector func(context.Context, *fasthttp.Request) (*connection, error)
+
 // start sends the request and reads the answer, or only its header if resp.StreamBody is set.
-func (c *Client) start(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) (*roundTrip, error) {
-	conn, err := c.acquire(ctx, req)
+func (c *Client) start(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, connect connector) (*roundTrip, error) {
+	conn, err := connect(ctx, req)
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "%v", err)
 	}
@@ -187,12 +199,11 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
-	address, secure := target(req)
-	key := string(req.URI().Scheme()) + "://" + address
+	key := connectionKey(req)
 	for {
 		conn := c.takeIdle(key)
 		if conn == nil {
-			return c.dial(ctx, key, address, secure)
+			return c.connect(ctx, req)
 		}
 		if conn.usable(c.idleTimeout) {
 			return conn, nil
@@ -201,6 +212,18 @@
 	}
 }
 
+// connect dials a new connection.
+func (c *Client) connect(ctx context.Context, req *fasthttp.Request) (*connection, error) {
+	address, secure := target(req)
+	return c.dial(ctx, connectionKey(req), address, secure)
+}
+
+// connectionKey returns the key under which connections to the request's server are kept.
+func connectionKey(req *fasthttp.Request) string {
+	address, _ := target(req)
+	return string(req.URI().Scheme()) + "://" + address
+}
+
 // target returns the server's address with its port, and whether the connection uses TLS.
 func target(req *fasthttp.Request) (string, bool) {
 	uri := req.URI()
--- a/internal/edge/exchange/client_test.go
+++ b/internal/edge/exchange/client_test.go
@@ -156,6 +156,36 @@
 	}
 }
 
+// Guards against a call that waits on an idle connection that has gone silent although the caller asked for a new one.
+func TestNewConnectionIsOpenedBesideAnIdleOne(t *testing.T) {
+	var accepted atomic.Int32
+	address := startServer(t, func(conn net.Conn, reader *bufio.Reader) {
+		accepted.Add(1)
+		for readRequest(reader) {
+			write(t, conn, okAnswer)
+		}
+	})
+	client := exchange.NewClient()
+	defer client.Close()
+	var req fasthttp.Request
+	req.SetRequestURI("http://" + address + "/")
+	for i, open := range []func(context.Context, *fasthttp.Request) (*exchange.Stream, error){client.Open, client.Open, client.OpenNew} {
+		stream, err := open(t.Context(), &req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, stream); err != nil {
+			t.Fatal(err)
+		}
+		if err := stream.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := accepted.Load(), int32(1+i/2); got != want {
+			t.Errorf("%d connections after call %d, want %d", got, i+1, want)
+		}
+	}
+}
+
 // Guards against a call that runs twice: the server reads the request on a keep-alive connection and closes it
 // without an answer. Whether the call ran is unknown, so the client must not send it again.
 func TestKeepAliveConnectionClosedDuringRequestIsLostAndNotRetried(t *testing.T) {
