Send an item whose stream stalled to a server that answers

An item that waited in vain at a silent server went to the next silent one: of all servers they have the fewest known requests, and a server that stalled is avoided for a second only. Each costs the stall timeout of 2.5 s, in which no server runs the item. In the test, with three silent servers of four, the item had not arrived at the sound one after 10 s.

After a stall, servers that have answered within 1.5 s are chosen first: by a refusal, the header of an answer, or the events of a stream. In pools whose servers differ in speed, the others are excluded from the plan for this item if one that answers has a free slot. Without knowledge of that kind the choice is as before.

TestItemAvoidsASecondSilentServer failed before at servers of equal and of uneven speed.

--- a/internal/core/backend/balancer.go
+++ b/internal/core/backend/balancer.go
@@ -31,6 +31,9 @@
 	// unreachableBackoff is how long a server is chosen last after a connection to it failed. A crashed server
 	// disappears from the list of servers after some seconds.
 	unreachableBackoff = time.Second
+	// answerTTL is for how long a server counts as answering after an answer, a report or some events of a stream, which come every second at
+	// the latest.
+	answerTTL = 1500 * time.Millisecond
 	// slowIntervalFactor is how many times the median event interval of other servers a stream must reach to be
 	// moved. It lies above the slowdown of a full engine against an empty one, and below that of a
 	// faulty engine.
@@ -63,6 +66,9 @@
 	Regions []string
 	// Exclude holds the IDs of servers that must not get this request again.
 	Exclude map[string]bool
+	// PreferAnswering is set if servers that have answered lately are chosen first. Otherwise a request that waited in vain at a server that
+	// became silent would go to the next one: of all servers they have the fewest known requests.
+	PreferAnswering bool
 }
 
 // serverState is what an entry knows of a server beside its registration.
@@ -82,6 +88,8 @@
 	refusals     int
 	// versions are the weight versions that the server's answers showed, which are newer than its registration.
 	versions map[string]int
+	// answeredAt is when the server last answered a request or brought events.
+	answeredAt time.Time
 	// eventInterval is the moving average of the time between two events of a stream; 0 if unknown.
 	eventInterval time.Duration
 	// key is the server's key.
@@ -285,6 +293,7 @@
 	defer b.mu.Unlock()
 	if state, ok := b.servers[id]; ok {
 		state.load, state.sentSinceLoad, state.releasedSinceLoad = receivedLoad{LoadReport: load, at: now}, 0, 0
+		state.answeredAt = now
 		b.guard.Answered(state.readiness)
 		if b.pace != nil {
 			b.pace.Report(now, state.key, load.Slowdown)
@@ -307,7 +316,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	state, ok := b.servers[id]
-	if !ok || now.Before(state.backoffUntil) {
+	if !ok {
+		return
+	}
+	state.answeredAt = now
+	if now.Before(state.backoffUntil) {
 		return
 	}
 	state.backoffUntil = now.Add(min(minRefusalBackoff<<state.refusals, maxRefusalBackoff))
@@ -347,6 +360,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	state, ok := b.servers[id]
+	if ok {
+		state.answeredAt = now
+	}
 	if ok && b.pace != nil {
 		b.pace.Observe(now, state.key, knownRequests(now, state), interval)
 	}
--- a/internal/core/backend/balancer_test.go
+++ b/internal/core/backend/balancer_test.go
@@ -56,6 +56,30 @@
 			need:  Requirements{Pool: "engines", Model: "m", MinVersion: 4},
 			want:  "e1",
 		},
+		{
+			name:  "server that has answered, though busier",
+			setup: func(b *Balancer) { b.RecordLoad(now, "c", LoadReport{Running: 1}) },
+			need:  Requirements{Pool: "desk", PreferAnswering: true},
+			want:  "c",
+		},
+		{
+			name:  "server whose streams bring events",
+			setup: func(b *Balancer) { b.RecordEventInterval(now, "c", time.Second) },
+			need:  Requirements{Pool: "desk", PreferAnswering: true},
+			want:  "c",
+		},
+		{
+			name:  "server that answered a while ago",
+			setup: func(b *Balancer) { b.RecordLoad(now.Add(-answerTTL), "c", LoadReport{}) },
+			need:  Requirements{Pool: "desk", PreferAnswering: true},
+			want:  "b",
+		},
+		{
+			name:  "server that has answered and has no free slot",
+			setup: func(b *Balancer) { b.RecordLoad(now, "c", LoadReport{}); b.RecordPeerRequests(map[string]int{"c": 2}) },
+			need:  Requirements{Pool: "desk", PreferAnswering: true, Deferrable: true},
+			want:  "b",
+		},
 		{name: "weights that no server has", need: Requirements{Pool: "engines", Model: "m", MinVersion: 5}},
 		{
 			name:  "work that can wait avoids full servers",
--- a/internal/core/backend/choose.go
+++ b/internal/core/backend/choose.go
@@ -25,6 +25,7 @@
 	}
 	best := slices.MinFunc(candidates, func(x, y *serverState) int {
 		return cmp.Or(
+			cmp.Compare(silenceRank(now, x, need), silenceRank(now, y, need)),
 			cmp.Compare(b.backoffRank(now, x), b.backoffRank(now, y)),
 			cmp.Compare(cost(now, x), cost(now, y)),
 			cmp.Compare(x.server.ID, y.server.ID),
@@ -155,6 +156,17 @@
 	}
 }
 
+// silenceRank orders servers that have not answered lately after the others, for requests that prefer those.
+func silenceRank(now time.Time, state *serverState, need Requirements) int {
+	if need.PreferAnswering && !state.answers(now) {
+		return 1
+	}
+	return 0
+}
+
+// answers reports whether the server has answered lately.
+func (s *serverState) answers(now time.Time) bool { return now.Sub(s.answeredAt) < answerTTL }
+
 // backoffRank orders servers that refused recently or could not be reached after the others.
 func (b *Balancer) backoffRank(now time.Time, state *serverState) int {
 	if now.Before(state.backoffUntil) {
--- a/internal/core/dispatch/restrict.go
+++ b/internal/core/dispatch/restrict.go
@@ -21,6 +21,9 @@
 	r.excluded[item][server] = true
 }
 
+// Excludes reports whether Exclude was called for the item and the server.
+func (r *Restrictions) Excludes(item, server string) bool { return r.excluded[item][server] }
+
 // AddSuspect adds a suspect. If it keeps apart, it may not share a server with another suspect; the servers at which one runs already are
 // excluded by Exclude.
 func (r *Restrictions) AddSuspect(item string, keepsApart bool) {
@@ -46,7 +49,7 @@
 // allow reports whether the item may run at the server, beside what is assigned to it.
 func (r *Restrictions) allow(item, server string, beside assigned) bool {
 	switch {
-	case r.excluded[item][server]:
+	case r.Excludes(item, server):
 		return false
 	case r.needIdle[item] && beside.items > 0:
 		return false
--- a/internal/edge/batchjob/place.go
+++ b/internal/edge/batchjob/place.go
@@ -107,6 +107,9 @@
 			restrictions.Exclude(item, server)
 		}
 	}
+	for item := range j.stalledItems {
+		excludeSilent(&restrictions, item, candidates)
+	}
 	for item, r := range j.runs {
 		for _, candidate := range candidates {
 			if r.wouldDiscardText(candidate.Server) {
@@ -117,6 +120,19 @@
 	return restrictions
 }
 
+// excludeSilent excludes the candidates that have not answered lately, if one that has may run the item.
+func excludeSilent(restrictions *dispatch.Restrictions, item string, candidates []backend.Candidate) {
+	answers := slices.ContainsFunc(candidates, func(c backend.Candidate) bool { return c.Answers && !restrictions.Excludes(item, c.Server.ID) })
+	if !answers {
+		return
+	}
+	for _, candidate := range candidates {
+		if !candidate.Answers {
+			restrictions.Exclude(item, candidate.Server.ID)
+		}
+	}
+}
+
 // carryOut carries out a plan. It returns false if that failed in part, so that slots may be free for other items.
 func (m *Manager) carryOut(ctx context.Context, j *job, p *placer, actions []dispatch.Action, refused *refusals) bool {
 	whole := true
--- a/internal/edge/batchjob/silentserver_test.go
+++ b/internal/edge/batchjob/silentserver_test.go
@@ -154,3 +154,65 @@
 		t.Errorf("the item was at no server for %v", took)
 	}
 }
+
+// Guards against an item that goes from one silent server to the next while another one answers: none of them runs it.
+func TestItemAvoidsASecondSilentServer(t *testing.T) {
+	t.Parallel()
+	for name, uneven := range map[string]bool{"servers of equal speed": false, "servers of uneven speed": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithCancel(t.Context())
+			var servers []*platformtest.Server
+			var registered []backend.Server
+			for _, id := range []string{"s1", "s2", "s3", "s4"} {
+				server := platformtest.NewServer(t, id, "p", map[string]int{"m": 1})
+				server.SetBehaviour(func(int, platformtest.Request) platformtest.Behaviour { return platformtest.Hang })
+				servers = append(servers, server)
+				registered = append(registered, backend.Server{ID: id, Address: server.Address(), Slots: 12})
+			}
+			sound := servers[3]
+			sound.SetBehaviour(func(int, platformtest.Request) platformtest.Behaviour { return platformtest.Answer })
+			sound.SetStream(1000, 50*time.Millisecond)
+			m := newPoolManager(ctx, registered...)
+			defer m.Wait()
+			defer cancel()
+			// Other items keep the sound server busier than the silent ones.
+			others := newPlacedJob("others", "a", "b", "c")
+			for _, item := range []string{"a", "b", "c"} {
+				others.mu.Lock()
+				server, ok := m.balancer.AcquireServer(time.Now(), others.requirements(), "s4")
+				if !ok {
+					t.Fatal("no slot at the sound server")
+				}
+				r := m.newRunLocked(others, others.progress.Item(item), server)
+				others.mu.Unlock()
+				others.wg.Go(func() { m.runItem(ctx, r) })
+			}
+			defer others.wg.Wait()
+			defer cancel()
+			waitFor(t, "the sound server is known to answer", func() bool { return others.produced("a") > 20 })
+			start := time.Now()
+			j := newPlacedJob("j", "x")
+			if uneven {
+				runPlaced(ctx, m, j)
+			} else {
+				m.startJob(j)
+			}
+			waitFor(t, "the item arrives at the sound server", func() bool { return startedWithin(sound, "x", time.Millisecond) })
+			if took := time.Since(start); took > 4*time.Second {
+				t.Errorf("the item was at no server for %v", took)
+			}
+		})
+	}
+}
+
+// runPlaced runs the job's items as in a pool whose servers differ in speed.
+func runPlaced(ctx context.Context, m *Manager, j *job) {
+	j.wg.Go(func() {
+		var placer placer
+		for ctx.Err() == nil && !j.finished() {
+			m.placeItems(ctx, j, &placer)
+			time.Sleep(checkInterval)
+		}
+	})
+}
