--- a/internal/core/batch/serverend.go
+++ b/internal/core/batch/serverend.go
@@ -69,7 +69,7 @@
 // Suspect reports whether an item with these counts may be what ends the servers.
 func (e ServerEnds) Suspect() bool { return e.mostUnexplained() >= suspectServerEnds }
 
-// OverLimit reports whether the item or its reward call may only isolated run, and only when RetryDelay has passed.
+// OverLimit reports whether the item or its reward call may only have isolated runs, the next one when RetryDelay has passed.
 func (e ServerEnds) OverLimit() bool { return e.mostUnexplained() >= MaxServerEnds }
 
 // WorthSharing reports whether other entries need to know the counts: of a suspect, or of an item that was one.
@@ -92,12 +92,12 @@
 // before their servers ended. An item that ends its servers by its input does so before its first event, also when it resumes where it
 // ended the last one.
 func (e ServerEnds) RetryDelay() time.Duration {
-	runsAlone := e.mostUnexplained() - MaxServerEnds
-	if runsAlone <= 0 && e.likelySound() {
+	isolatedRuns := e.mostUnexplained() - MaxServerEnds
+	if isolatedRuns <= 0 && e.likelySound() {
 		return likelySoundDelay
 	}
 	delay := retryDelay
-	for range runsAlone {
+	for range isolatedRuns {
 		delay = min(2*delay, maxRetryDelay)
 	}
 	return delay
--- a/internal/edge/batchjob/serverendtracker.go
+++ b/internal/edge/batchjob/serverendtracker.go
@@ -104,8 +104,8 @@
 	return true
 }
 
-// dueForIsolatedRun reports whether a withheld item may isolated run: it has waited as long as its counts ask for, and runs nowhere. An item whose
-// counts have expired may.
+// dueForIsolatedRun reports whether a withheld item may have an isolated run: it has waited for as long as its counts require, and runs
+// nowhere. An item whose counts have expired may.
 func (t *serverEndTracker) dueForIsolatedRun(now time.Time, item string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
