Go on handing over a leaving entry's jobs until one is taken

A leaving entry first wrote its finished items, for as long as its time to leave lasted if it didn't reach the store, and then asked the others once, two seconds in all: one that refused or didn't answer left the job without an entry until its trainer read. The write now goes on beside the handover after a second, each entry that is asked has a second to answer, and the others are asked again, in rounds, until one agrees, none is left or the entry's time to leave is over. The duties are released meanwhile.

The test failed before: --- FAIL: TestLeavingEntryHandsOverItsJobs/no_store (4.00s) handover_test.go:114: no entry runs the job after 4s --- FAIL: TestLeavingEntryHandsOverItsJobs/refused_three_times (4.00s) handover_test.go:114: no entry runs the job after 4s --- FAIL: TestLeavingEntryHandsOverItsJobs/first_entry_silent (4.00s) handover_test.go:114: no entry runs the job after 4s

--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -12,17 +12,30 @@
 
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
+	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 )
 
-// handoverTimeout bounds each attempt to have another entry run a job, or to load a job and run it here.
-const handoverTimeout = 2 * time.Second
+const (
+	// handoverTimeout bounds each attempt to load a job and run it here.
+	handoverTimeout = 2 * time.Second
+	// candidateTimeout bounds each request to another entry to run a job of this one, which leaves.
+	candidateTimeout = time.Second
+	// handoverRetryDelay is the pause after all of some entries refused a job.
+	handoverRetryDelay = 300 * time.Millisecond
+	// maxCandidates is how many entries are asked to run a job before that pause; others follow after it.
+	maxCandidates = 4
+	// flushTimeout is how long a handover waits for the finished items to be written; the write goes on beside it.
+	flushTimeout = time.Second
+)
 
 // HandOverJobs writes the finished items of the jobs that run here and asks other entries to run the rest. Unaccepted jobs are dropped: the
-// trainer's repeated submission begins them elsewhere.
+// trainer's repeated submission begins them elsewhere. Jobs that no entry takes at once are offered again until ctx ends; see AwaitHandovers.
 //
 // Without a handover no entry would run these jobs until the trainers' connections end: the trainers stay connected to the leaving entry
 // and read no new results there, and no other entry receives a read that would make it run the job.
 func (m *Manager) HandOverJobs(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	context.AfterFunc(m.ctx, cancel)
 	m.mu.Lock()
 	m.leaving = true
 	var running []*job
@@ -37,23 +50,48 @@
 	for _, j := range running {
 		handovers.Go(func() {
 			j.stopRunning()
-			m.flushResults(ctx, j)
-			m.handOverJob(ctx, j)
+			m.flushBriefly(ctx, j)
+			if !m.handOverJob(ctx, j, 0) {
+				m.handovers.Go(func() { m.retryHandover(ctx, j) })
+			}
 		})
 	}
 	handovers.Wait()
 }
 
-// handOverJob asks the other entries, the job's preferred runner first and then in the order of rankedPeers, until one runs the job.
-func (m *Manager) handOverJob(ctx context.Context, j *job) {
-	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
-	defer cancel()
-	preferred := m.preferredRunner(j.spec).HostID
-	candidates := slices.DeleteFunc(m.rankedPeers(j.spec.ID), func(member gossip.Member) bool { return !m.mayKeep(j.spec.Regions, member) })
-	if at := slices.IndexFunc(candidates, func(member gossip.Member) bool { return member.HostID == preferred }); at > 0 {
-		first := candidates[at]
-		candidates = slices.Insert(slices.Delete(candidates, at, at+1), 0, first)
+// AwaitHandovers blocks until the finished items of all jobs are written and the jobs handed over, no entry is left to take them, or the
+// context of HandOverJobs has ended.
+func (m *Manager) AwaitHandovers() { m.handovers.Wait() }
+
+// flushBriefly writes the finished items of a stopped job, and waits up to flushTimeout for it.
+func (m *Manager) flushBriefly(ctx context.Context, j *job) {
+	written := make(chan struct{})
+	m.handovers.Go(func() {
+		defer close(written)
+		m.flushResults(ctx, j)
+	})
+	timer := time.NewTimer(flushTimeout)
+	defer timer.Stop()
+	select {
+	case <-written:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
+}
+
+// retryHandover goes on to offer a job to other entries.
+func (m *Manager) retryHandover(ctx context.Context, j *job) {
+	for round := 1; ticker.Sleep(ctx, handoverRetryDelay) && !j.finished(); round++ {
+		if m.handOverJob(ctx, j, round) {
+			return
+		}
+	}
+}
+
+// handOverJob asks some of the other entries, the job's preferred runner first and then in the order of rankedPeers, until one runs the job.
+// Each round begins with other entries. It returns true if one runs the job or none is left to ask.
+func (m *Manager) handOverJob(ctx context.Context, j *job, round int) bool {
+	candidates := m.handoverCandidates(j, round)
 	q := m.newRunRequest(j.spec)
 	j.mu.Lock()
 	q.Partials = j.progress.Partials()
@@ -61,17 +99,41 @@
 	j.mu.Unlock()
 	refusals := zerolog.Dict()
 	for _, member := range candidates {
-		_, err := peer.Call[RunRequest, RunAnswer](ctx, m.peers, member.Address, MethodRun, q)
+		err := m.requestHandover(ctx, member, q)
 		if err == nil {
-			m.log.Info().Str("request", j.spec.ID).Str("entry", member.HostID).Int("partials", len(q.Partials)).Msg("batch job handed over")
+			m.log.Info().Str("request", j.spec.ID).Str("entry", member.HostID).Int("partials", len(q.Partials)).Int("round", round).
+				Msg("batch job handed over")
 			m.mergeOwners(m.members.Self(), map[string]string{j.spec.ID: member.HostID})
-			return
+			return true
 		}
 		refusals.AnErr(member.HostID, err)
 	}
-	state := j.state()
-	m.log.Warn().Str("request", j.spec.ID).Int("candidates", len(candidates)).Dict("refusals", refusals).Int("unfinished", state.unfinished()).
-		Msg("no entry takes a batch job of this leaving entry")
+	m.log.Warn().Str("request", j.spec.ID).Int("candidates", len(candidates)).Dict("refusals", refusals).Int("round", round).
+		Int("unfinished", j.state().unfinished()).Msg("no entry takes a batch job of this leaving entry")
+	return len(candidates) == 0
+}
+
+func (m *Manager) requestHandover(ctx context.Context, to gossip.Member, q RunRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, candidateTimeout)
+	defer cancel()
+	_, err := peer.Call[RunRequest, RunAnswer](ctx, m.peers, to.Address, MethodRun, q)
+	return err
+}
+
+// handoverCandidates returns the entries to ask in a round to run a job of this leaving entry.
+func (m *Manager) handoverCandidates(j *job, round int) []gossip.Member {
+	candidates := slices.DeleteFunc(m.rankedPeers(j.spec.ID), func(member gossip.Member) bool { return !m.mayKeep(j.spec.Regions, member) })
+	if len(candidates) == 0 {
+		return nil
+	}
+	preferred := m.preferredRunner(j.spec).HostID
+	if at := slices.IndexFunc(candidates, func(member gossip.Member) bool { return member.HostID == preferred }); at > 0 {
+		first := candidates[at]
+		candidates = slices.Insert(slices.Delete(candidates, at, at+1), 0, first)
+	}
+	first := round * maxCandidates % len(candidates)
+	candidates = slices.Concat(candidates[first:], candidates[:first])
+	return candidates[:min(maxCandidates, len(candidates))]
 }
 
 // rankedPeers returns the other entries that are not leaving, in an order that differs between jobs and is the same at all entries.
--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -97,6 +97,8 @@
 	serverEnds *serverEndTracker
 	probes     serverProbes
 	wg         conc.WaitGroup
+	// handovers counts the handovers of jobs that go on after HandOverJobs.
+	handovers conc.WaitGroup
 
 	mu   sync.Mutex
 	jobs map[string]*job
@@ -188,7 +190,10 @@
 }
 
 // Wait returns once all goroutines have ended, which happens after the context has ended.
-func (m *Manager) Wait() { m.wg.Wait() }
+func (m *Manager) Wait() {
+	m.handovers.Wait()
+	m.wg.Wait()
+}
 
 func (m *Manager) find(id string) (*job, bool) {
 	m.mu.Lock()
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -330,7 +330,9 @@
 	case <-ctx.Done():
 	case <-time.After(g.set.LeaveDelay):
 	}
-	return g.gateway.Drain(ctx)
+	err := g.gateway.Drain(ctx)
+	g.jobs.AwaitHandovers()
+	return err
 }
 
 // Drain hands over jobs and duties, refuses new connections and waits for running requests.
