Run the jobs of an entry that ends while it leaves

The jobs of a lost entry run again at the others, but not those of one that had announced that it leaves, since it hands them over itself. If it ended before it had done so, or no entry took a job, no entry ran the job until its trainer read. An entry that leaves and then becomes silent now counts as lost for the jobs that are still on record as its own. Of these most are complete, so that only the first entries in a job's order read it.

--- a/internal/core/roster/change.go
+++ b/internal/core/roster/change.go
@@ -35,9 +35,14 @@
 	Silent   bool
 }
 
-// EndsPrevious reports whether the previous run has ended, no longer responds, or has started to leave.
+// EndsPrevious reports whether the previous run has ended or no longer responds.
 func (c Change) EndsPrevious() bool {
-	return c.Previous.HostID != "" && (c.Silent || c.Previous.Incarnation != c.Current.Incarnation || c.Current.Leaving && !c.Previous.Leaving)
+	return c.Previous.HostID != "" && (c.Silent || c.Previous.Incarnation != c.Current.Incarnation)
+}
+
+// StartsLeaving reports whether the previous run has started to leave.
+func (c Change) StartsLeaving() bool {
+	return c.Previous.HostID != "" && !c.EndsPrevious() && c.Current.Leaving && !c.Previous.Leaving
 }
 
 // RecordContact records a call or an answer that came directly from a member, with the digest of the member's list. Updates in the same
--- a/internal/edge/batchjob/rerun.go
+++ b/internal/edge/batchjob/rerun.go
@@ -18,8 +18,14 @@
 // All living entries try one after the other, in an order that depends on the job, until the job is known to run. If only the first entry
 // tried, the job could stall until its trainer reads: when several entries die at once and restart a moment later, the first may be one of
 // them and know nothing of the job.
+//
+// Most jobs on record for an entry that has left are complete. Only the first entries in the order read these from the store.
 func (m *Manager) RerunJobsOf(lost gossip.Member) {
 	for _, id := range m.jobsOwnedBy(lost.HostID) {
+		if lost.Leaving && m.ownRank(id) >= maxRerunTurns {
+			m.forgetOwner(id, lost.HostID)
+			continue
+		}
 		m.log.Info().Str("request", id).Str("entry", lost.HostID).Int("rank", m.ownRank(id)).Dur("lastAnnounced", m.announcedAgo(id)).
 			Msg("batch job lost its entry")
 		m.forgetOwner(id, lost.HostID)
--- a/internal/edge/gossip/gossip.go
+++ b/internal/edge/gossip/gossip.go
@@ -42,7 +42,10 @@
 	HeartbeatReceived(now time.Time, heartbeat Heartbeat)
 	// HeartbeatDelivered is called after the recipient has answered the heartbeat.
 	HeartbeatDelivered(to Member, heartbeat Heartbeat)
-	// MemberGone is called when an entry has become silent, starts to leave, or was restarted.
+	// MemberLeaving is called when an entry starts to leave.
+	MemberLeaving(now time.Time, member Member)
+	// MemberGone is called when an entry has become silent or was restarted. The member is its former run; it is marked as leaving if the
+	// entry left and was not restarted.
 	MemberGone(now time.Time, member Member)
 	// DirectRecipients returns the host IDs of the entries that must receive heartbeats directly from this entry.
 	DirectRecipients() []string
@@ -187,7 +190,7 @@
 	g.handler.HeartbeatReceived(now, heartbeat)
 }
 
-// reportChange logs a change, and calls MemberGone if the previously known run of an entry ended, became silent, or starts to leave.
+// reportChange logs a change, and calls the handler if the previously known run of an entry ended, became silent, or starts to leave.
 func (g *Gossip) reportChange(now time.Time, change roster.Change) {
 	switch {
 	case change.Silent:
@@ -197,7 +200,10 @@
 	default:
 		g.log.Info().Str("dependency", "entry").Str("entry", change.Current.HostID).Msg("regained")
 	}
-	if change.EndsPrevious() {
+	switch {
+	case change.StartsLeaving():
+		g.handler.MemberLeaving(now, change.Current)
+	case change.EndsPrevious():
 		previous := change.Previous
 		previous.Leaving = change.Current.Leaving
 		g.handler.MemberGone(now, previous)
--- a/internal/edge/gossip/gossip_test.go
+++ b/internal/edge/gossip/gossip_test.go
@@ -20,6 +20,7 @@
 func (silentHandler) Heartbeat(time.Time, Recipient) Heartbeat { return Heartbeat{} }
 func (silentHandler) HeartbeatReceived(time.Time, Heartbeat)   {}
 func (silentHandler) HeartbeatDelivered(Member, Heartbeat)     {}
+func (silentHandler) MemberLeaving(time.Time, Member)          {}
 func (silentHandler) MemberGone(time.Time, Member)             {}
 func (silentHandler) DirectRecipients() []string               { return nil }
 
--- a/internal/program/process/heartbeat.go
+++ b/internal/program/process/heartbeat.go
@@ -252,16 +252,20 @@
 	h.gateway.ledger.Forget(func(c usage.Count) bool { return c.Cell.Window < cutoff })
 }
 
-// MemberGone removes the load of an entry that is no longer alive. Unless the entry announced that it was leaving, its jobs are
-// run again.
+// MemberLeaving removes the load of an entry that starts to leave. It hands its jobs over itself.
+func (h *gossipHandler) MemberLeaving(_ time.Time, member gossip.Member) {
+	h.updatePeerLoad(member.HostID, peerLoad{})
+}
+
+// MemberGone removes the load of an entry that is no longer alive, and has its jobs run again: also those of one that was leaving, which it
+// could not hand over.
 func (h *gossipHandler) MemberGone(now time.Time, member gossip.Member) {
 	h.updatePeerLoad(member.HostID, peerLoad{})
-	if member.Leaving {
-		return
+	if !member.Leaving {
+		h.mu.Lock()
+		h.lastLost = now
+		h.mu.Unlock()
 	}
-	h.mu.Lock()
-	h.lastLost = now
-	h.mu.Unlock()
 	h.gateway.jobs.RerunJobsOf(member)
 }
 
