--- a/internal/edge/batchjob/handover_test.go
+++ b/internal/edge/batchjob/handover_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
@@ -99,6 +100,8 @@
 			}
 			m := newTestManager(ctx, client, members)
 			defer m.Wait()
+			var handover conc.WaitGroup
+			defer handover.Wait()
 			defer cancel()
 			if test.storeDown {
 				client.setFault(faultDown)
@@ -107,7 +110,7 @@
 			completeItem(j, "a")
 			drain, stop := context.WithTimeout(ctx, 6*time.Second)
 			defer stop()
-			go m.HandOverJobs(drain)
+			handover.Go(func() { m.HandOverJobs(drain) })
 			select {
 			case <-agreed:
 			case <-time.After(maxIdleOfJob):
