Explain ended servers that only other entries reported

The ends under an item come with heartbeats and pages without the pool of the servers. An entry that took a job over therefore compared them with no other ends, though it knew of these from the registrations, and withheld a sound item for 30 s instead of releasing it at once.

The servers that run an item are those of its job's pool, which is used where the tracker knows of none. TestEndsKnownFromOtherEntriesAreExplained failed before: the item stayed withheld though all servers of the pool had ended at that time.

--- a/internal/edge/batchjob/serverend.go
+++ b/internal/edge/batchjob/serverend.go
@@ -1,6 +1,7 @@
 package batchjob
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net/netip"
@@ -156,7 +157,7 @@
 	counted := j.progress.ServerEnds(run.item)
 	j.mu.Unlock()
 	m.serverEnds.count(now, run.serverUse, counted)
-	ends, ended, running := m.explainServerEnds(run.item)
+	ends, ended, running := m.explainServerEnds(j, run.item)
 	j.mu.Lock()
 	j.progress.MergeItemServerEnds(run.item, ends)
 	j.mu.Unlock()
@@ -167,14 +168,15 @@
 	j.wake()
 }
 
-// explainServerEnds applies what other ends in the pools say about the ends under an item. It returns the counts, and for the pool of the last
-// counted end, how many of its servers ended at that time and how many run.
-func (m *Manager) explainServerEnds(item string) (ends batch.ServerEnds, ended, running int) {
+// explainServerEnds applies what other ends in the pools say about the ends under an item of the job. It returns the counts, and for the pool of
+// the last counted end, how many of its servers ended at that time and how many run.
+func (m *Manager) explainServerEnds(j *job, item string) (ends batch.ServerEnds, ended, running int) {
 	known := m.serverEnds.find(item)
 	from, to := known.firstAt.Add(-endConfirmTime), known.changedAt.Add(endConfirmTime)
 	ends = known.ends
-	if known.pool != "" {
-		ended, running = m.balancer.Ends(known.pool, from, to)
+	// Only other entries may know of the ends, which don't name the pool.
+	if pool := cmp.Or(known.pool, j.spec.Pool); pool != "" && ends.Item > 0 {
+		ended, running = m.balancer.Ends(pool, from, to)
 		ends.ItemExplained = max(ends.ItemExplained, batch.ExplainedByChance(ended, ends.Item, running))
 	}
 	if known.rewardPool != "" {
@@ -191,7 +193,7 @@
 	withheld := j.progress.WithheldItems()
 	j.mu.Unlock()
 	for _, item := range withheld {
-		ends, ended, running := m.explainServerEnds(item)
+		ends, ended, running := m.explainServerEnds(j, item)
 		due := m.serverEnds.dueForIsolatedRun(now, item)
 		j.mu.Lock()
 		j.progress.MergeItemServerEnds(item, ends)
--- a/internal/edge/batchjob/serverend_test.go
+++ b/internal/edge/batchjob/serverend_test.go
@@ -199,3 +199,25 @@
 		t.Errorf("recorded %+v", count)
 	}
 }
+
+// Guards against an item that stays withheld for 30 s at the entry that took its job over, which knows that other servers of the pool ended at
+// that time, and learned of the ends under the item from the entry before.
+func TestEndsKnownFromOtherEntriesAreExplained(t *testing.T) {
+	pool := newUnevenPool(t.Context(), t)
+	now := time.Now()
+	servers := pool.balancer.Servers()
+	for _, server := range servers {
+		server.Started = now
+		pool.balancer.Sync(now, append(slices.DeleteFunc(pool.balancer.Servers(), func(s backend.Server) bool { return s.ID == server.ID }), server))
+	}
+	pool.MergeServerEnds(now, map[string]batch.ServerEnds{"a": {Item: batch.MaxServerEnds, Stalled: batch.MaxServerEnds, Age: time.Second}})
+	j := newPlacedJob("j", "a")
+	pool.exchangeServerEnds(now, j)
+	if !j.progress.IsWithheld("a") {
+		t.Fatal("an item under which three servers ended at once is not withheld")
+	}
+	pool.reviewWithheld(now, j)
+	if j.progress.IsWithheld("a") {
+		t.Errorf("still withheld though all %d servers of the pool ended: %+v", len(servers), j.progress.ServerEnds("a"))
+	}
+}
