Count the time for which an item was withheld as wait of a suspect

An item that was withheld for 2 s, and released up to 0.5 s later, then waited another 2.5 s for a server without suspects: five seconds at no server. It now keeps apart from others for 1.5 s after a release for an isolated run, the first second of which it needs an idle server. If its ends are explained instead, the time since its first review counts.

TestWithheldTimeCountsForSuspects failed without the two assignments.

--- a/internal/core/batch/progress.go
+++ b/internal/core/batch/progress.go
@@ -51,7 +51,7 @@
 	ends         ServerEnds
 	releasedEnds ServerEnds
 	releasedAt   time.Time
-	// apartSince is since when the item has been waiting for a server that runs no suspect; zero if it hasn't.
+	// apartSince is since when the item has waited for a server that runs no suspect; zero if it hasn't.
 	apartSince time.Time
 	// rewardWithheld is set while the item is withheld and its text is complete.
 	rewardWithheld bool
--- a/internal/core/batch/serverend.go
+++ b/internal/core/batch/serverend.go
@@ -210,12 +210,14 @@
 		return
 	}
 	state.releasedAt = now
+	// It has been at no server already, and doesn't wait for an idle server and another suspectWait.
+	state.apartSince = now.Add(-idleServerWait)
 	state.releasedEnds = state.ends
 	p.release(state)
 }
 
-// KeepsApart reports whether the item may only be sent to a server that runs no suspect: it is one itself, and since it was first asked for after
-// its last run, less than suspectWait has passed.
+// KeepsApart reports whether the item may only be sent to a server that runs no suspect: it is one itself, and less than suspectWait has passed
+// since it was first asked for after its last run.
 func (p *Progress) KeepsApart(now time.Time, id string) bool {
 	state, ok := p.items[id]
 	if !ok || !state.ends.Suspect() {
@@ -224,12 +226,27 @@
 	if state.phase != phaseWaiting {
 		return true
 	}
-	if state.apartSince.IsZero() {
-		state.apartSince = now
-	}
+	state.startSuspectWait(now)
 	return now.Sub(state.apartSince) < suspectWait
 }
 
+// ReviewWithheld returns the items that are sent to no server. The time from the first review on counts as wait of a suspect if their ends are
+// explained later.
+func (p *Progress) ReviewWithheld(now time.Time) []string {
+	items := p.WithheldItems()
+	for _, id := range items {
+		p.items[id].startSuspectWait(now)
+	}
+	return items
+}
+
+// startSuspectWait records since when the item has waited to run, unless that is known.
+func (s *itemState) startSuspectWait(now time.Time) {
+	if s.apartSince.IsZero() {
+		s.apartSince = now
+	}
+}
+
 // NeedsIdleServer reports whether the item may only be sent to a server that runs nothing else.
 func (p *Progress) NeedsIdleServer(now time.Time, id string) bool {
 	state, ok := p.items[id]
--- a/internal/core/batch/serverend_load_test.go
+++ b/internal/core/batch/serverend_load_test.go
@@ -108,7 +108,7 @@
 			}
 		}
 	}
-	for _, item := range l.progress.WithheldItems() {
+	for _, item := range l.progress.ReviewWithheld(l.now) {
 		l.explain(item)
 		if l.now.Sub(l.lastEnd[item]) >= l.progress.ServerEnds(item).RetryDelay() {
 			l.progress.ReleaseForIsolatedRun(l.now, item)
--- a/internal/core/batch/serverend_test.go
+++ b/internal/core/batch/serverend_test.go
@@ -268,3 +268,25 @@
 		t.Error("an item that is no suspect keeps apart")
 	}
 }
+
+// Guards against an item that was withheld and then, once released, waits as long for a server without suspects as one that was not.
+func TestWithheldTimeCountsForSuspects(t *testing.T) {
+	p := NewProgress(newTestJob(2, 1), 1)
+	endServers(p, "0a", MaxServerEnds)
+	endServers(p, "0b", MaxServerEnds)
+	p.ReviewWithheld(start)
+	explainedAt := start.Add(2 * time.Second)
+	p.ReviewWithheld(explainedAt)
+	p.MergeItemServerEnds("0a", ServerEnds{ItemExplained: 1})
+	p.ReleaseForIsolatedRun(explainedAt, "0b")
+	if !p.IsWaiting("0a") || !p.IsWaiting("0b") {
+		t.Fatal("the items don't wait")
+	}
+	if !p.KeepsApart(explainedAt, "0a") || p.KeepsApart(start.Add(suspectWait), "0a") {
+		t.Error("the time for which the explained item was withheld doesn't count")
+	}
+	isolated := explainedAt.Add(idleServerWait)
+	if !p.KeepsApart(isolated, "0b") || p.KeepsApart(explainedAt.Add(suspectWait-idleServerWait), "0b") {
+		t.Error("the released item doesn't keep apart after it needed an idle server, or for too long")
+	}
+}
--- a/internal/edge/batchjob/serverend.go
+++ b/internal/edge/batchjob/serverend.go
@@ -190,7 +190,7 @@
 // reviewWithheld lets withheld items of the job run again whose ends are explained by now, or that are due for an isolated run.
 func (m *Manager) reviewWithheld(now time.Time, j *job) {
 	j.mu.Lock()
-	withheld := j.progress.WithheldItems()
+	withheld := j.progress.ReviewWithheld(now)
 	j.mu.Unlock()
 	for _, item := range withheld {
 		ends, ended, running := m.explainServerEnds(j, item)
