Run an item that makes progress again soon after its server ended

A withheld item whose runs all brought events before their servers ended had its first isolated run after 2 s, and if its server ended too, the next one after 60 s. Rule and trainers allow five seconds at no server. An item that ends its servers by its input does so before its first event, also when it resumes, so that this one is most likely sound.

Its isolated runs now come after 2, 2, 4, 8 s and so on while most runs make progress.

--- a/internal/core/batch/serverend.go
+++ b/internal/core/batch/serverend.go
@@ -20,7 +20,7 @@
 
 const (
 	// likelySoundDelay is how long after its last end a withheld item waits for an isolated run if its ends look like chance. Trainers wait
-	// for it.
+	// for it. It doubles from the second isolated run on under which the server ended.
 	likelySoundDelay = 2 * time.Second
 	// retryDelay is that time for any other item. It doubles with each isolated run under which the server ended.
 	retryDelay    = 30 * time.Second
@@ -88,24 +88,39 @@
 
 // RetryDelay returns how long after the last end an item over the limit waits for an isolated run.
 //
-// The first isolated run comes early if the item is likely to be sound: other servers of the pool ended too, or most of its runs made progress
-// before their servers ended. An item that ends its servers by its input does so before its first event, also when it resumes where it
-// ended the last one.
+// An item that ends its servers by its input does so before its first event, also when it resumes where it ended the last one. If most runs
+// made progress before their servers ended, isolated runs come early. The first one also does if other servers of the pool ended too.
 func (e ServerEnds) RetryDelay() time.Duration {
-	isolatedRuns := e.mostUnexplained() - MaxServerEnds
-	if isolatedRuns <= 0 && e.likelySound() {
+	isolatedRuns := max(0, e.mostUnexplained()-MaxServerEnds)
+	switch {
+	case e.madeProgress():
+		return doubled(likelySoundDelay, isolatedRuns-1)
+	case isolatedRuns == 0 && e.otherServersEnded():
 		return likelySoundDelay
+	default:
+		return doubled(retryDelay, isolatedRuns)
 	}
-	delay := retryDelay
-	for range isolatedRuns {
+}
+
+// doubled returns the delay after it was doubled that many times, at most maxRetryDelay.
+func doubled(delay time.Duration, times int) time.Duration {
+	for range times {
 		delay = min(2*delay, maxRetryDelay)
 	}
 	return delay
 }
 
-func (e ServerEnds) likelySound() bool {
+// madeProgress reports whether the item is over the limit and most of its runs brought events before their servers ended. It isn't known of
+// reward calls.
+func (e ServerEnds) madeProgress() bool {
+	item, _ := e.Unexplained()
+	return item >= MaxServerEnds && 2*e.Stalled < e.Item
+}
+
+// otherServersEnded reports whether other servers of the pool ended while those did that put the item over the limit.
+func (e ServerEnds) otherServersEnded() bool {
 	if item, _ := e.Unexplained(); item >= MaxServerEnds {
-		return e.ItemExplained > 0 || 2*e.Stalled < e.Item
+		return e.ItemExplained > 0
 	}
 	return e.RewardExplained > 0
 }
--- a/internal/core/batch/serverend_wait_test.go
+++ b/internal/core/batch/serverend_wait_test.go
@@ -127,3 +127,58 @@
 		}
 	}
 }
+
+// followItem ends the server of the sound item "3" each time that its run has brought the given number of events, so many times.
+func (o *idleTimes) followItem(duration time.Duration, events, times int) {
+	l := o.load
+	for end := l.now.Add(duration); l.now.Before(end); l.step() {
+		for server := range l.runs {
+			if got, runs := l.runs[server]["3"]; runs && times > 0 && got == events {
+				times--
+				l.endServer(server)
+			}
+		}
+		o.observe()
+	}
+}
+
+// Guards against a sound item that is withheld for a minute although all its runs made progress before their servers ended.
+func TestItemThatMakesProgressIsSoonAtAServerAgain(t *testing.T) {
+	for _, events := range []int{1, 3, 10} {
+		for _, ends := range []int{MaxServerEnds, MaxServerEnds + 1} {
+			for seed := range uint64(10) {
+				t.Run(fmt.Sprintf("%d ends after %d events, seed %d", ends, events, seed), func(t *testing.T) {
+					load := newServerEndLoad(seed, 60)
+					load.events = 60
+					times := newIdleTimes(load)
+					times.followItem(20*time.Second, events, ends)
+					times.check(t)
+					load.checkCompleted(t)
+				})
+			}
+		}
+	}
+}
+
+// Guards against an item that ends servers without a bound because each of its runs brings events first.
+func TestServerEndsOfItemsThatMakeProgressStayBounded(t *testing.T) {
+	for _, test := range []struct {
+		duration time.Duration
+		most     int
+	}{
+		// The limit, isolated runs 2, 2, 4 and 8 s after the last end, and further ones after 16, 32, 64 and 128 s.
+		{duration: 25 * time.Second, most: MaxServerEnds + 4},
+		{duration: 5 * time.Minute, most: MaxServerEnds + 8},
+	} {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprintf("%v, seed %d", test.duration, seed), func(t *testing.T) {
+				load := newServerEndLoad(seed, 60)
+				load.events = 1_000
+				newIdleTimes(load).followItem(test.duration, 2, 1_000)
+				if got := load.progress.ServerEnds("3").Item; got > test.most {
+					t.Errorf("the item ended %d servers, want at most %d", got, test.most)
+				}
+			})
+		}
+	}
+}
