--- a/internal/core/batch/serverend_test.go
+++ b/internal/core/batch/serverend_test.go
@@ -157,9 +157,16 @@
 		{name: "only the first run made progress", ends: ServerEnds{Item: 3, Stalled: 2}, want: retryDelay},
 		{name: "most runs made progress", ends: ServerEnds{Item: 3, Stalled: 1}, want: likelySoundDelay},
 		{name: "other servers ended too", ends: ServerEnds{Item: 4, Stalled: 4, ItemExplained: 1}, want: likelySoundDelay},
-		{name: "ended a server in an isolated run", ends: ServerEnds{Item: 4}, want: 2 * retryDelay},
-		{name: "ended two in isolated runs", ends: ServerEnds{Item: 5}, want: 4 * retryDelay},
-		{name: "ended many in isolated runs", ends: ServerEnds{Item: 30}, want: maxRetryDelay},
+		{name: "stalled in an isolated run too", ends: ServerEnds{Item: 4, Stalled: 4}, want: 2 * retryDelay},
+		{name: "stalled in two isolated runs", ends: ServerEnds{Item: 5, Stalled: 5}, want: 4 * retryDelay},
+		{name: "stalled in many isolated runs", ends: ServerEnds{Item: 30, Stalled: 30}, want: maxRetryDelay},
+		{name: "stalled in every other run", ends: ServerEnds{Item: 4, Stalled: 2}, want: 2 * retryDelay},
+		{name: "stalled in an isolated run while other servers ended", ends: ServerEnds{Item: 5, Stalled: 5, ItemExplained: 1}, want: 2 * retryDelay},
+		{name: "made progress in an isolated run", ends: ServerEnds{Item: 4}, want: likelySoundDelay},
+		{name: "made progress in two isolated runs", ends: ServerEnds{Item: 5}, want: 2 * likelySoundDelay},
+		{name: "made progress in three isolated runs", ends: ServerEnds{Item: 6}, want: 4 * likelySoundDelay},
+		{name: "made progress in many isolated runs", ends: ServerEnds{Item: 30}, want: maxRetryDelay},
+		{name: "reward call that ended a server in an isolated run", ends: ServerEnds{Reward: 4}, want: 2 * retryDelay},
 		{name: "reward call", ends: ServerEnds{Reward: 3}, want: retryDelay},
 		{name: "reward call of an item that made progress", ends: ServerEnds{Item: 1, Reward: 3}, want: retryDelay},
 		{name: "reward call while other servers ended", ends: ServerEnds{Reward: 4, RewardExplained: 1}, want: likelySoundDelay},
@@ -268,3 +275,25 @@
 		t.Error("an item that is no suspect keeps apart")
 	}
 }
+
+// Guards against an item that was withheld and then, once released, waits as long for a server without suspects as one that was not.
+func TestWithheldTimeCountsForSuspects(t *testing.T) {
+	p := NewProgress(newTestJob(2, 1), 1)
+	endServers(p, "0a", MaxServerEnds)
+	endServers(p, "0b", MaxServerEnds)
+	p.ReviewWithheld(start)
+	explainedAt := start.Add(2 * time.Second)
+	p.ReviewWithheld(explainedAt)
+	p.MergeItemServerEnds("0a", ServerEnds{ItemExplained: 1})
+	p.ReleaseForIsolatedRun(explainedAt, "0b")
+	if !p.IsWaiting("0a") || !p.IsWaiting("0b") {
+		t.Fatal("the items don't wait")
+	}
+	if !p.KeepsApart(explainedAt, "0a") || p.KeepsApart(start.Add(suspectWait), "0a") {
+		t.Error("the time for which the explained item was withheld doesn't count")
+	}
+	isolated := explainedAt.Add(idleServerWait)
+	if !p.KeepsApart(isolated, "0b") || p.KeepsApart(explainedAt.Add(suspectWait-idleServerWait), "0b") {
+		t.Error("the released item doesn't keep apart after it needed an idle server, or for too long")
+	}
+}
