Have an owner of a job that was only named by others confirm it

An entry that is to have a lost entry's job run again stops as soon as it believes that a living entry runs it. It also believed what a third entry had learned earlier, or what it recorded itself when it asked an entry to run the job. An owner that hasn't announced the job itself is now asked, by the first entries in the job's order; the request also makes it run the job.

--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -57,6 +57,14 @@
 	m.owners[id] = known
 }
 
+// hasAnnounced reports whether the entry is on record as the owner of a job and has announced that itself.
+func (m *Manager) hasAnnounced(id, hostID string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.owners[id]
+	return known.hostID == hostID && !known.announcedAt.IsZero()
+}
+
 // announcedAgo returns how long ago the recorded owner of a job last announced here that it runs the job, or, if it never did, how long ago
 // this process learned of it.
 func (m *Manager) announcedAgo(id string) time.Duration {
--- a/internal/edge/batchjob/rerun.go
+++ b/internal/edge/batchjob/rerun.go
@@ -59,14 +59,14 @@
 	attempts := 0
 	for delay := minRerunDelay; ; {
 		waited, ok := m.awaitStore()
-		if !ok || waited && (!ticker.Sleep(m.ctx, m.ownTurn(id)) || m.isEndedOrRunning(id)) {
+		if !ok || waited && (!ticker.Sleep(m.ctx, m.ownTurn(id)) || m.needsNoRerun(id)) {
 			return
 		}
 		attempts++
 		err := m.tryRerun(id)
 		m.log.Info().Err(err).Str("request", id).Str("entry", lost).Int("attempt", attempts).Dur("after", time.Since(started)).
 			Msg("tried to have a batch job of a lost entry run again")
-		if err == nil || isNotFound(err) || !ticker.Sleep(m.ctx, m.rerunPause(id, delay)) || m.isEndedOrRunning(id) {
+		if isNotFound(err) || m.isDone(id) || !ticker.Sleep(m.ctx, m.rerunPause(id, delay)) || m.needsNoRerun(id) {
 			return
 		}
 		if m.isRerunOver(id, started) {
@@ -151,13 +151,38 @@
 	if !ticker.Sleep(m.ctx, m.ownTurn(id)) {
 		return
 	}
-	if m.isEndedOrRunning(id) {
+	if m.needsNoRerun(id) {
 		m.logKnownOwner(id, lost)
 		return
 	}
 	m.rerun(id, lost)
 }
 
+// isDone reports whether a job runs here, or nothing of it is left to run.
+func (m *Manager) isDone(id string) bool {
+	j, ok := m.find(id)
+	return m.isEnded(id) || ok && (j.isRunning() || j.finished())
+}
+
+// needsNoRerun reports whether a job has ended or runs. An owner that was only named by others, or was asked to run the job and hasn't
+// announced it, must confirm that it does.
+//
+// Otherwise each entry could rely on an owner that no longer runs the job, and no entry would. Only the first entries in the job's order ask:
+// one of them is enough, and an owner isn't to be asked by hundreds at once.
+func (m *Manager) needsNoRerun(id string) bool {
+	if m.isDone(id) {
+		return true
+	}
+	owner, ok := m.livingOwner(id)
+	if !ok {
+		return false
+	}
+	if m.hasAnnounced(id, owner.HostID) || m.ownRank(id) >= maxRerunTurns {
+		return true
+	}
+	return m.requestRun(m.ctx, owner, RunRequest{Job: id})
+}
+
 // logKnownOwner logs why this entry doesn't restart a job of a lost entry.
 func (m *Manager) logKnownOwner(id, lost string) {
 	if m.isEnded(id) {
--- a/internal/edge/batchjob/rerunjobs_test.go
+++ b/internal/edge/batchjob/rerunjobs_test.go
@@ -99,3 +99,21 @@
 		t.Errorf("the job doesn't run %v after the store is back", maxIdleOfJob)
 	}
 }
+
+// Guards against a job that no entry runs because each takes another one for its owner that was only named by a third entry, and that
+// doesn't run it.
+func TestNamedOwnerThatDoesNotRunAJobDoesNotStopItsRerun(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	m, _ := newManagerWithLostOwner(ctx, t)
+	defer m.Wait()
+	defer cancel()
+	third := gossip.Member{HostID: "third"}
+	m.mergeOwners(third, map[string]string{"j": "lost"})
+	m.RerunJobsOf(gossip.Member{HostID: "lost"})
+	// The third entry repeats what it learned before the loss.
+	m.mergeOwners(third, map[string]string{"j": "other"})
+	if !runsWithin(m, "j", maxIdleOfJob) {
+		t.Errorf("the job doesn't run after %v", maxIdleOfJob)
+	}
+}
