Ignore announcements of a job that its leaving entry sent before the handover

A leaving entry hands a job over; a heartbeat that it built before is delivered later, because one of the two was busy or frozen. The successor, if its host id comes later in order, left the job to the leaving entry, which doesn't run it any more. A request to run a job now says that its sender leaves, and the successor ignores what that process announces of the job.

The test failed before: rerunjobs_test.go:131: the job was left to the entry that handed it over --- FAIL: TestDelayedAnnouncementOfALeavingEntryDoesNotStopItsSuccessor (0.00s)

--- a/internal/edge/batchjob/assign.go
+++ b/internal/edge/batchjob/assign.go
@@ -130,6 +130,7 @@
 		m.recordRequestedEnd(q.Job, q.Organisation)
 	}
 	if j, ok := m.find(q.Job); ok && j.isRunning() {
+		m.recordHandover(j, q)
 		if q.EndRequested {
 			m.holdJob(j)
 		}
--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -93,6 +93,7 @@
 func (m *Manager) handOverJob(ctx context.Context, j *job, round int) bool {
 	candidates := m.handoverCandidates(j, round)
 	q := m.newRunRequest(j.spec)
+	q.Leaving = true
 	j.mu.Lock()
 	q.Partials = j.progress.Partials()
 	q.EndRequested = q.EndRequested || j.endRequested
--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 )
 
 // job is a batch job in the memory of this process, which runs it or has read it from the store.
@@ -44,6 +45,8 @@
 	settled chan struct{}
 	// outOfMemory is set while unaccepted jobs may start no items because of their size.
 	outOfMemory bool
+	// handedOverBy is the leaving entry that handed the job over to this one, if any.
+	handedOverBy gossip.Member
 	// endRequested is set if the trainer ended the job and the end could not be stored yet.
 	endRequested bool
 	// writeAtOnce is set if results that were received before the acceptance wait for their first page.
--- a/internal/edge/batchjob/message.go
+++ b/internal/edge/batchjob/message.go
@@ -82,6 +82,8 @@
 	EndRequested bool `msgpack:"e"`
 	// Partials are what a leaving sender had received of unfinished items.
 	Partials []batch.Partial `msgpack:"p"`
+	// Leaving is set if the sender ran the job and hands it over because it leaves.
+	Leaving bool `msgpack:"l"`
 }
 
 // RunAnswer confirms a RunRequest.
--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -174,8 +174,11 @@
 			m.log.Info().Str("request", id).Str("entry", from.HostID).Msg("entry runs a job that has ended")
 			continue
 		}
-		m.recordAnnouncement(id, from.HostID)
 		j, ok := m.find(id)
+		if ok && j.isHandedOverBy(from) {
+			continue
+		}
+		m.recordAnnouncement(id, from.HostID)
 		// Two entries that run the same job do its work twice until one of them stops.
 		if ok && j.isRunning() && !from.Leaving && from.HostID < self.HostID {
 			state := j.state()
--- a/internal/edge/batchjob/rerunjobs_test.go
+++ b/internal/edge/batchjob/rerunjobs_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/batch"
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 )
 
@@ -117,3 +118,27 @@
 		t.Errorf("the job doesn't run after %v", maxIdleOfJob)
 	}
 }
+
+// Guards against a job that no entry runs because the announcement of an entry that handed it over arrives after the handover.
+func TestDelayedAnnouncementOfALeavingEntryDoesNotStopItsSuccessor(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	spec := batch.Job{ID: "j", Organisation: "north", Submission: batch.Submission{Items: []batch.Item{{ID: "a"}}}}
+	leaving := gossip.Member{HostID: "leaving", Incarnation: 7}
+	m := newManagerWithJob(ctx, t, spec, fakeMembers{self: "self", others: []gossip.Member{leaving}})
+	defer m.Wait()
+	defer cancel()
+	if err := m.handleRun(ctx, RunRequest{Job: "j", Organisation: "north", From: "leaving", Leaving: true}); err != nil {
+		t.Fatal(err)
+	}
+	m.ApplyGossip(leaving, []string{"j"}, nil, nil)
+	if j, ok := m.find("j"); !ok || !j.isRunning() {
+		t.Error("the job was left to the entry that handed it over")
+	}
+	restarted := leaving
+	restarted.Incarnation++
+	m.ApplyGossip(restarted, []string{"j"}, nil, nil)
+	if j, ok := m.find("j"); !ok || j.isRunning() {
+		t.Error("the job wasn't left to the restarted entry")
+	}
+}
--- a/internal/edge/batchjob/takeover.go
+++ b/internal/edge/batchjob/takeover.go
@@ -54,6 +54,7 @@
 	if q.EndRequested {
 		m.holdJob(j)
 	}
+	m.recordHandover(j, q)
 	if j = m.resumeHere(j, q.Partials); !j.isRunning() && !j.finished() {
 		// The sender would take this entry for the owner.
 		return errors.Errorf("job %s: this entry began to leave or left the job to another one", q.Job)
@@ -61,6 +62,26 @@
 	return nil
 }
 
+// recordHandover records that a leaving entry has handed a job over to this one.
+func (m *Manager) recordHandover(j *job, q RunRequest) {
+	sender, ok := m.members.Find(time.Now(), q.From)
+	if !q.Leaving || !ok {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.handedOverBy = sender
+}
+
+// isHandedOverBy reports whether the entry's process has handed the job over to this one.
+//
+// A heartbeat that it sent before may arrive later. If the job were left to that entry, no entry would run it.
+func (j *job) isHandedOverBy(member gossip.Member) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.handedOverBy.HostID == member.HostID && j.handedOverBy.Incarnation == member.Incarnation
+}
+
 // requestRun asks the recorded owner of a job to confirm that it runs the job, or to run it. If that fails, the record is removed.
 func (m *Manager) requestRun(ctx context.Context, owner gossip.Member, q RunRequest) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
