Run a job again that its living entry no longer announces

An entry may stop running a job without an end and without a successor: it left the job to an entry that doesn't run it, or no entry takes it as this one leaves. The others removed that entry as the owner after some seconds and did nothing else, so that no entry ran the job until its trainer read. Those that heard its announcements now have the job run again, in the job's order, unless it has ended or another entry runs it: 1.5 s after the last announcement at the earliest. This also covers causes that aren't known.

The test failed before: rerunjobs_test.go:159: the job doesn't run 4s after its owner stopped announcing it --- FAIL: TestJobRunsAgainWhenItsOwnerNoLongerAnnouncesIt (4.00s)

--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -18,6 +18,9 @@
 const (
 	// ownerAnnounceTime is how long an entry announces in gossip a job's owner that it has learned: long enough to reach all entries.
 	ownerAnnounceTime = 4 * time.Second
+	// announcementTimeout is how long after its last announcement an entry still counts as running a job while its heartbeats don't announce
+	// it. Heartbeats may be processed in another order than they were sent.
+	announcementTimeout = time.Second
 	// maxOwnerAge is the age after which an owner is deleted although the end of its job was never announced.
 	maxOwnerAge = 10 * time.Minute
 )
@@ -203,16 +206,30 @@
 	return true
 }
 
-// removeStaleOwners removes an entry as the owner of jobs that it doesn't announce as running any more. One that was given a job a moment
-// ago may not announce it yet.
+// removeStaleOwners removes an entry as the owner of jobs that it doesn't announce as running any more, and has those that it did announce run
+// again unless another entry does. One that was given a job a moment ago may not announce it yet.
+//
+// An entry may stop a job without an end and without a successor: it left the job to another one that doesn't run it, or no entry took it as
+// this one leaves.
 func (m *Manager) removeStaleOwners(from gossip.Member, running []string) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
+	var orphaned []string
 	for id, known := range m.owners {
-		if known.hostID == from.HostID && time.Since(known.learnedAt) > ownerAnnounceTime && !slices.Contains(running, id) {
+		if known.hostID != from.HostID || slices.Contains(running, id) {
+			continue
+		}
+		stopped := !known.announcedAt.IsZero() && time.Since(known.announcedAt) > announcementTimeout
+		if stopped {
+			orphaned = append(orphaned, id)
+		}
+		if stopped || time.Since(known.learnedAt) > ownerAnnounceTime {
 			delete(m.owners, id)
 		}
 	}
+	m.mu.Unlock()
+	for _, id := range orphaned {
+		m.rerunOrphaned(id, from.HostID)
+	}
 }
 
 // mergeOwners records the owners that another entry has recorded, except for jobs with a living owner on record here: otherwise the
--- a/internal/edge/batchjob/rerun.go
+++ b/internal/edge/batchjob/rerun.go
@@ -158,6 +158,24 @@
 	m.rerun(id, lost)
 }
 
+// orphanDelay is how long after its entry stopped announcing a job another one has to announce that it runs the job.
+const orphanDelay = 500 * time.Millisecond
+
+// rerunOrphaned restarts a job that its living entry no longer announces, unless it has ended or is known to run. Most of these jobs are
+// complete and were dropped from that entry's memory, so that only the first entries in the job's order read it.
+func (m *Manager) rerunOrphaned(id, stopped string) {
+	if m.ownRank(id) >= maxRerunTurns {
+		return
+	}
+	m.wg.Go(func() {
+		if !ticker.Sleep(m.ctx, orphanDelay+m.ownTurn(id)) || m.needsNoRerun(id) {
+			return
+		}
+		m.log.Warn().Str("request", id).Str("entry", stopped).Msg("entry stopped running a batch job, and no other one announces it")
+		m.rerun(id, stopped)
+	})
+}
+
 // isDone reports whether a job runs here, or nothing of it is left to run.
 func (m *Manager) isDone(id string) bool {
 	j, ok := m.find(id)
--- a/internal/edge/batchjob/rerunjobs_test.go
+++ b/internal/edge/batchjob/rerunjobs_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/core/roster"
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
+	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 )
 
 // maxIdleOfJob is how long a job may run at no entry while the store answers and no entry is lost.
@@ -142,3 +144,18 @@
 		t.Error("the job wasn't left to the restarted entry")
 	}
 }
+
+// Guards against a job that no entry runs because the one that ran it, which is alive, stopped without an end and without a successor.
+func TestJobRunsAgainWhenItsOwnerNoLongerAnnouncesIt(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	m, _ := newManagerWithLostOwner(ctx, t)
+	defer m.Wait()
+	defer cancel()
+	other := gossip.Member{HostID: "other"}
+	m.ApplyGossip(other, []string{"j"}, nil, nil)
+	go ticker.Every(ctx, roster.Interval, func(time.Time) { m.ApplyGossip(other, nil, nil, nil) })
+	if !runsWithin(m, "j", maxIdleOfJob) {
+		t.Errorf("the job doesn't run %v after its owner stopped announcing it", maxIdleOfJob)
+	}
+}
