--- a/internal/edge/batchjob/rerunjobs_test.go
+++ b/internal/edge/batchjob/rerunjobs_test.go
@@ -7,7 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/core/roster"
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
+	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 )
 
 // maxIdleOfJob is how long a job may run at no entry while the store answers and no entry is lost.
@@ -99,3 +102,60 @@
 		t.Errorf("the job doesn't run %v after the store is back", maxIdleOfJob)
 	}
 }
+
+// Guards against a job that no entry runs because each takes another one for its owner that was only named by a third entry, and that
+// doesn't run it.
+func TestNamedOwnerThatDoesNotRunAJobDoesNotStopItsRerun(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	m, _ := newManagerWithLostOwner(ctx, t)
+	defer m.Wait()
+	defer cancel()
+	third := gossip.Member{HostID: "third"}
+	m.mergeOwners(third, map[string]string{"j": "lost"})
+	m.RerunJobsOf(gossip.Member{HostID: "lost"})
+	// The third entry repeats what it learned before the loss.
+	m.mergeOwners(third, map[string]string{"j": "other"})
+	if !runsWithin(m, "j", maxIdleOfJob) {
+		t.Errorf("the job doesn't run after %v", maxIdleOfJob)
+	}
+}
+
+// Guards against a job that no entry runs because the announcement of an entry that handed it over arrives after the handover.
+func TestDelayedAnnouncementOfALeavingEntryDoesNotStopItsSuccessor(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	spec := batch.Job{ID: "j", Organisation: "north", Submission: batch.Submission{Items: []batch.Item{{ID: "a"}}}}
+	leaving := gossip.Member{HostID: "leaving", Incarnation: 7}
+	m := newManagerWithJob(ctx, t, spec, fakeMembers{self: "self", others: []gossip.Member{leaving}})
+	defer m.Wait()
+	defer cancel()
+	if err := m.handleRun(ctx, RunRequest{Job: "j", Organisation: "north", From: "leaving", Leaving: true}); err != nil {
+		t.Fatal(err)
+	}
+	m.ApplyGossip(leaving, []string{"j"}, nil, nil)
+	if j, ok := m.find("j"); !ok || !j.isRunning() {
+		t.Error("the job was left to the entry that handed it over")
+	}
+	restarted := leaving
+	restarted.Incarnation++
+	m.ApplyGossip(restarted, []string{"j"}, nil, nil)
+	if j, ok := m.find("j"); !ok || j.isRunning() {
+		t.Error("the job wasn't left to the restarted entry")
+	}
+}
+
+// Guards against a job that no entry runs because the one that ran it, which is alive, stopped without an end and without a successor.
+func TestJobRunsAgainWhenItsOwnerNoLongerAnnouncesIt(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	m, _ := newManagerWithLostOwner(ctx, t)
+	defer m.Wait()
+	defer cancel()
+	other := gossip.Member{HostID: "other"}
+	m.ApplyGossip(other, []string{"j"}, nil, nil)
+	go ticker.Every(ctx, roster.Interval, func(time.Time) { m.ApplyGossip(other, nil, nil, nil) })
+	if !runsWithin(m, "j", maxIdleOfJob) {
+		t.Errorf("the job doesn't run %v after its owner stopped announcing it", maxIdleOfJob)
+	}
+}
