Bound what answers of servers hold in memory

A server in trouble may send a body without end. Each call read up to 64 MiB of it into a buffer that doubled, and a Content-Length was believed up to 64 MiB; a refusal's body, which nobody uses, was read as well. Eight calls at once took a gateway beyond 1 GB, where the smallest host has 88 MB.

All clients of a process now share 8 MiB for answers. An answer reserves what it reads, in chunks of up to 64 KiB. When all together exceed the memory, the largest one is ended and its connection closed, those of undeclared length first; one that holds 32 KiB or less is never ended. A single answer may have 4 MiB, and one that declares more is ended before its body is read. Frames of chunks may add 512 KiB and the body's own length. Up to 64 KiB, and for 100 ms, are read of a body that nobody uses; the header of a refusal holds without it. The call goes on at another server where it may. The failure is recorded with the balancer: the server is chosen last for 1 s, doubled up to 16 s. A connection on which more than the answer has arrived is closed and not pooled.

The documented maximum falls from 64 MiB to 4 MiB. TestTooLargeAnswerIsNotCut uses the new maximum.

--- a/internal/core/backend/balancer.go
+++ b/internal/core/backend/balancer.go
@@ -31,6 +31,11 @@
 	// unreachableBackoff is how long a server is chosen last after a connection to it failed. A crashed server
 	// disappears from the list of servers after some seconds.
 	unreachableBackoff = time.Second
+	// minInvalidBackoff is how long a server is chosen last after an answer without end. It doubles with each further one up to
+	// maxInvalidBackoff, until the server has sent none for invalidAnswerMemory.
+	minInvalidBackoff   = time.Second
+	maxInvalidBackoff   = 16 * time.Second
+	invalidAnswerMemory = time.Minute
 	// slowIntervalFactor is how many times the median event interval of other servers a stream must reach to be
 	// moved. It lies above the slowdown of a full engine against an empty one, and below that of a
 	// faulty engine.
@@ -80,6 +85,9 @@
 	// refusals.
 	backoffUntil time.Time
 	refusals     int
+	// invalidAnswers counts the invalid answers in a row, and lastInvalid is when the last one was received.
+	invalidAnswers int
+	lastInvalid    time.Time
 	// versions are the weight versions that the server's answers showed, which are newer than its registration.
 	versions map[string]int
 	// eventInterval is the moving average of the time between two events of a stream; 0 if unknown.
@@ -90,6 +98,13 @@
 	rank uint64
 }
 
+// backOff makes the server be chosen last until the given time, or longer if it already is.
+func (s *serverState) backOff(until time.Time) {
+	if until.After(s.backoffUntil) {
+		s.backoffUntil = until
+	}
+}
+
 // weightVersion returns the newest weight version of the model that the server is known to hold.
 func (s *serverState) weightVersion(model string) int {
 	return max(s.server.Models[model], s.versions[model])
@@ -302,6 +317,24 @@
 	b.tracker.ObserveRequest(now, id, 0, true)
 }
 
+// RecordInvalidAnswer records that the server sent an answer that had to be ended, such as one without end. The server is chosen last for
+// a while: without that it would send the next requests as much.
+func (b *Balancer) RecordInvalidAnswer(now time.Time, id string) {
+	b.RecordFailure(now, id)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	state, ok := b.servers[id]
+	if !ok {
+		return
+	}
+	if now.Sub(state.lastInvalid) > invalidAnswerMemory {
+		state.invalidAnswers = 0
+	}
+	state.backOff(now.Add(min(minInvalidBackoff<<state.invalidAnswers, maxInvalidBackoff)))
+	state.lastInvalid = now
+	state.invalidAnswers = min(state.invalidAnswers+1, 4)
+}
+
 // RecordRefusal records that the server had no free slot. It is ignored while the server is backed off already.
 func (b *Balancer) RecordRefusal(now time.Time, id string) {
 	b.mu.Lock()
@@ -328,7 +361,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if state, ok := b.servers[id]; ok {
-		state.backoffUntil = now.Add(unreachableBackoff)
+		state.backOff(now.Add(unreachableBackoff))
 		b.guard.Failed(now, state.readiness, unreachable)
 	}
 }
--- a/internal/core/backend/balancer_test.go
+++ b/internal/core/backend/balancer_test.go
@@ -184,3 +184,29 @@
 		})
 	}
 }
+
+// Guards against requests that are sent one after another to a server whose answers have no end: it must be chosen last, for longer with each
+// such answer.
+func TestInvalidAnswerBackoffGrows(t *testing.T) {
+	balancer := newTestBalancer()
+	need := Requirements{Pool: "engines", Model: "m", MinVersion: 4, Deferrable: true}
+	at := now
+	for _, backoff := range []time.Duration{minInvalidBackoff, 2 * minInvalidBackoff, 4 * minInvalidBackoff, 8 * minInvalidBackoff, maxInvalidBackoff, maxInvalidBackoff} {
+		balancer.RecordInvalidAnswer(at, "e2")
+		balancer.RecordRefusal(at, "e2")
+		balancer.RecordConnectionFailure(at, "e2", false)
+		if _, ok := balancer.Acquire(at.Add(backoff-time.Millisecond), need); ok {
+			t.Errorf("chosen again before %v", backoff)
+		}
+		at = at.Add(backoff)
+	}
+	if _, ok := balancer.Acquire(at, need); !ok {
+		t.Errorf("not chosen again after the backoff")
+	}
+	balancer.Release("e2")
+	at = at.Add(invalidAnswerMemory)
+	balancer.RecordInvalidAnswer(at, "e2")
+	if _, ok := balancer.Acquire(at.Add(minInvalidBackoff), need); !ok {
+		t.Error("the backoff after a long time without invalid answers is not the first one")
+	}
+}
--- a/internal/edge/batchjob/reward.go
+++ b/internal/edge/batchjob/reward.go
@@ -95,6 +95,9 @@
 	if err == nil && attempt.Answer.Status < fasthttp.StatusMultipleChoices {
 		score = attempt.Answer.Signature
 	}
+	if err == nil {
+		attempt.Release()
+	}
 	m.logReward(ctx, j, item, attempt, tally, err, started)
 	if score != "" {
 		m.clearServerEnds(j, item.ID, true)
--- a/internal/edge/call/attempt.go
+++ b/internal/edge/call/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,12 +13,6 @@
 	"github.com/oleandershelf/oleandershelf/platform"
 )
 
-// maxAnswerBytes bounds how much is read of an answer, which is read completely into memory before any of it is passed on.
-const maxAnswerBytes = 64 << 20
-
-// errAnswerTooLarge is the cause of an attempt whose answer exceeds maxAnswerBytes.
-var errAnswerTooLarge = errors.New("the answer is too large")
-
 // sendOnce sends the request to a server once and reads the complete answer.
 func (s *Sender) sendOnce(ctx context.Context, req *fasthttp.Request, server backend.Server, request *Request) *Attempt {
 	attempt := &Attempt{Server: server, SentAt: time.Now(), Outcome: verdict.MayHaveRun}
@@ -44,7 +37,8 @@
 		if errors.Is(err, exchange.ErrNotSent) {
 			attempt.Outcome = verdict.NotRun
 		}
-		attempt.Interrupted = attempt.Outcome != verdict.NotRun
+		attempt.TooLarge = exchange.IsTooLarge(err)
+		attempt.Interrupted = attempt.Outcome != verdict.NotRun && !attempt.TooLarge
 		return
 	}
 	defer func() {
@@ -57,22 +51,27 @@
 		attempt.Cause = cause
 		return
 	}
-	// One byte more than allowed tells an answer of the maximum size from one that would be cut.
-	body, err := io.ReadAll(io.LimitReader(stream, maxAnswerBytes+1))
-	if err != nil {
-		attempt.Cause = err
-		attempt.Interrupted = true
+	if outcome != verdict.Ran {
+		attempt.Outcome, attempt.Cause = outcome, cause
+		attempt.recordUnusedBody(stream.Discard())
 		return
 	}
-	if len(body) > maxAnswerBytes {
-		attempt.Cause = errors.Wrapf(errAnswerTooLarge, "limit %d bytes", maxAnswerBytes)
+	body, err := stream.ReadBody()
+	if err != nil {
+		attempt.Cause = err
+		attempt.TooLarge = exchange.IsTooLarge(err)
+		attempt.Interrupted = !attempt.TooLarge
 		return
 	}
-	attempt.Outcome, attempt.Cause = outcome, cause
-	if outcome == verdict.Ran {
-		attempt.Body = body
-		stream.Header().CopyTo(&attempt.Header)
-	}
+	attempt.Outcome = verdict.Ran
+	attempt.Body = body
+	stream.Header().CopyTo(&attempt.Header)
+}
+
+// recordUnusedBody records how the body of an answer ended that is not used. What the header says of the request holds in any case.
+func (a *Attempt) recordUnusedBody(err error) {
+	a.TooLarge = exchange.IsTooLarge(err)
+	a.Interrupted = err != nil && !a.TooLarge && a.Outcome != verdict.NotRun
 }
 
 // updateBalancer reports to the balancer what an attempt showed of its server: its load, its latency, or its failure.
@@ -84,6 +83,8 @@
 	switch {
 	case attempt.Outcome == verdict.Ran && attempt.Answer.Status < fasthttp.StatusInternalServerError:
 		s.balancer.RecordLatency(now, id, now.Sub(attempt.SentAt))
+	case attempt.TooLarge:
+		s.balancer.RecordInvalidAnswer(now, id)
 	case attempt.Outcome == verdict.NotRun && attempt.Answer.Status != 0:
 		s.balancer.RecordRefusal(now, id)
 	case ctx.Err() != nil:
--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -45,17 +45,26 @@
 	SentAt time.Time
 	// Answer is the decoded header of the answer. Its Status is 0 if no header was received.
 	Answer platform.Answer
-	// Header and Body are the server's answer, set if Outcome is Ran.
+	// Header and Body are the server's answer, set if Outcome is Ran. The body must be released.
 	Header fasthttp.ResponseHeader
-	Body   []byte
+	Body   *exchange.Body
 	// Outcome is Ran if the server's complete answer was received.
 	Outcome verdict.Verdict
 	// Interrupted is set if the connection broke after the server may have begun to run the request.
 	Interrupted bool
+	// TooLarge is set if the answer was ended because it is too large.
+	TooLarge bool
 	// Cause says why no answer can be passed on; nil if Outcome is Ran.
 	Cause error
 }
 
+// Release releases the body, if any.
+func (a *Attempt) Release() {
+	if a.Body != nil {
+		a.Body.Release()
+	}
+}
+
 // Tally counts the attempts of a request.
 type Tally struct {
 	// Sent counts the attempts that ran or may have run, and those that are not finished; NotRun counts those that did not run.
@@ -80,7 +89,7 @@
 }
 
 // Send sends the request and returns the attempt that ended it, or nil if no attempt was made. The error is nil if that attempt holds the
-// server's answer, and a refusal otherwise. Send returns only after all attempts have stopped using the request.
+// server's answer, which must then be released, and a refusal otherwise. Send returns only after all attempts have stopped using the request.
 func (s *Sender) Send(ctx context.Context, request *Request) (*Attempt, Tally, error) {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
--- a/internal/edge/call/call_test.go
+++ b/internal/edge/call/call_test.go
@@ -54,7 +54,7 @@
 // Guards against an answer that is cut at the limit and passed on as complete.
 func TestTooLargeAnswerIsNotCut(t *testing.T) {
 	sender := newTestSender(t, behaveAs(platformtest.Answer))
-	_, tally, err := sender.Send(t.Context(), newTestRequest(time.Minute, strings.Repeat("x", maxAnswerBytes)))
+	_, tally, err := sender.Send(t.Context(), newTestRequest(time.Minute, strings.Repeat("x", exchange.DefaultMaxBody)))
 	refusal, ok := verdict.As(err)
 	if !ok || refusal.Reason != verdict.ReasonAnswerTooLarge || refusal.Verdict != verdict.MayHaveRun || tally.Sent != 1 {
 		t.Errorf("%d attempts, error %v", tally.Sent, err)
--- a/internal/edge/call/tries.go
+++ b/internal/edge/call/tries.go
@@ -38,10 +38,28 @@
 	inFlight int
 	results  chan *Attempt
 	wg       conc.WaitGroup
+	// received holds the attempts whose result has been received.
+	received []*Attempt
 }
 
-// run sends the request until a server has answered, it may not be sent again, or ctx has ended.
+// run sends the request until a server has answered, it may not be sent again, or ctx has ended. It returns once all attempts have ended, and
+// releases those that are not returned without error.
 func (r *retrier) run(ctx context.Context) (*Attempt, error) {
+	final, err := r.attempts(ctx)
+	close(r.results)
+	for attempt := range r.results {
+		r.received = append(r.received, attempt)
+	}
+	for _, attempt := range r.received {
+		if attempt != final || err != nil {
+			attempt.Release()
+		}
+	}
+	return final, err
+}
+
+// attempts makes the attempts and returns the one that ended the request. No attempt is running when it returns.
+func (r *retrier) attempts(ctx context.Context) (*Attempt, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	r.results = make(chan *Attempt, r.maxAttempts())
 	defer r.wg.Wait()
@@ -55,6 +73,7 @@
 		select {
 		case attempt := <-r.results:
 			r.inFlight--
+			r.received = append(r.received, attempt)
 			final, err := r.evaluate(ctx, attempt)
 			if final || err != nil {
 				return attempt, err
@@ -135,9 +154,6 @@
 		return false, nil
 	case attempt.Outcome == verdict.Ran && r.isFinal(ctx, attempt.Answer.Status):
 		return true, nil
-	case errors.Is(attempt.Cause, errAnswerTooLarge):
-		// Another attempt would run the request again for an answer that can't be passed on either.
-		return true, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonAnswerTooLarge, 0, "server %s: %v", attempt.Server.ID, attempt.Cause)
 	case ctx.Err() != nil:
 		return true, r.endedRefusal(ctx, attempt)
 	default:
@@ -155,6 +171,8 @@
 	switch {
 	case last.Outcome == verdict.Ran:
 		return last, nil
+	case r.Sent > 0 && last.TooLarge:
+		return last, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonAnswerTooLarge, 0, "server %s: %v", last.Server.ID, last.Cause)
 	case r.Sent > 0:
 		return last, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerLost, 0, "server %s: %v", last.Server.ID, last.Cause)
 	case ctx.Err() != nil:
--- a/internal/edge/exchange/client.go
+++ b/internal/edge/exchange/client.go
@@ -29,8 +29,10 @@
 	DefaultDialTimeout = 2 * time.Second
 	// DefaultIdleTimeout is below the 60 s after which common servers close idle connections.
 	DefaultIdleTimeout = 20 * time.Second
-	// DefaultMaxBody is the largest body, in bytes, of an answer that Do reads.
-	DefaultMaxBody = 64 << 20
+	// DefaultMaxBody is the largest body, in bytes, of an answer that is read into memory.
+	DefaultMaxBody = 4 << 20
+	// DefaultMemory is the memory, in bytes, for all answers of a process that are read at the same time.
+	DefaultMemory = 8 << 20
 	// DefaultMaxIdle is the number of idle connections that are kept per server.
 	DefaultMaxIdle = 64
 )
@@ -42,6 +44,8 @@
 	maxBody     int
 	maxIdle     int
 	dialer      net.Dialer
+	memory      *Memory
+	onTooLarge  func(*AnswerTooLargeError)
 
 	mutex  sync.Mutex
 	closed bool
@@ -68,11 +72,21 @@
 	return func(c *Client) { c.dialer.KeepAliveConfig = config }
 }
 
-// WithMaxBody sets the largest body, in bytes, of an answer that Do reads.
+// WithMaxBody sets the largest body, in bytes, of an answer that Do and Stream.ReadBody read.
 func WithMaxBody(limit int) Option {
 	return func(c *Client) { c.maxBody = limit }
 }
 
+// WithMemory sets the memory for answers, which several clients can share. Without it a client has DefaultMemory for itself.
+func WithMemory(memory *Memory) Option {
+	return func(c *Client) { c.memory = memory }
+}
+
+// WithTooLargeObserver sets a function that is called for each answer that was ended because it is too large. It must not block.
+func WithTooLargeObserver(observe func(*AnswerTooLargeError)) Option {
+	return func(c *Client) { c.onTooLarge = observe }
+}
+
 // NewClient returns a client that has no connections yet.
 func NewClient(opts ...Option) *Client {
 	client := &Client{
@@ -81,28 +95,38 @@
 		maxBody:     DefaultMaxBody,
 		maxIdle:     DefaultMaxIdle,
 		idle:        make(map[string][]*connection),
+		onTooLarge:  func(*AnswerTooLargeError) {},
 	}
 	for _, opt := range opts {
 		opt(client)
 	}
+	if client.memory == nil {
+		client.memory = NewMemory(DefaultMemory)
+	}
 	return client
 }
 
-// Do sends the request and reads the complete answer. It doesn't follow redirects.
+// Do sends the request and reads the complete answer. It doesn't follow redirects. The answer counts as buffered until Do returns, and its
+// body stays valid when the response is released.
 func (c *Client) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
-	resp.StreamBody = false
 	trip, err := c.start(ctx, req, resp)
 	if err != nil {
 		return err
 	}
-	trip.finish(true)
+	stream := &Stream{trip: trip, resp: resp, body: resp.BodyStream()}
+	content, body, err := stream.readJoined()
+	trip.finish(err == nil)
+	if err != nil {
+		return err
+	}
+	defer body.Release()
+	resp.SetBodyRaw(content)
 	return nil
 }
 
 // Open sends the request and returns once the header of the answer has arrived. The stream must be closed.
 func (c *Client) Open(ctx context.Context, req *fasthttp.Request) (*Stream, error) {
 	resp := fasthttp.AcquireResponse()
-	resp.StreamBody = true
 	trip, err := c.start(ctx, req, resp)
 	if err != nil {
 		fasthttp.ReleaseResponse(resp)
@@ -135,7 +159,7 @@
 	reusable bool
 }
 
-// start sends the request and reads the answer, or only its header if resp.StreamBody is set.
+// start sends the request and reads the header of the answer.
 func (c *Client) start(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) (*roundTrip, error) {
 	conn, err := c.acquire(ctx, req)
 	if err != nil {
@@ -150,9 +174,14 @@
 		}
 		return nil, errors.Wrapf(ErrAnswerLost, "sending: %v", trip.cause(err))
 	}
+	resp.StreamBody = true
 	resp.SkipBody = req.Header.IsHead()
-	if err := resp.ReadLimitBody(conn.reader, c.maxBody); err != nil {
+	if err := resp.Read(conn.reader); err != nil {
 		trip.finish(false)
+		var headerTooLarge *fasthttp.ErrSmallBuffer
+		if errors.As(err, &headerTooLarge) {
+			return nil, c.tooLarge(conn, BoundHeader, conn.bytesReceived, conn.reader.Size())
+		}
 		return nil, errors.Wrapf(ErrAnswerLost, "reading: %v", trip.cause(err))
 	}
 	trip.reusable = !req.ConnectionClose() && !resp.ConnectionClose()
@@ -165,7 +194,7 @@
 func (t *roundTrip) finish(complete bool) {
 	inTime := t.stop()
 	switch {
-	case inTime && complete && t.reusable:
+	case inTime && complete && t.reusable && !t.conn.hasUnread():
 		t.client.release(t.conn)
 	case inTime:
 		t.conn.close()
@@ -236,7 +265,7 @@
 		socket = tlsConn
 	}
 	conn := &connection{key: key, raw: raw, socket: socket}
-	conn.reader = bufio.NewReader(socket)
+	conn.reader = bufio.NewReader(conn)
 	return conn, nil
 }
 
--- a/internal/edge/exchange/connection.go
+++ b/internal/edge/exchange/connection.go
@@ -21,7 +21,9 @@
 	reader *bufio.Reader
 	// bytesSent counts the bytes of the current request that were written to the socket.
 	bytesSent int
-	idleSince time.Time
+	// bytesReceived counts the bytes that were read from the socket since the current request was sent.
+	bytesReceived int
+	idleSince     time.Time
 }
 
 // Write counts the bytes that it writes, so that a request that failed before its first byte can be distinguished from one that was sent in part.
@@ -31,9 +33,16 @@
 	return n, err
 }
 
+// Read counts the bytes that it reads: the codec reads more than it returns.
+func (c *connection) Read(data []byte) (int, error) {
+	n, err := c.socket.Read(data)
+	c.bytesReceived += n
+	return n, err
+}
+
 // send writes the whole request.
 func (c *connection) send(req *fasthttp.Request) error {
-	c.bytesSent = 0
+	c.bytesSent, c.bytesReceived = 0, 0
 	writer := bufio.NewWriter(c)
 	if err := req.Write(writer); err != nil {
 		return err
@@ -57,11 +66,16 @@
 // read: pending or buffered data belongs to no request, and the next call would take it for its
 // answer.
 func (c *connection) usable(idleTimeout time.Duration) bool {
-	if time.Since(c.idleSince) > idleTimeout || c.reader.Buffered() > 0 {
-		return false
+	return time.Since(c.idleSince) <= idleTimeout && !c.hasUnread()
+}
+
+// hasUnread reports whether the connection is closed or has data to be read.
+func (c *connection) hasUnread() bool {
+	if c.reader.Buffered() > 0 {
+		return true
 	}
 	unread, err := socket.HasUnread(c.raw)
-	return errors.Is(err, socket.ErrNone) || err == nil && !unread
+	return unread || err != nil && !errors.Is(err, socket.ErrNone)
 }
 
 func (c *connection) close() {
--- a/internal/edge/exchange/stream.go
+++ b/internal/edge/exchange/stream.go
@@ -15,6 +15,8 @@
 	body io.Reader
 	// complete is set once the body was read to its end.
 	complete bool
+	// reservation is the memory that the reader of the stream holds; nil if it holds none.
+	reservation *reservation
 }
 
 // Status returns the HTTP status of the answer.
@@ -43,6 +45,8 @@
 	case errors.Is(err, io.EOF):
 		s.complete = true
 		return n, io.EOF
+	case s.reservation != nil && s.reservation.wasEnded():
+		return n, s.tooLarge(BoundMemory, n, s.trip.client.memory.limit)
 	default:
 		return n, errors.Wrapf(ErrAnswerLost, "%v", s.trip.cause(err))
 	}
@@ -54,6 +58,11 @@
 	if s.resp == nil {
 		return nil
 	}
+	if s.reservation != nil {
+		s.reservation.release()
+		// The connection of an answer that was ended is aborted, even if its last byte had been read by then.
+		s.complete = s.complete && !s.reservation.wasEnded()
+	}
 	s.trip.finish(s.complete)
 	// From here on the library may reuse the response and its body reader.
 	fasthttp.ReleaseResponse(s.resp)
--- a/internal/edge/gateway/forward.go
+++ b/internal/edge/gateway/forward.go
@@ -11,6 +11,7 @@
 	"github.com/oleandershelf/oleandershelf/internal/core/routing"
 	"github.com/oleandershelf/oleandershelf/internal/edge/call"
 	"github.com/oleandershelf/oleandershelf/internal/edge/callerconn"
+	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
 	"github.com/oleandershelf/oleandershelf/internal/edge/refusal"
 	"github.com/oleandershelf/oleandershelf/platform"
 )
@@ -35,13 +36,24 @@
 		return err
 	}
 	g.deps.Metrics.observeLatency(r.route.Kind, time.Since(r.arrived))
-	platform.CopyAnswer(c.Response(), &final.Header, final.Body)
+	platform.CopyAnswerHeader(c.Response(), &final.Header)
+	setBody(c.Response(), final.Body)
 	if g.leaving.Load() {
 		c.Set(fiber.HeaderConnection, "close")
 	}
 	return nil
 }
 
+// setBody sets the body of a caller's answer, and releases it once it is no longer needed.
+func setBody(to *fasthttp.Response, body *exchange.Body) {
+	if content, ok := body.Bytes(); ok {
+		to.SetBodyRaw(content)
+		body.Release()
+		return
+	}
+	to.SetBodyStream(body.Reader(), body.Len())
+}
+
 // serverRequest returns the caller's request in the form in which it is sent to backend servers.
 func (g *Gateway) serverRequest(from *fasthttp.Request, r callerRequest) *call.Request {
 	pool := r.choosePool()
--- a/internal/edge/store/http.go
+++ b/internal/edge/store/http.go
@@ -44,6 +44,6 @@
 	case err != nil:
 		return platform.Reply{}, errors.Wrapf(product.ErrOutcomeUnknown, "%s %s: %v", call.Method, call.Target, err)
 	default:
-		return platform.Reply{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}, nil
+		return platform.Reply{Status: resp.StatusCode(), Body: resp.Body()}, nil
 	}
 }
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -146,8 +146,9 @@
 		Cores:            g.set.ProcessorCores,
 		Incarnation:      incarnation,
 	}
-	platformCalls := exchange.NewClient(exchange.WithDialTimeout(platformDialTimeout), exchange.WithKeepAlive(platformKeepAlive))
-	serverCalls := exchange.NewClient(exchange.WithDialTimeout(serverDialTimeout), exchange.WithIdleTimeout(serverIdleTimeout))
+	answers := answerOptions(metrics, g.log)
+	platformCalls := exchange.NewClient(append(answers, exchange.WithDialTimeout(platformDialTimeout), exchange.WithKeepAlive(platformKeepAlive))...)
+	serverCalls := exchange.NewClient(append(answers, exchange.WithDialTimeout(serverDialTimeout), exchange.WithIdleTimeout(serverIdleTimeout))...)
 	relay := &deferredRelay{}
 	g.store = store.New(store.NewHTTPTransport(platformAddress, platformCalls), relay, store.NewMetrics(metrics), g.log)
 	store.Serve(g.registry, g.store)
