End streams of batch items that bring no event or too many

An engine in trouble may answer an item with a valid header and then send without end. Data lines were kept until the stall timeout of 2.5 s, and so took hundreds of megabytes; comments, blank lines and unknown fields were read at full speed for as long, and valid events without end were appended for ever.

A stream may bring 256 KiB without a complete event, whatever they are. What a reader keeps of a long event, and an item's text in steps of 32 KiB, counts against the memory for answers. An item's text may have 1 MiB, as much as an answer with results, and four events for each of the output tokens that it asks for, 1,024 at least. Beyond either the text is discarded, since its proper end can't be told. In the other cases the item resumes at another server after the last event. The connection is closed at once; the server is chosen last for 1 s to 16 s, and the item counts no ended server. Outcomes of runs: "endless" and "overlong".

--- a/internal/core/batch/output.go
+++ b/internal/core/batch/output.go
@@ -22,6 +22,18 @@
 	Version int
 }
 
+// OutputLimit bounds an item's output over all its attempts.
+type OutputLimit struct {
+	// Bytes bounds the length of the text, and Events the number of events; 0 events means that they aren't bounded.
+	Bytes, Events int
+}
+
+// Allows reports whether the output may have the event added. A server that sends more is faulty: the output that it was going to have can't
+// be told from what follows it.
+func (l OutputLimit) Allows(o *Output, event Event) bool {
+	return o.text.Len()+len(event.Data)+1 <= l.Bytes && (l.Events == 0 || event.Number <= l.Events)
+}
+
 // Append adds the next event, which the given weight version produced. It returns false and changes nothing if the
 // event is out of order, because a missing or repeated event would corrupt the text permanently.
 func (o *Output) Append(event Event, version int) bool {
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -25,8 +25,8 @@
 	// at a server that is four times slower. After slowSpansToMove slow spans in a row the item is moved.
 	eventsPerSpan   = 6
 	slowSpansToMove = 2
-	// maxRefusalBytes bounds how much of a refusal is read.
-	maxRefusalBytes = 64 << 10
+	// outputHoldStep is the growth of an output in bytes after which its memory is counted again. Usual outputs are smaller.
+	outputHoldStep = 32 << 10
 	// itemRetryDelay is the pause after a server refused or failed an item, or its answer was rejected, so that items aren't sent to a full
 	// or faulty pool in a tight loop.
 	itemRetryDelay = 60 * time.Millisecond
@@ -50,6 +50,10 @@
 	outcomeMoved
 	// outcomeVersionMismatch: the job allows a single weight version, and the server's differs from that of the text received so far.
 	outcomeVersionMismatch
+	// outcomeEndless: the server sent more than an answer or an event may have. The item resumes at another server.
+	outcomeEndless
+	// outcomeOverlong: the output exceeds what an item may have. It is discarded, since its proper end can't be told.
+	outcomeOverlong
 )
 
 var outcomeNames = map[outcome]string{
@@ -60,6 +64,8 @@
 	outcomeImpossible:      "impossible",
 	outcomeMoved:           "moved",
 	outcomeVersionMismatch: "unfit",
+	outcomeEndless:         "endless",
+	outcomeOverlong:        "overlong",
 }
 
 // String returns the name of the outcome in logs and metrics.
@@ -80,6 +86,8 @@
 	connectionLost bool
 	// move is the move that led to this run; nil if there was none.
 	move *move
+	// heldOutput is the size of the output, in bytes, that was last counted as memory of the stream.
+	heldOutput int
 	// slowInterval is the time between events for which the item left the server.
 	slowInterval time.Duration
 
@@ -127,7 +135,7 @@
 	if next := m.continueMove(ctx, r, result); next != nil {
 		return next
 	}
-	rejected := result == outcomeInterrupted && !r.connectionLost
+	rejected := result == outcomeInterrupted && !r.connectionLost || result == outcomeEndless || result == outcomeOverlong
 	if result == outcomeRefused || result == outcomeFailed || rejected {
 		ticker.Sleep(ctx, itemRetryDelay)
 	}
@@ -149,7 +157,7 @@
 		progress.RecordFailure(now, r.item.ID)
 	case outcomeImpossible:
 		progress.MarkLost(now, r.item.ID)
-	case outcomeVersionMismatch:
+	case outcomeVersionMismatch, outcomeOverlong:
 		progress.DiscardOutput(r.item.ID)
 		progress.Requeue(r.item.ID)
 	case outcomeMoved:
@@ -189,13 +197,12 @@
 		r.manager.balancer.RecordLoad(time.Now(), r.server.ID, *answer.Load)
 	}
 	if result, ok := r.checkHeader(answer); !ok {
-		if result == outcomeRefused && answer.NotRun {
-			// The rest of a refusal is short; reading it to its end lets the next item reuse the connection.
-			_, _ = io.CopyN(io.Discard, stream, maxRefusalBytes)
+		if result == outcomeRefused && answer.NotRun && exchange.IsTooLarge(stream.Discard()) {
+			r.manager.balancer.RecordInvalidAnswer(time.Now(), r.server.ID)
 		}
 		return result
 	}
-	return r.readEvents(ctx, platform.NewEventReader(stream), stalled)
+	return r.readEvents(ctx, stream, stalled)
 }
 
 var (
@@ -203,12 +210,17 @@
 	errWrongVersion = errors.New("the job may not use the server's weight version")
 	errSlow         = errors.New("the server is slow")
 	errMoved        = errors.New("the item moves to a faster server")
+	errOverlong     = errors.New("the output is longer than an item's may be")
 	errEventOrder   = errors.New("an event is missing or repeated")
 )
 
 // handleStreamError handles a request that could not be sent or whose answer broke off.
 func (r *itemRun) handleStreamError(ctx context.Context, err error) outcome {
 	r.cause = err
+	if exchange.IsTooLarge(err) || errors.Is(err, platform.ErrEventTooLarge) {
+		r.manager.balancer.RecordInvalidAnswer(time.Now(), r.server.ID)
+		return outcomeEndless
+	}
 	if cause := context.Cause(ctx); cause != nil {
 		r.cause = cause
 	}
@@ -276,7 +288,10 @@
 }
 
 // readEvents appends the events of a stream to the item's output.
-func (r *itemRun) readEvents(ctx context.Context, events *platform.EventReader, stalled *time.Timer) outcome {
+func (r *itemRun) readEvents(ctx context.Context, stream *exchange.Stream, stalled *time.Timer) outcome {
+	r.heldOutput = r.output.Size()
+	events := platform.NewEventReader(stream, func(bytes int) error { return stream.Hold(r.heldOutput + bytes) })
+	limit := platform.OutputLimit(r.item)
 	monitor := paceMonitor{balancer: r.manager.balancer, server: r.server.ID}
 	for {
 		event, err := events.Next()
@@ -287,18 +302,11 @@
 			return r.handleStreamError(ctx, err)
 		}
 		stalled.Reset(stallTimeout)
-		if event.Version != 0 && event.Version != r.version {
-			if result, ok := r.acceptVersion(event.Version); !ok {
-				return result
-			}
-		}
-		if r.version == 0 {
-			r.cause = errWrongVersion
-			return outcomeInterrupted
+		if result, ok := r.acceptEvent(event, limit); !ok {
+			return result
 		}
-		if !r.append(event) {
-			r.cause = errEventOrder
-			return outcomeInterrupted
+		if err := r.holdOutput(stream); err != nil {
+			return r.handleStreamError(ctx, err)
 		}
 		if monitor.eventReceived(time.Now()) {
 			// In a pool whose servers differ in speed, the job's control loop also moves items, but only once the usual length of outputs is known
@@ -310,6 +318,39 @@
 	}
 }
 
+// acceptEvent appends an event to the item's output. It returns false, and the outcome of the run, if the job may not use the event.
+func (r *itemRun) acceptEvent(event batch.Event, limit batch.OutputLimit) (outcome, bool) {
+	if event.Version != 0 && event.Version != r.version {
+		if result, ok := r.acceptVersion(event.Version); !ok {
+			return result, false
+		}
+	}
+	if r.version == 0 {
+		r.cause = errWrongVersion
+		return outcomeInterrupted, false
+	}
+	if event.Number == r.output.LastEvent+1 && !limit.Allows(r.output, event) {
+		r.cause = errors.Wrapf(errOverlong, "event %d after %d bytes, limits %d events and %d bytes", event.Number, r.output.Size(), limit.Events, limit.Bytes)
+		r.manager.balancer.RecordInvalidAnswer(time.Now(), r.server.ID)
+		return outcomeOverlong, false
+	}
+	if !r.append(event) {
+		r.cause = errEventOrder
+		return outcomeInterrupted, false
+	}
+	return 0, true
+}
+
+// holdOutput reports the size of the item's output as memory of the stream, in steps.
+func (r *itemRun) holdOutput(stream *exchange.Stream) error {
+	size := r.output.Size()
+	if size <= r.heldOutput+outputHoldStep {
+		return nil
+	}
+	r.heldOutput = size
+	return stream.Hold(size)
+}
+
 // paceMonitor measures the pace of a stream over spans of events.
 //
 // Gaps between single events mislead. An entry that is short of processor time reads events late and then many at once, and a change of
--- a/internal/edge/batchjob/move.go
+++ b/internal/edge/batchjob/move.go
@@ -94,7 +94,7 @@
 	if r.next == nil {
 		return nil
 	}
-	if ctx.Err() == nil && (result == outcomeMoved || result == outcomeInterrupted || result == outcomeRefused) {
+	if ctx.Err() == nil && (result == outcomeMoved || result == outcomeInterrupted || result == outcomeEndless || result == outcomeRefused) {
 		j.progress.Requeue(r.item.ID)
 		if j.progress.IsWaiting(r.item.ID) && m.mayRunAt(j, r.item.ID, r.next.server.ID) {
 			next := m.newRunLocked(j, r.item, r.next.server)
--- a/internal/program/process/endless_test.go
+++ b/internal/program/process/endless_test.go
@@ -38,6 +38,8 @@
 	server  *platformtest.Server
 	// framing replaces the header fields that say how long the body is; a header without end has none.
 	framing string
+	// soundEvents is the number of events of the server's stream that come before those without end. The framing must then be chunked.
+	soundEvents int
 	// unit appends the n-th unit of the body to the block; n starts at 0.
 	unit appendUnit
 	// requests counts the requests, sent the bytes of all answers, most those of the longest answer, and longest is the longest time in
@@ -45,6 +47,9 @@
 	requests, sent, most, longest atomic.Int64
 }
 
+// linesOfEvent is the number of lines of an event of a stream with its frame as a chunk.
+const linesOfEvent = 5
+
 type appendUnit func(block []byte, n int) []byte
 
 // makeEndless puts an endless server in the place of the server.
@@ -152,6 +157,13 @@
 		}
 	}
 	head.WriteString(s.framing)
+	for range s.soundEvents * linesOfEvent {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return 0
+		}
+		head.WriteString(line)
+	}
 	total, err := io.WriteString(conn, head.String())
 	block := make([]byte, 0, 64<<10)
 	for n := 0; err == nil; {
@@ -225,6 +237,11 @@
 	return func(block []byte, _ int) []byte { return append(block, repeated...) }
 }
 
+// events returns a function that appends events with the given data, numbered from 1 on.
+func events(data string) appendUnit {
+	return func(block []byte, n int) []byte { return fmt.Appendf(block, "id: %d\ndata: %s\n\n", n+1, data) }
+}
+
 const (
 	noLength = "Connection: close\r\n\r\n"
 	chunked  = "Transfer-Encoding: chunked\r\n\r\n"
@@ -288,3 +305,60 @@
 	}
 	return false
 }
+
+// Guards against a server whose streams bring bytes without end, and thereby takes the memory or the processor of the gateway, or corrupts
+// the output of an item. All items must be completed at the other server.
+func TestItemsWithAnEndlessServer(t *testing.T) {
+	for _, test := range []struct {
+		name, framing string
+		behaviour     platformtest.Behaviour
+		unit          appendUnit
+	}{
+		{name: "header lines", unit: constant("X-Field: value\r\n")},
+		{name: "data lines", framing: noLength, unit: constant("data: some text\n")},
+		{name: "empty data lines", framing: noLength, unit: constant("data:\n")},
+		{name: "data lines in chunks", framing: chunked, unit: constant(chunk("data: some text\n"))},
+		{name: "one data line", framing: noLength + "data: ", unit: constant("x")},
+		{name: "event lines", framing: noLength, unit: constant("event: piece\n")},
+		{name: "event numbers", framing: noLength, unit: constant("id: 1\n")},
+		{name: "comments", framing: noLength, unit: constant(": comment\n")},
+		{name: "blank lines", framing: noLength, unit: constant("\n")},
+		{name: "events without a number", framing: noLength, unit: constant("data: some text\n\n")},
+		{name: "events", framing: noLength, unit: events("some text")},
+		{name: "long events", framing: noLength, unit: events(strings.Repeat("x", 10<<10))},
+		{name: "refusal", behaviour: platformtest.Shed, framing: noLength, unit: constant("x")},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDeployment(t, 1)
+			d.engines[0].SetBehaviour(func(int, platformtest.Request) platformtest.Behaviour { return test.behaviour })
+			endless := d.makeEndless(d.engines[0], test.framing, test.unit)
+			d.eventually("the endless server is registered", func() bool { return d.knowsAddress(endless.address) })
+			checkHeap := watchHeap(t)
+			const groups = 4
+			d.submit(d.gateways[0], "j1", submission(groups, groups, 1))
+			d.checkResults(d.readAll(d.gateways[0], "j1", 2*groups), 2*groups, 5)
+			checkHeap()
+			endless.check()
+		})
+	}
+}
+
+// Guards against events that are lost because the stream went on without end after them: the item must resume after the last one.
+func TestItemResumesAfterEndlessStream(t *testing.T) {
+	d := newDeployment(t, 1)
+	endless := d.makeEndless(d.engines[0], chunked, constant(chunk("data: some text\n")))
+	endless.soundEvents = 2
+	d.eventually("the endless server is registered", func() bool { return d.knowsAddress(endless.address) })
+	d.submit(d.gateways[0], "j1", submission(4, 4, 1))
+	d.checkResults(d.readAll(d.gateways[0], "j1", 8), 8, 5)
+	endless.check()
+	resumed := 0
+	for _, request := range d.engines[1].Requests() {
+		if request.Resumed() {
+			resumed++
+		}
+	}
+	if sent := int(endless.requests.Load()); resumed != sent {
+		t.Errorf("%d of %d items were resumed", resumed, sent)
+	}
+}
