Send reward calls past those whose route has no server

The reward call at the head of a job's queue held up all others while no server of its route's pool could take it, also those of other routes. While that pool was away they were never sent.

A pass now goes on with the calls to other routes. Calls to one route keep their order, and each still waits from the time when it is the next one. TestRewardCallDoesNotWaitForAnotherRoute failed before: the calls to the other route were not sent within 10 s.

--- a/internal/core/batch/progress.go
+++ b/internal/core/batch/progress.go
@@ -57,7 +57,7 @@
 	rewardWithheld bool
 	// moves counts how often the item has moved to a faster server.
 	moves int
-	// rewardWaitingSince is when the reward call first reached the head of its queue; zero before.
+	// rewardWaitingSince is when the reward call was first the next one of its route; zero before.
 	rewardWaitingSince time.Time
 	output             *Output
 	result             Result
--- a/internal/core/batch/reward.go
+++ b/internal/core/batch/reward.go
@@ -15,13 +15,19 @@
 // NextReward returns the item whose reward call is to be sent next, without starting it, and how long that call has
 // waited for a server. It returns false if none waits.
 func (p *Progress) NextReward(now time.Time) (*Item, time.Duration, bool) {
+	return p.NextRewardExcept(now, func(*RewardCall) bool { return false })
+}
+
+// NextRewardExcept is NextReward for the reward calls that aren't passed over; those keep their places.
+func (p *Progress) NextRewardExcept(now time.Time, passedOver func(*RewardCall) bool) (*Item, time.Duration, bool) {
 	if p.ended {
 		return nil, 0, false
 	}
-	for len(p.rewardQueue) > 0 {
-		next := p.rewardQueue[0]
-		if next.phase != phaseAwaitingScore {
-			p.rewardQueue = p.rewardQueue[1:]
+	for len(p.rewardQueue) > 0 && p.rewardQueue[0].phase != phaseAwaitingScore {
+		p.rewardQueue = p.rewardQueue[1:]
+	}
+	for _, next := range p.rewardQueue {
+		if next.phase != phaseAwaitingScore || passedOver(next.item.Reward) {
 			continue
 		}
 		if next.rewardWaitingSince.IsZero() {
--- a/internal/edge/batchjob/reward.go
+++ b/internal/edge/batchjob/reward.go
@@ -32,17 +32,24 @@
 	rewardDeniedDelay = 500 * time.Millisecond
 )
 
+// rewardTarget is what selects the route of a reward call.
+type rewardTarget struct {
+	host, path string
+}
+
 // startRewards sends the reward calls of items whose text is complete, as long as servers have free slots.
 func (m *Manager) startRewards(ctx context.Context, j *job) {
-	for m.startReward(ctx, j) {
+	full := map[rewardTarget]bool{}
+	for m.startReward(ctx, j, full) {
 	}
 }
 
-// startReward sends the next reward call; false if none waits or no server has a free slot.
-func (m *Manager) startReward(ctx context.Context, j *job) bool {
+// startReward sends the next reward call, or notes that no server has a free slot for its route. It returns false if no call to another route
+// waits.
+func (m *Manager) startReward(ctx context.Context, j *job, full map[rewardTarget]bool) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	item, waited, ok := j.progress.NextReward(time.Now())
+	item, waited, ok := j.progress.NextRewardExcept(time.Now(), func(r *batch.RewardCall) bool { return full[rewardTarget{r.Host, r.Path}] })
 	if !ok {
 		return false
 	}
@@ -60,7 +67,8 @@
 		ReservedSlots: rewardReservedSlots,
 	})
 	if !ok {
-		return false
+		full[rewardTarget{item.Reward.Host, item.Reward.Path}] = true
+		return true
 	}
 	failures := j.progress.StartReward(item.ID)
 	_, ends := j.progress.ServerEnds(item.ID).Unexplained()
