Send an item to a server that answers after a failed connection, too

Where connections to servers are neither accepted nor refused, each attempt takes the dial timeout of 300 ms and a pause of 60 ms, and such a server is avoided for a second. With more than three of them an item went around in a circle, until four failures of each took them out of the choice. In the test, with six of seven servers unreachable, it was at no server for 6.5 to 7.4 s while the sound one had free slots.

A run that couldn't be sent now counts like one that stalled: the next one goes to a server that has answered lately.

TestItemGoesFromASilentServerToOneThatAnswers, which replaces TestItemAvoidsASecondSilentServer and has its cases, failed before with unreachable servers of equal and of uneven speed.

--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -111,7 +111,7 @@
 	m.serverEnds.ended(server.ID, item.ID)
 	m.metrics.observeRun(result, time.Since(started))
 	r.countMove(result, from)
-	r.recordStall(from)
+	r.recordAnswer(from)
 	if result == outcomeCompleted {
 		m.clearServerEnds(j, item.ID, false)
 		m.lengths.RecordFinished(j.spec.Model, item.ExpectedTokens, output.LastEvent)
@@ -139,16 +139,17 @@
 	return nil
 }
 
-// recordStall records whether the stream of the item, which began after the given event, stalled: its next run opens a new connection. Where
-// connections go silent, idle ones to other servers may have gone silent too, and each costs another stall timeout.
-func (r *itemRun) recordStall(from int) {
+// recordAnswer records whether the server has answered the item's run, which began after the given event, or was silent. The next run of an item
+// without an answer goes to a server that answers, if there is one, on a new connection: other servers, and idle connections to them, may have
+// become silent at the same time, and each costs another timeout.
+func (r *itemRun) recordAnswer(from int) {
 	r.job.mu.Lock()
 	defer r.job.mu.Unlock()
 	switch {
-	case errors.Is(r.cause, errStalled):
-		r.job.stalledItems[r.item.ID] = true
+	case errors.Is(r.cause, errStalled), errors.Is(r.cause, exchange.ErrNotSent):
+		r.job.unansweredItems[r.item.ID] = true
 	case r.output.LastEvent > from:
-		delete(r.job.stalledItems, r.item.ID)
+		delete(r.job.unansweredItems, r.item.ID)
 	}
 }
 
--- a/internal/edge/batchjob/silentserver_test.go
+++ b/internal/edge/batchjob/silentserver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -11,6 +12,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
@@ -155,24 +157,36 @@
 	}
 }
 
-// Guards against an item that goes from one silent server to the next while another one answers: none of them runs it.
-func TestItemAvoidsASecondSilentServer(t *testing.T) {
-	t.Parallel()
-	for name, uneven := range map[string]bool{"servers of equal speed": false, "servers of uneven speed": true} {
-		t.Run(name, func(t *testing.T) {
+// newHangingServer returns the address of a server that sends no answers.
+func newHangingServer(t *testing.T) netip.AddrPort {
+	t.Helper()
+	server := platformtest.NewServer(t, "hangs", "p", map[string]int{"m": 1})
+	server.SetBehaviour(func(int, platformtest.Request) platformtest.Behaviour { return platformtest.Hang })
+	return server.Address()
+}
+
+// Guards against an item that goes from one silent server to the next, and to the first again, while another one answers: none of them runs it.
+func TestItemGoesFromASilentServerToOneThatAnswers(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		silent func(t *testing.T) netip.AddrPort
+		count  int
+		uneven bool
+	}{
+		{name: "no answers, equal speed", silent: newHangingServer, count: 3},
+		{name: "no answers, uneven speed", silent: newHangingServer, count: 3, uneven: true},
+		{name: "no connections, equal speed", silent: newUnreachableAddress, count: 6},
+		{name: "no connections, uneven speed", silent: newUnreachableAddress, count: 6, uneven: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			ctx, cancel := context.WithCancel(t.Context())
-			var servers []*platformtest.Server
-			var registered []backend.Server
-			for _, id := range []string{"s1", "s2", "s3", "s4"} {
-				server := platformtest.NewServer(t, id, "p", map[string]int{"m": 1})
-				server.SetBehaviour(func(int, platformtest.Request) platformtest.Behaviour { return platformtest.Hang })
-				servers = append(servers, server)
-				registered = append(registered, backend.Server{ID: id, Address: server.Address(), Slots: 12})
-			}
-			sound := servers[3]
-			sound.SetBehaviour(func(int, platformtest.Request) platformtest.Behaviour { return platformtest.Answer })
+			sound := platformtest.NewServer(t, "sound", "p", map[string]int{"m": 1})
 			sound.SetStream(1000, 50*time.Millisecond)
+			registered := []backend.Server{{ID: "sound", Address: sound.Address(), Slots: 12}}
+			for i := range test.count {
+				registered = append(registered, backend.Server{ID: fmt.Sprintf("silent-%d", i), Address: test.silent(t), Slots: 12})
+			}
 			m := newPoolManager(ctx, registered...)
 			defer m.Wait()
 			defer cancel()
@@ -180,7 +194,7 @@
 			others := newPlacedJob("others", "a", "b", "c")
 			for _, item := range []string{"a", "b", "c"} {
 				others.mu.Lock()
-				server, ok := m.balancer.AcquireServer(time.Now(), others.requirements(), "s4")
+				server, ok := m.balancer.AcquireServer(time.Now(), others.requirements(), "sound")
 				if !ok {
 					t.Fatal("no slot at the sound server")
 				}
@@ -193,7 +207,9 @@
 			waitFor(t, "the sound server is known to answer", func() bool { return others.produced("a") > 20 })
 			start := time.Now()
 			j := newPlacedJob("j", "x")
-			if uneven {
+			if test.uneven {
+				defer j.wg.Wait()
+				defer cancel()
 				runPlaced(ctx, m, j)
 			} else {
 				m.startJob(j)
@@ -216,3 +232,33 @@
 		}
 	})
 }
+
+// newUnreachableAddress returns an address at which connections are neither accepted nor refused: the backlog of its listener is full.
+func newUnreachableAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(bound.(*unix.SockaddrInet4).Port))
+	for range 4 {
+		conn, err := net.DialTimeout("tcp", address.String(), 100*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	t.Fatal("the backlog doesn't fill")
+	return netip.AddrPort{}
+}
