Try each unreachable server once in an idle pool

Where no server was known to answer, an item still went around between servers to which connections time out: it was at no server for 6.5 to 7.3 s, with six of seven servers unreachable and the sound one idle.

After a run without an answer, servers to which a connection failed within 10 s, and that haven't answered since, are now chosen last.

TestItemGoesFromASilentServerToOneThatAnswers failed before in its two new cases, the idle pools of equal and of uneven speed.

--- a/internal/core/backend/balancer.go
+++ b/internal/core/backend/balancer.go
@@ -34,6 +34,9 @@
 	// answerTTL is for how long a server counts as answering after an answer, a report or some events of a stream, which come every second at
 	// the latest.
 	answerTTL = 1500 * time.Millisecond
+	// failureTTL is for how long a server counts as failing after a failed connection, unless it answers. Until then the other servers of the pool
+	// are tried first, each of which may take a timeout.
+	failureTTL = 10 * time.Second
 	// slowIntervalFactor is how many times the median event interval of other servers a stream must reach to be
 	// moved. It lies above the slowdown of a full engine against an empty one, and below that of a
 	// faulty engine.
@@ -66,8 +69,9 @@
 	Regions []string
 	// Exclude holds the IDs of servers that must not get this request again.
 	Exclude map[string]bool
-	// PreferAnswering is set if servers that have answered lately are chosen first. Otherwise a request that waited in vain at a server that
-	// became silent would go to the next one: of all servers they have the fewest known requests.
+	// PreferAnswering is set if servers that have answered lately are chosen first, and those to which connections failed last. Otherwise a
+	// request that waited in vain at a server that became silent would go to the next one, and to the first again: of all servers they have
+	// the fewest known requests.
 	PreferAnswering bool
 }
 
@@ -88,8 +92,8 @@
 	refusals     int
 	// versions are the weight versions that the server's answers showed, which are newer than its registration.
 	versions map[string]int
-	// answeredAt is when the server last answered a request or brought events.
-	answeredAt time.Time
+	// answeredAt is when the server last answered a request or brought events, failedAt when a connection to it last failed.
+	answeredAt, failedAt time.Time
 	// eventInterval is the moving average of the time between two events of a stream; 0 if unknown.
 	eventInterval time.Duration
 	// key is the server's key.
@@ -341,7 +345,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if state, ok := b.servers[id]; ok {
-		state.backoffUntil = now.Add(unreachableBackoff)
+		state.backoffUntil, state.failedAt = now.Add(unreachableBackoff), now
 		b.guard.Failed(now, state.readiness, unreachable)
 	}
 }
--- a/internal/core/backend/balancer_test.go
+++ b/internal/core/backend/balancer_test.go
@@ -80,6 +80,27 @@
 			need:  Requirements{Pool: "desk", PreferAnswering: true, Deferrable: true},
 			want:  "b",
 		},
+		{
+			name: "server to which connections failed and that hasn't answered since",
+			setup: func(b *Balancer) {
+				b.RecordLoad(now.Add(-2*unreachableBackoff), "b", LoadReport{})
+				b.RecordConnectionFailure(now.Add(-unreachableBackoff), "b", false)
+			},
+			need: Requirements{Pool: "desk", PreferAnswering: true},
+			want: "a",
+		},
+		{
+			name:  "server to which connections failed a while ago",
+			setup: func(b *Balancer) { b.RecordConnectionFailure(now.Add(-failureTTL), "b", false) },
+			need:  Requirements{Pool: "desk", PreferAnswering: true},
+			want:  "b",
+		},
+		{
+			name:  "server to which connections failed, if the request has no preference",
+			setup: func(b *Balancer) { b.RecordConnectionFailure(now.Add(-unreachableBackoff), "b", false) },
+			need:  Requirements{Pool: "desk"},
+			want:  "b",
+		},
 		{name: "weights that no server has", need: Requirements{Pool: "engines", Model: "m", MinVersion: 5}},
 		{
 			name:  "work that can wait avoids full servers",
--- a/internal/core/backend/choose.go
+++ b/internal/core/backend/choose.go
@@ -25,7 +25,7 @@
 	}
 	best := slices.MinFunc(candidates, func(x, y *serverState) int {
 		return cmp.Or(
-			cmp.Compare(silenceRank(now, x, need), silenceRank(now, y, need)),
+			cmp.Compare(responsivenessFor(now, x, need), responsivenessFor(now, y, need)),
 			cmp.Compare(b.backoffRank(now, x), b.backoffRank(now, y)),
 			cmp.Compare(cost(now, x), cost(now, y)),
 			cmp.Compare(x.server.ID, y.server.ID),
@@ -156,16 +156,37 @@
 	}
 }
 
-// silenceRank orders servers that have not answered lately after the others, for requests that prefer those.
-func silenceRank(now time.Time, state *serverState, need Requirements) int {
-	if need.PreferAnswering && !state.answers(now) {
-		return 1
+// Responsiveness is what the answers of a server and the connections to it say about it.
+type Responsiveness uint8
+
+// Values of Responsiveness, the best first.
+const (
+	// Answering: the server has answered lately.
+	Answering Responsiveness = iota
+	// Unknown: it has had no request lately, or none that was answered or failed yet.
+	Unknown
+	// Failing: the last connection to it failed.
+	Failing
+)
+
+func (s *serverState) responsiveness(now time.Time) Responsiveness {
+	switch {
+	case s.failedAt.After(s.answeredAt) && now.Sub(s.failedAt) < failureTTL:
+		return Failing
+	case now.Sub(s.answeredAt) < answerTTL:
+		return Answering
+	default:
+		return Unknown
 	}
-	return 0
 }
 
-// answers reports whether the server has answered lately.
-func (s *serverState) answers(now time.Time) bool { return now.Sub(s.answeredAt) < answerTTL }
+// responsivenessFor returns the server's responsiveness if the request prefers servers that answer, and the same for all otherwise.
+func responsivenessFor(now time.Time, state *serverState, need Requirements) Responsiveness {
+	if !need.PreferAnswering {
+		return Unknown
+	}
+	return state.responsiveness(now)
+}
 
 // backoffRank orders servers that refused recently or could not be reached after the others.
 func (b *Balancer) backoffRank(now time.Time, state *serverState) int {
--- a/internal/core/backend/speed.go
+++ b/internal/core/backend/speed.go
@@ -14,9 +14,8 @@
 	// Free is the number of free slots, at least 1.
 	Free int
 	// Estimate is the estimate for the server with the request added to those that run there.
-	Estimate pace.Estimate
-	// Answers is set if the server has answered a request lately.
-	Answers bool
+	Estimate       pace.Estimate
+	Responsiveness Responsiveness
 }
 
 // WithSpeedPlacement makes the choice of a server use the servers' estimated speeds, in pools where they differ.
@@ -37,7 +36,9 @@
 		if free < 1 {
 			continue
 		}
-		candidates = append(candidates, Candidate{Server: state.server, Free: free, Estimate: b.estimate(now, state, 1), Answers: state.answers(now)})
+		candidates = append(candidates, Candidate{
+			Server: state.server, Free: free, Estimate: b.estimate(now, state, 1), Responsiveness: state.responsiveness(now),
+		})
 	}
 	return candidates
 }
--- a/internal/edge/batchjob/place.go
+++ b/internal/edge/batchjob/place.go
@@ -120,14 +120,16 @@
 	return restrictions
 }
 
-// excludeSilent excludes the candidates that have not answered lately, if one that has may run the item.
+// excludeSilent excludes the candidates that are less responsive than another one that may run the item.
 func excludeSilent(restrictions *dispatch.Restrictions, item string, candidates []backend.Candidate) {
-	answers := slices.ContainsFunc(candidates, func(c backend.Candidate) bool { return c.Answers && !restrictions.Excludes(item, c.Server.ID) })
-	if !answers {
-		return
+	best := backend.Failing
+	for _, candidate := range candidates {
+		if !restrictions.Excludes(item, candidate.Server.ID) {
+			best = min(best, candidate.Responsiveness)
+		}
 	}
 	for _, candidate := range candidates {
-		if !candidate.Answers {
+		if candidate.Responsiveness > best {
 			restrictions.Exclude(item, candidate.Server.ID)
 		}
 	}
--- a/internal/edge/batchjob/silentserver_test.go
+++ b/internal/edge/batchjob/silentserver_test.go
@@ -172,11 +172,15 @@
 		silent func(t *testing.T) netip.AddrPort
 		count  int
 		uneven bool
+		// idle is set if the sound server runs nothing, so that it isn't known to answer.
+		idle bool
 	}{
 		{name: "no answers, equal speed", silent: newHangingServer, count: 3},
 		{name: "no answers, uneven speed", silent: newHangingServer, count: 3, uneven: true},
 		{name: "no connections, equal speed", silent: newUnreachableAddress, count: 6},
 		{name: "no connections, uneven speed", silent: newUnreachableAddress, count: 6, uneven: true},
+		{name: "no connections, equal speed, idle pool", silent: newUnreachableAddress, count: 6, idle: true},
+		{name: "no connections, uneven speed, idle pool", silent: newUnreachableAddress, count: 6, uneven: true, idle: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
@@ -193,6 +197,9 @@
 			// Other items keep the sound server busier than the silent ones.
 			others := newPlacedJob("others", "a", "b", "c")
 			for _, item := range []string{"a", "b", "c"} {
+				if test.idle {
+					break
+				}
 				others.mu.Lock()
 				server, ok := m.balancer.AcquireServer(time.Now(), others.requirements(), "sound")
 				if !ok {
@@ -204,7 +211,7 @@
 			}
 			defer others.wg.Wait()
 			defer cancel()
-			waitFor(t, "the sound server is known to answer", func() bool { return others.produced("a") > 20 })
+			waitFor(t, "the sound server is known to answer", func() bool { return test.idle || others.produced("a") > 20 })
 			start := time.Now()
 			j := newPlacedJob("j", "x")
 			if test.uneven {
