Read the notes of open jobs also after an outage in which the entry started

An entry that starts reads beside the lease which jobs were open, and restarts them if no entry does, for five seconds from its start. If all entries were killed in an outage of the store and started again before its end, each read the notes too late and ignored them: no entry ran the jobs until their trainers read. The five seconds now begin when the process first has the store's state.

--- a/internal/edge/batchjob/manager.go
+++ b/internal/edge/batchjob/manager.go
@@ -87,10 +87,12 @@
 	peers    *peer.Client
 	members  Members
 	outage   func(now time.Time) bool
-	demand   func() batch.Demand
-	region   func(zone string) string
-	metrics  *Metrics
-	log      zerolog.Logger
+	// storeReached is nil if the store counts as reached at the start.
+	storeReached func() (time.Time, bool)
+	demand       func() batch.Demand
+	region       func(zone string) string
+	metrics      *Metrics
+	log          zerolog.Logger
 	// lengths learns how long the outputs of each model are, from the items of all jobs.
 	lengths *length.Estimator
 	// serverEnds counts the servers that ended under items, probes tells whether a server has ended.
@@ -132,6 +134,8 @@
 	Members Members
 	// Outage reports whether the store is known to be unreachable from every entry.
 	Outage func(now time.Time) bool
+	// StoreReached returns when this process first had the store's state, if it has; nil if it had it when it started.
+	StoreReached func() (time.Time, bool)
 	// Demand returns the models that are trained and the slots of their servers.
 	Demand func() batch.Demand
 	// EarlyGeneration makes jobs begin while they can't be stored.
@@ -147,30 +151,31 @@
 // NewManager returns a manager whose work ends with ctx; other entries call it through the registry.
 func NewManager(ctx context.Context, deps Deps, registry *peer.Registry) *Manager {
 	m := &Manager{
-		ctx:         ctx,
-		store:       deps.Store,
-		balancer:    deps.Balancer,
-		servers:     deps.Servers,
-		calls:       deps.Calls,
-		route:       deps.Route,
-		peers:       deps.Peers,
-		members:     deps.Members,
-		outage:      deps.Outage,
-		demand:      deps.Demand,
-		region:      deps.Region,
-		metrics:     deps.Metrics,
-		log:         deps.Log,
-		lengths:     length.NewEstimator(),
-		serverEnds:  newServerEndTracker(),
-		probes:      serverProbes{client: deps.Servers, recent: map[netip.AddrPort]*serverProbe{}},
-		jobs:        map[string]*job{},
-		owners:      map[string]owner{},
-		lastOwners:  map[string]owner{},
-		ended:       map[string]time.Time{},
-		reopened:    map[string]bool{},
-		reruns:      map[string]bool{},
-		lostAnswers: map[string]time.Time{},
-		started:     time.Now(),
+		ctx:          ctx,
+		store:        deps.Store,
+		balancer:     deps.Balancer,
+		servers:      deps.Servers,
+		calls:        deps.Calls,
+		route:        deps.Route,
+		peers:        deps.Peers,
+		members:      deps.Members,
+		outage:       deps.Outage,
+		storeReached: deps.StoreReached,
+		demand:       deps.Demand,
+		region:       deps.Region,
+		metrics:      deps.Metrics,
+		log:          deps.Log,
+		lengths:      length.NewEstimator(),
+		serverEnds:   newServerEndTracker(),
+		probes:       serverProbes{client: deps.Servers, recent: map[netip.AddrPort]*serverProbe{}},
+		jobs:         map[string]*job{},
+		owners:       map[string]owner{},
+		lastOwners:   map[string]owner{},
+		ended:        map[string]time.Time{},
+		reopened:     map[string]bool{},
+		reruns:       map[string]bool{},
+		lostAnswers:  map[string]time.Time{},
+		started:      time.Now(),
 	}
 	if deps.EarlyGeneration {
 		m.early = newEarlyJobs(deps.RouteInForce)
--- a/internal/edge/batchjob/reopen.go
+++ b/internal/edge/batchjob/reopen.go
@@ -16,7 +16,7 @@
 	reopenDelay = 400 * time.Millisecond
 	// maxOpenNotes bounds the notes for entries that start later; eighteen trainers have two or three open jobs each.
 	maxOpenNotes = 128
-	// reopenWindow is how long after its start an entry acts on what others know of jobs that were open before.
+	// reopenWindow is how long after an entry has started and first reached the store it acts on what others know of jobs that were open before.
 	reopenWindow = 5 * time.Second
 )
 
@@ -98,9 +98,10 @@
 }
 
 // reopenOnce calls work in a goroutine for a job that was open before this process was started, once and unless the job has ended or runs.
-// After reopenWindow it does nothing, because what others announce is then older than what this process knows itself.
+// After reopenWindow it does nothing, because what others announce is then older than what this process knows itself. An entry that is started
+// in an outage of the store reads the notes only after it.
 func (m *Manager) reopenOnce(id string, work func()) {
-	if time.Since(m.started) > reopenWindow || m.isEndedOrRunning(id) {
+	if time.Since(m.informedAt()) > reopenWindow || m.isEndedOrRunning(id) {
 		return
 	}
 	m.mu.Lock()
@@ -111,3 +112,15 @@
 		m.wg.Go(work)
 	}
 }
+
+// informedAt returns when this process could first know what runs: when it started or, if the store was down then, when it first reached it.
+func (m *Manager) informedAt() time.Time {
+	if m.storeReached == nil {
+		return m.started
+	}
+	reached, ok := m.storeReached()
+	if !ok {
+		return time.Now()
+	}
+	return reached
+}
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -81,6 +81,8 @@
 	gateway      *gateway.Gateway
 	admin        *admin.Server
 	heartbeats   *gossipHandler
+	// readyAt is when this process first had the store's state; nil before.
+	readyAt atomic.Pointer[time.Time]
 	// usesWeights is whether this entry uses the weight versions of servers.
 	usesWeights atomic.Bool
 	work        conc.WaitGroup
@@ -164,6 +166,7 @@
 		Peers:           g.client,
 		Members:         members,
 		Outage:          g.follower.Outage,
+		StoreReached:    g.storeReached,
 		Demand:          g.demand,
 		Region:          g.region,
 		EarlyGeneration: g.set.EarlyGeneration,
@@ -184,6 +187,8 @@
 	g.startDuties(ctx, self, store.NewHTTPTransport(reportsAddress, platformCalls), serverCalls)
 	g.work.Go(func() {
 		if g.view.WaitReady(ctx) {
+			now := time.Now()
+			g.readyAt.Store(&now)
 			g.admin.SetReady(true)
 			g.log.Info().Msg("ready")
 		}
@@ -282,6 +287,15 @@
 	return ok && member.Incarnation == holder.Incarnation && !member.Leaving
 }
 
+// storeReached returns when this process first had the store's state, if it has.
+func (g *Gateway) storeReached() (time.Time, bool) {
+	at := g.readyAt.Load()
+	if at == nil {
+		return time.Time{}, false
+	}
+	return *at, true
+}
+
 // demand returns the models being trained and the number of requests that their servers can run at once.
 func (g *Gateway) demand() batch.Demand {
 	snapshot := g.view.Snapshot()
--- a/internal/program/process/gateway_takeover_test.go
+++ b/internal/program/process/gateway_takeover_test.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -127,3 +128,21 @@
 		t.Errorf("the items were at no server for %v after the store was back", took)
 	}
 }
+
+// Guards against items that are at no server because all entries were killed in an outage of the store and started again before its end, so
+// that they read only after it which jobs were open.
+func TestItemsRunAgainAfterAllEntriesWereRestartedInAnOutage(t *testing.T) {
+	t.Parallel()
+	d, owner := newRunningJob(t, 1)
+	d.eventually("the lease names the job", func() bool {
+		object, ok := d.store.Get("lease", "duties")
+		return ok && strings.Contains(string(object.Spec), " j1\"")
+	})
+	d.store.SetFault(func(string, string) platformtest.Fault { return platformtest.Refuse })
+	owner.kill()
+	time.AfterFunc(8*time.Second, func() { d.store.SetFault(nil) })
+	d.startWith(owner.set, owner.storeEndpoint)
+	if took := d.runsAgain("j1", time.Now(), maxIdleOfItems+5*time.Second); took > maxIdleOfItems {
+		t.Errorf("the items were at no server for %v after the entry was ready", took)
+	}
+}
