Pass on large answers as they arrive

Answers are promised up to 64 MiB, and the memory for all answers of a process is 8 MiB. A call's answer that declares more than 1 MiB, and up to 64 MiB, is now written to the caller as it arrives. The slot, the context, the watch for a caller that hangs up and the deadline last until its end. A caller that doesn't read is ended with the deadline. If the server breaks off, the caller's connection is closed before the declared length; the call is not sent again once the answer has begun. The server's failure is recorded. Answers of undeclared length are still read whole, up to 4 MiB, and so are all answers to reward calls.

Before, the connection to a server that sent on after the declared length stayed open (TestCallerThatDoesNotReadFreesTheSlot, TestAnswerBeyondThePromisedLengthIsRefused). An idempotent call whose server broke off in an answer of over 1 MiB was refused, or sent elsewhere; it now ends with the connection (TestPassedAnswerThatBreaksOffIsNotComplete).

--- a/internal/edge/call/attempt.go
+++ b/internal/edge/call/attempt.go
@@ -15,9 +15,11 @@
 
 // sendOnce sends the request to a server once and reads the complete answer.
 func (s *Sender) sendOnce(ctx context.Context, req *fasthttp.Request, server backend.Server, request *Request) *Attempt {
-	attempt := &Attempt{Server: server, SentAt: time.Now(), Outcome: verdict.MayHaveRun}
-	defer s.balancer.Release(server.ID)
-	s.roundTrip(ctx, req, attempt, request.ID)
+	attempt := &Attempt{Server: server, SentAt: time.Now(), Outcome: verdict.MayHaveRun, cancel: func() {}}
+	s.roundTrip(ctx, req, attempt, request)
+	if attempt.Passed == nil {
+		s.balancer.Release(server.ID)
+	}
 	s.updateBalancer(ctx, attempt)
 	if attempt.Outcome != verdict.NotRun && request.OnRun != nil {
 		request.OnRun(attempt.SentAt)
@@ -30,7 +32,7 @@
 }
 
 // roundTrip sends the request, reads the answer, and checks that a server produced the answer and that it is for this request.
-func (s *Sender) roundTrip(ctx context.Context, req *fasthttp.Request, attempt *Attempt, id string) {
+func (s *Sender) roundTrip(ctx context.Context, req *fasthttp.Request, attempt *Attempt, request *Request) {
 	stream, err := s.servers.Open(ctx, req)
 	if err != nil {
 		attempt.Cause = err
@@ -42,11 +44,13 @@
 		return
 	}
 	defer func() {
-		// The outcome of the attempt is known by now, and a failing close doesn't change it.
-		_ = stream.Close()
+		if attempt.Passed == nil {
+			// The outcome of the attempt is known by now, and a failing close doesn't change it.
+			_ = stream.Close()
+		}
 	}()
 	attempt.Answer = platform.ReadAnswer(stream.Header())
-	outcome, cause := Classify(attempt.Answer, id)
+	outcome, cause := Classify(attempt.Answer, request.ID)
 	if errors.Is(cause, ErrWrongRequest) {
 		attempt.Cause = cause
 		return
@@ -56,6 +60,12 @@
 		attempt.recordUnusedBody(stream.Discard())
 		return
 	}
+	if isPassedOn(request, stream) {
+		stream.Header().CopyTo(&attempt.Header)
+		attempt.Outcome = verdict.Ran
+		s.passOn(ctx, attempt, stream, request.ID)
+		return
+	}
 	body, err := stream.ReadBody()
 	if err != nil {
 		attempt.Cause = err
--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -33,6 +33,8 @@
 	MaxAttempts int
 	// HedgeDelay is the time without an answer after which an idempotent request is also sent to a second server.
 	HedgeDelay time.Duration
+	// PassOn allows the body of a large answer to be passed on as it arrives.
+	PassOn bool
 	// FirstServer is the server of the first attempt, if the caller of Send has acquired it already; nil makes Send acquire one.
 	FirstServer *backend.Server
 	// OnRun is called for each attempt that ran or may have run, with the time at which it was sent; it may be nil.
@@ -45,10 +47,12 @@
 	SentAt time.Time
 	// Answer is the decoded header of the answer. Its Status is 0 if no header was received.
 	Answer platform.Answer
-	// Header and Body are the server's answer, set if Outcome is Ran. The body must be released.
+	// Header and Body are the server's answer, set if Outcome is Ran. The body must be released. Instead of Body, Passed is set if the body is
+	// passed on as it arrives.
 	Header fasthttp.ResponseHeader
 	Body   *exchange.Body
-	// Outcome is Ran if the server's complete answer was received.
+	Passed *PassedBody
+	// Outcome is Ran if the server's complete answer was received, or is being passed on.
 	Outcome verdict.Verdict
 	// Interrupted is set if the connection broke after the server may have begun to run the request.
 	Interrupted bool
@@ -56,6 +60,9 @@
 	TooLarge bool
 	// Cause says why no answer can be passed on; nil if Outcome is Ran.
 	Cause error
+
+	// cancel ends the contexts that an answer that is passed on still needs.
+	cancel context.CancelFunc
 }
 
 // Release releases the body, if any.
@@ -63,6 +70,9 @@
 	if a.Body != nil {
 		a.Body.Release()
 	}
+	if a.Passed != nil {
+		a.Passed.end()
+	}
 }
 
 // Tally counts the attempts of a request.
@@ -90,10 +100,20 @@
 
 // Send sends the request and returns the attempt that ended it, or nil if no attempt was made. The error is nil if that attempt holds the
 // server's answer, which must then be released, and a refusal otherwise. Send returns only after all attempts have stopped using the request.
+// Ctx must last until an answer that is passed on has been closed.
 func (s *Sender) Send(ctx context.Context, request *Request) (*Attempt, Tally, error) {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
-	defer cancel()
 	r := &retrier{sender: s, request: request, tried: map[string]bool{}}
 	attempt, err := r.run(ctx)
-	return attempt, r.Tally, err
+	if err != nil || attempt.Passed == nil {
+		cancel()
+		return attempt, r.Tally, err
+	}
+	// The deadline holds for what is passed on as well.
+	cancelAttempt := r.cancels[attempt.Server.ID]
+	attempt.cancel = func() {
+		cancelAttempt()
+		cancel()
+	}
+	return attempt, r.Tally, nil
 }
--- a/internal/edge/call/tries.go
+++ b/internal/edge/call/tries.go
@@ -40,12 +40,22 @@
 	wg       conc.WaitGroup
 	// received holds the attempts whose result has been received.
 	received []*Attempt
+	// cancels holds the functions that end the attempts, by server.
+	cancels map[string]context.CancelFunc
 }
 
-// run sends the request until a server has answered, it may not be sent again, or ctx has ended. It returns once all attempts have ended, and
-// releases those that are not returned without error.
+// run sends the request until a server has answered, it may not be sent again, or ctx has ended. It returns once all attempts have ended,
+// except one whose answer is passed on, and releases those that are not returned without error.
 func (r *retrier) run(ctx context.Context) (*Attempt, error) {
+	r.results = make(chan *Attempt, r.maxAttempts())
+	r.cancels = map[string]context.CancelFunc{}
 	final, err := r.attempts(ctx)
+	for server, cancel := range r.cancels {
+		if err != nil || final.Passed == nil || server != final.Server.ID {
+			cancel()
+		}
+	}
+	r.wg.Wait()
 	close(r.results)
 	for attempt := range r.results {
 		r.received = append(r.received, attempt)
@@ -58,12 +68,8 @@
 	return final, err
 }
 
-// attempts makes the attempts and returns the one that ended the request. No attempt is running when it returns.
+// attempts makes the attempts and returns the one that ended the request. Others may still be running.
 func (r *retrier) attempts(ctx context.Context) (*Attempt, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	r.results = make(chan *Attempt, r.maxAttempts())
-	defer r.wg.Wait()
-	defer cancel()
 	if !r.sendFirst(ctx) {
 		return nil, r.noServerRefusal(nil)
 	}
@@ -129,6 +135,7 @@
 // at the same time.
 func (r *retrier) sendTo(ctx context.Context, server backend.Server) {
 	r.tried[server.ID] = true
+	ctx, r.cancels[server.ID] = context.WithCancel(ctx)
 	r.Sent++
 	r.inFlight++
 	req := fasthttp.AcquireRequest()
--- a/internal/edge/exchange/stream.go
+++ b/internal/edge/exchange/stream.go
@@ -29,6 +29,14 @@
 	return &s.resp.Header
 }
 
+// DeclaredLength returns the length of the body in bytes as its server declared it; negative if it didn't, and 0 for an answer without body.
+func (s *Stream) DeclaredLength() int {
+	if s.body == nil {
+		return 0
+	}
+	return s.resp.Header.ContentLength()
+}
+
 // Read returns io.EOF only after the whole body; a body that broke off ends with ErrAnswerLost.
 func (s *Stream) Read(data []byte) (int, error) {
 	if s.resp == nil {
--- a/internal/edge/gateway/forward.go
+++ b/internal/edge/gateway/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -24,11 +25,22 @@
 	minHedgeDelay = 20 * time.Millisecond
 )
 
-// forward sends the request to a backend server and passes on its answer once all of it has arrived. The error is a refusal.
+// forward sends the request to a backend server and passes on its answer: once all of it has arrived, or a large one as it arrives. The error is
+// a refusal.
 func (g *Gateway) forward(c fiber.Ctx, r callerRequest) error {
 	ctx, cancel := context.WithCancel(c.Context())
-	defer cancel()
-	defer callerconn.CancelOnHangup(c.RequestCtx().Conn(), cancel)()
+	conn := c.RequestCtx().Conn()
+	stopWatching := callerconn.CancelOnHangup(conn, cancel)
+	end := sync.OnceFunc(func() {
+		stopWatching()
+		cancel()
+	})
+	passed := false
+	defer func() {
+		if !passed {
+			end()
+		}
+	}()
 	final, tally, err := g.deps.Calls.Send(ctx, g.serverRequest(c.Request(), r))
 	g.logOutcome(r, tally, final, err)
 	if err != nil {
@@ -37,7 +49,15 @@
 	}
 	g.deps.Metrics.observeLatency(r.route.Kind, time.Since(r.arrived))
 	platform.CopyAnswerHeader(c.Response(), &final.Header)
-	setBody(c.Response(), final.Body)
+	if passed = final.Passed != nil; passed {
+		g.running.Add(1)
+		c.Response().SetBodyStream(newPassedStream(ctx, conn, final.Passed, r.deadline, func() {
+			end()
+			g.running.Add(-1)
+		}), final.Passed.Len())
+	} else {
+		setBody(c.Response(), final.Body)
+	}
 	if g.leaving.Load() {
 		c.Set(fiber.HeaderConnection, "close")
 	}
@@ -67,6 +87,7 @@
 		Deadline:    r.deadline,
 		Idempotent:  r.route.Kind == routing.KindIdempotent,
 		MaxAttempts: r.route.MaxAttempts,
+		PassOn:      true,
 		HedgeDelay:  max(minHedgeDelay, time.Duration(float64(r.route.LatencyObjective)*hedgeFraction)),
 		OnRun: func(sent time.Time) {
 			if r.organisation.Name != "" {
--- a/internal/program/process/endless_test.go
+++ b/internal/program/process/endless_test.go
@@ -40,11 +40,13 @@
 	framing string
 	// soundEvents is the number of events of the server's stream that come before those without end. The framing must then be chunked.
 	soundEvents int
+	// limit is the number of bytes after which the server breaks off; 0 if it doesn't.
+	limit int
 	// unit appends the n-th unit of the body to the block; n starts at 0.
 	unit appendUnit
-	// requests counts the requests, sent the bytes of all answers, most those of the longest answer, and longest is the longest time in
+	// requests counts the requests, ended those whose connection is closed, sent the bytes of all answers, most those of the longest answer, and longest is the longest time in
 	// nanoseconds from a request to the end of its connection.
-	requests, sent, most, longest atomic.Int64
+	requests, ended, sent, most, longest atomic.Int64
 }
 
 // linesOfEvent is the number of lines of an event of a stream with its frame as a chunk.
@@ -104,6 +106,7 @@
 	s.sent.Add(sent)
 	raise(&s.most, sent)
 	raise(&s.longest, int64(time.Since(started)))
+	s.ended.Add(1)
 }
 
 // raise sets the maximum to the value if that is higher.
@@ -166,7 +169,7 @@
 	}
 	total, err := io.WriteString(conn, head.String())
 	block := make([]byte, 0, 64<<10)
-	for n := 0; err == nil; {
+	for n := 0; err == nil && (s.limit == 0 || total < s.limit); {
 		block = block[:0]
 		for len(block) < 32<<10 {
 			block = s.unit(block, n)
@@ -185,6 +188,12 @@
 	if s.requests.Load() == 0 {
 		s.t.Error("no request reached the endless server")
 	}
+	for end := time.Now().Add(endlessCloseTimeout); s.ended.Load() < s.requests.Load() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if ended := s.ended.Load(); ended < s.requests.Load() {
+		s.t.Errorf("%d of %d connections are closed after %v", ended, s.requests.Load(), endlessCloseTimeout)
+	}
 	if most := s.most.Load(); most > endlessBytes {
 		s.t.Errorf("%d KiB were read of an answer, want at most %d KiB", most>>10, endlessBytes>>10)
 	}
