--- a/internal/program/binary/binary.go
+++ b/internal/program/binary/binary.go
@@ -1,4 +1,4 @@
-// Package binary builds the program for tests that run it in separate processes.
+// Package binary builds the program for tests that run it in separate processes, runs it, and reads what its processes use.
 package binary
 
 import (
--- a/internal/program/soak/trouble.go
+++ b/internal/program/soak/trouble.go
@@ -50,20 +50,20 @@
 	p := env.processes[d.target%len(env.processes)]
 	switch d.kind {
 	case disturbanceKill:
-		p.signal(syscall.SIGKILL)
-		p.waitForExit()
+		p.Signal(syscall.SIGKILL)
+		p.WaitForExit()
 		ticker.Sleep(env.ctx, d.duration/4)
 		env.start(p)
 	case disturbancePause:
-		p.signal(syscall.SIGSTOP)
+		p.Signal(syscall.SIGSTOP)
 		ticker.Sleep(env.ctx, d.duration+time.Second)
-		p.signal(syscall.SIGCONT)
+		p.Signal(syscall.SIGCONT)
 	case disturbanceTerminate:
-		p.signal(syscall.SIGTERM)
-		p.waitForExit()
+		p.Signal(syscall.SIGTERM)
+		p.WaitForExit()
 		env.start(p)
 	case disturbanceReload:
-		p.signal(syscall.SIGHUP)
+		p.Signal(syscall.SIGHUP)
 	case disturbanceStoreReject:
 		p.storeEndpoint.RefuseCalls()
 		ticker.Sleep(env.ctx, d.duration)
@@ -205,7 +205,7 @@
 	for _, p := range env.processes {
 		p.storeEndpoint.ServeCalls()
 		p.link.clearFault()
-		p.signal(syscall.SIGCONT)
+		p.Signal(syscall.SIGCONT)
 		env.start(p)
 	}
 	for _, p := range env.processes {
--- a/internal/program/soak/world.go
+++ b/internal/program/soak/world.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
+	"github.com/oleandershelf/oleandershelf/internal/program/binary"
 	"github.com/oleandershelf/oleandershelf/platform/platformtest"
 )
 
@@ -158,8 +159,8 @@
 func (env *environment) newProcess(name string, o Options, seed, advertised netip.AddrPort, c platformtest.Cleaner) (*process, error) {
 	callerAddress, peerAddress, adminAddress := platformtest.UnusedAddress(), platformtest.UnusedAddress(), platformtest.UnusedAddress()
 	p := &process{
-		name: name, program: o.Program, callerURL: "http://" + callerAddress.String(), readyURL: "http://" + adminAddress.String() + "/readyz",
-		storeEndpoint: env.store.NewEndpoint(c), settings: filepath.Join(o.Folder, name+".json"),
+		name: name, callerURL: "http://" + callerAddress.String(), readyURL: "http://" + adminAddress.String() + "/readyz",
+		storeEndpoint: env.store.NewEndpoint(c),
 	}
 	fields := map[string]any{
 		"hostId": name, "availabilityZone": "north-a", "listen": callerAddress, "peerListen": peerAddress, "peerAdvertise": advertised,
@@ -174,12 +175,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode settings")
 	}
-	if err := os.WriteFile(p.settings, settings, 0o600); err != nil {
+	path := filepath.Join(o.Folder, name+".json")
+	if err := os.WriteFile(path, settings, 0o600); err != nil {
 		return nil, errors.Wrap(err, "write settings")
 	}
 	if p.log, err = os.Create(filepath.Join(o.Folder, name+".log")); err != nil {
 		return nil, errors.Wrap(err, "create log")
 	}
+	p.Process = binary.NewProcess(o.Program, path, p.log)
 	if p.link, err = newLink(env.ctx, advertised, peerAddress); err != nil {
 		return nil, errors.Wrap(err, "link")
 	}
@@ -189,7 +192,7 @@
 
 // start starts the process unless it is running.
 func (env *environment) start(p *process) {
-	err := p.start()
+	err := p.Start()
 	env.checker.check(guaranteeRecovery, err == nil, "%s did not start: %v", p.name, err)
 }
 
