Let servers of the soak answer without end, and check the memory of its processes

Undisturbed servers of the soak now answer a share of the requests without end, in kinds that the seed determines. The soak checks the peak memory of each process against the 88 MB of the smallest host, unless the program was built with the race detector.

--- a/internal/program/process/endless_harness_test.go
+++ b/internal/program/process/endless_harness_test.go
@@ -182,8 +182,8 @@
 	work.Wait()
 	for _, server := range trial.faulty() {
 		server.SetBehaviour(nil)
-		server.SetStateBehaviour(platformtest.Answer)
-		server.SetOrderBehaviour(platformtest.Answer)
+		server.SetStateBehaviour(nil)
+		server.SetOrderBehaviour(nil)
 	}
 	requests.Wait()
 }
--- a/internal/program/process/endless_test.go
+++ b/internal/program/process/endless_test.go
@@ -31,9 +31,10 @@
 		{name: "items", behaviours: slices.Concat(calls, platformtest.EndlessStreams), engines: faultyEngineCount,
 			run: (*endlessTrial).runItems},
 		{name: "rewards", behaviours: bodies, engines: faultyEngineCount, run: (*endlessTrial).runRewards},
-		{name: "reports", behaviours: slices.Concat(platformtest.EndlessHeads, bodies), engines: faultyOrderedCount, run: func(trial *endlessTrial, behaviour platformtest.Behaviour) {
-			trial.runOrders((*platformtest.Server).SetStateBehaviour, behaviour)
-		}},
+		{name: "reports", behaviours: slices.Concat(platformtest.EndlessHeads, bodies), engines: faultyOrderedCount,
+			run: func(trial *endlessTrial, behaviour platformtest.Behaviour) {
+				trial.runOrders((*platformtest.Server).SetStateBehaviour, behaviour)
+			}},
 		{name: "orders", behaviours: bodies, engines: faultyOrderedCount, run: func(trial *endlessTrial, behaviour platformtest.Behaviour) {
 			trial.runOrders((*platformtest.Server).SetOrderBehaviour, behaviour)
 		}},
@@ -124,9 +125,9 @@
 }
 
 // runOrders lets reads of the engines' state, or orders, get answers without end while a batch job runs and a weight version is announced.
-func (trial *endlessTrial) runOrders(setBehaviour func(*platformtest.Server, platformtest.Behaviour), behaviour platformtest.Behaviour) {
+func (trial *endlessTrial) runOrders(setBehaviour func(*platformtest.Server, func(int) platformtest.Behaviour), behaviour platformtest.Behaviour) {
 	for _, engine := range trial.faultyEngines {
-		setBehaviour(engine, behaviour)
+		setBehaviour(engine, func(int) platformtest.Behaviour { return behaviour })
 	}
 	trial.submit(trial.entry, "j1", submission(endlessGroups, endlessGroups, 1))
 	trial.observe(func() { trial.store.PutModelVersion("m", 2) })
--- a/internal/program/soak/check.go
+++ b/internal/program/soak/check.go
@@ -24,7 +24,7 @@
 			}
 			valid := request.Organisation() == organisation && request.Key() == "" && (isBatchItem(request) || request.Body == "body of "+id)
 			l.checker.check(guaranteeServerRequest, valid, "server %s received headers %v and body %q", server.ID, request.Header, request.Body)
-			if request.Behaviour == platformtest.Shed {
+			if request.Behaviour.Refuses() {
 				continue
 			}
 			runs[id]++
@@ -42,7 +42,7 @@
 	valid := request.Organisation() == "" && request.Key() == "" && request.Body == platformtest.RewardBody
 	l.checker.check(guaranteeServerRequest, valid,
 		"server %s received a reward call with headers %v and body %q", server, request.Header, request.Body)
-	if request.Behaviour != platformtest.Shed {
+	if !request.Behaviour.Refuses() {
 		l.checkStart(j, request, server)
 	}
 }
--- a/internal/program/soak/promise.go
+++ b/internal/program/soak/promise.go
@@ -35,6 +35,7 @@
 	guaranteeReport           guarantee = "a usage window is always reported with the same counts"
 	guaranteeFencing          guarantee = "fencing numbers never decrease"
 	guaranteeStepOutage       guarantee = "submissions arrive, and work begins, in outages that begin with a step"
+	guaranteeMemory           guarantee = "a process takes no more memory than the smallest host has"
 	guaranteeRecovery         guarantee = "the system recovers after the last disturbance"
 )
 
--- a/internal/program/soak/soak.go
+++ b/internal/program/soak/soak.go
@@ -51,12 +51,14 @@
 	l := newLoadGenerator(ctx, env)
 	var registrations conc.WaitGroup
 	registrations.Go(func() { env.registerLoadedWeights(ctx) })
+	registrations.Go(func() { env.memory.record(ctx, env.processes) })
 	schedule := newSchedule(o.Plan)
 	l.run(schedule, o.OnDisturbance)
 	l.readAllJobs()
 	cancel()
 	registrations.Wait()
 	l.checkAll()
+	l.checkMemory(o.Program)
 	return l.report(o.Plan, schedule), nil
 }
 
--- a/internal/program/soak/trouble.go
+++ b/internal/program/soak/trouble.go
@@ -138,7 +138,7 @@
 
 // Faults that servers show even without a disturbance. Every n-th stream of an engine is cut, and every n-th stream that an
 // engine resumes repeats an event. Of every n requests to a service, one gets the response to another request, and one is carried
-// out but its connection is cut. A gateway abandons a stream with a repeated event, so no item could ever finish if every
+// out but its connection is cut. Some are answered without end. A gateway abandons a stream with a repeated event, so no item could ever finish if every
 // resumed stream repeated one.
 const (
 	engineCutInterval    = 15
@@ -151,13 +151,17 @@
 // Disturbed servers resume few streams and send few responses. Their disturbances alone would rarely reveal a gateway that
 // accepts an event twice, passes on the response to another request, or resends a call that may have run.
 func (env *environment) setDefaultBehaviour(server *platformtest.Server) {
-	engine := slices.Contains(env.engines, server)
+	engine, endless := slices.Contains(env.engines, server), env.endlessKindsOf(server)
 	server.SetBehaviour(func(n int, r platformtest.Request) platformtest.Behaviour {
 		switch {
 		case engine && r.Resumed() && n%engineRepeatInterval == 0:
 			return platformtest.RepeatLastEvent
 		case engine && n%engineCutInterval == 0:
 			return platformtest.CutConnection
+		case engine && n%engineEndlessInterval == 2 && env.takeEndlessItem(r.ID()):
+			return endless.of(n, endlessItems)
+		case !engine && n%serviceEndlessInterval == 2:
+			return endless.of(n, endlessCalls)
 		case !engine && n%serviceFaultInterval == 0:
 			return platformtest.WrongRequest
 		case !engine && n%serviceFaultInterval == 1:
--- a/internal/program/soak/world.go
+++ b/internal/program/soak/world.go
@@ -56,6 +56,11 @@
 	services      []*platformtest.Server
 	engines       []*platformtest.Server
 	processes     []*process
+	// seed determines the kinds of answers without end.
+	seed   uint64
+	memory memoryPeaks
+	// endlessItems has the IDs of the items that got an answer without end as keys.
+	endlessItems sync.Map
 
 	mu                   sync.Mutex
 	configurationVersion int
@@ -84,7 +89,7 @@
 func newEnvironment(ctx context.Context, o Options, c platformtest.Cleaner) (*environment, error) {
 	env := &environment{
 		ctx: ctx, checker: newChecker(), store: platformtest.NewStore(c), usageReceiver: platformtest.NewUsageReceiver(c),
-		modelVersion: 1, withdrawnKeys: map[string]time.Time{}, steps: make(chan chan struct{}),
+		seed: o.Seed, memory: memoryPeaks{bytes: map[string]int64{}}, modelVersion: 1, withdrawnKeys: map[string]time.Time{}, steps: make(chan chan struct{}),
 	}
 	for i := range serversPerPool {
 		env.services = append(env.services, platformtest.NewServer(c, serviceName(i), "desk", nil))
@@ -97,6 +102,7 @@
 		env.engines[i].Zone = zoneName(i % serversPerPool)
 	}
 	env.makeEnginesUneven()
+	env.answerReadsEndlessly()
 	env.rotateKey()
 	for _, server := range env.allServers() {
 		env.setDefaultBehaviour(server)
