End generations and frames that have no end

The entry and the client of an engine read a generation without end: comments and blank lines until the caller's deadline, a line without end and tokens beyond the maximum into memory. The rest of a stream after its closing event was read for ever. A stream may now bring 256 KiB without a token, no more tokens than asked for, and 4 MiB of text at an entry. A frame of another process was allocated as announced, up to 16 MiB, before any of it had arrived; it now grows with what arrives.

--- a/internal/edge/backendserver/engine.go
+++ b/internal/edge/backendserver/engine.go
@@ -4,20 +4,21 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
 )
 
 // dataPrefix starts the line of a server-sent event that carries its data.
 const dataPrefix = "data:"
 
-// maxEventBytes bounds one line of an engine's stream.
-const maxEventBytes = 1 << 20
+// MaxEventBytes bounds how many bytes an engine's stream may bring without an event.
+const MaxEventBytes = 256 << 10
 
 // Engine is the client of one model engine. It is safe for concurrent use.
 type Engine struct {
@@ -46,22 +47,26 @@
 	if err := statusError(PathGenerate, stream.Status()); err != nil {
 		return errors.Wrap(err, request.SampleID)
 	}
-	if err := readEvents(stream, onToken); err != nil {
+	if err := readEvents(stream, request.MaxTokens, onToken); err != nil {
 		return errors.Wrap(err, request.SampleID)
 	}
 	return nil
 }
 
-// readEvents calls onToken with each token until the closing event.
-func readEvents(stream io.Reader, onToken func(Token) error) error {
+// readEvents calls onToken with each token until the closing event. It ends a stream that brings no event, or more than maxTokens.
+func readEvents(stream *exchange.Stream, maxTokens int, onToken func(Token) error) error {
 	lines := bufio.NewScanner(stream)
-	lines.Buffer(nil, maxEventBytes)
-	received := 0
+	lines.Buffer(nil, MaxEventBytes)
+	received, unfinished := 0, 0
 	for lines.Scan() {
 		data, ok := strings.CutPrefix(lines.Text(), dataPrefix)
+		if unfinished += len(lines.Bytes()) + 1; unfinished > MaxEventBytes {
+			return errors.Wrapf(ErrAnswerLost, "%d bytes without an event", unfinished)
+		}
 		if !ok {
 			continue
 		}
+		unfinished = 0
 		var event Event
 		if err := json.Unmarshal([]byte(data), &event); err != nil {
 			return errors.Wrapf(ErrAnswerLost, "decode event: %v", err)
@@ -69,12 +74,17 @@
 		if event.Done {
 			return finishStream(stream, event, received)
 		}
-		received++
+		if received++; received > maxTokens {
+			return errors.Wrapf(ErrAnswerLost, "more than %d tokens", maxTokens)
+		}
 		if err := onToken(Token{Text: event.Text, Version: event.Version}); err != nil {
 			return err
 		}
 	}
-	if err := lines.Err(); err != nil {
+	switch err := lines.Err(); {
+	case errors.Is(err, bufio.ErrTooLong):
+		return errors.Wrapf(ErrAnswerLost, "a line is longer than %d bytes", MaxEventBytes)
+	case err != nil:
 		return err
 	}
 	return errors.Wrap(ErrAnswerLost, "stream ended without its closing event")
@@ -82,12 +92,11 @@
 
 // finishStream checks the closing event against the number of tokens received, and reads the stream
 // to its end, so that its connection can be reused.
-func finishStream(stream io.Reader, event Event, received int) error {
+func finishStream(stream *exchange.Stream, event Event, received int) error {
 	if event.Tokens != received {
 		return errors.Wrapf(ErrAnswerLost, "engine sent %d tokens, %d arrived", event.Tokens, received)
 	}
-	_, err := io.Copy(io.Discard, stream)
-	return err
+	return stream.Discard()
 }
 
 // Load returns the engine's report of its load, which lags behind its actual load.
--- a/internal/edge/entry/generation.go
+++ b/internal/edge/entry/generation.go
@@ -16,6 +16,9 @@
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 )
 
+// maxGenerationBytes bounds the text of a generation.
+const maxGenerationBytes = 4 << 20
+
 // generation collects the tokens of one generation over all its attempts.
 type generation struct {
 	sampleID  string
@@ -23,6 +26,8 @@
 	maxTokens int
 	seed      int64
 	tokens    []backendserver.Token
+	// textBytes is the length of the text of the tokens that were received.
+	textBytes int
 	// onToken receives each token once, in order.
 	onToken func(backendserver.Token) error
 }
@@ -63,15 +68,24 @@
 	}
 	tokensBefore := len(g.tokens)
 	var pending []byte
+	// unfinished counts the bytes since the last token.
+	unfinished := 0
 	done := false
 	for {
 		chunk, err := answer.Next()
 		pending = append(pending, chunk...)
+		tokens := len(g.tokens)
 		rest, ended, lineErr := g.parseLines(pending, tokensBefore)
 		if lineErr != nil {
 			return lineErr
 		}
 		pending = rest
+		if unfinished += len(chunk); len(g.tokens) > tokens {
+			unfinished = len(rest)
+		}
+		if unfinished > backendserver.MaxEventBytes {
+			return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerFailed, unavailableRetryAfter, "the engine sent %d bytes without an event", unfinished)
+		}
 		done = done || ended
 		if errors.Is(err, io.EOF) {
 			break
@@ -120,6 +134,11 @@
 	if event.Done {
 		return true, nil
 	}
+	g.textBytes += len(event.Text)
+	if len(g.tokens) >= g.maxTokens || g.textBytes > maxGenerationBytes {
+		return false, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerFailed, unavailableRetryAfter,
+			"the engine sent more than %d tokens or %d bytes", g.maxTokens, maxGenerationBytes)
+	}
 	token := backendserver.Token{Text: event.Text, Version: event.Version}
 	g.tokens = append(g.tokens, token)
 	if err := g.onToken(token); err != nil {
--- a/internal/edge/peer/frame.go
+++ b/internal/edge/peer/frame.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,6 +35,8 @@
 	frameFieldCount  = 4
 	// maxHandshakeFrame limits how many bytes an unauthenticated peer can make this side allocate.
 	maxHandshakeFrame = 1 << 10
+	// firstAllocation is how much is allocated for a frame before any of it has arrived, in bytes. Most frames are smaller.
+	firstAllocation = 64 << 10
 	// frameOverhead is an upper bound for the encoded size of all fields except the payload, in bytes.
 	frameOverhead = 64
 )
@@ -116,13 +119,30 @@
 	if uint64(length) > uint64(r.limit) {
 		return frame{}, errors.Wrapf(ErrTooLarge, "%d bytes, %d allowed", length, r.limit)
 	}
-	data := make([]byte, length)
-	if _, err := io.ReadFull(r.source, data); err != nil {
+	data, err := r.read(int(length))
+	if err != nil {
 		return frame{}, errors.Wrap(err, "read frame")
 	}
 	return r.decode(data)
 }
 
+// read reads the given number of bytes. Memory is allocated as they arrive: a peer that announces a large frame and doesn't send it costs
+// nothing.
+func (r *frameReader) read(length int) ([]byte, error) {
+	data := make([]byte, min(length, firstAllocation))
+	if _, err := io.ReadFull(r.source, data); err != nil {
+		return nil, err
+	}
+	for len(data) < length {
+		known := len(data)
+		data = slices.Grow(data, min(length-known, known))[:min(length, 2*known)]
+		if _, err := io.ReadFull(r.source, data[known:]); err != nil {
+			return nil, err
+		}
+	}
+	return data, nil
+}
+
 func (r *frameReader) decode(data []byte) (frame, error) {
 	r.body.Reset(data)
 	r.decoder.Reset(&r.body)
