Let a pool take items whose servers send an answer without end now and then

The new line "items are at no server" named the reason noFreeServer with no item running: each invalid answer of a server doubled its backoff up to 16 s, nothing but a minute without one ended the series, and work that can wait is not sent to a server that is backed off.

A complete answer now ends the series, answers that were requested before the backoff don't lengthen it, and it grows from 250 ms to 4 s, so that an item can start within the five seconds that it may be at no server. TestInvalidAnswerBackoffGrows checked that a minute without invalid answers ends the series; it now checks this for a complete answer.

--- a/internal/core/backend/balancer.go
+++ b/internal/core/backend/balancer.go
@@ -34,11 +34,10 @@
 	// answerTTL is for how long a server counts as answering after an answer, a report or some events of a stream, which come every second at
 	// the latest.
 	answerTTL = 1500 * time.Millisecond
-	// minInvalidBackoff is how long a server is chosen last after an answer without end. It doubles with each further one up to
-	// maxInvalidBackoff, until the server has sent none for invalidAnswerMemory.
-	minInvalidBackoff   = time.Second
-	maxInvalidBackoff   = 16 * time.Second
-	invalidAnswerMemory = time.Minute
+	// minInvalidBackoff is how long a server is chosen last, or not at all for work that can wait, after an answer without end. It doubles with
+	// each consecutive one up to maxInvalidBackoff, which leaves an item time to start within the five seconds that it may be at no server.
+	minInvalidBackoff = 250 * time.Millisecond
+	maxInvalidBackoff = 4 * time.Second
 	// failureTTL is for how long a server counts as failing after a failed connection, unless it answers. Until then the other servers of the pool
 	// are tried first, each of which may take a timeout.
 	failureTTL = 10 * time.Second
@@ -95,9 +94,9 @@
 	// refusals.
 	backoffUntil time.Time
 	refusals     int
-	// invalidAnswers counts the invalid answers in a row, and lastInvalid is when the last one was received.
+	// invalidAnswers counts the invalid answers since the last complete one; invalidUntil is when the backoff for them ends.
 	invalidAnswers int
-	lastInvalid    time.Time
+	invalidUntil   time.Time
 	// versions are the weight versions that the server's answers showed, which are newer than its registration.
 	versions map[string]int
 	// answeredAt is when the server last answered a request or brought events, failedAt when a connection to it last failed.
@@ -331,21 +330,28 @@
 }
 
 // RecordInvalidAnswer records that the server sent an answer that had to be ended, such as one without end. The server is chosen last for
-// a while: without that it would send the next requests as much.
+// a while: without that it would send the next requests as much. Answers that end while the server is backed off for another one are
+// ignored: they were requested before.
 func (b *Balancer) RecordInvalidAnswer(now time.Time, id string) {
 	b.RecordFailure(now, id)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	state, ok := b.servers[id]
-	if !ok {
+	if !ok || now.Before(state.invalidUntil) {
 		return
 	}
-	if now.Sub(state.lastInvalid) > invalidAnswerMemory {
+	state.invalidUntil = now.Add(min(minInvalidBackoff<<state.invalidAnswers, maxInvalidBackoff))
+	state.backOff(state.invalidUntil)
+	state.invalidAnswers = min(state.invalidAnswers+1, 4)
+}
+
+// RecordCompleteAnswer records that the server answered a request completely, which ends a series of invalid answers.
+func (b *Balancer) RecordCompleteAnswer(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if state, ok := b.servers[id]; ok {
 		state.invalidAnswers = 0
 	}
-	state.backOff(now.Add(min(minInvalidBackoff<<state.invalidAnswers, maxInvalidBackoff)))
-	state.lastInvalid = now
-	state.invalidAnswers = min(state.invalidAnswers+1, 4)
 }
 
 // RecordRefusal records that the server had no free slot. It is ignored while the server is backed off already.
--- a/internal/core/backend/balancer_test.go
+++ b/internal/core/backend/balancer_test.go
@@ -249,9 +249,38 @@
 		t.Errorf("not chosen again after the backoff")
 	}
 	balancer.Release("e2")
-	at = at.Add(invalidAnswerMemory)
+	balancer.RecordCompleteAnswer("e2")
 	balancer.RecordInvalidAnswer(at, "e2")
 	if _, ok := balancer.Acquire(at.Add(minInvalidBackoff), need); !ok {
-		t.Error("the backoff after a long time without invalid answers is not the first one")
+		t.Error("the backoff after a complete answer is not the first one")
 	}
 }
+
+// Guards against a pool that takes no items for seconds because each of its servers sends an answer without end now and then.
+func TestPoolWithOccasionalInvalidAnswersTakesItems(t *testing.T) {
+	balancer := newTestBalancer()
+	need := Requirements{Pool: "engines", Model: "m", MinVersion: 4, Deferrable: true}
+	at := now
+	for range 20 {
+		for range 12 {
+			balancer.RecordInvalidAnswer(at, "e2")
+		}
+		if at = at.Add(time.Second); !acquires(balancer, at, need) {
+			t.Fatalf("no server takes items a second after an invalid answer, at %v", at.Sub(now))
+		}
+		balancer.RecordCompleteAnswer("e2")
+	}
+	for range 100 {
+		balancer.RecordInvalidAnswer(at, "e2")
+		at = at.Add(100 * time.Millisecond)
+	}
+	if !acquires(balancer, at.Add(4500*time.Millisecond), need) {
+		t.Error("an item would be at no server for five seconds")
+	}
+}
+
+func acquires(balancer *Balancer, at time.Time, need Requirements) bool {
+	server, ok := balancer.Acquire(at, need)
+	balancer.Release(server.ID)
+	return ok
+}
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -122,6 +122,7 @@
 	r.countMove(result, from)
 	r.recordAnswer(from)
 	if result == outcomeCompleted {
+		m.balancer.RecordCompleteAnswer(server.ID)
 		m.clearServerEnds(j, item.ID, false)
 		m.lengths.RecordFinished(j.spec.Model, item.ExpectedTokens, output.LastEvent)
 		m.metrics.observeLength(item.ExpectedTokens, output.LastEvent)
--- a/internal/edge/call/attempt.go
+++ b/internal/edge/call/attempt.go
@@ -93,6 +93,7 @@
 	switch {
 	case attempt.Outcome == verdict.Ran && attempt.Answer.Status < fasthttp.StatusInternalServerError:
 		s.balancer.RecordLatency(now, id, now.Sub(attempt.SentAt))
+		s.balancer.RecordCompleteAnswer(id)
 	case attempt.TooLarge:
 		s.balancer.RecordInvalidAnswer(now, id)
 	case attempt.Outcome == verdict.NotRun && attempt.Answer.Status != 0:
