Shorten the first-event timeout of the run after a stalled one

In an idle pool nothing tells a silent server from one that answers. With two silent servers an item was at no server for 5.03 to 5.12 s: twice the stall timeout of 2.5 s.

The first event of the run after one that stalled may take 1.2 s. Only one run has the shorter timeout, so that an item also completes at servers that need longer for the first event; every other run would not do, since failed dials in between shift the turns.

TestItemGoesFromASilentServerToOneThatAnswers failed before in its two new cases. Its cases without answers used servers with another id than the registered one, which denied the item instead of being silent; they are silent now, and pass. TestItemCompletesAtASlowServerAfterSilentOnes failed with the shorter timeout in every other run.

--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -21,6 +21,9 @@
 	// stallTimeout is how long a stream may bring no event before its item is moved to another server. Events come every 30 to 150 ms; a
 	// change of weights stops them for about a second.
 	stallTimeout = 2500 * time.Millisecond
+	// retryStallTimeout is how long the first event of the run after one that stalled may take, so that an item gets to a third server within five
+	// seconds. It exceeds the time for which a change of weights stops a stream.
+	retryStallTimeout = 1200 * time.Millisecond
 	// eventsPerSpan is the number of events over which the pace of a stream is measured: a fifth of a second at the usual pace, three quarters
 	// at a server that is four times slower. After slowSpansToMove slow spans in a row the item is moved.
 	eventsPerSpan   = 6
@@ -78,8 +81,8 @@
 	cause error
 	// connectionLost is set if the connection broke, or stalled, after the server may have begun to run the item.
 	connectionLost bool
-	// newConnection is set if the request may not use an idle connection.
-	newConnection bool
+	// silence counts the runs of the item before this one that brought no answer.
+	silence silence
 	// move is the move that led to this run; nil if there was none.
 	move *move
 	// slowInterval is the time between events for which the item left the server.
@@ -139,17 +142,34 @@
 	return nil
 }
 
+// silence is how many runs of an item in a row brought no answer, and how many of them stalled.
+type silence struct {
+	runs, stalls int
+}
+
+// firstEventTimeout returns how long the first event may take. Only one run has the shorter timeout: servers that are slow or loaded aren't
+// silent.
+func (r *itemRun) firstEventTimeout() time.Duration {
+	if r.silence.stalls == 1 {
+		return retryStallTimeout
+	}
+	return stallTimeout
+}
+
 // recordAnswer records whether the server has answered the item's run, which began after the given event, or was silent. The next run of an item
 // without an answer goes to a server that answers, if there is one, on a new connection: other servers, and idle connections to them, may have
 // become silent at the same time, and each costs another timeout.
 func (r *itemRun) recordAnswer(from int) {
+	stalled := errors.Is(r.cause, errStalled)
 	r.job.mu.Lock()
 	defer r.job.mu.Unlock()
-	switch {
-	case errors.Is(r.cause, errStalled), errors.Is(r.cause, exchange.ErrNotSent):
-		r.job.unansweredItems[r.item.ID] = true
+	switch known := r.job.silences[r.item.ID]; {
+	case stalled:
+		r.job.silences[r.item.ID] = silence{runs: known.runs + 1, stalls: known.stalls + 1}
+	case errors.Is(r.cause, exchange.ErrNotSent):
+		r.job.silences[r.item.ID] = silence{runs: known.runs + 1, stalls: known.stalls}
 	case r.output.LastEvent > from:
-		delete(r.job.unansweredItems, r.item.ID)
+		delete(r.job.silences, r.item.ID)
 	}
 }
 
@@ -191,14 +211,14 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	r.setCancel(cancel)
-	stalled := time.AfterFunc(stallTimeout, func() { cancel(errStalled) })
+	stalled := time.AfterFunc(r.firstEventTimeout(), func() { cancel(errStalled) })
 	defer stalled.Stop()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	hop := platform.Hop{Server: r.server, Organisation: r.job.spec.Organisation}
 	platform.BuildItemRequest(req, r.job.spec, r.item, r.output.LastEvent, hop)
 	open := r.manager.servers.Open
-	if r.newConnection {
+	if r.silence.runs > 0 {
 		open = r.manager.servers.OpenNew
 	}
 	stream, err := open(ctx, req)
--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -28,8 +28,8 @@
 	runs map[string]*itemRun
 	// slowMoves are the items that left a slow server and haven't started elsewhere yet.
 	slowMoves map[string]move
-	// unansweredItems are the items whose last run stalled or could not be sent, and that have received no event since.
-	unansweredItems map[string]bool
+	// silences counts, by item, the runs without an answer since the last event.
+	silences map[string]silence
 	// interruptedRuns are runs that were interrupted lately at servers that are not known to have ended.
 	interruptedRuns []interruptedRun
 	// endedUnder holds the servers that were counted as ended under the items.
@@ -78,17 +78,17 @@
 // writer identified the process, an earlier page whose create was delayed would be mistaken for the new one.
 func newJob(spec *batch.Job) *job {
 	return &job{
-		spec:            spec,
-		tokenRate:       spec.TokenRate(),
-		progress:        batch.NewProgress(spec, rand.Uint64()),
-		runs:            map[string]*itemRun{},
-		slowMoves:       map[string]move{},
-		unansweredItems: map[string]bool{},
-		endedUnder:      map[serverUse]bool{},
-		changed:         make(chan struct{}),
-		wakeup:          make(chan struct{}, 1),
-		storeQuery:      make(chan struct{}, 1),
-		lastUse:         time.Now(),
+		spec:       spec,
+		tokenRate:  spec.TokenRate(),
+		progress:   batch.NewProgress(spec, rand.Uint64()),
+		runs:       map[string]*itemRun{},
+		slowMoves:  map[string]move{},
+		silences:   map[string]silence{},
+		endedUnder: map[serverUse]bool{},
+		changed:    make(chan struct{}),
+		wakeup:     make(chan struct{}, 1),
+		storeQuery: make(chan struct{}, 1),
+		lastUse:    time.Now(),
 	}
 }
 
--- a/internal/edge/batchjob/move.go
+++ b/internal/edge/batchjob/move.go
@@ -28,7 +28,7 @@
 // newRunLocked marks an item as running at a server whose slot was acquired, and returns the run. The caller holds the job's lock.
 func (m *Manager) newRunLocked(j *job, item *batch.Item, server backend.Server) *itemRun {
 	r := &itemRun{
-		manager: m, job: j, item: item, output: j.progress.Start(item.ID), server: server, newConnection: j.unansweredItems[item.ID],
+		manager: m, job: j, item: item, output: j.progress.Start(item.ID), server: server, silence: j.silences[item.ID],
 	}
 	slow, ok := j.slowMoves[item.ID]
 	delete(j.slowMoves, item.ID)
--- a/internal/edge/batchjob/place.go
+++ b/internal/edge/batchjob/place.go
@@ -107,7 +107,7 @@
 			restrictions.Exclude(item, server)
 		}
 	}
-	for item := range j.unansweredItems {
+	for item := range j.silences {
 		excludeSilent(&restrictions, item, candidates)
 	}
 	for item, r := range j.runs {
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -209,7 +209,7 @@
 	if !ok {
 		return false
 	}
-	need.PreferAnswering = j.unansweredItems[item.ID]
+	need.PreferAnswering = j.silences[item.ID].runs > 0
 	suspect := j.progress.Suspect(item.ID)
 	if suspect {
 		need.Exclude = m.excludedServers(j, item.ID)
--- a/internal/edge/batchjob/silentserver_test.go
+++ b/internal/edge/batchjob/silentserver_test.go
@@ -158,9 +158,9 @@
 }
 
 // newHangingServer returns the address of a server that sends no answers.
-func newHangingServer(t *testing.T) netip.AddrPort {
+func newHangingServer(t *testing.T, id string) netip.AddrPort {
 	t.Helper()
-	server := platformtest.NewServer(t, "hangs", "p", map[string]int{"m": 1})
+	server := platformtest.NewServer(t, id, "p", map[string]int{"m": 1})
 	server.SetBehaviour(func(int, platformtest.Request) platformtest.Behaviour { return platformtest.Hang })
 	return server.Address()
 }
@@ -169,7 +169,7 @@
 func TestItemGoesFromASilentServerToOneThatAnswers(t *testing.T) {
 	for _, test := range []struct {
 		name   string
-		silent func(t *testing.T) netip.AddrPort
+		silent func(t *testing.T, id string) netip.AddrPort
 		count  int
 		uneven bool
 		// idle is set if the sound server runs nothing, so that it isn't known to answer.
@@ -177,6 +177,8 @@
 	}{
 		{name: "no answers, equal speed", silent: newHangingServer, count: 3},
 		{name: "no answers, uneven speed", silent: newHangingServer, count: 3, uneven: true},
+		{name: "no answers, equal speed, idle pool", silent: newHangingServer, count: 2, idle: true},
+		{name: "no answers, uneven speed, idle pool", silent: newHangingServer, count: 2, uneven: true, idle: true},
 		{name: "no connections, equal speed", silent: newUnreachableAddress, count: 6},
 		{name: "no connections, uneven speed", silent: newUnreachableAddress, count: 6, uneven: true},
 		{name: "no connections, equal speed, idle pool", silent: newUnreachableAddress, count: 6, idle: true},
@@ -189,7 +191,8 @@
 			sound.SetStream(1000, 50*time.Millisecond)
 			registered := []backend.Server{{ID: "sound", Address: sound.Address(), Slots: 12}}
 			for i := range test.count {
-				registered = append(registered, backend.Server{ID: fmt.Sprintf("silent-%d", i), Address: test.silent(t), Slots: 12})
+				id := fmt.Sprintf("silent-%d", i)
+				registered = append(registered, backend.Server{ID: id, Address: test.silent(t, id), Slots: 12})
 			}
 			m := newPoolManager(ctx, registered...)
 			defer m.Wait()
@@ -241,7 +244,7 @@
 }
 
 // newUnreachableAddress returns an address at which connections are neither accepted nor refused: the backlog of its listener is full.
-func newUnreachableAddress(t *testing.T) netip.AddrPort {
+func newUnreachableAddress(t *testing.T, _ string) netip.AddrPort {
 	t.Helper()
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
 	if err != nil {
@@ -269,3 +272,25 @@
 	t.Fatal("the backlog doesn't fill")
 	return netip.AddrPort{}
 }
+
+// Guards against an item that doesn't complete at slow servers because each of its runs has the shorter timeout for the first event.
+func TestItemCompletesAtASlowServerAfterSilentOnes(t *testing.T) {
+	for name, silent := range map[string]func(t *testing.T, id string) netip.AddrPort{"no answers": newHangingServer, "no connections": newUnreachableAddress} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithCancel(t.Context())
+			slow := platformtest.NewServer(t, "slow", "p", map[string]int{"m": 1})
+			slow.SetBehaviour(func(int, platformtest.Request) platformtest.Behaviour {
+				time.Sleep(retryStallTimeout + 200*time.Millisecond)
+				return platformtest.Answer
+			})
+			m := newPoolManager(ctx, backend.Server{ID: "silent", Address: silent(t, "silent"), Slots: 2},
+				backend.Server{ID: "slow", Address: slow.Address(), Slots: 2})
+			defer m.Wait()
+			defer cancel()
+			j := newPlacedJob("j", "x")
+			m.startJob(j)
+			waitFor(t, "the job is complete", j.finished)
+		})
+	}
+}
