--- a/internal/edge/batchjob/suspect_test.go
+++ b/internal/edge/batchjob/suspect_test.go
@@ -268,3 +268,30 @@
 		})
 	}
 }
+
+// Guards against an item that waits beside free slots because the wake-up that announced it was lost.
+func TestWaitingItemStartsWithoutAWakeup(t *testing.T) {
+	for name, uneven := range map[string]bool{"servers of equal speed": false, "servers of uneven speed": true} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			server := platformtest.NewServer(t, "s", "p", map[string]int{"m": 1})
+			m := newPoolManager(ctx, backend.Server{ID: "s", Address: server.Address(), Slots: 2})
+			defer m.Wait()
+			defer cancel()
+			if uneven {
+				p := newUnevenPool(ctx, t)
+				m, server = p.Manager, p.slow
+			}
+			j := newPlacedJob("j", "a")
+			j.progress.Start("a")
+			m.startJob(j)
+			time.Sleep(checkInterval)
+			j.mu.Lock()
+			j.progress.Requeue("a")
+			j.mu.Unlock()
+			if !startedWithin(server, "a", 5*checkInterval) {
+				t.Errorf("the item has not started within %v", 5*checkInterval)
+			}
+		})
+	}
+}
