--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -218,11 +218,12 @@
 		if known.hostID != from.HostID || slices.Contains(running, id) {
 			continue
 		}
-		stopped := !known.announcedAt.IsZero() && time.Since(known.announcedAt) > announcementTimeout
-		if stopped {
+		announced := !known.announcedAt.IsZero()
+		switch {
+		case announced && time.Since(known.announcedAt) > announcementTimeout:
 			orphaned = append(orphaned, id)
-		}
-		if stopped || time.Since(known.learnedAt) > ownerAnnounceTime {
+			delete(m.owners, id)
+		case !announced && time.Since(known.learnedAt) > ownerAnnounceTime:
 			delete(m.owners, id)
 		}
 	}
--- a/internal/edge/batchjob/rerunjobs_test.go
+++ b/internal/edge/batchjob/rerunjobs_test.go
@@ -154,6 +154,12 @@
 	defer cancel()
 	other := gossip.Member{HostID: "other"}
 	m.ApplyGossip(other, []string{"j"}, nil, nil)
+	// The entry has run the job for some time.
+	m.mu.Lock()
+	known := m.owners["j"]
+	known.learnedAt = time.Now().Add(-2 * ownerAnnounceTime)
+	m.owners["j"] = known
+	m.mu.Unlock()
 	go ticker.Every(ctx, roster.Interval, func(time.Time) { m.ApplyGossip(other, nil, nil, nil) })
 	if !runsWithin(m, "j", maxIdleOfJob) {
 		t.Errorf("the job doesn't run %v after its owner stopped announcing it", maxIdleOfJob)
