Run a job whose assigned entry never got it

An entry that accepts a job records the job's preferred runner as its owner, tells the others so, and asks that one to run it. If it ends before it is answered, the others take the preferred runner for the owner, which never got the job; they dropped the record after four seconds and did nothing else. Where every entry hears all others, an owner that hasn't announced a job two seconds after it was recorded now has the job run again.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -21,6 +21,9 @@
 	// neighbourCount is how many entries further along the ring an entry calls. A failure among them goes unnoticed only if all fail at
 	// once, and as many entries before this one detect failures as well.
 	neighbourCount = 3
+	// MaxFullMesh is how many other living entries there may be so that each one exchanges heartbeats with all of them: those that it calls and
+	// those that call it.
+	MaxFullMesh = 2 * neighbourCount
 	// antiEntropyInterval is the time between two calls to entries that are not successors. These calls repair what updates missed, for
 	// example after a partition.
 	antiEntropyInterval = 500 * time.Millisecond
--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/roster"
 	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 )
 
@@ -211,7 +212,11 @@
 //
 // An entry may stop a job without an end and without a successor: it left the job to another one that doesn't run it, or no entry took it as
 // this one leaves.
+//
+// An entry may also never have got a job that another one recorded as given to it and then ended. Only where every entry hears all others is
+// it known that no announcement was missed.
 func (m *Manager) removeStaleOwners(from gossip.Member, running []string) {
+	hearsAll := len(m.members.Alive(time.Now())) <= roster.MaxFullMesh
 	m.mu.Lock()
 	var orphaned []string
 	for id, known := range m.owners {
@@ -220,6 +225,9 @@
 		}
 		announced := !known.announcedAt.IsZero()
 		switch {
+		case !announced && hearsAll && time.Since(known.learnedAt) > ownerGracePeriod:
+			orphaned = append(orphaned, id)
+			delete(m.owners, id)
 		case announced && time.Since(known.announcedAt) > announcementTimeout:
 			orphaned = append(orphaned, id)
 			delete(m.owners, id)
--- a/internal/edge/batchjob/rerunjobs_test.go
+++ b/internal/edge/batchjob/rerunjobs_test.go
@@ -165,3 +165,18 @@
 		t.Errorf("the job doesn't run %v after its owner stopped announcing it", maxIdleOfJob)
 	}
 }
+
+// Guards against a job that no entry runs because the one that it was given to never got it, and the one that gave it ended.
+func TestJobRunsIfItsAssignedEntryNeverGotIt(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	m, _ := newManagerWithLostOwner(ctx, t)
+	defer m.Wait()
+	defer cancel()
+	m.forgetOwner("j", "lost")
+	m.mergeOwners(gossip.Member{HostID: "gone"}, map[string]string{"j": "other"})
+	go ticker.Every(ctx, roster.Interval, func(time.Time) { m.ApplyGossip(gossip.Member{HostID: "other"}, nil, nil, nil) })
+	if !runsWithin(m, "j", maxIdleOfJob) {
+		t.Errorf("the job doesn't run after %v", maxIdleOfJob)
+	}
+}
