Log the processor time of the tests with endless servers

The figures include the stand-in servers.

An answer that ends others waits for their memory 100 ms in all, and not 100 ms for each of them.

--- a/internal/edge/exchange/memory.go
+++ b/internal/edge/exchange/memory.go
@@ -68,11 +68,19 @@
 // hold sets how many bytes the answer holds, and returns once the answers that were ended for it hold nothing any more. It returns false if
 // the answer itself has been ended.
 func (r *reservation) hold(bytes int) bool {
-	for _, other := range r.resize(bytes) {
+	ended := r.resize(bytes)
+	if len(ended) == 0 {
+		return !r.wasEnded()
+	}
+	timeout := time.NewTimer(releaseTimeout)
+	defer timeout.Stop()
+	for _, other := range ended {
 		select {
 		case <-other.released:
 		case <-r.ended:
-		case <-time.After(releaseTimeout):
+			return false
+		case <-timeout.C:
+			return !r.wasEnded()
 		}
 	}
 	return !r.wasEnded()
--- a/internal/program/process/endless_test.go
+++ b/internal/program/process/endless_test.go
@@ -214,6 +214,7 @@
 	var stats goruntime.MemStats
 	goruntime.ReadMemStats(&stats)
 	before, peak := stats.HeapAlloc, uint64(0)
+	processorBefore := processorTime(t)
 	stop := make(chan struct{})
 	var group conc.WaitGroup
 	group.Go(func() {
@@ -233,7 +234,7 @@
 		close(stop)
 		group.Wait()
 		growth := peak - min(peak, before)
-		t.Logf("the heap grew by %d KiB", growth>>10)
+		t.Logf("the heap grew by %d KiB; processor time %v, that of the servers included", growth>>10, processorTime(t)-processorBefore)
 		if growth > answerHeap {
 			t.Errorf("the heap grew by %d KiB, want at most %d KiB", growth>>10, answerHeap>>10)
 		}
--- a/internal/program/process/fleet_bench_test.go
+++ b/internal/program/process/fleet_bench_test.go
@@ -105,11 +105,11 @@
 }
 
 // processorTime returns the processor time that this process has used.
-func processorTime(b *testing.B) time.Duration {
-	b.Helper()
+func processorTime(tb testing.TB) time.Duration {
+	tb.Helper()
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
