Show how long a measured process waited for a processor

The close of an answer without end that took 1.0 s and 2.2 s in 2 of 40 runs beside a load average of 25 to 32 couldn't be told from a slow gateway. The figures of TestEndlessAnswers now contain the time for which the gateway's threads were ready and had to wait for a processor.

--- a/internal/program/binary/process.go
+++ b/internal/program/binary/process.go
@@ -5,6 +5,7 @@
 	"os/exec"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -85,6 +86,17 @@
 	p.WaitForExit()
 }
 
+// RunDelay returns how long the threads of the process were ready to run since their start and had to wait for a processor, in sum. It tells a
+// process that is slow from one that other processes hold up.
+func (p *Process) RunDelay() (time.Duration, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.isRunning() {
+		return 0, errors.Errorf("%s: the process is not running", p.settings)
+	}
+	return readRunDelay(p.command.Process.Pid)
+}
+
 // Usage returns what the process has used since its start. It returns an error if the process isn't running.
 func (p *Process) Usage() (Usage, error) {
 	p.mu.Lock()
--- a/internal/program/binary/usage.go
+++ b/internal/program/binary/usage.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -61,6 +62,31 @@
 	return usage, nil
 }
 
+// readRunDelay reads how long the threads of the process have waited for a processor.
+func readRunDelay(pid int) (time.Duration, error) {
+	paths, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	var delay time.Duration
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			// The thread has ended since.
+			continue
+		}
+		// The fields are the time on a processor, the time of waiting for one, both in nanoseconds, and the number of times on one.
+		if fields := strings.Fields(string(text)); len(fields) == 3 {
+			nanoseconds, err := strconv.ParseInt(fields[1], 10, 64)
+			if err != nil {
+				return 0, errors.Wrap(err, path)
+			}
+			delay += time.Duration(nanoseconds)
+		}
+	}
+	return delay, nil
+}
+
 func kibibytes(text string) int64 {
 	// The kernel writes a number here, so the error is always nil.
 	number, _ := strconv.ParseInt(text, 10, 64)
--- a/internal/program/process/endless_harness_test.go
+++ b/internal/program/process/endless_harness_test.go
@@ -50,6 +50,8 @@
 	// processor is the time that the gateway used until the answers without end were closed, and next the time until the formerly faulty
 	// servers have served requests after that; 0 if they haven't.
 	processor, next time.Duration
+	// runDelay is how long the threads of the gateway waited for a processor until then, in sum.
+	runDelay time.Duration
 
 	// peak is the largest resident memory of the process in bytes, and unread the largest number of bytes that the kernel held for it.
 	peak, unread int64
@@ -166,7 +168,7 @@
 // endlessObservation.
 func (trial *endlessTrial) observe(begin func()) {
 	trial.t.Helper()
-	before := trial.processorTime()
+	before, delayBefore := trial.processorTime(), trial.totalRunDelay()
 	done := make(chan struct{})
 	var work conc.WaitGroup
 	work.Go(func() { trial.callSoundServers(done) })
@@ -178,6 +180,7 @@
 		}
 	}
 	trial.processor = max(0, trial.processorTime()-before)
+	trial.runDelay = max(0, trial.totalRunDelay()-delayBefore)
 	close(done)
 	work.Wait()
 	for _, server := range trial.faulty() {
@@ -197,6 +200,13 @@
 	return usage.Processor
 }
 
+// totalRunDelay returns how long the threads of the process have waited for a processor; 0 if it has ended.
+func (trial *endlessTrial) totalRunDelay() time.Duration {
+	// processorTime reports a process that has ended.
+	delay, _ := trial.process.RunDelay()
+	return delay
+}
+
 // watch records the memory of the process and the bytes that the kernel holds for it, and kills the process if it takes too much.
 func (trial *endlessTrial) watch(done chan struct{}) {
 	ports := map[uint64]bool{}
@@ -298,9 +308,9 @@
 		})))
 	}
 	slices.Sort(trial.soundTimes)
-	t.Logf("peak %.1f MB, unread %.1f MB, processor %v, %d answers, %d at once, closed within %v, %d open, "+
-		"%d sound calls: p50 %v, max %v, %d failed, next request after %v", megabytes(trial.peak), megabytes(trial.unread), trial.processor, len(sent),
-		atOnce, slowest.Round(time.Millisecond), open, len(trial.soundTimes), quantile(trial.soundTimes, 0.5),
+	t.Logf("peak %.1f MB, unread %.1f MB, processor %v, waited for a processor %v, %d answers, %d at once, closed within %v, %d open, "+
+		"%d sound calls: p50 %v, max %v, %d failed, next request after %v", megabytes(trial.peak), megabytes(trial.unread), trial.processor,
+		trial.runDelay.Round(time.Millisecond), len(sent), atOnce, slowest.Round(time.Millisecond), open, len(trial.soundTimes), quantile(trial.soundTimes, 0.5),
 		quantile(trial.soundTimes, 1), len(trial.soundFailures), trial.next.Round(time.Millisecond))
 	if len(sent) < faultyCount {
 		t.Errorf("%d answers without end, want %d at least", len(sent), faultyCount)
