--- a/internal/program/process/endless_harness_test.go
+++ b/internal/program/process/endless_harness_test.go
@@ -134,6 +134,11 @@
 	t.Cleanup(func() {
 		trial.process.Kill()
 		_ = log.Close()
+		if t.Failed() {
+			// The system's temporary folder outlives the test.
+			kept := filepath.Join(os.TempDir(), "endless-"+strings.ReplaceAll(t.Name(), "/", "-")+".log")
+			t.Logf("log of the gateway: %s (%v)", kept, os.Rename(log.Name(), kept))
+		}
 	})
 	trial.entry = &testGateway{set: set, url: "http://" + set.Listen.String(), closed: true}
 	trial.eventually("the gateway process serves", func() bool {
