--- a/internal/edge/batchjob/place.go
+++ b/internal/edge/batchjob/place.go
@@ -148,7 +148,7 @@
 		if err != nil {
 			whole = false
 			refused.add(action, err)
-			m.log.Debug().Err(err).Str("request", j.spec.ID).Str("item", action.Item).Str("from", action.From).Str("to", action.To).
+			m.log.Debug().AnErr("cause", err).Str("request", j.spec.ID).Str("item", action.Item).Str("from", action.From).Str("to", action.To).
 				Msg("planned action not carried out")
 		}
 	}
