--- a/internal/edge/batchjob/handover_test.go
+++ b/internal/edge/batchjob/handover_test.go
@@ -109,6 +109,8 @@
 			j := m.startJob(newJob(newStoredSpec()))
 			completeItem(j, "a")
 			drain, stop := context.WithTimeout(ctx, 6*time.Second)
+			var handover conc.WaitGroup
+			defer handover.Wait()
 			defer stop()
 			handover.Go(func() { m.HandOverJobs(drain) })
 			select {
