Release the memory of answers to callers that don't read

An answer that was read whole counts against the memory for answers until it has been written, and is never ended. Nothing bounded the write: two callers that stopped reading, or whose hosts were cut off, in answers of almost 4 MiB without a declared length held 7.5 of the 8 MiB for as long as their connections lasted. Every other answer of more than 32 KiB was ended meanwhile, those of the store included.

A caller that accepts nothing of such an answer for five seconds has its connection closed. One that reads slowly still gets all of it.

--- a/internal/edge/gateway/forward.go
+++ b/internal/edge/gateway/forward.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"sync"
 	"time"
 
@@ -56,7 +58,7 @@
 			g.running.Add(-1)
 		}), final.Passed.Len())
 	} else {
-		setBody(c.Response(), final.Body)
+		setBody(c.Response(), conn, final.Body)
 	}
 	if g.leaving.Load() {
 		c.Set(fiber.HeaderConnection, "close")
@@ -65,13 +67,38 @@
 }
 
 // setBody sets the body of a caller's answer, and releases it once it is no longer needed.
-func setBody(to *fasthttp.Response, body *exchange.Body) {
+func setBody(to *fasthttp.Response, conn net.Conn, body *exchange.Body) {
 	if content, ok := body.Bytes(); ok {
 		to.SetBodyRaw(content)
 		body.Release()
 		return
 	}
-	to.SetBodyStream(body.Reader(), body.Len())
+	to.SetBodyStream(bufferedStream{ReadCloser: body.Reader(), conn: conn}, body.Len())
+}
+
+// writeTimeout is how long a caller may accept nothing of an answer that is held in memory. After that its connection is closed.
+const writeTimeout = 5 * time.Second
+
+// bufferedStream is the body of an answer that is held in memory until it has been written to the caller. Callers that don't read would else
+// keep the memory for the answers to all others.
+type bufferedStream struct {
+	io.ReadCloser
+	conn net.Conn
+}
+
+// Read is called whenever the part read before has been written.
+func (s bufferedStream) Read(data []byte) (int, error) {
+	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return s.ReadCloser.Read(data)
+}
+
+// Close releases the memory.
+func (s bufferedStream) Close() error {
+	// The next answer on the connection has its own deadline.
+	_ = s.conn.SetWriteDeadline(time.Time{})
+	return s.ReadCloser.Close()
 }
 
 // serverRequest returns the caller's request in the form in which it is sent to backend servers.
--- a/internal/program/process/passed_test.go
+++ b/internal/program/process/passed_test.go
@@ -146,3 +146,34 @@
 	}
 	server.check()
 }
+
+// Guards against callers that read no further and thereby keep the memory for answers, so that all other large answers are refused.
+func TestCallersThatDoNotReadFreeTheMemory(t *testing.T) {
+	const length = 15 << 18
+	d, server := newDeploymentWithLargeAnswers(t, length)
+	server.framing, server.limit = "Connection: close\r\n\r\n", length
+	d.client.Timeout = 0
+	d.client.Transport = &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return conn, conn.(*net.TCPConn).SetReadBuffer(16 << 10)
+	}}
+	for i := range 2 {
+		response, err := d.open(fmt.Sprintf("call-%d", i), time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = response.Body.Close() }()
+	}
+	d.eventually("an answer of the same size is served", func() bool {
+		response, err := d.open("last", time.Second)
+		if err != nil {
+			return false
+		}
+		defer func() { _ = response.Body.Close() }()
+		n, err := io.Copy(io.Discard, response.Body)
+		return err == nil && response.StatusCode == http.StatusOK && n >= length
+	})
+}
