Read the platform's lists of up to 64 MiB again

The bound on answers of servers fell from 64 to 4 MiB for all clients, also for that of the platform's interface of entries and agents. It reads each list in one answer; the usage counts of a window alone are 4.4 MB at the promised size (docs/CAPACITY.md).

The test failed before: client_test.go:68: 0 objects, counts/: the answer of http://127.0.0.1:37865 is too large: 6144534 bytes, limit 4194304 (declared): platform unavailable --- FAIL: TestLongListIsRead (0.19s)

--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -22,6 +22,9 @@
 // milliseconds; the answer to a call that takes longer than this counts as lost.
 const DefaultCallTimeout = 5 * time.Second
 
+// maxAnswerBytes bounds an answer in bytes. A list isn't divided into pages: the usage counts of one window alone may take 4.4 MB.
+const maxAnswerBytes = 64 << 20
+
 // Paths of the platform's HTTP interface.
 const (
 	PathObjects      = "/v1/objects"
@@ -76,7 +79,8 @@
 	client := &Client{
 		base:    strings.TrimSuffix(base, "/"),
 		timeout: DefaultCallTimeout,
-		http:    exchange.NewClient(),
+		// An answer and the copy in one piece are held at the same time.
+		http: exchange.NewClient(exchange.WithMaxBody(maxAnswerBytes), exchange.WithMemory(exchange.NewMemory(2*maxAnswerBytes))),
 	}
 	for _, opt := range opts {
 		opt(client)
--- a/internal/edge/platform/client_test.go
+++ b/internal/edge/platform/client_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,6 +50,25 @@
 	return server, client
 }
 
+// Guards against lists that can't be read because they are longer than the answers of servers may be.
+func TestLongListIsRead(t *testing.T) {
+	const count, length = 12, 500 << 10
+	_, client := startStandin(t)
+	value, err := json.Marshal(strings.Repeat("x", length))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range count {
+		if _, err := client.Put(t.Context(), fmt.Sprintf("counts/%d", i), value, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	objects, err := client.List(t.Context(), "counts/")
+	if err != nil || len(objects) != count {
+		t.Errorf("%d objects, %v", len(objects), err)
+	}
+}
+
 func TestObjectsOverHTTP(t *testing.T) {
 	_, client := startStandin(t)
 	ctx := t.Context()
