Have a job run again by the neighbours of the entry that stopped announcing it

When a living entry stops announcing a job without an end or a successor, only the first seven entries in the job's order had it run again. Heartbeats go to and come from three neighbours each, so that of hundreds of entries most often none of the six that hear the announcements is among those seven, and no entry ran the job until its trainer read. With 380 entries that is nine of ten jobs, with 27 one of six.

Entries to which the job was announced until now act whatever their rank, and ask an owner that others name. They act one after the other as before, within 1.8 s after the pause.

The test failed before: rerunjobs_test.go:187: the job doesn't run --- FAIL: TestJobRunsAgainAtANeighbourOfItsOwner (6.10s)

--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -213,22 +213,23 @@
 // this one leaves.
 func (m *Manager) removeStaleOwners(from gossip.Member, running []string) {
 	m.mu.Lock()
-	var orphaned []string
+	orphaned := map[string]time.Duration{}
 	for id, known := range m.owners {
 		if known.hostID != from.HostID || slices.Contains(running, id) {
 			continue
 		}
-		stopped := !known.announcedAt.IsZero() && time.Since(known.announcedAt) > announcementTimeout
+		announcedAgo := time.Since(known.announcedAt)
+		stopped := !known.announcedAt.IsZero() && announcedAgo > announcementTimeout
 		if stopped {
-			orphaned = append(orphaned, id)
+			orphaned[id] = announcedAgo
 		}
 		if stopped || time.Since(known.learnedAt) > ownerAnnounceTime {
 			delete(m.owners, id)
 		}
 	}
 	m.mu.Unlock()
-	for _, id := range orphaned {
-		m.rerunOrphaned(id, from.HostID)
+	for id, announcedAgo := range orphaned {
+		m.rerunOrphaned(id, from.HostID, announcedAgo)
 	}
 }
 
--- a/internal/edge/batchjob/rerun.go
+++ b/internal/edge/batchjob/rerun.go
@@ -162,13 +162,15 @@
 const orphanDelay = 500 * time.Millisecond
 
 // rerunOrphaned restarts a job that its living entry no longer announces, unless it has ended or is known to run. Most of these jobs are
-// complete and were dropped from that entry's memory, so that only the first entries in the job's order read it.
-func (m *Manager) rerunOrphaned(id, stopped string) {
-	if m.ownRank(id) >= maxRerunTurns {
+// complete and were dropped from that entry's memory, so that few entries read it: the first ones in the job's order and those to which the
+// entry sends heartbeats regularly, if it announced the job until now. None of the first ones may be among these.
+func (m *Manager) rerunOrphaned(id, stopped string, announcedAgo time.Duration) {
+	rank := m.ownRank(id)
+	if announcedAgo > ownerAnnounceTime && rank >= maxRerunTurns {
 		return
 	}
 	m.wg.Go(func() {
-		if !ticker.Sleep(m.ctx, orphanDelay+m.ownTurn(id)) || m.needsNoRerun(id) {
+		if !ticker.Sleep(m.ctx, orphanDelay+time.Duration(rank%maxRerunTurns)*rerunTurn) || m.isDoneOrRunsElsewhere(id, true) {
 			return
 		}
 		m.log.Warn().Str("request", id).Str("entry", stopped).Msg("entry stopped running a batch job, and no other one announces it")
@@ -182,12 +184,16 @@
 	return m.isEnded(id) || ok && (j.isRunning() || j.finished())
 }
 
-// needsNoRerun reports whether a job has ended or runs. An owner that was only named by others, or was asked to run the job and hasn't
-// announced it, must confirm that it does.
-//
-// Otherwise each entry could rely on an owner that no longer runs the job, and no entry would. Only the first entries in the job's order ask:
-// one of them is enough, and an owner isn't to be asked by hundreds at once.
+// needsNoRerun reports whether a job has ended or runs. Only the first entries in the job's order ask an owner whether it runs the job: one of
+// them is enough, and an owner isn't to be asked by hundreds at once.
 func (m *Manager) needsNoRerun(id string) bool {
+	return m.isDoneOrRunsElsewhere(id, m.ownRank(id) < maxRerunTurns)
+}
+
+// isDoneOrRunsElsewhere reports whether a job has ended or runs. If ask is set, an owner that was only named by others, or was asked to run the
+// job and hasn't announced it, must confirm that it does. Otherwise each entry could rely on an owner that no longer runs the job, and no
+// entry would.
+func (m *Manager) isDoneOrRunsElsewhere(id string, ask bool) bool {
 	if m.isDone(id) {
 		return true
 	}
@@ -195,7 +201,7 @@
 	if !ok {
 		return false
 	}
-	if m.hasAnnounced(id, owner.HostID) || m.ownRank(id) >= maxRerunTurns {
+	if m.hasAnnounced(id, owner.HostID) || !ask {
 		return true
 	}
 	return m.requestRun(m.ctx, owner, RunRequest{Job: id})
--- a/internal/edge/batchjob/rerunjobs_test.go
+++ b/internal/edge/batchjob/rerunjobs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -159,3 +160,30 @@
 		t.Errorf("the job doesn't run %v after its owner stopped announcing it", maxIdleOfJob)
 	}
 }
+
+// Guards against a job that no entry runs in a large deployment, where those that hear the announcements of its owner are mostly not among
+// the first in the job's order.
+func TestJobRunsAgainAtANeighbourOfItsOwner(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	spec := newStoredSpec()
+	spec.Accepted = time.Now().Add(-ownerGracePeriod)
+	store := newMemoryStore()
+	store.put(t, KindJobs, spec.ID, spec)
+	members := fakeMembers{self: "self"}
+	for i := range 100 {
+		members.others = append(members.others, gossip.Member{HostID: fmt.Sprintf("other-%d", i)})
+	}
+	m := newTestManager(ctx, store.client(), members)
+	defer m.Wait()
+	defer cancel()
+	if rank := m.ownRank(spec.ID); rank < maxRerunTurns {
+		t.Fatalf("this entry is one of the first, rank %d", rank)
+	}
+	owner := members.others[0]
+	m.ApplyGossip(owner, []string{"j"}, nil, nil)
+	go ticker.Every(ctx, roster.Interval, func(time.Time) { m.ApplyGossip(owner, nil, nil, nil) })
+	if !runsWithin(m, "j", maxIdleOfJob) {
+		t.Errorf("the job doesn't run %v after its owner stopped announcing it", maxIdleOfJob)
+	}
+}
