End streams of engines that bring no event without end

An agent read lines of an engine's stream that are no events, and what followed the closing event, at full speed until the call's deadline. A stream may now bring 1 MiB without an event.

--- a/internal/edge/backendserver/engine.go
+++ b/internal/edge/backendserver/engine.go
@@ -4,19 +4,20 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
 )
 
 // dataPrefix starts the line of a server-sent event that carries its data.
 const dataPrefix = "data:"
 
-// maxEventBytes bounds one line of an engine's stream.
+// maxEventBytes bounds one line of an engine's stream, and how many bytes it may bring without an event.
 const maxEventBytes = 1 << 20
 
 // Engine is the client of one model engine. It is safe for concurrent use.
@@ -53,15 +54,19 @@
 }
 
 // readEvents calls onToken with each token until the closing event.
-func readEvents(stream io.Reader, onToken func(Token) error) error {
+func readEvents(stream *exchange.Stream, onToken func(Token) error) error {
 	lines := bufio.NewScanner(stream)
 	lines.Buffer(nil, maxEventBytes)
-	received := 0
+	received, unused := 0, 0
 	for lines.Scan() {
 		data, ok := strings.CutPrefix(lines.Text(), dataPrefix)
 		if !ok {
+			if unused += len(lines.Bytes()) + 1; unused > maxEventBytes {
+				return errors.Wrapf(ErrAnswerLost, "%d bytes without an event", unused)
+			}
 			continue
 		}
+		unused = 0
 		var event Event
 		if err := json.Unmarshal([]byte(data), &event); err != nil {
 			return errors.Wrapf(ErrAnswerLost, "decode event: %v", err)
@@ -80,14 +85,15 @@
 	return errors.Wrap(ErrAnswerLost, "stream ended without its closing event")
 }
 
-// finishStream checks the closing event against the number of tokens received, and reads the stream
-// to its end, so that its connection can be reused.
-func finishStream(stream io.Reader, event Event, received int) error {
+// finishStream checks the closing event against the number of tokens received, and reads the rest of
+// the stream, so that its connection can be reused.
+func finishStream(stream *exchange.Stream, event Event, received int) error {
 	if event.Tokens != received {
 		return errors.Wrapf(ErrAnswerLost, "engine sent %d tokens, %d arrived", event.Tokens, received)
 	}
-	_, err := io.Copy(io.Discard, stream)
-	return err
+	// All tokens have arrived. If the rest is long or late, the connection is closed.
+	_ = stream.Discard()
+	return nil
 }
 
 // Load returns the engine's report of its load, which lags behind its actual load.
