--- a/internal/edge/backendserver/engine.go
+++ b/internal/edge/backendserver/engine.go
@@ -90,13 +90,14 @@
 	return errors.Wrap(ErrAnswerLost, "stream ended without its closing event")
 }
 
-// finishStream checks the closing event against the number of tokens received, and reads the stream
-// to its end, so that its connection can be reused.
+// finishStream checks the closing event against the number of tokens received, and reads the rest of
+// the stream, so that its connection can be reused. If the rest is long or late, the connection is closed.
 func finishStream(stream *exchange.Stream, event Event, received int) error {
 	if event.Tokens != received {
 		return errors.Wrapf(ErrAnswerLost, "engine sent %d tokens, %d arrived", event.Tokens, received)
 	}
-	return stream.Discard()
+	_ = stream.Discard()
+	return nil
 }
 
 // Load returns the engine's report of its load, which lags behind its actual load.
--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -218,7 +218,7 @@
 func (m *Manager) removeStaleOwners(from gossip.Member, running []string) {
 	hearsAll := len(m.members.Alive(time.Now())) <= roster.MaxFullMesh
 	m.mu.Lock()
-	var orphaned []string
+	orphaned := map[string]time.Duration{}
 	for id, known := range m.owners {
 		if known.hostID != from.HostID || slices.Contains(running, id) {
 			continue
@@ -226,18 +226,18 @@
 		announced := !known.announcedAt.IsZero()
 		switch {
 		case !announced && hearsAll && time.Since(known.learnedAt) > ownerGracePeriod:
-			orphaned = append(orphaned, id)
+			orphaned[id] = time.Since(known.learnedAt)
 			delete(m.owners, id)
 		case announced && time.Since(known.announcedAt) > announcementTimeout:
-			orphaned = append(orphaned, id)
+			orphaned[id] = time.Since(known.announcedAt)
 			delete(m.owners, id)
 		case !announced && time.Since(known.learnedAt) > ownerAnnounceTime:
 			delete(m.owners, id)
 		}
 	}
 	m.mu.Unlock()
-	for _, id := range orphaned {
-		m.rerunOrphaned(id, from.HostID)
+	for id, announcedAgo := range orphaned {
+		m.rerunOrphaned(id, from.HostID, announcedAgo)
 	}
 }
 
