Share the excluded servers between the items of a plan

Each plan of a job in a pool of uneven speed visited all servers with free slots for each running item, and entered each excluded server for each item by itself. Only jobs with a single weight version need the first, and items that are excluded from the same servers now share the set.

--- a/internal/core/dispatch/restrict.go
+++ b/internal/core/dispatch/restrict.go
@@ -1,9 +1,13 @@
 package dispatch
 
+import "slices"
+
 // Restrictions say which servers may not run an item. They may change between two rankings.
 type Restrictions struct {
 	// excluded holds, by item, the servers that may not run it now.
 	excluded map[string]map[string]bool
+	// shared holds, by item, sets of such servers that several items have in common.
+	shared map[string][]map[string]bool
 	// suspects holds the suspects, with true for those that may only run where no other suspect does.
 	suspects map[string]bool
 	// needIdle are the items that need a server that runs nothing else.
@@ -21,8 +25,23 @@
 	r.excluded[item][server] = true
 }
 
-// Excludes reports whether Exclude was called for the item and the server.
-func (r *Restrictions) Excludes(item, server string) bool { return r.excluded[item][server] }
+// ExcludeSet adds servers that may not run the item now, as a set that isn't changed afterwards. It may be added for any number of items.
+func (r *Restrictions) ExcludeSet(item string, servers map[string]bool) {
+	if r.shared == nil {
+		r.shared = map[string][]map[string]bool{}
+	}
+	r.shared[item] = append(r.shared[item], servers)
+}
+
+// Excludes reports whether the server was excluded for the item.
+func (r *Restrictions) Excludes(item, server string) bool {
+	return r.excluded[item][server] || slices.ContainsFunc(r.shared[item], func(servers map[string]bool) bool { return servers[server] })
+}
+
+// ExcludesAny reports whether any server was excluded for the item.
+func (r *Restrictions) ExcludesAny(item string) bool {
+	return len(r.excluded[item]) > 0 || len(r.shared[item]) > 0
+}
 
 // AddSuspect adds a suspect. If it keeps apart, it may not share a server with another suspect; the servers at which one runs already are
 // excluded by Exclude.
--- a/internal/edge/batchjob/place.go
+++ b/internal/edge/batchjob/place.go
@@ -107,31 +107,63 @@
 			restrictions.Exclude(item, server)
 		}
 	}
-	for item := range j.unansweredItems {
-		excludeSilent(&restrictions, item, candidates)
-	}
-	for item, r := range j.runs {
-		for _, candidate := range candidates {
-			if r.wouldDiscardText(candidate.Server) {
-				restrictions.Exclude(item, candidate.Server.ID)
-			}
-		}
+	excludeSilent(&restrictions, j.unansweredItems, candidates)
+	if j.spec.SingleVersion {
+		excludeOtherVersions(&restrictions, j, candidates)
 	}
 	return restrictions
 }
 
 // excludeSilent excludes the candidates that are less responsive than another one that may run the item.
-func excludeSilent(restrictions *dispatch.Restrictions, item string, candidates []backend.Candidate) {
+func excludeSilent(restrictions *dispatch.Restrictions, items map[string]bool, candidates []backend.Candidate) {
+	var common map[string]bool
+	for item := range items {
+		if restrictions.ExcludesAny(item) {
+			restrictions.ExcludeSet(item, lessResponsive(restrictions, item, candidates))
+			continue
+		}
+		if common == nil {
+			common = lessResponsive(restrictions, item, candidates)
+		}
+		restrictions.ExcludeSet(item, common)
+	}
+}
+
+// lessResponsive returns the candidates that are less responsive than another one that may run the item.
+func lessResponsive(restrictions *dispatch.Restrictions, item string, candidates []backend.Candidate) map[string]bool {
 	best := backend.Failing
 	for _, candidate := range candidates {
 		if !restrictions.Excludes(item, candidate.Server.ID) {
 			best = min(best, candidate.Responsiveness)
 		}
 	}
+	servers := map[string]bool{}
 	for _, candidate := range candidates {
 		if candidate.Responsiveness > best {
-			restrictions.Exclude(item, candidate.Server.ID)
+			servers[candidate.Server.ID] = true
+		}
+	}
+	return servers
+}
+
+// excludeOtherVersions excludes, for the running items of a job that allows a single weight version, the candidates with another version than
+// that of the text received so far. The caller holds the job's lock.
+func excludeOtherVersions(restrictions *dispatch.Restrictions, j *job, candidates []backend.Candidate) {
+	others := map[int]map[string]bool{}
+	for item, r := range j.runs {
+		if len(r.output.Versions) == 0 {
+			continue
+		}
+		version := r.output.Versions[0]
+		if others[version] == nil {
+			others[version] = map[string]bool{}
+			for _, candidate := range candidates {
+				if r.wouldDiscardText(candidate.Server) {
+					others[version][candidate.Server.ID] = true
+				}
+			}
 		}
+		restrictions.ExcludeSet(item, others[version])
 	}
 }
 
