Pass on answers that there may be no memory for

Answers that declare up to 1 MiB were read whole. When many sound ones arrived slowly at once, they together exceeded the 8 MiB for all answers: the largest were ended, their callers got 502, and their servers were chosen last for 1 s to 16 s as if they sent without end.

An answer that declares more than 32 KiB is now passed on as it arrives, like one of more than 1 MiB, while the answers that are being read hold or expect more than half of the memory.

TestManyAnswersAtOnceArePassedOn (32 calls, answers of 900 KiB in 0.3 s) failed before, with several lines of passed_test.go:202: status 502, 186 bytes, <nil>

--- a/internal/edge/call/attempt.go
+++ b/internal/edge/call/attempt.go
@@ -60,13 +60,15 @@
 		attempt.recordUnusedBody(stream.Discard())
 		return
 	}
-	if isPassedOn(request, stream) {
+	done, ok := expectBody(request, stream)
+	if !ok {
 		stream.Header().CopyTo(&attempt.Header)
 		attempt.Outcome = verdict.Ran
 		s.passOn(ctx, attempt, stream, request.ID)
 		return
 	}
 	body, err := stream.ReadBody()
+	done()
 	if err != nil {
 		attempt.Cause = err
 		attempt.TooLarge = exchange.IsTooLarge(err)
--- a/internal/edge/call/passed.go
+++ b/internal/edge/call/passed.go
@@ -17,7 +17,7 @@
 	MaxAnswerBytes = 64 << 20
 )
 
-// PassedBody is the body of an answer that is passed on as it arrives, because it is too large for the memory. The request keeps its slot at
+// PassedBody is the body of an answer that is passed on as it arrives, because there may be no memory for it. The request keeps its slot at
 // the server until the body is closed. It is not safe for concurrent use.
 type PassedBody struct {
 	stream *exchange.Stream
@@ -29,10 +29,18 @@
 	end func()
 }
 
-// isPassedOn reports whether the answer is passed on as it arrives.
-func isPassedOn(request *Request, stream *exchange.Stream) bool {
+// expectBody reports whether the answer is read into memory, until done is called. Otherwise it is passed on as it arrives: a large one, and one
+// that there may be no memory for beside those that are being read.
+func expectBody(request *Request, stream *exchange.Stream) (done func(), ok bool) {
 	declared := stream.DeclaredLength()
-	return request.PassOn && declared > maxBufferedBytes && declared <= MaxAnswerBytes
+	switch {
+	case !request.PassOn || declared < 0 || declared > MaxAnswerBytes:
+		return func() {}, true
+	case declared > maxBufferedBytes:
+		return nil, false
+	default:
+		return stream.Expect()
+	}
 }
 
 // passOn makes the attempt's answer one that is passed on as it arrives.
--- a/internal/edge/exchange/memory.go
+++ b/internal/edge/exchange/memory.go
@@ -19,6 +19,8 @@
 	budget       *buffering.Budget
 	reservations map[*buffering.Answer]*reservation
 	limit        int
+	// expected is the total length of the answers that were announced by Expect and are being read.
+	expected int
 }
 
 // NewMemory returns memory for answers of limit bytes in total. While the answers together exceed it, the largest one is ended, and its
@@ -38,6 +40,22 @@
 	return m.budget.Held()
 }
 
+// expect announces an answer of declared length that is to be read whole, until done is called. It returns false if the answers expected and
+// held would then exceed half of the memory: the other half is for answers of undeclared length.
+func (m *Memory) expect(bytes int) (done func(), ok bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.expected+m.budget.Held()+bytes > m.limit/2 {
+		return nil, false
+	}
+	m.expected += bytes
+	return sync.OnceFunc(func() {
+		m.mutex.Lock()
+		defer m.mutex.Unlock()
+		m.expected -= bytes
+	}), true
+}
+
 // reservation is the part of the memory that one answer holds. It must be released.
 type reservation struct {
 	memory *Memory
--- a/internal/edge/exchange/stream.go
+++ b/internal/edge/exchange/stream.go
@@ -37,6 +37,16 @@
 	return s.resp.Header.ContentLength()
 }
 
+// Expect announces that a body of declared length is to be read by ReadBody, after which done must be called. It returns false if the body
+// might then be ended because of the other answers that are being read.
+func (s *Stream) Expect() (done func(), ok bool) {
+	declared := s.DeclaredLength()
+	if declared <= protectedBytes {
+		return func() {}, true
+	}
+	return s.trip.client.memory.expect(declared)
+}
+
 // Read returns io.EOF only after the whole body; a body that broke off ends with ErrAnswerLost.
 func (s *Stream) Read(data []byte) (int, error) {
 	if s.resp == nil {
--- a/internal/program/process/passed_test.go
+++ b/internal/program/process/passed_test.go
@@ -177,3 +177,32 @@
 		return err == nil && response.StatusCode == http.StatusOK && n >= length
 	})
 }
+
+// Guards against sound answers that are ended because together they exceed the memory for answers.
+func TestManyAnswersAtOnceArePassedOn(t *testing.T) {
+	const calls, length, blocks = 32, 900 << 10, 30
+	d, server := newDeploymentWithLargeAnswers(t, length)
+	server.limit = length
+	server.unit = func(block []byte, _ int) []byte {
+		time.Sleep(10 * time.Millisecond)
+		return append(block, make([]byte, length/blocks)...)
+	}
+	checkHeap := watchHeap(t)
+	var group conc.WaitGroup
+	for i := range calls {
+		group.Go(func() {
+			response, err := d.open(fmt.Sprintf("call-%d", i), 10*time.Second)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer func() { _ = response.Body.Close() }()
+			n, err := io.Copy(io.Discard, response.Body)
+			if err != nil || n != length || response.StatusCode != http.StatusOK {
+				t.Errorf("status %d, %d bytes, %v", response.StatusCode, n, err)
+			}
+		})
+	}
+	group.Wait()
+	checkHeap()
+}
