--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/edge/gossip"
 )
 
 // job is a batch job in the memory of this process, which runs it or has read it from the store.
@@ -30,6 +31,8 @@
 	betweenRuns map[string]batch.IdleState
 	// slowMoves are the items that left a slow server and haven't started elsewhere yet.
 	slowMoves map[string]move
+	// stalledItems are the items whose stream stalled, and that received no event since.
+	stalledItems map[string]bool
 	// interruptedRuns are runs that were interrupted lately at servers that are not known to have ended.
 	interruptedRuns []interruptedRun
 	// endedUnder holds the servers that were counted as ended under the items.
@@ -44,6 +47,8 @@
 	settled chan struct{}
 	// outOfMemory is set while unaccepted jobs may start no items because of their size.
 	outOfMemory bool
+	// handedOverBy is the leaving entry that handed the job over to this one, if any.
+	handedOverBy gossip.Member
 	// endRequested is set if the trainer ended the job and the end could not be stored yet.
 	endRequested bool
 	// writeAtOnce is set if results that were received before the acceptance wait for their first page.
@@ -78,17 +83,18 @@
 // writer identified the process, an earlier page whose create was delayed would be mistaken for the new one.
 func newJob(spec *batch.Job) *job {
 	return &job{
-		spec:        spec,
-		tokenRate:   spec.TokenRate(),
-		progress:    batch.NewProgress(spec, rand.Uint64()),
-		runs:        map[string]*itemRun{},
-		betweenRuns: map[string]batch.IdleState{},
-		slowMoves:   map[string]move{},
-		endedUnder:  map[serverUse]bool{},
-		changed:     make(chan struct{}),
-		wakeup:      make(chan struct{}, 1),
-		storeQuery:  make(chan struct{}, 1),
-		lastUse:     time.Now(),
+		spec:         spec,
+		tokenRate:    spec.TokenRate(),
+		progress:     batch.NewProgress(spec, rand.Uint64()),
+		runs:         map[string]*itemRun{},
+		betweenRuns:  map[string]batch.IdleState{},
+		slowMoves:    map[string]move{},
+		stalledItems: map[string]bool{},
+		endedUnder:   map[serverUse]bool{},
+		changed:      make(chan struct{}),
+		wakeup:       make(chan struct{}, 1),
+		storeQuery:   make(chan struct{}, 1),
+		lastUse:      time.Now(),
 	}
 }
 
--- a/internal/edge/batchjob/move.go
+++ b/internal/edge/batchjob/move.go
@@ -27,7 +27,9 @@
 
 // newRunLocked marks an item as running at a server whose slot was acquired, and returns the run. The caller holds the job's lock.
 func (m *Manager) newRunLocked(j *job, item *batch.Item, server backend.Server) *itemRun {
-	r := &itemRun{manager: m, job: j, item: item, output: j.progress.Start(item.ID), server: server}
+	r := &itemRun{
+		manager: m, job: j, item: item, output: j.progress.Start(item.ID), server: server, newConnection: j.stalledItems[item.ID],
+	}
 	slow, ok := j.slowMoves[item.ID]
 	delete(j.slowMoves, item.ID)
 	// An item that resumes where it was, because no other server is free, has not moved.
@@ -41,6 +43,10 @@
 	j.runs[item.ID] = r
 	delete(j.betweenRuns, item.ID)
 	if j.progress.Suspect(item.ID) {
+		if m.serverEnds.suspectServers(item.ID)[server.ID] {
+			m.log.Info().Str("request", j.spec.ID).Str("item", item.ID).Str("server", server.ID).
+				Object("counts", endCounts(j.progress.ServerEnds(item.ID))).Msg("suspect item started beside another one")
+		}
 		m.serverEnds.started(server.ID, item.ID)
 	}
 	return r
@@ -99,7 +105,7 @@
 	if r.next == nil {
 		return nil
 	}
-	moves := result == outcomeMoved || result == outcomeInterrupted || result == outcomeRefused
+	moves := result == outcomeMoved || result == outcomeInterrupted || result == outcomeEndless || result == outcomeRefused
 	if ctx.Err() == nil && moves && m.mayRunAt(j, r.item.ID, r.next.server.ID) {
 		j.progress.Requeue(r.item.ID)
 		if j.progress.IsWaiting(r.item.ID) {
--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -18,6 +18,9 @@
 const (
 	// ownerAnnounceTime is how long an entry announces in gossip a job's owner that it has learned: long enough to reach all entries.
 	ownerAnnounceTime = 4 * time.Second
+	// announcementTimeout is how long after its last announcement an entry still counts as running a job while its heartbeats don't announce
+	// it. Heartbeats may be processed in another order than they were sent.
+	announcementTimeout = time.Second
 	// maxOwnerAge is the age after which an owner is deleted although the end of its job was never announced.
 	maxOwnerAge = 10 * time.Minute
 )
@@ -57,6 +60,14 @@
 	m.owners[id] = known
 }
 
+// hasAnnounced reports whether the entry is on record as the owner of a job and has announced that itself.
+func (m *Manager) hasAnnounced(id, hostID string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.owners[id]
+	return known.hostID == hostID && !known.announcedAt.IsZero()
+}
+
 // announcedAgo returns how long ago the recorded owner of a job last announced here that it runs the job, or, if it never did, how long ago
 // this process learned of it.
 func (m *Manager) announcedAgo(id string) time.Duration {
@@ -166,8 +177,11 @@
 			m.log.Info().Str("request", id).Str("entry", from.HostID).Msg("entry runs a job that has ended")
 			continue
 		}
-		m.recordAnnouncement(id, from.HostID)
 		j, ok := m.find(id)
+		if ok && j.isHandedOverBy(from) {
+			continue
+		}
+		m.recordAnnouncement(id, from.HostID)
 		// Two entries that run the same job do its work twice until one of them stops.
 		if ok && j.isRunning() && !from.Leaving && from.HostID < self.HostID {
 			state := j.state()
@@ -192,16 +206,30 @@
 	return true
 }
 
-// removeStaleOwners removes an entry as the owner of jobs that it doesn't announce as running any more. One that was given a job a moment
-// ago may not announce it yet.
+// removeStaleOwners removes an entry as the owner of jobs that it doesn't announce as running any more, and has those that it did announce run
+// again unless another entry does. One that was given a job a moment ago may not announce it yet.
+//
+// An entry may stop a job without an end and without a successor: it left the job to another one that doesn't run it, or no entry took it as
+// this one leaves.
 func (m *Manager) removeStaleOwners(from gossip.Member, running []string) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
+	var orphaned []string
 	for id, known := range m.owners {
-		if known.hostID == from.HostID && time.Since(known.learnedAt) > ownerAnnounceTime && !slices.Contains(running, id) {
+		if known.hostID != from.HostID || slices.Contains(running, id) {
+			continue
+		}
+		stopped := !known.announcedAt.IsZero() && time.Since(known.announcedAt) > announcementTimeout
+		if stopped {
+			orphaned = append(orphaned, id)
+		}
+		if stopped || time.Since(known.learnedAt) > ownerAnnounceTime {
 			delete(m.owners, id)
 		}
 	}
+	m.mu.Unlock()
+	for _, id := range orphaned {
+		m.rerunOrphaned(id, from.HostID)
+	}
 }
 
 // mergeOwners records the owners that another entry has recorded, except for jobs with a living owner on record here: otherwise the
--- a/internal/edge/batchjob/serverend.go
+++ b/internal/edge/batchjob/serverend.go
@@ -1,6 +1,7 @@
 package batchjob
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net/netip"
@@ -57,8 +58,8 @@
 	}
 }
 
-// mayRunAt reports whether the item may run at the server: a suspect runs only where no other one does, and one that needs an idle server
-// only where nothing else runs. The caller holds the job's lock.
+// mayRunAt reports whether the item may run at the server: a suspect runs only where no other one does, unless it has waited for too long,
+// and one that needs an idle server only where nothing else runs. The caller holds the job's lock.
 func (m *Manager) mayRunAt(j *job, item, server string) bool {
 	if !j.progress.Suspect(item) {
 		return true
@@ -68,8 +69,12 @@
 
 // excludedServers returns the servers at which a suspect may not run, as a set. The caller holds the job's lock.
 func (m *Manager) excludedServers(j *job, item string) map[string]bool {
-	excluded := m.serverEnds.suspectServers(item)
-	if j.progress.NeedsIdleServer(time.Now(), item) {
+	now := time.Now()
+	excluded := map[string]bool{}
+	if j.progress.KeepsApart(now, item) {
+		excluded = m.serverEnds.suspectServers(item)
+	}
+	if j.progress.NeedsIdleServer(now, item) {
 		for server := range m.balancer.TotalRunning() {
 			excluded[server] = true
 		}
@@ -152,7 +157,7 @@
 	counted := j.progress.ServerEnds(run.item)
 	j.mu.Unlock()
 	m.serverEnds.count(now, run.serverUse, counted)
-	ends, ended, running := m.explainServerEnds(run.item)
+	ends, ended, running := m.explainServerEnds(j, run.item)
 	j.mu.Lock()
 	j.progress.MergeItemServerEnds(run.item, ends)
 	j.mu.Unlock()
@@ -163,14 +168,15 @@
 	j.wake()
 }
 
-// explainServerEnds applies what other ends in the pools say about the ends under an item. It returns the counts, and for the pool of the last
-// counted end, how many of its servers ended at that time and how many run.
-func (m *Manager) explainServerEnds(item string) (ends batch.ServerEnds, ended, running int) {
+// explainServerEnds applies what other ends in the pools say about the ends under an item of the job. It returns the counts, and for the pool of
+// the last counted end, how many of its servers ended at that time and how many run.
+func (m *Manager) explainServerEnds(j *job, item string) (ends batch.ServerEnds, ended, running int) {
 	known := m.serverEnds.find(item)
 	from, to := known.firstAt.Add(-endConfirmTime), known.changedAt.Add(endConfirmTime)
 	ends = known.ends
-	if known.pool != "" {
-		ended, running = m.balancer.Ends(known.pool, from, to)
+	// Only other entries may know of the ends, which don't name the pool.
+	if pool := cmp.Or(known.pool, j.spec.Pool); pool != "" && ends.Item > 0 {
+		ended, running = m.balancer.Ends(pool, from, to)
 		ends.ItemExplained = max(ends.ItemExplained, batch.ExplainedByChance(ended, ends.Item, running))
 	}
 	if known.rewardPool != "" {
@@ -184,10 +190,10 @@
 // reviewWithheld lets withheld items of the job run again whose ends are explained by now, or that are due for an isolated run.
 func (m *Manager) reviewWithheld(now time.Time, j *job) {
 	j.mu.Lock()
-	withheld := j.progress.WithheldItems()
+	withheld := j.progress.ReviewWithheld(now)
 	j.mu.Unlock()
 	for _, item := range withheld {
-		ends, ended, running := m.explainServerEnds(item)
+		ends, ended, running := m.explainServerEnds(j, item)
 		due := m.serverEnds.dueForIsolatedRun(now, item)
 		j.mu.Lock()
 		j.progress.MergeItemServerEnds(item, ends)
--- a/internal/edge/exchange/client.go
+++ b/internal/edge/exchange/client.go
@@ -29,8 +29,10 @@
 	DefaultDialTimeout = 2 * time.Second
 	// DefaultIdleTimeout is below the 60 s after which common servers close idle connections.
 	DefaultIdleTimeout = 20 * time.Second
-	// DefaultMaxBody is the largest body, in bytes, of an answer that Do reads.
-	DefaultMaxBody = 64 << 20
+	// DefaultMaxBody is the largest body, in bytes, of an answer that is read into memory.
+	DefaultMaxBody = 4 << 20
+	// DefaultMemory is the memory, in bytes, for all answers of a process that are read at the same time.
+	DefaultMemory = 8 << 20
 	// DefaultMaxIdle is the number of idle connections that are kept per server.
 	DefaultMaxIdle = 64
 )
@@ -42,6 +44,8 @@
 	maxBody     int
 	maxIdle     int
 	dialer      net.Dialer
+	memory      *Memory
+	onTooLarge  func(*AnswerTooLargeError)
 
 	mutex  sync.Mutex
 	closed bool
@@ -68,11 +72,21 @@
 	return func(c *Client) { c.dialer.KeepAliveConfig = config }
 }
 
-// WithMaxBody sets the largest body, in bytes, of an answer that Do reads.
+// WithMaxBody sets the largest body, in bytes, of an answer that Do and Stream.ReadBody read.
 func WithMaxBody(limit int) Option {
 	return func(c *Client) { c.maxBody = limit }
 }
 
+// WithMemory sets the memory for answers, which several clients can share. Without it a client has DefaultMemory for itself.
+func WithMemory(memory *Memory) Option {
+	return func(c *Client) { c.memory = memory }
+}
+
+// WithTooLargeObserver sets a function that is called for each answer that was ended because it is too large. It must not block.
+func WithTooLargeObserver(observe func(*AnswerTooLargeError)) Option {
+	return func(c *Client) { c.onTooLarge = observe }
+}
+
 // NewClient returns a client that has no connections yet.
 func NewClient(opts ...Option) *Client {
 	client := &Client{
@@ -81,29 +95,48 @@
 		maxBody:     DefaultMaxBody,
 		maxIdle:     DefaultMaxIdle,
 		idle:        make(map[string][]*connection),
+		onTooLarge:  func(*AnswerTooLargeError) {},
 	}
 	for _, opt := range opts {
 		opt(client)
 	}
+	if client.memory == nil {
+		client.memory = NewMemory(DefaultMemory)
+	}
 	return client
 }
 
-// Do sends the request and reads the complete answer. It doesn't follow redirects.
+// Do sends the request and reads the complete answer. It doesn't follow redirects. The answer counts as buffered until Do returns, and its
+// body stays valid when the response is released.
 func (c *Client) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
-	resp.StreamBody = false
-	trip, err := c.start(ctx, req, resp)
+	trip, err := c.start(ctx, req, resp, c.acquire)
 	if err != nil {
 		return err
 	}
-	trip.finish(true)
+	stream := &Stream{trip: trip, resp: resp, body: resp.BodyStream()}
+	content, body, err := stream.readJoined()
+	trip.finish(err == nil)
+	if err != nil {
+		return err
+	}
+	defer body.Release()
+	resp.SetBodyRaw(content)
 	return nil
 }
 
 // Open sends the request and returns once the header of the answer has arrived. The stream must be closed.
 func (c *Client) Open(ctx context.Context, req *fasthttp.Request) (*Stream, error) {
+	return c.open(ctx, req, c.acquire)
+}
+
+// OpenNew is Open on a new connection. An idle one may have gone silent, which shows only once a request is sent on it.
+func (c *Client) OpenNew(ctx context.Context, req *fasthttp.Request) (*Stream, error) {
+	return c.open(ctx, req, c.connect)
+}
+
+func (c *Client) open(ctx context.Context, req *fasthttp.Request, connect connector) (*Stream, error) {
 	resp := fasthttp.AcquireResponse()
-	resp.StreamBody = true
-	trip, err := c.start(ctx, req, resp)
+	trip, err := c.start(ctx, req, resp, connect)
 	if err != nil {
 		fasthttp.ReleaseResponse(resp)
 		return nil, err
@@ -135,9 +168,12 @@
 	reusable bool
 }
 
-// start sends the request and reads the answer, or only its header if resp.StreamBody is set.
-func (c *Client) start(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) (*roundTrip, error) {
-	conn, err := c.acquire(ctx, req)
+// connector returns a connection for a request.
+type connector func(context.Context, *fasthttp.Request) (*connection, error)
+
+// start sends the request and reads the header of the answer.
+func (c *Client) start(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, connect connector) (*roundTrip, error) {
+	conn, err := connect(ctx, req)
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "%v", err)
 	}
@@ -150,9 +186,14 @@
 		}
 		return nil, errors.Wrapf(ErrAnswerLost, "sending: %v", trip.cause(err))
 	}
+	resp.StreamBody = true
 	resp.SkipBody = req.Header.IsHead()
-	if err := resp.ReadLimitBody(conn.reader, c.maxBody); err != nil {
+	if err := resp.Read(conn.reader); err != nil {
 		trip.finish(false)
+		var headerTooLarge *fasthttp.ErrSmallBuffer
+		if errors.As(err, &headerTooLarge) {
+			return nil, c.tooLarge(conn, BoundHeader, conn.bytesReceived, conn.reader.Size())
+		}
 		return nil, errors.Wrapf(ErrAnswerLost, "reading: %v", trip.cause(err))
 	}
 	trip.reusable = !req.ConnectionClose() && !resp.ConnectionClose()
@@ -165,7 +206,7 @@
 func (t *roundTrip) finish(complete bool) {
 	inTime := t.stop()
 	switch {
-	case inTime && complete && t.reusable:
+	case inTime && complete && t.reusable && !t.conn.hasUnread():
 		t.client.release(t.conn)
 	case inTime:
 		t.conn.close()
@@ -187,12 +228,11 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
-	address, secure := target(req)
-	key := string(req.URI().Scheme()) + "://" + address
+	key := connectionKey(req)
 	for {
 		conn := c.takeIdle(key)
 		if conn == nil {
-			return c.dial(ctx, key, address, secure)
+			return c.connect(ctx, req)
 		}
 		if conn.usable(c.idleTimeout) {
 			return conn, nil
@@ -201,6 +241,18 @@
 	}
 }
 
+// connect dials a new connection.
+func (c *Client) connect(ctx context.Context, req *fasthttp.Request) (*connection, error) {
+	address, secure := target(req)
+	return c.dial(ctx, connectionKey(req), address, secure)
+}
+
+// connectionKey returns the key under which connections to the request's server are kept.
+func connectionKey(req *fasthttp.Request) string {
+	address, _ := target(req)
+	return string(req.URI().Scheme()) + "://" + address
+}
+
 // target returns the server's address with its port, and whether the connection uses TLS.
 func target(req *fasthttp.Request) (string, bool) {
 	uri := req.URI()
@@ -236,7 +288,7 @@
 		socket = tlsConn
 	}
 	conn := &connection{key: key, raw: raw, socket: socket}
-	conn.reader = bufio.NewReader(socket)
+	conn.reader = bufio.NewReader(conn)
 	return conn, nil
 }
 
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -146,8 +146,9 @@
 		Cores:            g.set.ProcessorCores,
 		Incarnation:      incarnation,
 	}
-	platformCalls := exchange.NewClient(exchange.WithDialTimeout(platformDialTimeout), exchange.WithKeepAlive(platformKeepAlive))
-	serverCalls := exchange.NewClient(exchange.WithDialTimeout(serverDialTimeout), exchange.WithIdleTimeout(serverIdleTimeout))
+	answers := answerOptions(metrics, g.log)
+	platformCalls := exchange.NewClient(append(answers, exchange.WithDialTimeout(platformDialTimeout), exchange.WithKeepAlive(platformKeepAlive))...)
+	serverCalls := exchange.NewClient(append(answers, exchange.WithDialTimeout(serverDialTimeout), exchange.WithIdleTimeout(serverIdleTimeout))...)
 	relay := &deferredRelay{}
 	g.store = store.New(store.NewHTTPTransport(platformAddress, platformCalls), relay, store.NewMetrics(metrics), g.log)
 	store.Serve(g.registry, g.store)
@@ -330,7 +331,9 @@
 	case <-ctx.Done():
 	case <-time.After(g.set.LeaveDelay):
 	}
-	return g.gateway.Drain(ctx)
+	err := g.gateway.Drain(ctx)
+	g.jobs.AwaitHandovers()
+	return err
 }
 
 // Drain hands over jobs and duties, refuses new connections and waits for running requests.
