--- a/internal/edge/batchjob/owner.go
+++ b/internal/edge/batchjob/owner.go
@@ -208,13 +208,8 @@
 }
 
 // removeStaleOwners removes an entry as the owner of jobs that it doesn't announce as running any more, and has those that it did announce run
-// again unless another entry does. One that was given a job a moment ago may not announce it yet.
-//
-// An entry may stop a job without an end and without a successor: it left the job to another one that doesn't run it, or no entry took it as
-// this one leaves.
-//
-// An entry may also never have got a job that another one recorded as given to it and then ended. Only where every entry hears all others is
-// it known that no announcement was missed.
+// again unless another entry does: it may have stopped a job without an end and without a successor. One that was given a job a moment ago
+// may not announce it yet, or may never have got it; the latter is known only where every entry hears all others.
 func (m *Manager) removeStaleOwners(from gossip.Member, running []string) {
 	hearsAll := len(m.members.Alive(time.Now())) <= roster.MaxFullMesh
 	m.mu.Lock()
--- a/internal/edge/batchjob/rerun.go
+++ b/internal/edge/batchjob/rerun.go
@@ -15,11 +15,8 @@
 // RerunJobsOf restarts the jobs that ran in a lost process of an entry, here or at their preferred runners. It doesn't wait for a trainer
 // to read results: a trainer that is connected to the lost entry may take seconds to connect to another one.
 //
-// All living entries try one after the other, in an order that depends on the job, until the job is known to run. If only the first entry
-// tried, the job could stall until its trainer reads: when several entries die at once and restart a moment later, the first may be one of
-// them and know nothing of the job.
-//
-// Most jobs on record for an entry that has left are complete. Only the first entries in the order read these from the store.
+// All living entries try one after the other, in an order that depends on the job, until the job is known to run: the first may itself have
+// been restarted and know nothing of the job. Most jobs of an entry that left are complete; only the first entries read these.
 func (m *Manager) RerunJobsOf(lost gossip.Member) {
 	for _, id := range m.jobsOwnedBy(lost.HostID) {
 		if lost.Leaving && m.ownRank(id) >= maxRerunTurns {
