--- a/internal/edge/batchjob/silentserver_test.go
+++ b/internal/edge/batchjob/silentserver_test.go
@@ -21,12 +21,12 @@
 	"github.com/oleandershelf/oleandershelf/platform/platformtest"
 )
 
-// relay passes connections on to a server. Those that are severed stay open, and nothing arrives at either side any more.
+// relay passes connections on to a server. Those that are interrupted stay open, and nothing arrives at either side any more.
 type relay struct {
-	listener net.Listener
-	target   string
-	mu       sync.Mutex
-	severed  chan struct{}
+	listener    net.Listener
+	target      string
+	mu          sync.Mutex
+	interrupted chan struct{}
 }
 
 func newRelay(t *testing.T, target netip.AddrPort) *relay {
@@ -36,7 +36,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	r := &relay{listener: listener, target: target.String(), severed: make(chan struct{})}
+	r := &relay{listener: listener, target: target.String(), interrupted: make(chan struct{})}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -51,17 +51,17 @@
 
 func (r *relay) address() netip.AddrPort { return r.listener.Addr().(*net.TCPAddr).AddrPort() }
 
-// sever makes all open connections go silent; later ones work.
-func (r *relay) sever() {
+// interrupt stops delivery on all open connections; later ones work.
+func (r *relay) interrupt() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	close(r.severed)
-	r.severed = make(chan struct{})
+	close(r.interrupted)
+	r.interrupted = make(chan struct{})
 }
 
 func (r *relay) serve(client net.Conn) {
 	r.mu.Lock()
-	severed := r.severed
+	interrupted := r.interrupted
 	r.mu.Unlock()
 	server, err := net.Dial("tcp", r.target)
 	if err != nil {
@@ -71,7 +71,7 @@
 	ended := make(chan struct{}, 2)
 	for _, ends := range [][2]net.Conn{{client, server}, {server, client}} {
 		go func() {
-			_, _ = io.Copy(silencer{ends[1], severed}, ends[0])
+			_, _ = io.Copy(dropper{ends[1], interrupted}, ends[0])
 			ended <- struct{}{}
 		}()
 	}
@@ -80,16 +80,16 @@
 	_ = server.Close()
 }
 
-// silencer drops what is written once its connection is severed.
-type silencer struct {
+// dropper drops what is written once its connection is interrupted.
+type dropper struct {
 	net.Conn
 
-	severed <-chan struct{}
+	interrupted <-chan struct{}
 }
 
-func (s silencer) Write(data []byte) (int, error) {
+func (s dropper) Write(data []byte) (int, error) {
 	select {
-	case <-s.severed:
+	case <-s.interrupted:
 		return len(data), nil
 	default:
 		return s.Conn.Write(data)
@@ -138,7 +138,7 @@
 	m.startJob(warm)
 	waitFor(t, "the first job is complete", warm.finished)
 	for _, r := range relays {
-		r.sever()
+		r.interrupt()
 	}
 	start := time.Now()
 	j := newPlacedJob("j", "x")
