--- a/internal/edge/leader/report.go
+++ b/internal/edge/leader/report.go
@@ -77,12 +77,13 @@
 	if err != nil {
 		return err
 	}
+	began := time.Now()
 	reply, err := r.deps.Reports.Send(ctx, call)
 	if err == nil {
 		err = platform.CheckStatus(reply)
 	}
 	r.deps.Log.Info().Int64("window", window).Uint64("fencing", uint64(holder.Fencing)).
-		Interface("counts", counts).AnErr("answer", err).Msg("usage reported")
+		Interface("counts", counts).AnErr("answer", err).Dur("took", time.Since(began)).Dur("leaseLeft", deadline.Sub(began)).Msg("usage reported")
 	return err
 }
 
--- a/internal/edge/leader/weights.go
+++ b/internal/edge/leader/weights.go
@@ -98,6 +98,9 @@
 	accepted int
 	answer   platform.OrderAnswer
 	err      error
+	holder   platform.DutyHolder
+	// took is how long the order was under way, and leaseLeft how long the lease was valid when it began.
+	took, leaseLeft time.Duration
 }
 
 // sendAll sends orders to different servers concurrently.
@@ -106,7 +109,11 @@
 	var sends conc.WaitGroup
 	for i, order := range orders {
 		accepted, known := s.accepted[order.Server.Key()]
-		sends.Go(func() { results[i] = s.send(ctx, order, accepted, known) })
+		sends.Go(func() {
+			began := time.Now()
+			results[i] = s.send(ctx, order, accepted, known)
+			results[i].took = time.Since(began)
+		})
 	}
 	sends.Wait()
 	for _, result := range results {
@@ -118,7 +125,8 @@
 func (s *orderSender) recordResult(now time.Time, planner *weights.Planner, result orderResult) {
 	key := result.order.Server.Key()
 	s.deps.Log.Info().Str("server", result.order.Server.ID).Str("model", result.order.Model).Int("version", result.order.Version).
-		Uint8("answer", uint8(result.answer)).AnErr("cause", result.err).Msg("weight version ordered")
+		Uint8("answer", uint8(result.answer)).AnErr("cause", result.err).Uint64("fencing", uint64(result.holder.Fencing)).
+		Dur("took", result.took).Dur("leaseLeft", result.leaseLeft).Msg("weight version ordered")
 	switch {
 	case result.answer == platform.OrderAccepted:
 		planner.RecordOrder(now, result.order)
@@ -141,6 +149,7 @@
 	result := orderResult{order: order}
 	server := s.deps.ServerCarrier(order.Server)
 	holder, deadline, held := s.guard.actingHolder()
+	result.holder, result.leaseLeft = holder, time.Until(deadline)
 	if !held {
 		return result
 	}
