Drop orders and usage reports in the kernel when their holder's time is over

Servers and the platform's interface for usage reports got calls of a former holder of the duties after those of the next one, with a lower fencing number.

Cause: a call that a living process gives up is reset, but nobody resets the connections of a process that was killed or is paused. Its kernel sends on what a cut holds up: the killed process's connection is closed in order, the paused one's stays open.

Evidence: TestOrderDoesNotOutliveItsHolder and TestUsageReportDoesNotOutliveItsHolder run gateways as processes of their own; a link with the smallest receive buffer has the sender's kernel keep the rest of a call. On three of five ways of losing the holder broke the order of the numbers, for orders and for reports alike: killed, killed and started again, paused (number 11 after 15, and after 35). Terminated and cut off passed.

Fix: before an order or a report is written, its connection gets a linger time of zero, so that the kernel resets it however the process ends, and TCP_USER_TIMEOUT with what is left until the call's deadline, so that the kernel gives up while the process is paused. Both are taken back once the answer is complete, since the connections are shared with other calls.

--- a/internal/edge/exchange/client.go
+++ b/internal/edge/exchange/client.go
@@ -111,7 +111,17 @@
 // Do sends the request and reads the complete answer. It doesn't follow redirects. The answer counts as buffered until Do returns, and its
 // body stays valid when the response is released.
 func (c *Client) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
-	trip, err := c.start(ctx, req, resp, c.acquire)
+	return c.do(ctx, req, resp, c.acquire)
+}
+
+// DoExpiring is Do for a request that must not reach the server after the deadline of the context, which it needs. A network may hold it up
+// while this process is killed or paused and can't reset the connection, so that the kernel has to drop it.
+func (c *Client) DoExpiring(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+	return c.do(ctx, req, resp, c.acquireExpiring)
+}
+
+func (c *Client) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, connect connector) error {
+	trip, err := c.start(ctx, req, resp, connect)
 	if err != nil {
 		return err
 	}
@@ -211,7 +221,7 @@
 func (t *roundTrip) finish(complete bool) {
 	inTime := t.stop()
 	switch {
-	case inTime && complete && t.reusable && !t.conn.hasUnread():
+	case inTime && complete && t.conn.clearExpiry() == nil && t.reusable && !t.conn.hasUnread():
 		t.client.release(t.conn)
 	case inTime:
 		t.conn.close()
@@ -246,6 +256,26 @@
 	}
 }
 
+// ErrNoDeadline is returned by DoExpiring for a context without a deadline.
+var ErrNoDeadline = errors.New("context has no deadline")
+
+// acquireExpiring is acquire for a request that expires with the context.
+func (c *Client) acquireExpiring(ctx context.Context, req *fasthttp.Request) (*connection, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return nil, ErrNoDeadline
+	}
+	conn, err := c.acquire(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.expireAt(deadline); err != nil {
+		conn.close()
+		return nil, err
+	}
+	return conn, nil
+}
+
 // connect dials a new connection.
 func (c *Client) connect(ctx context.Context, req *fasthttp.Request) (*connection, error) {
 	address, secure := target(req)
--- a/internal/edge/exchange/connection.go
+++ b/internal/edge/exchange/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"time"
 
@@ -24,6 +25,8 @@
 	// bytesReceived counts the bytes that were read from the socket since the current request was sent.
 	bytesReceived int
 	idleSince     time.Time
+	// expires is set while expireAt is in effect.
+	expires bool
 }
 
 // Write counts the bytes that it writes, so that a request that failed before its first byte can be distinguished from one that was sent in part.
@@ -78,6 +81,37 @@
 	return unread || err != nil && !errors.Is(err, socket.ErrNone)
 }
 
+// expireAt makes the kernel drop what the server has not acknowledged by the deadline, also if this process is paused, and what it has not
+// acknowledged when this process ends.
+func (c *connection) expireAt(deadline time.Time) error {
+	left := time.Until(deadline)
+	if left <= 0 {
+		return context.DeadlineExceeded
+	}
+	tcp, ok := c.raw.(*net.TCPConn)
+	if !ok {
+		return errors.Wrapf(socket.ErrNone, "%T", c.raw)
+	}
+	c.expires = true
+	if err := tcp.SetLinger(0); err != nil {
+		return err
+	}
+	return socket.SetUserTimeout(tcp, left)
+}
+
+// clearExpiry ends the effect of expireAt for later requests on the connection.
+func (c *connection) clearExpiry() error {
+	tcp, ok := c.raw.(*net.TCPConn)
+	if !ok || !c.expires {
+		return nil
+	}
+	c.expires = false
+	if err := tcp.SetLinger(-1); err != nil {
+		return err
+	}
+	return socket.SetUserTimeout(tcp, 0)
+}
+
 func (c *connection) close() {
 	// The outcome of the call is known by now, and a failing close doesn't change it.
 	_ = c.socket.Close()
--- a/internal/edge/socket/socket.go
+++ b/internal/edge/socket/socket.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -37,6 +38,18 @@
 	return err == nil && open
 }
 
+// SetUserTimeout limits how long the kernel waits for the peer to acknowledge data, whether or not this process runs. It then drops the data
+// and the connection. 0 removes the limit; others are rounded up to milliseconds.
+func SetUserTimeout(conn net.Conn, timeout time.Duration) error {
+	var failed error
+	milliseconds := int((timeout + time.Millisecond - 1) / time.Millisecond)
+	err := control(conn, func(fd int) { failed = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, milliseconds) })
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(failed, "TCP_USER_TIMEOUT")
+}
+
 // control calls f with the file descriptor of the connection, without waiting for its reads and writes.
 func control(conn net.Conn, f func(fd int)) error {
 	if secured, ok := conn.(*tls.Conn); ok {
--- /dev/null
+++ b/internal/program/process/holder_test.go
@@ -0,0 +1,104 @@
+package process
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/oleandershelf/oleandershelf/internal/edge/duty"
+)
+
+const (
+	pathOrders  = "POST /order"
+	pathReports = "POST /usage-reports"
+	// arrivalTime is how long held bytes have to arrive once they may go on: TCP probes a closed window after some seconds at most.
+	arrivalTime = 4 * time.Second
+)
+
+// losses are the ways in which the holder of the duties is lost.
+var losses = []struct {
+	name string
+	lose func(trial *holderTrial, holder duty.Holder)
+}{
+	{name: "killed", lose: func(trial *holderTrial, holder duty.Holder) { trial.processes[holder.HostID].Kill() }},
+	{name: "killed and started again", lose: func(trial *holderTrial, holder duty.Holder) {
+		trial.processes[holder.HostID].Kill()
+		time.Sleep(500 * time.Millisecond)
+		if err := trial.processes[holder.HostID].Start(); err != nil {
+			trial.t.Error(err)
+		}
+	}},
+	{name: "paused", lose: func(trial *holderTrial, holder duty.Holder) {
+		process := trial.processes[holder.HostID]
+		process.Signal(syscall.SIGSTOP)
+		trial.t.Cleanup(func() { process.Signal(syscall.SIGCONT) })
+	}},
+	{name: "terminated", lose: func(trial *holderTrial, holder duty.Holder) {
+		trial.processes[holder.HostID].Signal(syscall.SIGTERM)
+	}},
+	{name: "cut off from the store and the others", lose: func(trial *holderTrial, holder duty.Holder) {
+		trial.endpoints[holder.HostID].HangCalls()
+		for _, link := range trial.peers {
+			link.cut()
+		}
+	}},
+}
+
+// Guards against an order that is held up while its holder is lost, and reaches the server after an order of the next holder.
+func TestOrderDoesNotOutliveItsHolder(t *testing.T) {
+	for _, loss := range losses {
+		t.Run(loss.name, func(t *testing.T) {
+			t.Parallel()
+			trial := newHolderTrial(t)
+			trial.orders.hold(pathOrders)
+			trial.store.PutModelVersion(longName, 2)
+			holder := trial.awaitHeld(trial.orders)
+			loss.lose(trial, holder)
+			trial.awaitNextHolder(holder)
+			trial.store.PutModelVersion(longName, 3)
+			trial.eventually("the next holder orders the version", func() bool {
+				for _, order := range trial.engine.ReceivedOrders() {
+					if order.Version == 3 {
+						return true
+					}
+				}
+				return false
+			})
+			trial.orders.release()
+			time.Sleep(arrivalTime)
+			newest := uint64(0)
+			for _, order := range trial.engine.ReceivedOrders() {
+				if order.FenceToken < newest {
+					t.Errorf("the order for version %d arrived with the number %d after one with %d", order.Version, order.FenceToken, newest)
+				}
+				newest = max(newest, order.FenceToken)
+			}
+		})
+	}
+}
+
+// Guards against a usage report that is held up while its holder is lost, and arrives after a report of the next holder.
+func TestUsageReportDoesNotOutliveItsHolder(t *testing.T) {
+	for _, loss := range losses {
+		t.Run(loss.name, func(t *testing.T) {
+			t.Parallel()
+			trial := newHolderTrial(t)
+			trial.countCalls()
+			trial.reports.hold(pathReports)
+			holder := trial.awaitHeld(trial.reports)
+			loss.lose(trial, holder)
+			trial.awaitNextHolder(holder)
+			before := len(trial.usageReceiver.Reports())
+			trial.eventually("the next holder reports", func() bool { return len(trial.usageReceiver.Reports()) > before })
+			trial.reports.release()
+			time.Sleep(arrivalTime)
+			newest := uint64(0)
+			for _, report := range trial.usageReceiver.Reports() {
+				if report.Fencing < newest {
+					t.Errorf("the report of window %d arrived with the number %d after one with %d", report.Window, report.Fencing, newest)
+				}
+				newest = max(newest, report.Fencing)
+			}
+		})
+	}
+}
