End the calls under the lease before it is released, and with its loss

A holder of the duties that was asked to leave released the lease while an order or a usage report was under way. The next holder may act at once then, and what a network holds up of the former one's call arrives later.

Cause: the drain released the lease without regard to the leader's calls, which ended by their own deadlines: up to 0.6 s later for orders and 3.3 s for reports. That deadline follows the monotonic clock, too: after a host was suspended a call went on although the lease was over by the time of day.

Evidence: TestLeaseIsReleasedAfterTheCallsUnderIt terminates a gateway process while its order, or its report, is held up.

Fix: the drain stops the leader, which ends its calls (their connections are reset), before the lease is released; a call's context ends within 50 ms once the entry may not act any more.

--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -63,6 +63,7 @@
 // Leader does the holder's work while this entry holds the lease.
 type Leader struct {
 	deps    Deps
+	cancel  context.CancelFunc
 	work    conc.WaitGroup
 	reports *reporter
 	orders  *orderSender
@@ -74,7 +75,8 @@
 
 // New does the work whenever the keeper holds the lease, until ctx ends.
 func New(ctx context.Context, deps Deps) *Leader {
-	l := &Leader{deps: deps}
+	ctx, cancel := context.WithCancel(ctx)
+	l := &Leader{deps: deps, cancel: cancel}
 	l.guard = newTakeoverGuard(deps)
 	l.reports = newReporter(deps, l.guard)
 	l.orders = newOrderSender(deps, l.guard)
@@ -84,8 +86,17 @@
 	return l
 }
 
+// Stop ends all work, the calls under way included, and returns once it has ended. The lease can be released then.
+func (l *Leader) Stop() {
+	l.cancel()
+	l.Wait()
+}
+
 // Wait returns once all goroutines have ended, after the context has.
-func (l *Leader) Wait() { l.work.Wait() }
+func (l *Leader) Wait() {
+	l.work.Wait()
+	l.guard.checks.Wait()
+}
 
 // step reports usage and retirements if this entry may act.
 func (l *Leader) step(ctx context.Context, now time.Time) {
--- a/internal/edge/leader/report.go
+++ b/internal/edge/leader/report.go
@@ -67,17 +67,17 @@
 	if err != nil {
 		return err
 	}
-	holder, deadline, held := r.guard.actingHolder()
+	ctx, cancel, holder, held := r.guard.begin(ctx)
+	defer cancel()
 	if !held {
 		return errors.New("lease not held")
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
 	call, err := platform.UsageReport(holder, window, counts)
 	if err != nil {
 		return err
 	}
 	began := time.Now()
+	deadline, _ := ctx.Deadline()
 	reply, err := r.deps.Reports.Send(ctx, call)
 	if err == nil {
 		err = platform.CheckStatus(reply)
--- a/internal/edge/leader/turn.go
+++ b/internal/edge/leader/turn.go
@@ -1,12 +1,16 @@
 package leader
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/oleandershelf/oleandershelf/internal/core/lease"
 	"github.com/oleandershelf/oleandershelf/internal/edge/duty"
+	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 	"github.com/oleandershelf/oleandershelf/platform"
 )
 
@@ -15,6 +19,9 @@
 // numbers.
 const alternationWindow = 3500 * time.Millisecond
 
+// heldCheckInterval is how often the holder checks during a call that it still may act.
+const heldCheckInterval = 50 * time.Millisecond
+
 // Keeper reports whether this entry holds the lease, as duty.Keeper does.
 type Keeper interface {
 	Held(now time.Time) (duty.Fence, bool)
@@ -32,6 +39,8 @@
 	held bool
 	// actFrom is when this holder may begin to act.
 	actFrom time.Time
+	// checks end the calls under way.
+	checks conc.WaitGroup
 }
 
 func newTakeoverGuard(deps Deps) *takeoverGuard { return &takeoverGuard{deps: deps} }
@@ -63,6 +72,26 @@
 	return 0
 }
 
+// begin returns a context for a call under the lease, which ends once this entry may not act any more, and the holder under whose name to make
+// the call. It returns false if this entry may not act. The context must be cancelled.
+//
+// The deadline of the context isn't enough: it follows the monotonic clock, which doesn't count the time in which the host was suspended, and
+// a lease that is released ends before.
+func (g *takeoverGuard) begin(ctx context.Context) (context.Context, context.CancelFunc, platform.DutyHolder, bool) {
+	holder, deadline, held := g.actingHolder()
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	if held {
+		g.checks.Go(func() {
+			ticker.Every(ctx, heldCheckInterval, func(now time.Time) {
+				if _, mayAct := g.mayAct(now); !mayAct {
+					cancel()
+				}
+			})
+		})
+	}
+	return ctx, cancel, holder, held
+}
+
 // actingHolder returns the holder under whose name to act now and the deadline for doing so; false if this entry may not act.
 func (g *takeoverGuard) actingHolder() (platform.DutyHolder, time.Time, bool) {
 	fence, mayAct := g.mayAct(time.Now())
--- a/internal/edge/leader/weights.go
+++ b/internal/edge/leader/weights.go
@@ -148,13 +148,13 @@
 func (s *orderSender) send(ctx context.Context, order weights.Order, accepted int, known bool) orderResult {
 	result := orderResult{order: order}
 	server := s.deps.ServerCarrier(order.Server)
-	holder, deadline, held := s.guard.actingHolder()
-	result.holder, result.leaseLeft = holder, time.Until(deadline)
+	ctx, cancel, holder, held := s.guard.begin(ctx)
+	defer cancel()
 	if !held {
 		return result
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
+	deadline, _ := ctx.Deadline()
+	result.holder, result.leaseLeft = holder, time.Until(deadline)
 	ctx, cancelCall := context.WithTimeout(ctx, orderTimeout)
 	defer cancelCall()
 	if !known {
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -338,6 +338,7 @@
 	g.gateway.Leave()
 	g.gossip.Leave()
 	g.jobs.HandOverJobs(ctx)
+	g.leader.Stop()
 	if err := g.keeper.Release(ctx); err != nil {
 		g.log.Warn().Err(err).Msg("cannot release the duties")
 	}
--- a/internal/program/process/holder_test.go
+++ b/internal/program/process/holder_test.go
@@ -102,3 +102,29 @@
 		})
 	}
 }
+
+// Guards against a lease that is released, and taken over at once, while a call of its holder is under way.
+func TestLeaseIsReleasedAfterTheCallsUnderIt(t *testing.T) {
+	for _, test := range []struct{ name, path string }{{name: "order", path: pathOrders}, {name: "usage report", path: pathReports}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			trial := newHolderTrial(t)
+			link := trial.orders
+			if test.path == pathReports {
+				link = trial.reports
+				trial.countCalls()
+			}
+			link.hold(test.path)
+			trial.store.PutModelVersion(longName, 2)
+			holder := trial.awaitHeld(link)
+			trial.processes[holder.HostID].Signal(syscall.SIGTERM)
+			trial.eventually("the lease is released", func() bool {
+				record := trial.leaseRecord()
+				return record.Released || record.Holder != holder
+			})
+			if link.isOpen() {
+				t.Error("the call is under way")
+			}
+		})
+	}
+}
