Send an order only right after its server has answered

A holder of the duties that knew how many orders a server had accepted sent the next one blindly. Behind a network that was cut already the order lay there until the cut ended, and could arrive after one of a later holder.

TestOrderIsSentToAServerThatAnswers failed before: 1 order, want none.

Fix: each order follows an answered read of the server's state, which carries no fencing number, on the connection that the pool returned last. Only a cut that begins between the two can hold up an order now.

--- a/internal/edge/leader/weights.go
+++ b/internal/edge/leader/weights.go
@@ -9,6 +9,7 @@
 
 	"github.com/oleandershelf/oleandershelf/internal/core/backend"
 	"github.com/oleandershelf/oleandershelf/internal/core/weights"
+	"github.com/oleandershelf/oleandershelf/internal/edge/store"
 	"github.com/oleandershelf/oleandershelf/platform"
 )
 
@@ -144,7 +145,9 @@
 	}
 }
 
-// send sends one order under the lease. It first reads the server's count of accepted orders if that is not known.
+// send sends one order under the lease, right after the server answered a read of its state. A network that is cut already thus holds up the
+// read, and not the order, which would arrive after orders of a later holder. The count of accepted orders is taken from the answer unless it
+// is known: the answer may be older than the last order.
 func (s *orderSender) send(ctx context.Context, order weights.Order, accepted int, known bool) orderResult {
 	result := orderResult{order: order}
 	server := s.deps.ServerCarrier(order.Server)
@@ -157,17 +160,12 @@
 	result.holder, result.leaseLeft = holder, time.Until(deadline)
 	ctx, cancelCall := context.WithTimeout(ctx, orderTimeout)
 	defer cancelCall()
+	state, err := readState(ctx, server, order.Server.ID)
+	if err != nil {
+		result.err = err
+		return result
+	}
 	if !known {
-		reply, err := server.Send(ctx, platform.ServerReport(order.Server.ID))
-		if err != nil {
-			result.err = err
-			return result
-		}
-		state, err := platform.ReadServerReport(reply)
-		if err != nil {
-			result.err = err
-			return result
-		}
 		accepted = state.AcceptedOrders
 	}
 	result.accepted = accepted
@@ -185,3 +183,11 @@
 	result.answer = platform.ReadOrderAnswer(reply)
 	return result
 }
+
+func readState(ctx context.Context, server store.Transport, serverID string) (platform.EngineState, error) {
+	reply, err := server.Send(ctx, platform.ServerReport(serverID))
+	if err != nil {
+		return platform.EngineState{}, err
+	}
+	return platform.ReadServerReport(reply)
+}
