Let a returning holder wait by its own steady clock

A host that takes the duties back after another one must not act within three seconds of its earlier calls. It measured that from the time of day at which the other host had taken over, by that host's clock: two clocks that differ by two seconds, or one that was stepped, shortened the wait by as much. Takeovers that don't wait for the lease's term make the case likelier.

The process now counts from when it last held the lease, or from its own start, which earlier processes of the host ended before, by the monotonic clock.

--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -77,7 +77,7 @@
 func New(ctx context.Context, deps Deps) *Leader {
 	ctx, cancel := context.WithCancel(ctx)
 	l := &Leader{deps: deps, cancel: cancel}
-	l.guard = newTakeoverGuard(deps)
+	l.guard = newTakeoverGuard(deps, time.Now())
 	l.reports = newReporter(deps, l.guard)
 	l.orders = newOrderSender(deps, l.guard)
 	l.work.Go(func() { ticker.Every(ctx, stepInterval, func(now time.Time) { l.step(ctx, now) }) })
--- a/internal/edge/leader/lost_test.go
+++ b/internal/edge/leader/lost_test.go
@@ -46,7 +46,7 @@
 		HostID: "h1", Keeper: keeper, Log: zerolog.Nop(), Reports: transport, Ledger: usage.NewLedger(), Window: time.Second,
 		Store: store.New(store.NewHTTPTransport(address, client), transport, store.NewMetrics(prometheus.NewRegistry()), zerolog.Nop()),
 	}
-	reports := newReporter(deps, newTakeoverGuard(deps))
+	reports := newReporter(deps, newTakeoverGuard(deps, time.Now()))
 	ended := make(chan error, 1)
 	go func() { ended <- reports.report(t.Context(), 1) }()
 	<-transport.began
--- a/internal/edge/leader/turn.go
+++ b/internal/edge/leader/turn.go
@@ -29,21 +29,26 @@
 
 // takeoverGuard decides whether this entry may act under its lease.
 //
-// Guards against alternating holders: a host that leaves releases its lease, the next holder acts and leaves as well, and the
-// first host, restarted by then, takes the lease back. Its actions before and after then enclose those of the other within
-// moments. A host that takes the lease over from another one therefore waits until its own last tenure, which is recorded in
-// the lease, ended long enough ago.
+// Guards against alternating holders: a host that leaves or ends loses its lease, the next holder acts and is lost as well, and the first
+// host, restarted by then, takes the lease back. Its actions before and after then enclose those of the other within moments. A host that
+// takes the lease over from another one, and held it before, therefore waits until it can't have acted for alternationWindow.
 type takeoverGuard struct {
 	deps Deps
 	mu   sync.Mutex
 	held bool
+	// lastHeld is when this process last held the lease. Before it has, it is when the process started: earlier processes of this host
+	// acted before that.
+	lastHeld time.Time
 	// actFrom is when this holder may begin to act.
 	actFrom time.Time
 	// checks end the calls under way.
 	checks conc.WaitGroup
 }
 
-func newTakeoverGuard(deps Deps) *takeoverGuard { return &takeoverGuard{deps: deps} }
+// newTakeoverGuard returns the guard of a process that started at the given time, which must carry a monotonic reading.
+func newTakeoverGuard(deps Deps, started time.Time) *takeoverGuard {
+	return &takeoverGuard{deps: deps, lastHeld: started}
+}
 
 // mayAct returns the fence under which this entry holds the lease, and whether it may act at now.
 func (g *takeoverGuard) mayAct(now time.Time) (duty.Fence, bool) {
@@ -51,25 +56,22 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if held && !g.held {
-		g.actFrom = now.Add(takeoverDelay(fence.Past, g.deps.HostID, now))
+		g.actFrom = now
+		if returns(fence.Past, g.deps.HostID) {
+			g.actFrom = g.lastHeld.Add(alternationWindow)
+		}
+	}
+	if held {
+		g.lastHeld = now
 	}
 	g.held = held
 	return fence, held && !now.Before(g.actFrom)
 }
 
-// takeoverDelay returns how long the host must wait before it acts after other hosts held the lease. If the host itself was
-// the most recent holder it need not wait, since nobody else acted in between. The delay is at most alternationWindow, even if
-// a clock was stepped.
-func takeoverDelay(past []lease.Tenure, hostID string, now time.Time) time.Duration {
-	if len(past) == 0 || past[len(past)-1].HostID == hostID {
-		return 0
-	}
-	for _, tenure := range slices.Backward(past) {
-		if tenure.HostID == hostID {
-			return min(alternationWindow, max(0, alternationWindow-now.Round(0).Sub(tenure.Until)))
-		}
-	}
-	return 0
+// returns reports whether the host held the lease before, and another one since.
+func returns(past []lease.Tenure, hostID string) bool {
+	return len(past) > 0 && past[len(past)-1].HostID != hostID &&
+		slices.ContainsFunc(past, func(tenure lease.Tenure) bool { return tenure.HostID == hostID })
 }
 
 // begin returns a context for a call under the lease, which ends once this entry may not act any more, and the holder under whose name to make
--- a/internal/edge/leader/weights_test.go
+++ b/internal/edge/leader/weights_test.go
@@ -33,7 +33,7 @@
 			HostID: "h1", Keeper: keeper, Log: zerolog.Nop(),
 			ServerCarrier: func(backend.Server) store.Transport { return store.NewHTTPTransport(server.Address, client) },
 		}
-		orders := newOrderSender(deps, newTakeoverGuard(deps))
+		orders := newOrderSender(deps, newTakeoverGuard(deps, time.Now()))
 		for range 3 {
 			version++
 			order := weights.Order{Server: server, Model: "m", Version: version}
@@ -69,7 +69,7 @@
 		ServerCarrier: func(backend.Server) store.Transport { return transport },
 	}
 	for _, known := range []bool{false, true} {
-		result := newOrderSender(deps, newTakeoverGuard(deps)).send(t.Context(), weights.Order{Model: "m", Version: 2}, 1, known)
+		result := newOrderSender(deps, newTakeoverGuard(deps, time.Now())).send(t.Context(), weights.Order{Model: "m", Version: 2}, 1, known)
 		if result.err == nil || transport.writes > 0 {
 			t.Errorf("with the count of orders known %v: %d orders, error %v, want none and one", known, transport.writes, result.err)
 		}
