Take the duties over as soon as their holder's process is known to have ended

After the holder of the duties was killed, no server got an order until the term of its lease had passed.

Cause: a contender can't tell a holder that was killed from one that is paused or cut off, and waits 4.7 s from the last renewal.

Evidence: TestOrdersGoOnAfterTheHolderEnds kills the holder's process and names a version.

Holders that are paused, suspended, without power or cut off refuse nothing: their term is waited for as before.

--- a/internal/edge/gossip/gossip.go
+++ b/internal/edge/gossip/gossip.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
@@ -124,6 +125,12 @@
 	return member, ok
 }
 
+// HasEnded reports whether a run of an entry, by its address and incarnation, is known to have ended: no process listens at its address.
+func (g *Gossip) HasEnded(address netip.AddrPort, incarnation uint64) (ended bool) {
+	g.withRoster(func(r *roster.Roster) { ended = r.HasEnded(address, incarnation) })
+	return ended
+}
+
 // buildHeartbeat returns a heartbeat for the entry.
 func (g *Gossip) buildHeartbeat(now time.Time, to Member, keepsCopies bool) Heartbeat {
 	var list []roster.Update
@@ -164,7 +171,12 @@
 	defer cancel()
 	heartbeat := g.buildHeartbeat(time.Now(), call.Member, call.KeepsCopies)
 	answer, err := peer.Call[Heartbeat, Heartbeat](ctx, g.client, call.Address, MethodHeartbeat, heartbeat)
-	g.withRoster(func(r *roster.Roster) { r.CallEnded(call.Address) })
+	g.withRoster(func(r *roster.Roster) {
+		r.CallEnded(call.Address)
+		if errors.Is(err, peer.ErrNotListening) {
+			r.RecordEnd(call.Member)
+		}
+	})
 	if err != nil {
 		// An entry that doesn't answer is considered silent after some time.
 		return
--- a/internal/program/process/holder_harness_test.go
+++ b/internal/program/process/holder_harness_test.go
@@ -175,8 +175,10 @@
 	*deployment
 	engine          *platformtest.Server
 	orders, reports *holdingLink
-	// peers are the links over which the processes reach each other.
+	// peers are the links over which the processes reach each other, if peersLinked is set.
 	peers             []*holdingLink
+	peersLinked       bool
+	seed              netip.AddrPort
 	processes         map[string]*binary.Process
 	endpoints         map[string]*platformtest.Endpoint
 	callerURLs, ready map[string]string
@@ -185,11 +187,12 @@
 // longName makes the orders and reports that contain it larger than the receive buffer of a holdingLink.
 var longName = strings.Repeat("x", 4000)
 
-func newHolderTrial(t *testing.T) *holderTrial {
+// newHolderTrial starts three gateways, with links between them if peersLinked is set.
+func newHolderTrial(t *testing.T, peersLinked bool) *holderTrial {
 	t.Helper()
 	d := newDeployment(t, 0)
 	trial := &holderTrial{
-		deployment: d, engine: platformtest.NewServer(t, "engine-held", "engines", map[string]int{longName: 1}), processes: map[string]*binary.Process{}, endpoints: map[string]*platformtest.Endpoint{},
+		deployment: d, peersLinked: peersLinked, engine: platformtest.NewServer(t, "engine-held", "engines", map[string]int{longName: 1}), processes: map[string]*binary.Process{}, endpoints: map[string]*platformtest.Endpoint{},
 		callerURLs: map[string]string{}, ready: map[string]string{},
 	}
 	trial.orders = newHoldingLink(t, trial.engine.Address().String())
@@ -226,11 +229,17 @@
 	}
 	endpoint := trial.store.NewEndpoint(t)
 	set := trial.settings(host, endpoint)
-	trial.peers = append(trial.peers, newHoldingLink(t, set.PeerListen.String()))
-	advertised := trial.peers[len(trial.peers)-1].Address
+	advertised := set.PeerListen
+	if trial.peersLinked {
+		trial.peers = append(trial.peers, newHoldingLink(t, set.PeerListen.String()))
+		advertised = trial.peers[len(trial.peers)-1].Address
+	}
+	if !trial.seed.IsValid() {
+		trial.seed = advertised
+	}
 	fields, err := json.Marshal(map[string]any{
 		"hostId": set.HostID, "availabilityZone": set.AvailabilityZone, "listen": set.Listen, "peerListen": set.PeerListen,
-		"peerAdvertise": advertised, "seeds": []netip.AddrPort{trial.peers[0].Address},
+		"peerAdvertise": advertised, "seeds": []netip.AddrPort{trial.seed},
 		"adminListen": set.AdminListen, "platformUrl": set.PlatformURL, "reportsUrl": "http://" + trial.reports.Address.String(),
 		"peerSecret": set.PeerSecret, "usageWindow": set.UsageWindow.String(), "leaveDelay": set.LeaveDelay.String(), "drainTime": set.DrainTime.String(),
 	})
--- a/internal/program/process/holder_test.go
+++ b/internal/program/process/holder_test.go
@@ -18,6 +18,8 @@
 // losses are the ways in which the holder of the duties is lost.
 var losses = []struct {
 	name string
+	// cut is set if the loss needs links between the processes.
+	cut  bool
 	lose func(trial *holderTrial, holder duty.Holder)
 }{
 	{name: "killed", lose: func(trial *holderTrial, holder duty.Holder) { trial.processes[holder.HostID].Kill() }},
@@ -36,7 +38,7 @@
 	{name: "terminated", lose: func(trial *holderTrial, holder duty.Holder) {
 		trial.processes[holder.HostID].Signal(syscall.SIGTERM)
 	}},
-	{name: "cut off from the store and the others", lose: func(trial *holderTrial, holder duty.Holder) {
+	{name: "cut off from the store and the others", cut: true, lose: func(trial *holderTrial, holder duty.Holder) {
 		trial.endpoints[holder.HostID].HangCalls()
 		for _, link := range trial.peers {
 			link.cut()
@@ -49,7 +51,7 @@
 	for _, loss := range losses {
 		t.Run(loss.name, func(t *testing.T) {
 			t.Parallel()
-			trial := newHolderTrial(t)
+			trial := newHolderTrial(t, loss.cut)
 			trial.orders.hold(pathOrders)
 			trial.store.PutModelVersion(longName, 2)
 			holder := trial.awaitHeld(trial.orders)
@@ -82,7 +84,7 @@
 	for _, loss := range losses {
 		t.Run(loss.name, func(t *testing.T) {
 			t.Parallel()
-			trial := newHolderTrial(t)
+			trial := newHolderTrial(t, loss.cut)
 			trial.countCalls()
 			trial.reports.hold(pathReports)
 			holder := trial.awaitHeld(trial.reports)
@@ -108,7 +110,7 @@
 	for _, test := range []struct{ name, path string }{{name: "order", path: pathOrders}, {name: "usage report", path: pathReports}} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			trial := newHolderTrial(t)
+			trial := newHolderTrial(t, false)
 			link := trial.orders
 			if test.path == pathReports {
 				link = trial.reports
@@ -128,3 +130,27 @@
 		})
 	}
 }
+
+// maxOrderPause is how long no order may reach a server after the process of the holder has ended: the others call it every 0.4 s, and find
+// that nobody listens.
+const maxOrderPause = 2 * time.Second
+
+// Guards against servers that get no orders for a full term of the lease although the holder's process has ended.
+func TestOrdersGoOnAfterTheHolderEnds(t *testing.T) {
+	trial := newHolderTrial(t, false)
+	trial.eventually("a process holds the duties", func() bool { return trial.leaseRecord().Holder.HostID != "" })
+	trial.store.PutModelVersion(longName, 2)
+	trial.eventually("the version is ordered", func() bool { return len(trial.engine.ReceivedOrders()) > 0 })
+	// Another process must know the holder by then.
+	time.Sleep(time.Second)
+	holder := trial.leaseRecord().Holder
+	trial.processes[holder.HostID].Kill()
+	ended := time.Now()
+	trial.store.PutModelVersion(longName, 3)
+	trial.eventually("the next version is ordered", func() bool { return len(trial.engine.ReceivedOrders()) > 1 })
+	took := time.Since(ended)
+	t.Logf("ordered after %v", took)
+	if took > maxOrderPause {
+		t.Errorf("no order for %v, want at most %v", took, maxOrderPause)
+	}
+}
