Drop writes to the store and server orders in the kernel at their deadline

A write to the platform's store, or an order to start and stop servers, that a network held up while its process was killed or paused reached the platform seconds later: a batch job that nobody had accepted was stored, and a fleet order that was out of date arrived whole.

Cause: the same as for orders and usage reports: nobody resets the connection.

Fix: all writes expire with their deadline, not only those of the leader; the transport knows which calls write. Every write to the store is conditional or has no effect when repeated, so that a late one broke no promise so far; an order to start servers was refused by its number.

--- a/internal/edge/leader/leader.go
+++ b/internal/edge/leader/leader.go
@@ -40,7 +40,7 @@
 	HostID string
 	Keeper Keeper
 	Store  *store.Store
-	// Reports sends calls to the platform's interface for usage reports. They must not arrive after their deadline.
+	// Reports sends calls to the platform's interface for usage reports, which must not arrive after their deadline.
 	Reports store.Transport
 	// ServerCarrier returns the transport for calls to a backend server, which must not arrive after their deadline.
 	ServerCarrier func(backend.Server) store.Transport
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -160,14 +160,14 @@
 func (c *Client) read(ctx context.Context, timeout time.Duration, path string, query url.Values, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	err := c.call(ctx, http.MethodGet, path, query, nil, into)
+	err := c.call(ctx, c.http.Do, http.MethodGet, path, query, nil, into)
 	if errors.Is(err, exchange.ErrNotSent) || errors.Is(err, exchange.ErrAnswerLost) || errors.Is(err, ErrOutcomeUnknown) {
 		return errors.Wrap(ErrUnavailable, err.Error())
 	}
 	return err
 }
 
-// write makes a call with an effect. It returns ErrUnavailable for a write that can't have been sent, and
+// write makes a call with an effect, which has none after the call has timed out unless it reached the platform before. It returns ErrUnavailable for a write that can't have been sent, and
 // ErrOutcomeUnknown for one whose answer was lost. If a lost answer counted as a failed write, the caller might write
 // twice. If an unsent write counted as lost, the caller would try to find out the effect of a write that never took place.
 func (c *Client) write(
@@ -175,7 +175,7 @@
 ) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	err := c.call(ctx, method, path, query, body, into)
+	err := c.call(ctx, c.http.DoExpiring, method, path, query, body, into)
 	switch {
 	case errors.Is(err, exchange.ErrNotSent):
 		return errors.Wrap(ErrUnavailable, err.Error())
@@ -186,9 +186,12 @@
 	}
 }
 
+// doer sends a request and reads its answer.
+type doer func(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error
+
 // call sends one request and decodes the response into into, unless that is nil.
 func (c *Client) call(
-	ctx context.Context, method, path string, query url.Values, body []byte, into any,
+	ctx context.Context, do doer, method, path string, query url.Values, body []byte, into any,
 ) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -205,7 +208,7 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(body)
 	}
-	if err := c.http.Do(ctx, req, resp); err != nil {
+	if err := do(ctx, req, resp); err != nil {
 		return err
 	}
 	if err := statusError(resp.StatusCode()); err != nil {
--- a/internal/edge/store/http.go
+++ b/internal/edge/store/http.go
@@ -15,21 +15,15 @@
 // HTTPTransport sends calls over HTTP to one address.
 type HTTPTransport struct {
 	address netip.AddrPort
-	do      func(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error
+	client  *exchange.Client
 }
 
 // NewHTTPTransport returns a transport to the address.
 func NewHTTPTransport(address netip.AddrPort, client *exchange.Client) *HTTPTransport {
-	return &HTTPTransport{address: address, do: client.Do}
+	return &HTTPTransport{address: address, client: client}
 }
 
-// NewExpiringTransport returns a transport to the address for calls that must not arrive after the deadline of their context, which they need.
-// exchange.Client.DoExpiring describes how that is kept.
-func NewExpiringTransport(address netip.AddrPort, client *exchange.Client) *HTTPTransport {
-	return &HTTPTransport{address: address, do: client.DoExpiring}
-}
-
-// Send sends the call once, without retries. The error is a product.ErrUnavailable if the call was not sent, else a
+// Send sends the call once, without retries. A write needs a context with a deadline, after which it doesn't arrive any more. The error is a product.ErrUnavailable if the call was not sent, else a
 // product.ErrOutcomeUnknown.
 func (h *HTTPTransport) Send(ctx context.Context, call platform.Call) (platform.Reply, error) {
 	req := fasthttp.AcquireRequest()
@@ -43,7 +37,11 @@
 		req.Header.Set(call.Header[i], call.Header[i+1])
 	}
 	req.SetBodyRaw(call.Body)
-	err := h.do(ctx, req, resp)
+	do := h.client.Do
+	if call.Writes() {
+		do = h.client.DoExpiring
+	}
+	err := do(ctx, req, resp)
 	switch {
 	case errors.Is(err, exchange.ErrNotSent):
 		return platform.Reply{}, errors.Wrapf(product.ErrUnavailable, "%s %s: %v", call.Method, call.Target, err)
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -185,7 +185,7 @@
 	}
 	g.work.Go(func() { g.register(ctx, self) })
 	g.work.Go(func() { g.updateEntries(ctx, time.Now()) })
-	g.startDuties(ctx, self, store.NewExpiringTransport(reportsAddress, platformCalls), serverCalls)
+	g.startDuties(ctx, self, store.NewHTTPTransport(reportsAddress, platformCalls), serverCalls)
 	g.work.Go(func() {
 		if g.view.WaitReady(ctx) {
 			now := time.Now()
@@ -253,7 +253,7 @@
 		Store:   g.store,
 		Reports: reports,
 		ServerCarrier: func(server backend.Server) store.Transport {
-			return store.NewExpiringTransport(server.Address, serverCalls)
+			return store.NewHTTPTransport(server.Address, serverCalls)
 		},
 		View:          g.view,
 		Balancer:      g.balancer,
--- a/internal/program/process/holder_harness_test.go
+++ b/internal/program/process/holder_harness_test.go
@@ -175,6 +175,8 @@
 	*deployment
 	engine          *platformtest.Server
 	orders, reports *holdingLink
+	// stores are the links before the store, by host.
+	stores map[string]*holdingLink
 	// peers are the links over which the processes reach each other, if peersLinked is set.
 	peers             []*holdingLink
 	peersLinked       bool
@@ -193,7 +195,7 @@
 	d := newDeployment(t, 0)
 	trial := &holderTrial{
 		deployment: d, peersLinked: peersLinked, engine: platformtest.NewServer(t, "engine-held", "engines", map[string]int{longName: 1}), processes: map[string]*binary.Process{}, endpoints: map[string]*platformtest.Endpoint{},
-		callerURLs: map[string]string{}, ready: map[string]string{},
+		stores: map[string]*holdingLink{}, callerURLs: map[string]string{}, ready: map[string]string{},
 	}
 	trial.orders = newHoldingLink(t, trial.engine.Address().String())
 	trial.reports = newHoldingLink(t, strings.TrimPrefix(d.usageReceiver.URL(), "http://"))
@@ -229,6 +231,7 @@
 	}
 	endpoint := trial.store.NewEndpoint(t)
 	set := trial.settings(host, endpoint)
+	trial.stores[host] = newHoldingLink(t, strings.TrimPrefix(endpoint.URL(), "http://"))
 	advertised := set.PeerListen
 	if trial.peersLinked {
 		trial.peers = append(trial.peers, newHoldingLink(t, set.PeerListen.String()))
@@ -240,7 +243,7 @@
 	fields, err := json.Marshal(map[string]any{
 		"hostId": set.HostID, "availabilityZone": set.AvailabilityZone, "listen": set.Listen, "peerListen": set.PeerListen,
 		"peerAdvertise": advertised, "seeds": []netip.AddrPort{trial.seed},
-		"adminListen": set.AdminListen, "platformUrl": set.PlatformURL, "reportsUrl": "http://" + trial.reports.Address.String(),
+		"adminListen": set.AdminListen, "platformUrl": "http://" + trial.stores[host].Address.String(), "reportsUrl": "http://" + trial.reports.Address.String(),
 		"peerSecret": set.PeerSecret, "usageWindow": set.UsageWindow.String(), "leaveDelay": set.LeaveDelay.String(), "drainTime": set.DrainTime.String(),
 	})
 	if err != nil {
@@ -353,5 +356,22 @@
 	}
 }
 
+// submitTo submits a batch job to a gateway, whose answer may never come.
+func (trial *holderTrial) submitTo(ctx context.Context, host, id string) {
+	ctx, cancel := context.WithTimeout(ctx, gatewayTimeout)
+	defer cancel()
+	body := platformtest.Submission(longName, 1, 1, []platformtest.Item{{ID: "item", Path: "/job/0", Group: "0"}})
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, trial.callerURLs[host]+"/job/"+id, strings.NewReader(body))
+	if err != nil {
+		trial.t.Error(err)
+		return
+	}
+	request.Host = hostName
+	platformtest.SetCallerHeaders(request, id, keyNorth, gatewayTimeout)
+	if response, err := trial.client.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
 // isOpen reports whether the sender of the request that the link holds up has kept its connection.
 func (l *holdingLink) isOpen() bool { return socket.IsOpen(l.heldConnection()) }
--- a/internal/program/process/holder_test.go
+++ b/internal/program/process/holder_test.go
@@ -7,11 +7,13 @@
 
 	"github.com/oleandershelf/oleandershelf/internal/edge/duty"
 	"github.com/oleandershelf/oleandershelf/internal/edge/leader"
+	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 )
 
 const (
 	pathOrders  = "POST /order"
 	pathReports = "POST /usage-reports"
+	pathJobs    = "POST /objects/jobs"
 	// arrivalTime is how long held bytes have to arrive once they may go on: TCP probes a closed window after some seconds at most.
 	arrivalTime = 4 * time.Second
 )
@@ -106,6 +108,33 @@
 	}
 }
 
+// Guards against a write to the store that is held up while its process is lost, and takes effect seconds later.
+func TestStoreWriteDoesNotOutliveItsProcess(t *testing.T) {
+	for _, loss := range losses[:3] {
+		t.Run(loss.name, func(t *testing.T) {
+			t.Parallel()
+			trial := newHolderTrial(t, false)
+			const host = "entry-0"
+			trial.stores[host].hold(pathJobs)
+			// A process that has just started refuses jobs, and they are submitted again.
+			go ticker.Every(t.Context(), 500*time.Millisecond, func(time.Time) {
+				if trial.stores[host].heldConnection() == nil {
+					trial.submitTo(t.Context(), host, "j1")
+				}
+			})
+			trial.awaitHeld(trial.stores[host])
+			loss.lose(trial, duty.Holder{HostID: host})
+			// A write that is given up has ended by then.
+			time.Sleep(2 * time.Second)
+			trial.stores[host].release()
+			time.Sleep(arrivalTime)
+			if _, stored := trial.store.Get("jobs", "j1"); stored {
+				t.Error("the job is in the store")
+			}
+		})
+	}
+}
+
 // Guards against a lease that is released, and taken over at once, while a call of its holder is under way.
 func TestLeaseIsReleasedAfterTheCallsUnderIt(t *testing.T) {
 	for _, test := range []struct{ name, path string }{{name: "order", path: pathOrders}, {name: "usage report", path: pathReports}} {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -2,9 +2,10 @@
 // already use. It needs no consensus group: the store's conditional updates decide who holds the lease.
 //
 // A Keeper contends for one duty. Before each write under the duty the holder calls Held. It sends the fence's number with the
-// write, by which a receiver can refuse a former holder, and ends the write by the fence's deadline. For a receiver that refuses nothing
-// and expects that numbers grow, it sends the fence's tenure, which is the same for all writes of a holder. docs/DESIGN.md describes under "Leases" what is guaranteed while processes are paused, clocks are stepped and answers of the store are lost, and what a
-// receiver that ignores the number risks.
+// write, by which a receiver can refuse a former holder, and ends the write by the fence's deadline. To a receiver that refuses
+// nothing and expects numbers that never fall it sends the fence's tenure, which is the same for all writes of a holder.
+// docs/DESIGN.md describes under "Leases" what is guaranteed while processes are paused, clocks are stepped and answers of the
+// store are lost, and what a receiver that ignores the number risks.
 package lease
 
 import (
