--- a/internal/core/lease/holder.go
+++ b/internal/core/lease/holder.go
@@ -24,13 +24,13 @@
 	// Released reports that the holder stopped before it wrote this record, so the next holder need not wait.
 	Released bool `json:"released,omitempty"`
 	// Past are the hosts that held the duty before, most recent last.
-	Past []Tenure `json:"past,omitempty"`
+	Past []FormerHolder `json:"past,omitempty"`
 	// Notes are information from the holder for readers of the object. The lease ignores them.
 	Notes []string `json:"notes,omitempty"`
 }
 
-// Tenure records when a host stopped being the holder.
-type Tenure struct {
+// FormerHolder records when a host stopped being the holder.
+type FormerHolder struct {
 	HostID string `json:"hostId"`
 	// Until is when the next holder took over, by the next holder's wall clock.
 	Until time.Time `json:"until"`
--- a/internal/core/lease/machine.go
+++ b/internal/core/lease/machine.go
@@ -54,7 +54,7 @@
 	// Since is the moment before the renewal was sent. The term counts from then.
 	Since Instant
 	// Past are the hosts that held the duty before this holder took it over, most recent last.
-	Past []Tenure
+	Past []FormerHolder
 }
 
 // observation is the lease object as last seen.
@@ -101,7 +101,7 @@
 	renewed Instant
 	retry   bool
 	// past are the holders before this one, most recent last.
-	past []Tenure
+	past []FormerHolder
 	// oneProcess is set if each host runs one process at a time.
 	oneProcess bool
 	// ended is the last holder whose process is known to have ended.
@@ -172,12 +172,12 @@
 // maxPast bounds the former holders in a record. No more than that many takeovers are expected within some seconds.
 const maxPast = 4
 
-// appendTenure returns the record's former holders followed by its holder, which is taken over from now.
-func appendTenure(last Record, now Instant) []Tenure {
+// appendHolder returns the record's former holders followed by its holder, which is taken over from now.
+func appendHolder(last Record, now Instant) []FormerHolder {
 	if last.Holder.HostID == "" {
 		return nil
 	}
-	past := append(slices.Clone(last.Past), Tenure{HostID: last.Holder.HostID, Until: now.Wall})
+	past := append(slices.Clone(last.Past), FormerHolder{HostID: last.Holder.HostID, Until: now.Wall})
 	return past[max(0, len(past)-maxPast):]
 }
 
@@ -194,7 +194,7 @@
 // prepareWrite returns the step that takes, renews or releases the lease, and remembers the write as pending.
 func (m *Machine) prepareWrite(now Instant, release bool) Step {
 	if !m.heldBySelf() {
-		m.past = appendTenure(m.seen.record, now)
+		m.past = appendHolder(m.seen.record, now)
 	}
 	m.renewal++
 	m.renewed = now
--- a/internal/edge/duty/keeper.go
+++ b/internal/edge/duty/keeper.go
@@ -46,7 +46,7 @@
 	// Deadline is the time by which a write must have ended.
 	Deadline time.Time
 	// Past are the hosts that held the duty before this holder took it over, the most recent one last.
-	Past []lease.Tenure
+	Past []lease.FormerHolder
 }
 
 // Option configures a Keeper.
--- a/internal/edge/leader/turn.go
+++ b/internal/edge/leader/turn.go
@@ -69,9 +69,9 @@
 }
 
 // returns reports whether the host held the lease before, and another one since.
-func returns(past []lease.Tenure, hostID string) bool {
+func returns(past []lease.FormerHolder, hostID string) bool {
 	return len(past) > 0 && past[len(past)-1].HostID != hostID &&
-		slices.ContainsFunc(past, func(tenure lease.Tenure) bool { return tenure.HostID == hostID })
+		slices.ContainsFunc(past, func(former lease.FormerHolder) bool { return former.HostID == hostID })
 }
 
 // begin returns a context for a call under the lease, which ends once this entry may not act any more, and the holder under whose name to make
--- a/internal/edge/leader/turn_test.go
+++ b/internal/edge/leader/turn_test.go
@@ -41,9 +41,9 @@
 	} {
 		for _, clock := range []time.Duration{-time.Minute, 0, time.Minute} {
 			t.Run(fmt.Sprintf("%s, clock off by %v", test.name, clock), func(t *testing.T) {
-				var past []lease.Tenure
+				var past []lease.FormerHolder
 				for _, host := range test.past {
-					past = append(past, lease.Tenure{HostID: host, Until: start.Round(0).Add(clock)})
+					past = append(past, lease.FormerHolder{HostID: host, Until: start.Round(0).Add(clock)})
 				}
 				keeper := &fakeKeeper{}
 				guard := newTakeoverGuard(Deps{HostID: "h1", Keeper: keeper}, start.Add(-test.started))
