Don't let servers that ended under one item explain one another

A reward call that ends its servers reached five of them where three are allowed.

Cause: ends of other servers in the pool explain some of those under an item. The pool learns of an end from any item's probe, so that it knew the second server of the call as ended while only the first had been counted under it: the second counted as an end without the item. Explanations are never taken back.

Fix: an interruption is recorded before any of its servers is probed, and stays recorded until it is counted or too old; the servers of an item's recorded interruptions are no other ends.

--- a/internal/core/backend/ends.go
+++ b/internal/core/backend/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -54,11 +55,11 @@
 	return ended
 }
 
-// count returns how many servers of the pool ended in the period, both ends included.
-func (h *endHistory) count(pool string, from, to time.Time) int {
+// count returns how many servers of the pool ended in the period, both ends included, without the excepted ones.
+func (h *endHistory) count(pool string, from, to time.Time, except []Key) int {
 	count := 0
-	for _, at := range h.pools[pool] {
-		if !at.Before(from) && !at.After(to) {
+	for key, at := range h.pools[pool] {
+		if !at.Before(from) && !at.After(to) && !slices.Contains(except, key) {
 			count++
 		}
 	}
@@ -82,9 +83,10 @@
 	}
 }
 
-// Ends returns how many servers of the pool ended in the period without leaving as planned, and how many run now. A server that has ended
+// Ends returns how many servers of the pool ended in the period without leaving as planned, the excepted ones not counted, and how many run
+// now. A server that has ended
 // stays registered for some seconds, and isn't counted with those that run.
-func (b *Balancer) Ends(pool string, from, to time.Time) (ended, running int) {
+func (b *Balancer) Ends(pool string, from, to time.Time, except ...Key) (ended, running int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, state := range b.pools[pool] {
@@ -92,5 +94,5 @@
 			running++
 		}
 	}
-	return b.ends.count(pool, from, to), running
+	return b.ends.count(pool, from, to, except), running
 }
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -138,7 +138,7 @@
 	}
 	if r.connectionLost && ctx.Err() == nil {
 		use := serverUse{item: item.ID, server: server.Key(), pool: server.Pool, stalled: output.LastEvent == from}
-		m.checkServer(ctx, j, use, server.Address)
+		m.checkServer(ctx, j, j.recordInterruption(time.Now(), use), server.Address)
 	}
 	if next := m.continueMove(ctx, r, result); next != nil {
 		return next
--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -33,7 +33,7 @@
 	slowMoves map[string]move
 	// silences counts, by item, the runs without an answer since the last event.
 	silences map[string]silence
-	// interruptedRuns are runs that were interrupted lately at servers that are not known to have ended.
+	// interruptedRuns are runs that were interrupted lately, and whose servers haven't been counted as ended.
 	interruptedRuns []interruptedRun
 	// endedUnder holds the servers that were counted as ended under the items.
 	endedUnder map[serverUse]bool
--- a/internal/edge/batchjob/reward.go
+++ b/internal/edge/batchjob/reward.go
@@ -116,8 +116,13 @@
 	if err == nil && tally.Failed == 0 {
 		pause = rewardDeniedDelay
 	}
+	var runs []interruptedRun
 	for _, used := range tally.Interrupted {
-		m.checkServer(ctx, j, serverUse{item: item.ID, server: used.Key(), reward: true, pool: used.Pool}, used.Address)
+		use := serverUse{item: item.ID, server: used.Key(), reward: true, pool: used.Pool}
+		runs = append(runs, j.recordInterruption(time.Now(), use))
+	}
+	for i, used := range tally.Interrupted {
+		m.checkServer(ctx, j, runs[i], used.Address)
 	}
 	ticker.Sleep(ctx, pause)
 	j.applyNoScore(time.Now(), item.ID, tally.Failed, route.MaxAttempts)
--- a/internal/edge/batchjob/serverend.go
+++ b/internal/edge/batchjob/serverend.go
@@ -98,49 +98,65 @@
 	return serverUse{item: u.item, server: u.server, reward: u.reward}
 }
 
-// interruptedRun is a run that was interrupted at a server that is not known to have ended.
+// interruptedRun is a run that was interrupted at a server.
 type interruptedRun struct {
 	serverUse
 
 	at time.Time
 }
 
+// recordInterruption records an interrupted run, whose server may have ended.
+func (j *job) recordInterruption(now time.Time, use serverUse) interruptedRun {
+	run := interruptedRun{serverUse: use, at: now}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.interruptedRuns = append(j.interruptedRuns, run)
+	return run
+}
+
+// uncountedServers returns the servers at which runs of the item, or its reward calls, were interrupted and which haven't been counted as
+// ended.
+func (j *job) uncountedServers(item string, reward bool) []backend.Key {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var servers []backend.Key
+	for _, run := range j.interruptedRuns {
+		if run.item == item && run.reward == reward && !j.endedUnder[run.identity()] {
+			servers = append(servers, run.server)
+		}
+	}
+	return servers
+}
+
 // checkServer finds out whether the server of an interrupted run has ended, and counts that for the item. If a probe can't tell, the
 // registration of the server may tell later.
-func (m *Manager) checkServer(ctx context.Context, j *job, use serverUse, address netip.AddrPort) {
-	run := interruptedRun{serverUse: use, at: time.Now()}
+func (m *Manager) checkServer(ctx context.Context, j *job, run interruptedRun, address netip.AddrPort) {
 	if errors.Is(m.probes.probe(ctx, address), exchange.ErrEnded) {
-		m.balancer.RecordEnd(time.Now(), use.server)
+		m.balancer.RecordEnd(time.Now(), run.server)
 		m.countServerEnd(j, run, "connectionRefused")
-		return
 	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.interruptedRuns = append(j.interruptedRuns, run)
 }
 
 // confirmServerEnds counts the servers whose registration has been removed or replaced since a run of the job was interrupted there.
 func (m *Manager) confirmServerEnds(now time.Time, j *job) {
 	j.mu.Lock()
-	runs := j.interruptedRuns
-	j.interruptedRuns = nil
+	runs := slices.Clone(j.interruptedRuns)
 	j.mu.Unlock()
 	for _, run := range runs {
-		switch {
-		case !m.balancer.Registered(run.server):
+		if !m.balancer.Registered(run.server) {
 			m.countServerEnd(j, run, "registration")
-		case now.Sub(run.at) < endConfirmTime:
-			j.mu.Lock()
-			j.interruptedRuns = append(j.interruptedRuns, run)
-			j.mu.Unlock()
 		}
 	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.interruptedRuns = slices.DeleteFunc(j.interruptedRuns, func(run interruptedRun) bool { return now.Sub(run.at) >= endConfirmTime })
 }
 
 // countServerEnd counts a server that ended under an item or its reward call, once for each of these.
 func (m *Manager) countServerEnd(j *job, run interruptedRun, evidence string) {
 	now := time.Now()
 	j.mu.Lock()
+	j.interruptedRuns = slices.DeleteFunc(j.interruptedRuns, func(other interruptedRun) bool { return other.identity() == run.identity() })
 	if j.endedUnder[run.identity()] {
 		j.mu.Unlock()
 		return
@@ -168,7 +184,8 @@
 	j.wake()
 }
 
-// explainServerEnds applies what other ends in the pools say about the ends under an item of the job. It returns the counts, and for the pool of
+// explainServerEnds applies what other ends in the pools say about the ends under an item of the job. Ends at which the item was interrupted
+// too, and which haven't been counted under it yet, are no other ends. It returns the counts, and for the pool of
 // the last counted end, how many of its servers ended at that time and how many run.
 func (m *Manager) explainServerEnds(j *job, item string) (ends batch.ServerEnds, ended, running int) {
 	known := m.serverEnds.find(item)
@@ -176,11 +193,11 @@
 	ends = known.ends
 	// Only other entries may know of the ends, which don't name the pool.
 	if pool := cmp.Or(known.pool, j.spec.Pool); pool != "" && ends.Item > 0 {
-		ended, running = m.balancer.Ends(pool, from, to)
+		ended, running = m.balancer.Ends(pool, from, to, j.uncountedServers(item, false)...)
 		ends.ItemExplained = max(ends.ItemExplained, batch.ExplainedByChance(ended, ends.Item, running))
 	}
 	if known.rewardPool != "" {
-		ended, running = m.balancer.Ends(known.rewardPool, from, to)
+		ended, running = m.balancer.Ends(known.rewardPool, from, to, j.uncountedServers(item, true)...)
 		ends.RewardExplained = max(ends.RewardExplained, batch.ExplainedByChance(ended, ends.Reward, running))
 	}
 	m.serverEnds.merge(time.Now(), item, ends)
--- a/internal/edge/batchjob/serverend_test.go
+++ b/internal/edge/batchjob/serverend_test.go
@@ -221,3 +221,29 @@
 		t.Errorf("still withheld though all %d servers of the pool ended: %+v", len(servers), j.progress.ServerEnds("a"))
 	}
 }
+
+// Guards against servers that end under an item and explain one another: the pool knows from probes for other items that several have ended
+// when the first of them is counted.
+func TestEndsUnderAnItemDoNotExplainOneAnother(t *testing.T) {
+	for _, reward := range []bool{false, true} {
+		pool := newUnevenPool(t.Context(), t)
+		j := newPlacedJob("j", "a")
+		now := time.Now()
+		var runs []interruptedRun
+		for _, server := range pool.balancer.Servers()[:2] {
+			use := serverUse{item: "a", server: server.Key(), pool: server.Pool, reward: reward}
+			runs = append(runs, j.recordInterruption(now, use))
+			pool.balancer.RecordEnd(now, server.Key())
+		}
+		for i, run := range runs {
+			pool.countServerEnd(j, run, "connectionRefused")
+			ends := j.progress.ServerEnds("a")
+			if explained := ends.ItemExplained + ends.RewardExplained; explained > 0 || ends.TotalUnexplained() != i+1 {
+				t.Errorf("reward %v: after %d ends %+v, want none explained", reward, i+1, ends)
+			}
+		}
+		if len(j.interruptedRuns) > 0 {
+			t.Errorf("reward %v: %d runs are still to be counted", reward, len(j.interruptedRuns))
+		}
+	}
+}
