Log once that an entry has ended, and rewrap a comment

A takeover without the wait for the lease's term had no line that says why: the others had found that nobody listens at the holder's address.

--- a/internal/core/backend/ends.go
+++ b/internal/core/backend/ends.go
@@ -84,8 +84,7 @@
 }
 
 // Ends returns how many servers of the pool ended in the period without leaving as planned, the excepted ones not counted, and how many run
-// now. A server that has ended
-// stays registered for some seconds, and isn't counted with those that run.
+// now. A server that has ended stays registered for some seconds, and isn't counted with those that run.
 func (b *Balancer) Ends(pool string, from, to time.Time, except ...Key) (ended, running int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/core/roster/change.go
+++ b/internal/core/roster/change.go
@@ -28,11 +28,15 @@
 	return failed
 }
 
-// RecordEnd records that no process listens at the address of the member: that run has ended, unless it is heard again.
-func (r *Roster) RecordEnd(member Member) {
-	if p, ok := r.peers[member.Address]; ok {
-		p.ended = member.Incarnation
+// RecordEnd records that no process listens at the address of the member: that run has ended, unless it is heard again. It returns false if
+// that was known, or no run of the entry is.
+func (r *Roster) RecordEnd(member Member) bool {
+	p, ok := r.peers[member.Address]
+	if !ok || p.ended == member.Incarnation {
+		return false
 	}
+	p.ended = member.Incarnation
+	return true
 }
 
 // HasEnded reports whether a run of an entry, by its address and incarnation, is known to have ended.
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -390,7 +390,9 @@
 	check("unknown", false, false)
 	r.RecordContact(now, member(7), 0)
 	check("heard", false, false)
-	r.RecordEnd(member(7))
+	if !r.RecordEnd(member(7)) || r.RecordEnd(member(7)) {
+		t.Error("the end isn't new once")
+	}
 	check("not listening", true, false)
 	r.RecordContact(now, member(7), 0)
 	check("heard again", false, false)
--- a/internal/edge/gossip/gossip.go
+++ b/internal/edge/gossip/gossip.go
@@ -171,12 +171,14 @@
 	defer cancel()
 	heartbeat := g.buildHeartbeat(time.Now(), call.Member, call.KeepsCopies)
 	answer, err := peer.Call[Heartbeat, Heartbeat](ctx, g.client, call.Address, MethodHeartbeat, heartbeat)
+	ended := false
 	g.withRoster(func(r *roster.Roster) {
 		r.CallEnded(call.Address)
-		if errors.Is(err, peer.ErrNotListening) {
-			r.RecordEnd(call.Member)
-		}
+		ended = errors.Is(err, peer.ErrNotListening) && r.RecordEnd(call.Member)
 	})
+	if ended {
+		g.log.Info().Str("dependency", "entry").Str("entry", call.Member.HostID).Msg("ended")
+	}
 	if err != nil {
 		// An entry that doesn't answer is considered silent after some time.
 		return
