--- a/internal/program/process/holder_test.go
+++ b/internal/program/process/holder_test.go
@@ -8,15 +8,11 @@
 	"github.com/oleandershelf/oleandershelf/internal/edge/duty"
 	"github.com/oleandershelf/oleandershelf/internal/edge/leader"
 	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
+	"github.com/oleandershelf/oleandershelf/platform/platformtest"
 )
 
-const (
-	pathOrders  = "POST /order"
-	pathReports = "POST /usage-reports"
-	pathJobs    = "POST /objects/jobs"
-	// arrivalTime is how long held bytes have to arrive once they may go on: TCP probes a closed window after some seconds at most.
-	arrivalTime = 4 * time.Second
-)
+// arrivalTime is how long held bytes have to arrive once they may go on: TCP probes a closed window after some seconds at most.
+const arrivalTime = 4 * time.Second
 
 // losses are the ways in which the holder of the duties is lost.
 var losses = []struct {
@@ -55,7 +51,7 @@
 		t.Run(loss.name, func(t *testing.T) {
 			t.Parallel()
 			trial := newHolderTrial(t, loss.cut)
-			trial.orders.hold(pathOrders)
+			trial.orders.hold(platformtest.OrderCall)
 			trial.store.PutModelVersion(longName, 2)
 			holder := trial.awaitHeld(trial.orders)
 			loss.lose(trial, holder)
@@ -89,7 +85,7 @@
 			t.Parallel()
 			trial := newHolderTrial(t, loss.cut)
 			trial.countCalls()
-			trial.reports.hold(pathReports)
+			trial.reports.hold(platformtest.ReportCall)
 			holder := trial.awaitHeld(trial.reports)
 			loss.lose(trial, holder)
 			trial.awaitNextHolder(holder)
@@ -115,7 +111,7 @@
 			t.Parallel()
 			trial := newHolderTrial(t, false)
 			const host = "entry-0"
-			trial.stores[host].hold(pathJobs)
+			trial.stores[host].hold(platformtest.CreateJobCall)
 			// A process that has just started refuses jobs, and they are submitted again.
 			go ticker.Every(t.Context(), 500*time.Millisecond, func(time.Time) {
 				if trial.stores[host].heldConnection() == nil {
@@ -137,12 +133,12 @@
 
 // Guards against a lease that is released, and taken over at once, while a call of its holder is under way.
 func TestLeaseIsReleasedAfterTheCallsUnderIt(t *testing.T) {
-	for _, test := range []struct{ name, path string }{{name: "order", path: pathOrders}, {name: "usage report", path: pathReports}} {
+	for _, test := range []struct{ name, path string }{{name: "order", path: platformtest.OrderCall}, {name: "usage report", path: platformtest.ReportCall}} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			trial := newHolderTrial(t, false)
 			link := trial.orders
-			if test.path == pathReports {
+			if test.path == platformtest.ReportCall {
 				link = trial.reports
 				trial.countCalls()
 			}
