--- a/internal/core/batch/runner.go
+++ b/internal/core/batch/runner.go
@@ -17,6 +17,9 @@
 // of a core on a busy day.
 const slotsPerRunner = 128
 
+// maxRunnersPerModel bounds the entries that run the jobs of a model, whatever number of slots servers report.
+const maxRunnersPerModel = 1024
+
 // Demand describes the training load that is spread over the entries. An engine is a backend server that runs a
 // model.
 type Demand struct {
@@ -29,7 +32,7 @@
 // runnersPerModel returns the number of entries that run the jobs of each model.
 func (d Demand) runnersPerModel() int {
 	slots := d.Slots / max(1, len(d.Models))
-	return max(1, (slots+slotsPerRunner-1)/slotsPerRunner)
+	return min(maxRunnersPerModel, max(1, (slots+slotsPerRunner-1)/slotsPerRunner))
 }
 
 // Runner is an entry that may run jobs.
