--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -290,8 +290,9 @@
 	for _, object := range objects {
 		read, known := v.decoded[object.Name]
 		if !known || read.version != object.Version {
+			failedBefore := read.err != nil
 			read = decodeServer(object)
-			if read.err != nil {
+			if read.err != nil && !failedBefore {
 				v.log.Warn().Err(read.err).Uint64("revision", uint64(object.Version)).Msg("invalid server record ignored")
 			}
 		}
