Watch the servers of runs that a leaving entry cut off

What servers saw: an item that had ended a server was handed over while it ran at a second one, which ended all the same. Nobody counted that, so that the item ended two more, and was sent once more after the third. Cause: the entry that leaves ends its runs and doesn't look at their servers again, and the one that takes over knows nothing of them. Change: the runs that are cut off go with the job. Their servers count as ended until it is known, for as long as after a short run.

--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -49,10 +49,10 @@
 	var handovers conc.WaitGroup
 	for _, j := range running {
 		handovers.Go(func() {
-			j.stopRunning()
+			left := j.leaveRuns()
 			m.flushBriefly(ctx, j)
-			if !m.handOverJob(ctx, j, 0) {
-				m.handovers.Go(func() { m.retryHandover(ctx, j) })
+			if !m.handOverJob(ctx, j, left, 0) {
+				m.handovers.Go(func() { m.retryHandover(ctx, j, left) })
 			}
 		})
 	}
@@ -80,9 +80,9 @@
 }
 
 // retryHandover goes on to offer a job to other entries.
-func (m *Manager) retryHandover(ctx context.Context, j *job) {
+func (m *Manager) retryHandover(ctx context.Context, j *job, left []leftRun) {
 	for round := 1; ticker.Sleep(ctx, handoverRetryDelay) && !j.finished(); round++ {
-		if m.handOverJob(ctx, j, round) {
+		if m.handOverJob(ctx, j, left, round) {
 			return
 		}
 	}
@@ -90,10 +90,11 @@
 
 // handOverJob asks some of the other entries, the job's preferred runner first and then in the order of rankedPeers, until one runs the job.
 // Each round begins with other entries. It returns true if one runs the job or none is left to ask.
-func (m *Manager) handOverJob(ctx context.Context, j *job, round int) bool {
+func (m *Manager) handOverJob(ctx context.Context, j *job, left []leftRun, round int) bool {
 	candidates := m.handoverCandidates(j, round)
 	q := m.newRunRequest(j.spec)
 	q.Leaving = true
+	q.LeftRuns = leftRunMessages(time.Now(), left)
 	j.mu.Lock()
 	q.Partials = j.progress.Partials()
 	q.EndRequested = q.EndRequested || j.endRequested
--- a/internal/edge/batchjob/message.go
+++ b/internal/edge/batchjob/message.go
@@ -84,6 +84,18 @@
 	Partials []batch.Partial `msgpack:"p"`
 	// Leaving is set if the sender ran the job and hands it over because it leaves.
 	Leaving bool `msgpack:"l"`
+	// LeftRuns are runs that a leaving sender cut off, of items under which servers had ended before.
+	LeftRuns []LeftRun `msgpack:"r,omitempty"`
+}
+
+// LeftRun is a run of an item that was cut off. Its server may end all the same.
+type LeftRun struct {
+	Item   string `msgpack:"i"`
+	Server string `msgpack:"s"`
+	// Started identifies the server's process, as in backend.Key.
+	Started int64 `msgpack:"t"`
+	// Age is the time since the run began.
+	Age time.Duration `msgpack:"a"`
 }
 
 // RunAnswer confirms a RunRequest.
--- a/internal/edge/batchjob/takeover.go
+++ b/internal/edge/batchjob/takeover.go
@@ -55,6 +55,7 @@
 		m.holdJob(j)
 	}
 	m.recordHandover(j, q)
+	m.watchLeftRuns(j, q.LeftRuns)
 	if j = m.resumeHere(j, q.Partials); !j.isRunning() && !j.finished() {
 		// The sender would take this entry for the owner.
 		return errors.Errorf("job %s: this entry began to leave or left the job to another one", q.Job)
