--- a/internal/core/batch/endtracker.go
+++ b/internal/core/batch/endtracker.go
@@ -33,6 +33,8 @@
 	counts map[string]endCount
 	// suspects holds the suspects that run at each server.
 	suspects map[string]map[string]bool
+	// caused holds the servers that likely ended because of items; nil if the counts have changed since.
+	caused map[EndID]bool
 }
 
 type endCount struct {
@@ -126,6 +128,7 @@
 	known.ends = merged
 	maps.DeleteFunc(t.counts, func(_ string, c endCount) bool { return c.expired(now) })
 	t.counts[item] = known
+	t.caused = nil
 	return true
 }
 
@@ -140,6 +143,7 @@
 	}
 	known.ends.Clear(reward)
 	t.counts[item] = known
+	t.caused = nil
 }
 
 // Touch records that a job has the item withheld.
@@ -213,17 +217,20 @@
 	return pool
 }
 
-// causedEnds returns the servers that likely ended because of items, as a set.
+// causedEnds returns the servers that likely ended because of items, as a set that isn't changed.
 func (t *EndTracker) causedEnds() map[EndID]bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := map[string]ServerEnds{}
-	for item, count := range t.counts {
-		if count.ends.Suspect() {
-			known[item] = count.ends
+	if t.caused == nil {
+		known := map[string]ServerEnds{}
+		for item, count := range t.counts {
+			if count.ends.Suspect() {
+				known[item] = count.ends
+			}
 		}
+		t.caused = likelyCauses(known)
 	}
-	return likelyCauses(known)
+	return t.caused
 }
 
 // Shared returns the counts of items under which servers ended, to send to other entries: the highest counts first, then the latest.
