Read the memory and the descriptors of the host from the settings

An entry didn't know what its host allows it to use, so that no limit could follow from it. Nothing uses them yet.

--- a/internal/program/settings/field.go
+++ b/internal/program/settings/field.go
@@ -62,7 +62,9 @@
 	"regions":            {`an object that maps availability zones to regions, such as {"om-north-a": "om-north"}`, setRegions},
 	"speedPlacement":     {`one of "off", "auto"`, textSetter(validSpeedPlacement, func(s *Settings) *string { return &s.SpeedPlacement })},
 	"earlyGeneration":    {`"on" or "off"`, switchSetter(func(s *Settings) *bool { return &s.EarlyGeneration })},
-	"bodyLimitBytes":     {`a whole number of bytes from 1024 to 1073741824`, setBodyLimit},
+	"bodyLimitBytes":     {`a whole number of bytes from 1024 to 1073741824`, numberSetter(1<<10, 1<<30, func(s *Settings) *int { return &s.BodyLimitBytes })},
+	"memoryMB":           {`a whole number of megabytes from 32 to 1048576`, numberSetter(32, 1<<20, func(s *Settings) *int { return &s.MemoryMB })},
+	"maxDescriptors":     {`a whole number from 256 to 1048576`, numberSetter(256, MaxDescriptors, func(s *Settings) *int { return &s.MaxDescriptors })},
 }
 
 // gatewayFields apply to gateways only.
@@ -199,16 +201,19 @@
 	return nil
 }
 
-func setBodyLimit(s *Settings, raw json.RawMessage) error {
-	limit, err := decode[int](raw)
-	if err != nil {
-		return err
-	}
-	if limit < 1<<10 || limit > 1<<30 {
-		return errInvalidValue
+// numberSetter returns a setter for a whole number from least to most.
+func numberSetter(least, most int, target func(*Settings) *int) func(*Settings, json.RawMessage) error {
+	return func(s *Settings, raw json.RawMessage) error {
+		number, err := decode[int](raw)
+		if err != nil {
+			return err
+		}
+		if number < least || number > most {
+			return errInvalidValue
+		}
+		*target(s) = number
+		return nil
 	}
-	s.BodyLimitBytes = limit
-	return nil
 }
 
 func setProcessorCores(s *Settings, raw json.RawMessage) error {
--- a/internal/program/settings/settings.go
+++ b/internal/program/settings/settings.go
@@ -29,7 +29,10 @@
 	DefaultDrainTime      = 2 * time.Minute
 	DefaultLeaveDelay     = 3 * time.Second
 	DefaultBodyLimitBytes = 4 << 20
-	minSecretLength       = 16
+	DefaultMemoryMB       = 512
+	// MaxDescriptors is the largest number of descriptors that a process uses.
+	MaxDescriptors  = 1 << 20
+	minSecretLength = 16
 	// loopbackSecret is the default peer secret of a process whose PeerListen is a loopback address, where no other host can connect.
 	loopbackSecret = "loopback-only-peer-secret"
 )
@@ -80,6 +83,10 @@
 	// DrainTime bounds a graceful shutdown.
 	DrainTime      time.Duration
 	BodyLimitBytes int
+	// MemoryMB is the memory that the process may use, in megabytes, and MaxDescriptors the number of descriptors that it may open; 0 for the
+	// limit that the system sets (not for agents).
+	MemoryMB       int
+	MaxDescriptors int
 	// ReportsURL is where usage reports are sent (gateway only).
 	ReportsURL string
 	// Seeds are addresses at which to look for other entries (gateway only).
@@ -123,6 +130,7 @@
 		LeaveDelay:     DefaultLeaveDelay,
 		DrainTime:      DefaultDrainTime,
 		BodyLimitBytes: DefaultBodyLimitBytes,
+		MemoryMB:       DefaultMemoryMB,
 		SpeedPlacement: SpeedPlacementOff,
 	}
 	doc.apply(&s, role)
@@ -141,7 +149,7 @@
 		doc.rejectForRole(role, slices.Concat(gatewayFields, []string{"pool", "serverUrl", "weightSpread"})...)
 	case RoleAgent:
 		required = append(required, "pool", "serverUrl")
-		doc.rejectForRole(role, slices.Concat(gatewayFields, []string{"listen", "operatorKeyHashes", "bodyLimitBytes"})...)
+		doc.rejectForRole(role, slices.Concat(gatewayFields, []string{"listen", "operatorKeyHashes", "bodyLimitBytes", "memoryMB", "maxDescriptors"})...)
 	case RoleGateway:
 		required = append(required, "listen", "reportsUrl")
 		doc.rejectForRole(role, "pool", "serverUrl", "weightSpread", "operatorKeyHashes", "dataFolder")
