--- a/internal/program/binary/process.go
+++ b/internal/program/binary/process.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Process is a gateway that runs as an operating system process. It can be started again with the same settings.
@@ -97,6 +98,17 @@
 	return readRunDelay(p.command.Process.Pid)
 }
 
+// LimitDescriptors bounds the number of descriptors that the process may have open.
+func (p *Process) LimitDescriptors(count int) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.isRunning() {
+		return errors.Errorf("%s: the process is not running", p.settings)
+	}
+	limit := unix.Rlimit{Cur: uint64(count), Max: uint64(count)} //nolint:gosec // a count is positive
+	return errors.Wrap(unix.Prlimit(p.command.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil), p.settings)
+}
+
 // Usage returns what the process has used since its start. It returns an error if the process isn't running.
 func (p *Process) Usage() (Usage, error) {
 	p.mu.Lock()
--- a/internal/program/binary/usage.go
+++ b/internal/program/binary/usage.go
@@ -22,6 +22,8 @@
 	// Memory and PeakMemory are its present and its largest resident memory in bytes.
 	Memory, PeakMemory int64
 	Processor          time.Duration
+	// Descriptors is the number of open descriptors.
+	Descriptors int
 }
 
 // readUsage reads the usage of the process with the ID.
@@ -34,7 +36,11 @@
 	if err != nil {
 		return Usage{}, errors.WithStack(err)
 	}
-	var usage Usage
+	descriptors, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	if err != nil {
+		return Usage{}, errors.WithStack(err)
+	}
+	usage := Usage{Descriptors: len(descriptors)}
 	for line := range strings.Lines(string(status)) {
 		fields := strings.Fields(line)
 		switch {
