Bound what callers make a process hold in one account

What callers saw: 400 connections without a request, or with a head that came byte by byte, used up the descriptors of an entry. The next accept failed, the HTTP library took the error for the end of the listener, and no call was answered any more, also after the crowd had left, while /readyz answered 200. 600 heads of 15 KB in short lines took 140 to 252 MB on a host of 112 MB, with the last line open 230 MB, and after their answers, since a kept connection keeps the tables for its next request.

Cause: nothing summed up what the callers of a process make it hold. Each request was within its limits.

Idle connections yield first, then overdue requests, then the large request that began last; one that has arrived never does. A request that yields is answered 503 noRoom with Retry-After, or its connection is closed before its head was read. An answer to a head of more than 128 fields closes its connection. The operator's interface has an account of its own. An error in reading a request is answered without running the handlers for what was read of it.

A limit in each place has to assume the worst of all places at once: a request that holds 1 MB for its head and 32 MiB for its body leaves a host of 112 MB one connection.

--- a/internal/edge/admin/admin.go
+++ b/internal/edge/admin/admin.go
@@ -21,7 +21,11 @@
 	"github.com/oleandershelf/oleandershelf/internal/edge/callerconn"
 )
 
-const shutdownTimeout = time.Second
+const (
+	shutdownTimeout = time.Second
+	// maxBodyBytes is far above what the operator's requests need, which have no body.
+	maxBodyBytes = 4 << 10
+)
 
 // Dump returns the state of one part of the process as a value that can be encoded as JSON, without secrets.
 type Dump func() any
@@ -47,7 +51,7 @@
 // NewServer starts a server on l that ends with ctx. /debug/state shows the dumps by name.
 func NewServer(ctx context.Context, l net.Listener, gatherer prometheus.Gatherer, dumps map[string]Dump, opts ...Option) *Server {
 	s := &Server{
-		app:     fiber.New(fiber.Config{Immutable: true}),
+		app:     fiber.New(fiber.Config{Immutable: true, BodyLimit: maxBodyBytes}),
 		serving: func() bool { return true },
 		dumps:   dumps,
 	}
--- a/internal/edge/callerconn/listener.go
+++ b/internal/edge/callerconn/listener.go
@@ -1,12 +1,11 @@
 package callerconn
 
 import (
-	"io"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -16,43 +15,56 @@
 	maxLingerBytes = 64 << 20
 )
 
-// Listener accepts TCP connections on which Linger has an effect.
-type Listener struct{ net.Listener }
+const (
+	// acceptPause is how long accepting pauses after an error, such as a lack of descriptors.
+	acceptPause = 20 * time.Millisecond
+	// acceptLogInterval is how often such errors are logged.
+	acceptLogInterval = 10 * time.Second
+)
 
-// Accept returns the next connection; one that isn't TCP is an error.
-func (l Listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return nil, errors.Errorf("connection from %s is %T, not TCP", conn.RemoteAddr(), conn)
-	}
-	return &lingeringConn{TCPConn: tcp}, nil
+// Listener accepts callers' connections into an account. It accepts until it is closed, whatever errors occur.
+type Listener struct {
+	net.Listener
+	account *Account
+	log     zerolog.Logger
+	logged  time.Time
+	errors  int
 }
 
-// lingeringConn is a caller's connection that Close can close in the way that is known as a lingering close.
-//
-// A request that is refused before its body was read leaves unread bytes. Closing the connection would then reset it, and the caller would
-// see a broken connection instead of the refusal and could not know that nothing ran. So Close first closes the sending side, which ends
-// the answer, and then reads and discards the rest of the body.
-type lingeringConn struct {
-	*net.TCPConn
-	linger atomic.Bool
+// NewListener returns a listener for the account's callers.
+func NewListener(l net.Listener, account *Account, log zerolog.Logger) *Listener {
+	return &Listener{Listener: l, account: account, log: log}
 }
 
-// Linger makes Close read and discard what the caller is still sending. It has no effect on a connection that no Listener has accepted.
-func Linger(conn net.Conn) {
-	if c, ok := conn.(*lingeringConn); ok {
-		c.linger.Store(true)
+// Accept returns the next connection that the account admits.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil, err
+		case err != nil:
+			// The HTTP library would take the error for the end of the listener.
+			l.logError(err)
+			<-time.After(acceptPause)
+			continue
+		}
+		tcp, ok := conn.(*net.TCPConn)
+		if !ok {
+			return nil, errors.Errorf("connection from %s is %T, not TCP", conn.RemoteAddr(), conn)
+		}
+		if admitted := l.account.add(tcp); admitted != nil {
+			return admitted, nil
+		}
+		// Nothing was read, so the caller knows that nothing ran.
+		_ = tcp.Close()
 	}
 }
 
-// Close closes the connection, with a lingering close if Linger was called.
-func (c *lingeringConn) Close() error {
-	if c.linger.Swap(false) && c.CloseWrite() == nil && c.SetReadDeadline(time.Now().Add(maxLingerTime)) == nil {
-		_, _ = io.CopyN(io.Discard, c.TCPConn, maxLingerBytes)
+func (l *Listener) logError(err error) {
+	l.errors++
+	if now := time.Now(); now.Sub(l.logged) >= acceptLogInterval {
+		l.log.Error().Err(err).Int("errors", l.errors).Msg("cannot accept callers' connections")
+		l.logged, l.errors = now, 0
 	}
-	return c.TCPConn.Close()
 }
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -86,8 +86,8 @@
 	leaving atomic.Bool
 }
 
-// New returns an entry that serves on l until ctx ends or Drain is called.
-func New(ctx context.Context, l net.Listener, config Config, deps Deps, metrics *Metrics) *Entry {
+// New returns an entry that serves the callers of an account on l until ctx ends or Drain is called.
+func New(ctx context.Context, l net.Listener, account *callerconn.Account, config Config, deps Deps, metrics *Metrics) *Entry {
 	e := &Entry{config: config, deps: deps, metrics: metrics}
 	e.deduplicator = newDeduplicator(deps.Store, config, e.background)
 	e.app = fiber.New(fiber.Config{
@@ -105,7 +105,7 @@
 		DisablePreParseMultipartForm: true,
 	})
 	e.registerRoutes()
-	callerconn.Serve(ctx, &e.wg, e.app, callerconn.Listener{Listener: l}, keepAliveGrace, deps.Log)
+	callerconn.Serve(ctx, &e.wg, e.app, callerconn.NewListener(l, account, deps.Log), keepAliveGrace, deps.Log)
 	e.wg.Go(func() { e.followOrganisations(ctx) })
 	return e
 }
--- a/internal/edge/entry/harness_test.go
+++ b/internal/edge/entry/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/oleandershelf/oleandershelf/internal/core/usage"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/agent"
+	"github.com/oleandershelf/oleandershelf/internal/edge/callerconn"
 	"github.com/oleandershelf/oleandershelf/internal/edge/peer"
 	"github.com/oleandershelf/oleandershelf/internal/edge/platform"
 	standin "github.com/oleandershelf/oleandershelf/internal/standin/platform"
@@ -148,7 +149,8 @@
 		func() uint64 { return f.views.View().Revision() }, func(usage.Count) {}, metrics)
 	l := listenLoopback(t)
 	f.url = "http://" + l.Addr().String()
-	f.entry = New(ctx, l, config, Deps{
+	account := callerconn.NewAccount("callers", callerconn.Limits(512_000_000, 4096, config.BodyLimitBytes), prometheus.NewRegistry(), zerolog.Nop())
+	f.entry = New(ctx, l, account, config, Deps{
 		Views: f.views, Tickets: noTickets{}, Admission: admission.New(), RefusedLoad: admission.NewRefusedLoad(), Dispatcher: dispatcher, Store: f.memory, Log: zerolog.Nop(),
 	}, metrics)
 	t.Cleanup(func() {
--- a/internal/edge/gateway/forward.go
+++ b/internal/edge/gateway/forward.go
@@ -60,9 +60,7 @@
 	} else {
 		setBody(c.Response(), conn, final.Body)
 	}
-	if g.leaving.Load() {
-		c.Set(fiber.HeaderConnection, "close")
-	}
+	g.closeIfNeeded(c)
 	return nil
 }
 
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/routing"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
@@ -26,9 +28,6 @@
 )
 
 const (
-	// maxHeaderBytes bounds the request line and the header of a request together. The operators allow 16 KiB of header, without
-	// the request line.
-	maxHeaderBytes = 20 << 10
 	// readTimeout bounds the time to read a request. A request that stays incomplete occupies its connection for as long.
 	readTimeout = 15 * time.Second
 	// idleTimeout is how long an idle connection is kept open. It is above the operators' limit, so that a caller never sends
@@ -69,25 +68,27 @@
 	leaving atomic.Bool
 }
 
-// New returns a gateway that serves on l until ctx ends.
-func New(ctx context.Context, l net.Listener, bodyLimitBytes int, deps Deps) *Gateway {
+// New returns a gateway that serves the callers of an account on l until ctx ends.
+func New(ctx context.Context, l net.Listener, account *callerconn.Account, bodyLimitBytes int, deps Deps) *Gateway {
 	g := &Gateway{deps: deps}
 	g.app = fiber.New(fiber.Config{
 		// Without copies, the library would overwrite a string that is used after its handler with another caller's request.
 		Immutable:      true,
 		BodyLimit:      bodyLimitBytes,
-		ReadBufferSize: maxHeaderBytes,
+		ReadBufferSize: callerconn.MaxHeaderBytes,
 		ReadTimeout:    readTimeout,
 		IdleTimeout:    idleTimeout,
 		ErrorHandler:   g.handleError,
 		// A form is forwarded byte for byte. The library would parse it, and write its fields in another order.
 		DisablePreParseMultipartForm: true,
+		ReduceMemoryUsage:            true,
 	})
 	g.app.Use(g.serve)
+	g.app.Server().ErrorHandler = g.refuseUnread
 	g.app.Server().NoDefaultContentType = true
 	g.app.Server().NoDefaultServerHeader = true
 	g.app.Server().NoDefaultDate = true
-	callerconn.Serve(ctx, &g.wg, g.app, callerconn.Listener{Listener: l}, shutdownTimeout, deps.Log)
+	callerconn.Serve(ctx, &g.wg, g.app, callerconn.NewListener(l, account, deps.Log), shutdownTimeout, deps.Log)
 	return g
 }
 
@@ -108,9 +109,8 @@
 func (g *Gateway) serve(c fiber.Ctx) error {
 	g.running.Add(1)
 	defer g.running.Add(-1)
-	if g.leaving.Load() {
-		c.Set(fiber.HeaderConnection, "close")
-	}
+	callerconn.Serving(c.RequestCtx().Conn())
+	g.closeIfNeeded(c)
 	r := callerRequest{caller: platform.ReadCallerHeaders(&c.Request().Header), arrived: time.Now()}
 	snapshot := g.deps.View.Snapshot()
 	if !snapshot.Complete() {
@@ -139,6 +139,38 @@
 	return g.forward(c, r)
 }
 
+// closeIfNeeded makes the answer close the connection if the host is leaving, or the connection would keep too much for its next request.
+func (g *Gateway) closeIfNeeded(c fiber.Ctx) {
+	if g.leaving.Load() || callerconn.HoldsLargeHead(c.RequestCtx().Conn()) {
+		c.Set(fiber.HeaderConnection, "close")
+	}
+}
+
+// unreadError returns the refusal of a request that could not be read.
+func unreadError(ctx *fasthttp.RequestCtx, err error) error {
+	if callerconn.Yields(ctx.Conn()) {
+		return callerconn.YieldRefusal()
+	}
+	var timeout net.Error
+	var headTooLarge *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(err, &headTooLarge):
+		return fiber.ErrRequestHeaderFieldsTooLarge
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return fiber.ErrRequestTimeout
+	default:
+		return fiber.NewError(fiber.StatusBadRequest, err.Error())
+	}
+}
+
+// refuseUnread answers a request that the HTTP library could not read.
+func (g *Gateway) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
+	c := g.app.AcquireCtx(ctx)
+	defer g.app.ReleaseCtx(c)
+	// The refusal can't fail to be encoded.
+	_ = g.handleError(c, unreadError(ctx, err))
+}
+
 // timeout returns how long the request may take: the shorter of the time for which the caller will wait and the route's timeout.
 func (r callerRequest) timeout() time.Duration {
 	timeout := r.route.Timeout
@@ -170,9 +202,7 @@
 // have run.
 func (g *Gateway) handleError(c fiber.Ctx, err error) error {
 	refused := refusal.FromError(err)
-	if refused.Reason == verdict.ReasonTooLarge {
-		callerconn.Linger(c.RequestCtx().Conn())
-	}
+	callerconn.Linger(c.RequestCtx().Conn())
 	status := platform.RefusalStatus(refused)
 	if logged, ok := c.Locals(refusalLogged{}).(bool); !ok || !logged {
 		g.logRefusal(c, refused, status)
--- a/internal/program/process/entry.go
+++ b/internal/program/process/entry.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.entry = entry.New(ctx, listener, entry.Config{
+	p.entry = entry.New(ctx, listener, callerAccount(set, r.registry, log), entry.Config{
 		HostID:            set.HostID,
 		BodyLimitBytes:    set.BodyLimitBytes,
 		OperatorKeyHashes: set.OperatorKeyHashes,
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -91,6 +91,7 @@
 // RunGateway runs the gateway until ctx ends, then drains it. The settings are reloaded from path when they change.
 func RunGateway(ctx context.Context, path string, set settings.Settings, log zerolog.Logger) error {
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(float64(set.MemoryMB) * bytesPerMB * heapShare))
 	g, err := StartGateway(context.WithoutCancel(ctx), set, log)
 	if err != nil {
 		return err
@@ -208,7 +209,7 @@
 	if err != nil {
 		return err
 	}
-	g.gateway = gateway.New(ctx, listener, g.set.BodyLimitBytes, gateway.Deps{
+	g.gateway = gateway.New(ctx, listener, callerAccount(g.set, metrics, g.log), g.set.BodyLimitBytes, gateway.Deps{
 		View:    g.view,
 		Calls:   g.calls,
 		Jobs:    g.jobs,
@@ -216,7 +217,7 @@
 		Metrics: gateway.NewMetrics(metrics),
 		Log:     g.log,
 	})
-	adminListener, err := listen(ctx, "adminListen", g.set.AdminListen)
+	adminListener, err := listenAdmin(ctx, g.set, metrics, g.log)
 	if err != nil {
 		return err
 	}
--- a/internal/program/process/runtime.go
+++ b/internal/program/process/runtime.go
@@ -112,7 +112,7 @@
 
 // serveAdmin starts the operator's interface. It reports the host as serving while the follower's view is fresh.
 func (r *runtime) serveAdmin(ctx context.Context, follower *configuration.Follower, dumps map[string]admin.Dump) (*admin.Server, error) {
-	l, err := listen(ctx, "adminListen", r.set.AdminListen)
+	l, err := listenAdmin(ctx, r.set, r.registry, r.log)
 	if err != nil {
 		return nil, err
 	}
