Read callers' bodies as they arrive

What callers saw: four clients that declared 32 MiB and sent nothing took an entry from 30 to 166 MB, eight that stopped one byte short of it to 301 MB, eight with chunks and no end to 376 MB. An unknown key was refused after its whole body. One legal body of 32 MiB after another took 138 MB, chunked 237 MB, on a host of 112 MB.

Cause: the HTTP library read a body before the handler began, into a buffer of the declared length, and kept the buffer for the next request.

The handler begins after the head: route, key and method are judged before the body is read. ReadBody reads it in pieces of up to 64 KiB, each as large as what has arrived at most, which the account has granted before. A body of up to 64 KiB is in one piece and is sent as before, a longer one as a stream; repeats and hedges read it again from its beginning. Reserving the declared length at the head was weighed: a caller that sends nothing would hold 32 MiB of an account of 39 MB until it is overdue.

--- a/internal/edge/gateway/batch.go
+++ b/internal/edge/gateway/batch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -16,13 +17,14 @@
 
 // submitJob accepts a batch job and answers with status 202.
 func (g *Gateway) submitJob(c fiber.Ctx, r callerRequest) error {
-	if c.Method() != fiber.MethodPost {
-		return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "batch jobs are submitted by POST")
-	}
 	if r.caller.RequestID == "" {
 		return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "a batch job needs the id of its request")
 	}
-	submission, err := platform.ReadSubmission(c.Request().Body())
+	body, err := io.ReadAll(r.body.Reader())
+	if err != nil {
+		return errors.Wrap(err, "body")
+	}
+	submission, err := platform.ReadSubmission(body)
 	if err != nil {
 		return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "%v", err)
 	}
--- a/internal/edge/gateway/forward.go
+++ b/internal/edge/gateway/forward.go
@@ -107,7 +107,8 @@
 		RepeatKey: r.organisation.Name + " " + r.caller.RequestID,
 		Pool:      func() (string, bool) { return pool, true },
 		Build: func(to *fasthttp.Request, server backend.Server) {
-			platform.BuildForwardedRequest(to, from, platform.Hop{Server: server, Organisation: r.organisation.Name, Remaining: time.Until(r.deadline)})
+			hop := platform.Hop{Server: server, Organisation: r.organisation.Name, Remaining: time.Until(r.deadline)}
+			platform.BuildForwardedRequest(to, from, r.body, hop)
 		},
 		Regions:     r.regions(),
 		Deadline:    r.deadline,
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -62,6 +62,8 @@
 	deps Deps
 	app  *fiber.App
 	wg   conc.WaitGroup
+	// bodyLimit is the maximum length of a body in bytes.
+	bodyLimit int
 	// running counts the requests that are being served.
 	running atomic.Int64
 	// leaving is set once callers are to open their next connection at another host.
@@ -70,7 +72,7 @@
 
 // New returns a gateway that serves the callers of an account on l until ctx ends.
 func New(ctx context.Context, l net.Listener, account *callerconn.Account, bodyLimitBytes int, deps Deps) *Gateway {
-	g := &Gateway{deps: deps}
+	g := &Gateway{deps: deps, bodyLimit: bodyLimitBytes}
 	g.app = fiber.New(fiber.Config{
 		// Without copies, the library would overwrite a string that is used after its handler with another caller's request.
 		Immutable:      true,
@@ -81,7 +83,9 @@
 		ErrorHandler:   g.handleError,
 		// A form is forwarded byte for byte. The library would parse it, and write its fields in another order.
 		DisablePreParseMultipartForm: true,
-		ReduceMemoryUsage:            true,
+		// The handler begins once the head has been read, and reads the body under the account.
+		StreamRequestBody: true,
+		ReduceMemoryUsage: true,
 	})
 	g.app.Use(g.serve)
 	g.app.Server().ErrorHandler = g.refuseUnread
@@ -103,13 +107,13 @@
 	arrived      time.Time
 	// deadline is when the answer must have been sent.
 	deadline time.Time
+	body     *callerconn.Body
 }
 
 // serve answers one request of any kind.
 func (g *Gateway) serve(c fiber.Ctx) error {
 	g.running.Add(1)
 	defer g.running.Add(-1)
-	callerconn.Serving(c.RequestCtx().Conn())
 	g.closeIfNeeded(c)
 	r := callerRequest{caller: platform.ReadCallerHeaders(&c.Request().Header), arrived: time.Now()}
 	snapshot := g.deps.View.Snapshot()
@@ -120,6 +124,7 @@
 	r.table = snapshot.Table
 	path := string(c.Request().URI().PathOriginal())
 	if call, ok := platform.ReadBatchCall(c.Method(), path, c.Request().URI().QueryArgs()); ok {
+		callerconn.Serving(c.RequestCtx().Conn())
 		return g.handleBatchCall(c, r, call)
 	}
 	route, ok := r.table.Match(string(c.Request().Host()), path)
@@ -133,6 +138,12 @@
 		}
 	}
 	r.deadline = r.arrived.Add(r.timeout())
+	if route.Kind == routing.KindBatch && c.Method() != fiber.MethodPost {
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "batch jobs are submitted by POST")
+	}
+	if err := g.readBody(c, &r); err != nil {
+		return err
+	}
 	if route.Kind == routing.KindBatch {
 		return g.submitJob(c, r)
 	}
@@ -146,6 +157,20 @@
 	}
 }
 
+// readBody reads the body of a request.
+func (g *Gateway) readBody(c fiber.Ctx, r *callerRequest) error {
+	body, err := callerconn.ReadBody(c.Request(), g.bodyLimit)
+	switch {
+	case errors.Is(err, callerconn.ErrBodyTooLarge):
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonTooLarge, 0, "%v", err)
+	case err != nil:
+		return unreadError(c.RequestCtx(), err)
+	}
+	callerconn.Serving(c.RequestCtx().Conn())
+	r.body = body
+	return nil
+}
+
 // unreadError returns the refusal of a request that could not be read.
 func unreadError(ctx *fasthttp.RequestCtx, err error) error {
 	if callerconn.Yields(ctx.Conn()) {
