Decode submissions item by item, and refuse what the store can't hold

What callers saw: one job of 8 MB that is `{},{},..` took an entry to 481 MB and was answered 400 after that. One of 16 MB with 4,000 items took 165 MB and was answered 502, "may have run": the stand-in store took the write and answered with the object, above the 4 MiB that an answer may have, so that the entry logged the store as lost. A caller's job changed what the entry believed of the store.

Cause: the whole text was decoded before any of it was judged, and the size of the job only after it had been sent to the store.

The text is decoded as a stream, item by item. The first invalid item ends it, and so does the one with which the job takes up more than the store holds in one object: 413, not run, no write. What is counted of a job is at most what it takes up in the store (rapid test), so that no job is refused that the store takes. White space is shortened as it is read, and one value may be as long as the limit with every character escaped.

--- a/internal/edge/gateway/batch.go
+++ b/internal/edge/gateway/batch.go
@@ -1,31 +1,37 @@
 package gateway
 
 import (
-	"io"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/batch"
+	"github.com/oleandershelf/oleandershelf/internal/core/earlystart"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+	"github.com/oleandershelf/oleandershelf/internal/edge/callerconn"
 	"github.com/oleandershelf/oleandershelf/platform"
 )
 
 // maxReadWait bounds how long a read of results may wait for new results, whatever wait the trainer asks for.
 const maxReadWait = 5 * time.Second
 
+// submissionBytes is the memory for decoding a submission and encoding it for the store.
+const submissionBytes = 4 * earlystart.MaxStoredBytes
+
 // submitJob accepts a batch job and answers with status 202.
 func (g *Gateway) submitJob(c fiber.Ctx, r callerRequest) error {
 	if r.caller.RequestID == "" {
 		return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "a batch job needs the id of its request")
 	}
-	body, err := io.ReadAll(r.body.Reader())
-	if err != nil {
-		return errors.Wrap(err, "body")
+	if err := callerconn.Hold(c.RequestCtx().Conn(), submissionBytes); err != nil {
+		return callerconn.YieldRefusal()
 	}
-	submission, err := platform.ReadSubmission(body)
-	if err != nil {
+	submission, err := platform.ReadSubmission(r.body.Reader(), earlystart.MaxStoredBytes)
+	switch {
+	case errors.Is(err, platform.ErrSubmissionTooLarge):
+		return verdict.Refuse(verdict.NotRun, verdict.ReasonTooLarge, 0, "%v", err)
+	case err != nil:
 		return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "%v", err)
 	}
 	job := &batch.Job{
