--- a/internal/program/process/endless_harness_test.go
+++ b/internal/program/process/endless_harness_test.go
@@ -1,9 +1,12 @@
 package process
 
 import (
+	"encoding/json"
+	"flag"
 	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,6 +20,8 @@
 	"github.com/oleandershelf/oleandershelf/platform/platformtest"
 )
 
+var programPath = flag.String("program", "", "gateway program that the tests with processes run; the default is built from the source")
+
 const (
 	// faultyCount is how many services answer without end, and how many such answers at once a gateway must bear.
 	faultyCount = 8
@@ -96,8 +101,50 @@
 }
 
 func (trial *endlessTrial) startProcess() {
-	trial.t.Helper()
-	trial.process, trial.entry = trial.deployment.startProcess(nil)
+	t, program := trial.t, *programPath
+	t.Helper()
+	if program == "" {
+		built, err := binary.Path()
+		if err != nil {
+			t.Fatal(err)
+		}
+		program = built
+	}
+	set := trial.settings("entry-0", trial.store.NewEndpoint(t))
+	fields, err := json.Marshal(map[string]any{
+		"hostId": set.HostID, "availabilityZone": set.AvailabilityZone, "listen": set.Listen, "peerListen": set.PeerListen,
+		"adminListen": set.AdminListen, "platformUrl": set.PlatformURL, "reportsUrl": set.ReportsURL, "peerSecret": set.PeerSecret,
+		"usageWindow": set.UsageWindow.String(), "leaveDelay": set.LeaveDelay.String(), "drainTime": set.DrainTime.String(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "entry-0.json")
+	if err := os.WriteFile(path, fields, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	log, err := os.Create(path + ".log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	trial.process = binary.NewProcess(program, path, log)
+	if err := trial.process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		trial.process.Kill()
+		_ = log.Close()
+		if t.Failed() {
+			// The system's temporary folder outlives the test.
+			kept := filepath.Join(os.TempDir(), "endless-"+strings.ReplaceAll(t.Name(), "/", "-")+".log")
+			t.Logf("log of the gateway: %s (%v)", kept, os.Rename(log.Name(), kept))
+		}
+	})
+	trial.entry = &testGateway{set: set, url: "http://" + set.Listen.String(), closed: true}
+	trial.eventually("the gateway process serves", func() bool {
+		got, err := trial.tryCall(trial.entry, http.MethodPost, "/safe/x", keyNorth, "first", "")
+		return err == nil && got.status == http.StatusOK
+	})
 }
 
 // faulty returns the servers that can answer without end.
