Bound connections of other processes without a complete handshake

Whoever reaches the peer listener could hold any number of descriptors for the time of a handshake (2 s), again and again, without the secret. At most 64 handshakes are open at a time; one more closes the oldest, as a peer completes its own within milliseconds.

--- a/internal/edge/peer/server.go
+++ b/internal/edge/peer/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -28,6 +29,8 @@
 	running  int
 	drained  chan struct{} // closed when draining and no request is running
 	conns    map[*serverConn]struct{}
+	// handshakes are the connections whose handshake isn't complete, in the order of their arrival.
+	handshakes []net.Conn
 	// rejected counts the failed handshakes and lastRejected describes the last one, for the debug state.
 	rejected     int
 	lastRejected string
@@ -76,7 +79,9 @@
 	if s.settings.tls != nil {
 		wrapped = tls.Server(conn, s.settings.tls)
 	}
+	s.beginHandshake(conn)
 	authenticated, err := s.authenticate(wrapped)
+	s.endHandshake(conn)
 	if err != nil {
 		s.recordRejection(conn.RemoteAddr(), err)
 		return
@@ -95,6 +100,26 @@
 	})
 }
 
+// maxHandshakes bounds the connections whose handshake isn't complete: whoever reaches the listener can open them without the secret.
+const maxHandshakes = 64
+
+// beginHandshake closes the connection that has been without a complete handshake for longest if there are too many.
+func (s *Server) beginHandshake(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handshakes = append(s.handshakes, conn)
+	if len(s.handshakes) > maxHandshakes {
+		_ = s.handshakes[0].Close()
+		s.handshakes = slices.Delete(s.handshakes, 0, 1)
+	}
+}
+
+func (s *Server) endHandshake(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handshakes = slices.DeleteFunc(s.handshakes, func(other net.Conn) bool { return other == conn })
+}
+
 func (s *Server) recordRejection(from net.Addr, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
