Keep the shorter deadline for a head, and test reads that wait

A partial head got 15 s from its first byte on even where the server allows a request less. The account's timer is created only for callers that wait for memory. A request refused for memory no longer marks the next one on its connection. New crowd: 400 reads that wait for the results of a job whose items hang.

--- a/internal/edge/callerconn/account.go
+++ b/internal/edge/callerconn/account.go
@@ -120,23 +120,24 @@
 // hold asks for more memory for a caller, in bytes, and waits for it if others are to release it. It returns errYielded if the caller itself
 // is to yield.
 func (a *Account) hold(caller *buffering.Caller, bytes int) error {
-	timeout := time.NewTimer(memoryWait)
-	defer timeout.Stop()
-	for {
-		decision, released := a.ask(caller, bytes)
-		if decision == buffering.Granted {
-			return nil
-		}
-		if decision == buffering.Refused {
-			return errYielded
-		}
-		select {
-		case <-released:
-		case <-timeout.C:
-			a.giveUp(caller)
-			return errYielded
+	decision, released := a.ask(caller, bytes)
+	if decision == buffering.Wait {
+		timeout := time.NewTimer(memoryWait)
+		defer timeout.Stop()
+		for decision == buffering.Wait {
+			select {
+			case <-released:
+			case <-timeout.C:
+				a.giveUp(caller)
+				return errYielded
+			}
+			decision, released = a.ask(caller, bytes)
 		}
 	}
+	if decision == buffering.Refused {
+		return errYielded
+	}
+	return nil
 }
 
 // giveUp counts a caller that has waited in vain.
--- a/internal/edge/callerconn/body.go
+++ b/internal/edge/callerconn/body.go
@@ -24,9 +24,6 @@
 	length int
 }
 
-// Len returns the length in bytes.
-func (b *Body) Len() int { return b.length }
-
 // Bytes returns the body if it is in one piece, which a body of up to 64 KiB is.
 func (b *Body) Bytes() ([]byte, bool) {
 	switch len(b.chunks) {
--- a/internal/edge/callerconn/conn.go
+++ b/internal/edge/callerconn/conn.go
@@ -66,9 +66,10 @@
 	failure error
 
 	// mu guards the deadlines. yielded is set once the caller was ended in favour of others, and no later read may block.
-	mu         sync.Mutex
-	yielded    bool
-	writeLimit time.Time
+	mu      sync.Mutex
+	yielded bool
+	// readLimit and writeLimit are the deadlines that the library has set; zero for none.
+	readLimit, writeLimit time.Time
 }
 
 // Yields reports whether the present request of a connection yields to those of others: the account has refused memory for it, or has ended
@@ -157,7 +158,7 @@
 // readHead ends the former request and waits until the next head has arrived.
 func (c *callerConn) readHead() error {
 	c.account.release(c.caller, c.held)
-	c.held = 0
+	c.held, c.refused = 0, false
 	c.linger.Store(false)
 	phase := buffering.PhaseIdle
 	if len(c.head) > 0 {
@@ -172,7 +173,7 @@
 		}
 		if before == 0 {
 			c.account.setPhase(c.caller, buffering.PhaseReading)
-			if err := c.SetReadDeadline(time.Now().Add(headTimeout)); err != nil {
+			if err := c.limitHead(); err != nil {
 				return err
 			}
 		}
@@ -272,6 +273,18 @@
 	if c.yielded {
 		return nil
 	}
+	c.readLimit = deadline
+	return c.TCPConn.SetReadDeadline(deadline)
+}
+
+// limitHead limits the time to read the rest of a head. The library's deadline may be that for an idle connection.
+func (c *callerConn) limitHead() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	deadline := time.Now().Add(headTimeout)
+	if c.yielded || !c.readLimit.IsZero() && c.readLimit.Before(deadline) {
+		return nil
+	}
 	return c.TCPConn.SetReadDeadline(deadline)
 }
 
--- a/internal/edge/callerconn/listener_test.go
+++ b/internal/edge/callerconn/listener_test.go
@@ -140,6 +140,23 @@
 	}
 }
 
+// Guards against a partial head that is given more time than the server allows for a request.
+func TestHeadKeepsTheShorterDeadline(t *testing.T) {
+	client, server := accepted(t, newTestAccount(4096))
+	if _, err := io.WriteString(client, "GET / HT"); err != nil {
+		t.Fatal(err)
+	}
+	_ = server.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	buffer := make([]byte, 1<<10)
+	// The error follows the first byte.
+	if n, err := server.Read(buffer); n != 1 || err != nil {
+		t.Fatalf("%d bytes, %v", n, err)
+	}
+	if _, err := server.Read(buffer); !isTimeout(err) {
+		t.Errorf("got %v", err)
+	}
+}
+
 // Guards against an account that keeps what a closed connection or an answered request held.
 func TestAccountIsEmptyAfterConnections(t *testing.T) {
 	account := newTestAccount(4096)
--- a/internal/program/crowd/crowd_test.go
+++ b/internal/program/crowd/crowd_test.go
@@ -114,6 +114,21 @@
 			}
 		}
 	}},
+	{name: "reads that wait", clients: 400, descriptors: fewDescriptors, send: func(c *client) { c.readJob("waiting") },
+		prepare: func(tr *trial) {
+			for _, server := range tr.servers {
+				server.SetBehaviour(func(_ int, r platformtest.Request) platformtest.Behaviour {
+					if strings.HasPrefix(r.Target, "/job/") {
+						return platformtest.Hang
+					}
+					return platformtest.Answer
+				})
+			}
+			job := platformtest.Submission("m", 1, 1, []platformtest.Item{{ID: "item", Path: "/job/1", Group: "g"}})
+			if got, err := tr.call("/job/x", "waiting", job, nil); err != nil || got.status != http.StatusAccepted {
+				tr.t.Fatalf("the job: status %d, %s, %v", got.status, got.body, err)
+			}
+		}},
 	{name: "connections that are reset", clients: 50, descriptors: fewDescriptors, send: func(c *client) { c.reset(100) }},
 }
 
--- a/internal/program/crowd/harness_test.go
+++ b/internal/program/crowd/harness_test.go
@@ -47,6 +47,8 @@
 	clients int
 	// descriptors is the number of descriptors that the process may open; 0 for no limit.
 	descriptors int
+	// prepare is called before the crowd comes, unless it is nil.
+	prepare func(tr *trial)
 	// listener returns the address that the crowd connects to; nil stands for the callers' listener.
 	listener func(*trial) netip.AddrPort
 	// send writes what one caller sends. Writing fails once the connection is closed.
@@ -85,6 +87,17 @@
 	return head.String()
 }
 
+// readJob requests results of a job, and waits for them for as long as the gateway lets it.
+func (c *client) readJob(job string) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+hostName+platformtest.JobTarget(job, 0), nil)
+	if err != nil {
+		return
+	}
+	platformtest.SetCallerHeaders(request, c.id, key, callTimeout)
+	platformtest.SetMaxWait(request, callTimeout)
+	_ = request.Write(c.Conn)
+}
+
 // body writes a request with a body of the declared length, of which it sends a part, in pieces.
 func (c *client) body(path, key string, declared, sent, piece int, lines ...string) {
 	if !c.write(c.head(http.MethodPost, path, key, append(lines, fmt.Sprintf("Content-Length: %d", declared))...) + "\r\n") {
@@ -228,6 +241,9 @@
 // run has a crowd come and leave, and checks what the process has used.
 func (tr *trial) run(c crowd) {
 	tr.t.Helper()
+	if c.prepare != nil {
+		c.prepare(tr)
+	}
 	address := tr.listen
 	if c.listener != nil {
 		address = c.listener(tr)
