Count requests at an entry as whole once their handler begins

Requests at the role entry stayed in the phase of reading while they were served, so that under pressure a stream of minutes would have counted as overdue, and its connection been given to another caller before it was closed.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -126,6 +126,7 @@
 func (e *Entry) countRunning(c fiber.Ctx) error {
 	e.running.Add(1)
 	defer e.running.Add(-1)
+	callerconn.Serving(c.RequestCtx().Conn())
 	if e.leaving.Load() {
 		c.Set(fiber.HeaderConnection, "close")
 	}
