Wait for the answers that a crowd must get before it leaves

Its log shows seven of the eight requests refused and the first one neither refused nor answered: the crowd left a second after its last byte, and gave up the request, before the server in the test's process, under the race detector beside other packages, had read and answered 32 MiB. The check was right, but hung on the machine's speed.

--- a/internal/program/crowd/harness_test.go
+++ b/internal/program/crowd/harness_test.go
@@ -271,6 +271,7 @@
 	sending.Wait()
 	time.Sleep(holdTime)
 	tr.ordinaryCall("during the crowd")
+	tr.awaitAnswers(c.answered)
 	if usage, err := tr.process.Usage(); err == nil {
 		descriptors = max(descriptors, usage.Descriptors)
 	}
@@ -330,6 +331,19 @@
 	}
 }
 
+// awaitAnswers waits until the server has answered as many of the crowd, since a crowd that leaves gives up its requests.
+func (tr *trial) awaitAnswers(count int) {
+	for end := time.Now().Add(ordinaryTimeout); time.Now().Before(end) && tr.answered() < count; {
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (tr *trial) answered() int {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return tr.answers[http.StatusOK]
+}
+
 // ordinaryCall sends a small request, and repeats it as an ordinary caller does.
 func (tr *trial) ordinaryCall(when string) {
 	tr.t.Helper()
