--- a/internal/edge/callerconn/conn.go
+++ b/internal/edge/callerconn/conn.go
@@ -39,10 +39,8 @@
 // callerConn is a caller's connection whose requests are accounted for as they arrive. It hands out a head once all of it has arrived and the
 // account has the memory for decoding it, and never more than the request that is being read.
 //
-// Close closes it in the way that is known as a lingering close if Linger was called. A request that is refused before its body was read
-// leaves unread bytes. Closing the connection would then reset it, and the caller would see a broken connection instead of the refusal and
-// could not know that nothing ran. So Close first closes the sending side, which ends the answer, and then reads and discards the rest of the
-// body.
+// After Linger, Close is a lingering close: unread bytes of a refused request would reset the connection, and the caller would not get the
+// refusal. So Close ends the answer first, and then reads and discards the rest of the body.
 type callerConn struct {
 	*net.TCPConn
 	account *Account
@@ -317,7 +315,7 @@
 	}
 }
 
-// ReadFrom writes what it reads from the reader.
+// ReadFrom writes what it reads from the reader by Write, which limits the time.
 func (c *callerConn) ReadFrom(reader io.Reader) (int64, error) {
 	return io.Copy(struct{ io.Writer }{c}, reader)
 }
