--- a/review/second/main.go
+++ b/review/second/main.go
@@ -17,6 +17,7 @@
 // cases are the script cases by name. Each returns whether the rule held.
 var cases = map[string]func(*world) (bool, error){
 	"truncated-upload": truncatedUpload,
+	"repeated-failure": repeatedFailure,
 }
 
 func main() {
