--- a/review/second/main.go
+++ b/review/second/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(*world) (bool, error){
 	"truncated-upload": truncatedUpload,
 	"repeated-failure": repeatedFailure,
+	"two-holders":      twoHolders,
 }
 
 func main() {
--- a/review/second/world.go
+++ b/review/second/world.go
@@ -45,6 +45,8 @@
 	store    *platformtest.Store
 	reports  *platformtest.UsageReceiver
 	gateways []*gateway
+	// linked is set if the gateways reach one another through links.
+	linked bool
 
 	mu     sync.Mutex
 	record *os.File
@@ -57,6 +59,8 @@
 	callers, admin      netip.AddrPort
 	callerURL, adminURL string
 	store               *platformtest.Endpoint
+	// link is nil unless the world's gateways are linked.
+	link *link
 }
 
 // newWorld starts the stand-ins of the platform. The record is written into the folder.
@@ -127,13 +131,23 @@
 func (w *world) newGateway(name string, peer netip.AddrPort, seeds []netip.AddrPort) (*gateway, error) {
 	g := &gateway{name: name, callers: platformtest.UnusedAddress(), admin: platformtest.UnusedAddress(), store: w.store.NewEndpoint(&w.cleanups)}
 	g.callerURL, g.adminURL = "http://"+g.callers.String(), "http://"+g.admin.String()
-	settings, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"hostId": name, "availabilityZone": "north-a", "regions": map[string]string{"north-a": "north"},
 		"listen": g.callers, "adminListen": g.admin, "peerListen": peer, "seeds": seeds,
 		"platformUrl": g.store.URL(), "reportsUrl": w.reports.URL(), "processorCores": 0.304, "usageWindow": "5s", "drainTime": "8s",
 		"leaveDelay": "3s", "peerSecret": "the secret of the review", "earlyGeneration": "on", "bodyLimitBytes": 33554432, "memoryMB": 284,
 		"maxDescriptors": 4100, "speedPlacement": "auto", "logLevel": "info",
-	})
+	}
+	if w.linked {
+		listen := platformtest.UnusedAddress()
+		fields["peerListen"], fields["peerAdvertise"] = listen, peer
+		var err error
+		if g.link, err = newLink(w.ctx, peer, listen); err != nil {
+			return nil, err
+		}
+		w.cleanups.Cleanup(g.link.cut)
+	}
+	settings, err := json.Marshal(fields)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode settings")
 	}
