exchange: check heads of answers before anything of them is used

Callers got answers that are none in the protocol: a status of 000 as "200 OK", 007 as "HTTP/1.1 7 OK", lines such as "X Odd: a" as they came, and for "Transfer Encoding: chunked" the frames of the chunks as the body, all signed and as successes. Items, scores, orders for weights, accepted jobs, configurations and usage reports followed from such answers too.

Cause: the HTTP library reads more than RFC 9112 allows. It takes a status of 000 for 200, accepts blanks in names, and chooses the framing by what it made of them; what it made of the head was believed.

The connection now checks each line of the raw head as it arrives, before the library reads it, for all readers at once. What the protocol doesn't allow is a lost answer: 502 serverFailed, or a repeat elsewhere where that may be; the server is chosen last as after an answer that is too large, and isn't counted as ended. Forms that are allowed and that the library misreads are put into the usual form first: later minor versions, whose chunks it passed on as the body, and heads that end in bare line feeds, which waited for the deadline. A check of the decoded head can't see most of this: 000 is 200 by then, blanks before a colon are gone, and the framing is chosen.

--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -55,6 +55,8 @@
 	outcomeVersionMismatch
 	// outcomeEndless: the server sent more than an answer or an event may have. The item resumes at another server.
 	outcomeEndless
+	// outcomeMalformed: the protocol doesn't allow the server's answer. The item resumes at another server.
+	outcomeMalformed
 	// outcomeShortRun: the run brought as many events as it may, and the item resumes.
 	outcomeShortRun
 	// outcomeOverlong: the output exceeds what an item may have. It is discarded, since its proper end can't be told.
@@ -70,6 +72,7 @@
 	outcomeMoved:           "moved",
 	outcomeVersionMismatch: "unfit",
 	outcomeEndless:         "endless",
+	outcomeMalformed:       "malformed",
 	outcomeShortRun:        "shortRun",
 	outcomeOverlong:        "overlong",
 }
@@ -157,7 +160,8 @@
 	if next := m.continueMove(ctx, r, result); next != nil {
 		return next
 	}
-	rejected := result == outcomeInterrupted && !r.connectionLost || result == outcomeEndless || result == outcomeOverlong
+	rejected := result == outcomeInterrupted && !r.connectionLost || result == outcomeEndless || result == outcomeMalformed ||
+		result == outcomeOverlong
 	if result == outcomeRefused || result == outcomeFailed || rejected {
 		j.setBetweenRuns(item.ID, batch.IdlePaused)
 		ticker.Sleep(ctx, itemRetryDelay)
@@ -286,6 +290,10 @@
 		r.manager.balancer.RecordInvalidAnswer(time.Now(), r.server.ID)
 		return outcomeEndless
 	}
+	if exchange.IsMalformed(err) {
+		r.manager.balancer.RecordInvalidAnswer(time.Now(), r.server.ID)
+		return outcomeMalformed
+	}
 	if cause := context.Cause(ctx); cause != nil {
 		r.cause = cause
 	}
--- a/internal/edge/batchjob/move.go
+++ b/internal/edge/batchjob/move.go
@@ -109,7 +109,8 @@
 	if r.next == nil {
 		return nil
 	}
-	moves := result == outcomeMoved || result == outcomeInterrupted || result == outcomeEndless || result == outcomeRefused
+	moves := result == outcomeMoved || result == outcomeInterrupted || result == outcomeEndless || result == outcomeMalformed ||
+		result == outcomeRefused
 	if ctx.Err() == nil && moves && m.mayRunAt(j, r.item.ID, r.next.server.ID) {
 		j.progress.Requeue(r.item.ID)
 		if j.progress.IsWaiting(r.item.ID) {
--- a/internal/edge/call/attempt.go
+++ b/internal/edge/call/attempt.go
@@ -39,8 +39,7 @@
 		if errors.Is(err, exchange.ErrNotSent) {
 			attempt.Outcome = verdict.NotRun
 		}
-		attempt.TooLarge = exchange.IsTooLarge(err)
-		attempt.Interrupted = attempt.Outcome != verdict.NotRun && !attempt.TooLarge
+		attempt.recordEnd(err)
 		return
 	}
 	defer func() {
@@ -57,7 +56,7 @@
 	}
 	if outcome != verdict.Ran {
 		attempt.Outcome, attempt.Cause = outcome, cause
-		attempt.recordUnusedBody(stream.Discard())
+		attempt.recordEnd(stream.Discard())
 		return
 	}
 	done, ok := expectBody(request, stream)
@@ -71,8 +70,7 @@
 	done()
 	if err != nil {
 		attempt.Cause = err
-		attempt.TooLarge = exchange.IsTooLarge(err)
-		attempt.Interrupted = !attempt.TooLarge
+		attempt.recordEnd(err)
 		return
 	}
 	attempt.Outcome = verdict.Ran
@@ -80,10 +78,10 @@
 	stream.Header().CopyTo(&attempt.Header)
 }
 
-// recordUnusedBody records how the body of an answer ended that is not used. What the header says of the request holds in any case.
-func (a *Attempt) recordUnusedBody(err error) {
-	a.TooLarge = exchange.IsTooLarge(err)
-	a.Interrupted = err != nil && !a.TooLarge && a.Outcome != verdict.NotRun
+// recordEnd records how the answer ended: err is nil if it is whole. What its head says of the request holds in any case.
+func (a *Attempt) recordEnd(err error) {
+	a.TooLarge, a.Malformed = exchange.IsTooLarge(err), exchange.IsMalformed(err)
+	a.Interrupted = err != nil && !a.TooLarge && !a.Malformed && a.Outcome != verdict.NotRun
 }
 
 // updateBalancer reports to the balancer what an attempt showed of its server: its load, its latency, or its failure.
@@ -96,7 +94,7 @@
 	case attempt.Outcome == verdict.Ran && attempt.Answer.Status < fasthttp.StatusInternalServerError:
 		s.balancer.RecordLatency(now, id, now.Sub(attempt.SentAt))
 		s.balancer.RecordCompleteAnswer(id)
-	case attempt.TooLarge:
+	case attempt.TooLarge, attempt.Malformed:
 		s.balancer.RecordInvalidAnswer(now, id)
 	case attempt.Outcome == verdict.NotRun && attempt.Answer.Status != 0:
 		s.balancer.RecordRefusal(now, id)
--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -58,8 +58,8 @@
 	Outcome verdict.Verdict
 	// Interrupted is set if the connection broke after the server may have begun to run the request.
 	Interrupted bool
-	// TooLarge is set if the answer was ended because it is too large.
-	TooLarge bool
+	// TooLarge is set if the answer was ended because it is too large, and Malformed if the protocol doesn't allow it.
+	TooLarge, Malformed bool
 	// Cause says why no answer can be passed on; nil if Outcome is Ran.
 	Cause error
 
--- a/internal/edge/call/tries.go
+++ b/internal/edge/call/tries.go
@@ -192,6 +192,8 @@
 		return last, nil
 	case r.Sent > 0 && last.TooLarge:
 		return last, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonAnswerTooLarge, 0, "server %s: %v", last.Server.ID, last.Cause)
+	case r.Sent > 0 && last.Malformed:
+		return last, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerFailed, 0, "server %s: %v", last.Server.ID, last.Cause)
 	case r.Sent > 0:
 		return last, verdict.Refuse(verdict.MayHaveRun, verdict.ReasonServerLost, 0, "server %s: %v", last.Server.ID, last.Cause)
 	case ctx.Err() != nil:
--- a/internal/edge/exchange/client.go
+++ b/internal/edge/exchange/client.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -46,6 +47,7 @@
 	dialer      net.Dialer
 	memory      *Memory
 	onTooLarge  func(*AnswerTooLargeError)
+	onMalformed func(*MalformedError)
 
 	mutex  sync.Mutex
 	closed bool
@@ -89,6 +91,11 @@
 	return func(c *Client) { c.onTooLarge = observe }
 }
 
+// WithMalformedObserver sets a function that is called for each answer that is malformed. It must not block.
+func WithMalformedObserver(observe func(*MalformedError)) Option {
+	return func(c *Client) { c.onMalformed = observe }
+}
+
 // NewClient returns a client that has no connections yet.
 func NewClient(opts ...Option) *Client {
 	client := &Client{
@@ -98,6 +105,7 @@
 		maxIdle:     DefaultMaxIdle,
 		idle:        make(map[string][]*connection),
 		onTooLarge:  func(*AnswerTooLargeError) {},
+		onMalformed: func(*MalformedError) {},
 	}
 	for _, opt := range opts {
 		opt(client)
@@ -203,18 +211,48 @@
 	}
 	resp.StreamBody = true
 	resp.SkipBody = req.Header.IsHead()
-	if err := resp.Read(conn.reader); err != nil {
+	if err := trip.readHead(resp); err != nil {
 		trip.finish(false)
-		var headerTooLarge *fasthttp.ErrSmallBuffer
-		if errors.As(err, &headerTooLarge) {
-			return nil, c.tooLarge(conn, BoundHeader, conn.bytesReceived, conn.reader.Size())
-		}
-		return nil, errors.Wrapf(ErrAnswerLost, "reading: %v", trip.cause(err))
+		return nil, err
 	}
 	trip.reusable = !req.ConnectionClose() && !resp.ConnectionClose()
 	return trip, nil
 }
 
+// readHead reads the head of the answer.
+func (t *roundTrip) readHead(resp *fasthttp.Response) error {
+	err := t.conn.awaitHead()
+	if err == nil {
+		err = t.decodeHead(resp)
+	}
+	var malformed *MalformedError
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, bufio.ErrBufferFull):
+		return t.client.tooLarge(t.conn, BoundHeader, t.conn.bytesReceived, t.conn.reader.Size())
+	case errors.As(err, &malformed):
+		t.client.onMalformed(malformed)
+		return malformed
+	default:
+		return errors.Wrapf(ErrAnswerLost, "reading: %v", t.cause(err))
+	}
+}
+
+// decodeHead decodes a head that has been received and checked. What the library can't read either, such as two lengths, is malformed.
+func (t *roundTrip) decodeHead(resp *fasthttp.Response) error {
+	err := resp.Read(t.conn.reader)
+	var headTooLarge *fasthttp.ErrSmallBuffer
+	switch {
+	case err == nil || t.ctx.Err() != nil:
+		return err
+	case errors.As(err, &headTooLarge):
+		return bufio.ErrBufferFull
+	default:
+		return &MalformedError{Server: t.conn.key, Fault: fmt.Sprintf("%.100v", err)}
+	}
+}
+
 // finish returns the connection to the pool if the complete answer was read and the connection can be reused, and closes it otherwise. The
 // connection of a call that was given up is reset: the kernel would otherwise go on to send the request, and a server behind a network that
 // was cut would get it seconds later.
--- a/internal/edge/exchange/connection.go
+++ b/internal/edge/exchange/connection.go
@@ -20,6 +20,8 @@
 	raw    net.Conn
 	socket net.Conn
 	reader *bufio.Reader
+	// replaced holds what was received with a head of an unusual form, with the head in its usual form. It is read before the socket.
+	replaced []byte
 	// bytesSent counts the bytes of the current request that were written to the socket.
 	bytesSent int
 	// bytesReceived counts the bytes that were read from the socket since the current request was sent.
@@ -38,9 +40,18 @@
 
 // Read counts the bytes that it reads: the codec reads more than it returns.
 func (c *connection) Read(data []byte) (int, error) {
+	if len(c.replaced) > 0 {
+		n := copy(data, c.replaced)
+		c.replaced = c.replaced[n:]
+		return n, nil
+	}
 	n, err := c.socket.Read(data)
 	c.bytesReceived += n
-	return n, err
+	if n > 0 {
+		// The next read returns the error again. The reader would return it before what has been replaced.
+		return n, nil
+	}
+	return 0, err
 }
 
 // send writes the whole request.
@@ -74,7 +85,7 @@
 
 // hasUnread reports whether the connection is closed or has data to be read.
 func (c *connection) hasUnread() bool {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || len(c.replaced) > 0 {
 		return true
 	}
 	unread, err := socket.HasUnread(c.raw)
--- a/internal/edge/exchange/stream.go
+++ b/internal/edge/exchange/stream.go
@@ -61,6 +61,9 @@
 	case err == nil:
 		return n, nil
 	case errors.Is(err, io.EOF):
+		if err := s.checkTrailer(); err != nil {
+			return n, err
+		}
 		s.complete = true
 		return n, io.EOF
 	case s.reservation != nil && s.reservation.wasEnded():
--- a/internal/program/process/answers.go
+++ b/internal/program/process/answers.go
@@ -8,7 +8,7 @@
 )
 
 // answerOptions returns the options by which the clients of a process share the memory for answers, and by which the answers that are too
-// large are logged and counted.
+// large or malformed are logged and counted.
 func answerOptions(registry prometheus.Registerer, log zerolog.Logger) []exchange.Option {
 	memory := exchange.NewMemory(exchange.DefaultMemory)
 	tooLarge := prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -19,7 +19,11 @@
 		Name: "oleandershelf_answer_memory_bytes",
 		Help: "Memory that answers hold.",
 	}, func() float64 { return float64(memory.Held()) })
-	registry.MustRegister(tooLarge, held)
+	malformed := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "oleandershelf_answers_malformed_total",
+		Help: "Answers of servers and of the platform that the protocol doesn't allow.",
+	})
+	registry.MustRegister(tooLarge, malformed, held)
 	return []exchange.Option{
 		exchange.WithMemory(memory),
 		exchange.WithTooLargeObserver(func(answer *exchange.AnswerTooLargeError) {
@@ -27,5 +31,9 @@
 			log.Warn().Str("server", answer.Server).Str("bound", string(answer.Bound)).Int("bytes", answer.Read).Int("limit", answer.Limit).
 				Msg("answer is too large")
 		}),
+		exchange.WithMalformedObserver(func(answer *exchange.MalformedError) {
+			malformed.Inc()
+			log.Warn().Str("server", answer.Server).Str("fault", answer.Fault).Msg("answer is malformed")
+		}),
 	}
 }
