--- a/internal/program/process/malformed_test.go
+++ b/internal/program/process/malformed_test.go
@@ -210,10 +210,14 @@
 			d.t = t
 			answerRaw(d.services, form.answer)
 			id := fmt.Sprintf("call-%d", i)
-			got := d.parseAnswer(d.sendRaw(d.gateways[0], "/once/x", id, "question"))
+			raw := d.sendRaw(d.gateways[0], "/once/x", id, "question")
+			got := d.parseAnswer(raw)
 			if _, signed := platformtest.Signed(got.header); got.status != http.StatusOK || !signed || !strings.HasSuffix(got.body, " answers question") {
 				t.Errorf("%+v", got)
 			}
+			if !strings.HasPrefix(raw, "HTTP/1.1 200") {
+				t.Errorf("answer %q", raw)
+			}
 			for _, odd := range got.header["X-Odd"] {
 				if strings.TrimSpace(odd) != odd || strings.ContainsAny(odd, "\r\n") {
 					t.Errorf("field %q", odd)
