cmd: refuse malformed answers to commands

"ticket apply" printed "accepted" and exited 0 after an answer with the status 000 or a name with a blank, and so did "ticket status" and "state": they read answers with the HTTP library's own client, which takes 000 for 200. They now use the client whose heads are checked; after a malformed answer it is unknown whether a ticket was accepted (exit code 4).

--- a/internal/program/cmd/ticket.go
+++ b/internal/program/cmd/ticket.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -15,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
+	"github.com/oleandershelf/oleandershelf/internal/edge/exchange"
 )
 
 const (
@@ -89,13 +89,8 @@
 		request.Header.Set("Authorization", "Bearer "+o.key)
 	}
 	request.SetBody(body)
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(operatorTimeout)
-	}
 	// Applying a ticket twice is harmless, but an automatic retry would hide from the operator that a response was lost.
-	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
-	if err := client.DoDeadline(request, response, deadline); err != nil {
+	if err := send(ctx, operatorTimeout, request, response); err != nil {
 		return nil, requestError(method, number, err)
 	}
 	if response.StatusCode() != http.StatusOK {
@@ -109,8 +104,7 @@
 	if method == http.MethodGet {
 		return errors.Wrapf(err, "ticket %d", number)
 	}
-	var opErr *net.OpError
-	if errors.As(err, &opErr) && opErr.Op == "dial" {
+	if errors.Is(err, exchange.ErrNotSent) {
 		return verdict.Refuse(verdict.NotRun, verdict.ReasonNoServer, 0, "ticket %d was not sent: %v", number, err)
 	}
 	return verdict.Refuse(verdict.MayHaveRun, verdict.ReasonTicketUnsettled, time.Second,
