gateway: refuse requests that a planned stop may leave without an answer

In a planned stop, requests that came on connections which were open and not used yet were read and passed on until the process closed, and cut then without an answer, also those that may not be repeated.

Cause: until the end of the drain it was asked nowhere whether a request can still be answered, and the requests that were running at its end got no answer at all.

From leaveDelay on, a request whose deadline is later than the end of the drain is refused at once, before any of it is sent to a server: 503 leaving, not run. It is asked after the head and again after the body, which may arrive late. Before leaveDelay all requests are accepted, since the load balancer may still choose the host. At the end of the drain, a second before drainTime, requests that still run get 502 leaving, may have run, and the process waits up to half a second until the answers are written. This doesn't depend on the handover of jobs and duties, which can take until then while the store hangs. An entry of the older role refuses such requests too.

--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
@@ -16,6 +17,9 @@
 	"github.com/oleandershelf/oleandershelf/platform"
 )
 
+// ErrLeaving is the cause with which a process that stops ends the context of Send.
+var ErrLeaving = errors.New("the host stops")
+
 // Request is a request to a pool, and the rules for its retries.
 type Request struct {
 	// ID identifies the request; an answer that carries another id is not accepted.
--- a/internal/edge/call/tries.go
+++ b/internal/edge/call/tries.go
@@ -234,12 +234,15 @@
 	}
 }
 
-// endedRefusal refuses a request whose deadline passed, or whose caller hung up, before a server answered.
+// endedRefusal refuses a request whose deadline passed, whose caller hung up, or whose host stops, before a server answered.
 func (r *retrier) endedRefusal(ctx context.Context, last *Attempt) error {
 	outcome := verdict.NotRun
 	if r.Sent > 0 {
 		outcome = verdict.MayHaveRun
 	}
+	if errors.Is(context.Cause(ctx), ErrLeaving) {
+		return verdict.Refuse(outcome, verdict.ReasonLeaving, 0, "%v; server %s: %v", ErrLeaving, last.Server.ID, last.Cause)
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return verdict.Refuse(outcome, verdict.ReasonCallerGone, 0, "the caller hung up; server %s: %v", last.Server.ID, last.Cause)
 	}
--- a/internal/edge/callerconn/account.go
+++ b/internal/edge/callerconn/account.go
@@ -187,6 +187,19 @@
 	a.wakeLocked()
 }
 
+// Serving returns the number of callers whose request has been read and whose answer isn't written yet.
+func (a *Account) Serving() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	count := 0
+	for caller := range a.conns {
+		if caller.Phase() == buffering.PhaseServing {
+			count++
+		}
+	}
+	return count
+}
+
 func (a *Account) setPhase(caller *buffering.Caller, phase buffering.Phase) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -83,7 +83,8 @@
 	wg           conc.WaitGroup
 	// running counts callers' requests until their last byte, streams and background work included.
 	running atomic.Int64
-	leaving atomic.Bool
+	// stop is set once the host is leaving.
+	stop atomic.Pointer[admission.PlannedStop]
 }
 
 // New returns an entry that serves the callers of an account on l until ctx ends or Drain is called.
@@ -127,7 +128,7 @@
 	e.running.Add(1)
 	defer e.running.Add(-1)
 	callerconn.Serving(c.RequestCtx().Conn())
-	if e.leaving.Load() {
+	if e.stop.Load() != nil {
 		c.Set(fiber.HeaderConnection, "close")
 	}
 	return c.Next()
@@ -161,10 +162,11 @@
 const organisationRefreshInterval = 5 * time.Second
 
 // Drain stops the entry without cutting off a request. It keeps serving for leaveDelay while the load balancer learns
-// that the host is leaving, then accepts no new connections and waits until ctx ends for the requests that are
-// running. It returns an error if some are still running then.
+// that the host is leaving, then accepts no new connections, refuses requests whose deadline is later than that of ctx,
+// and waits until ctx ends for the requests that are running. It returns an error if some are still running then.
 func (e *Entry) Drain(ctx context.Context, leaveDelay time.Duration) error {
-	e.leaving.Store(true)
+	end, _ := ctx.Deadline()
+	e.stop.Store(&admission.PlannedStop{AcceptUntil: time.Now().Add(leaveDelay), End: end})
 	ticker.Sleep(ctx, leaveDelay)
 	err := e.app.ShutdownWithContext(ctx)
 	for e.running.Load() > 0 {
@@ -196,7 +198,7 @@
 	return State{
 		HostID:   e.config.HostID,
 		Running:  e.running.Load(),
-		Leaving:  e.leaving.Load(),
+		Leaving:  e.stop.Load() != nil,
 		Revision: view.Revision(),
 		Ticket:   view.LastTicket(),
 		Fresh:    e.deps.Views.Fresh(time.Now()),
--- a/internal/edge/entry/generate.go
+++ b/internal/edge/entry/generate.go
@@ -64,7 +64,7 @@
 	if err := refuseKeyInContent(body.Prompt, e.newKeyMatcher(from)); err != nil {
 		return err
 	}
-	end, err := deadline(c, time.Now())
+	end, err := e.acceptedDeadline(c)
 	if err != nil {
 		return err
 	}
--- a/internal/edge/entry/hangup_test.go
+++ b/internal/edge/entry/hangup_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/oleandershelf/oleandershelf/internal/core/request"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/backendserver"
@@ -212,6 +214,45 @@
 	}
 }
 
+// Guards against a request that is passed on during a drain, and cut at its end: it must be refused unless it is answered before.
+func TestDrainRefusesWhatItMayNotAnswer(t *testing.T) {
+	for _, test := range []struct {
+		timeout string
+		status  int
+		runs    int
+	}{
+		{timeout: "Request-Timeout: 600\r\n", status: http.StatusServiceUnavailable},
+		{timeout: "Request-Timeout: 1\r\n", status: http.StatusOK, runs: 1},
+	} {
+		t.Run(strings.TrimSpace(test.timeout), func(t *testing.T) {
+			ready := &fakeAgent{}
+			f := newFixture(t, ready)
+			conn := f.connect()
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			drained := make(chan error, 1)
+			var drain conc.WaitGroup
+			drain.Go(func() { drained <- f.entry.Drain(ctx, 0) })
+			for f.entry.stop.Load() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			f.write(conn, rawRequest("/v1/services/billdesk/charge", "x", test.timeout))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if response.StatusCode != test.status || !response.Close || runs(ready) != test.runs {
+				t.Errorf("status %d, closes %v, %d runs", response.StatusCode, response.Close, runs(ready))
+			}
+			_ = response.Body.Close()
+			if err := <-drained; err != nil {
+				t.Error(err)
+			}
+			drain.Wait()
+		})
+	}
+}
+
 // shortReadConfig has a short ReadTimeout.
 var shortReadConfig = Config{HostID: "entry-1", BodyLimitBytes: 1 << 20, Incarnation: 7, ReadTimeout: 200 * time.Millisecond}
 
--- a/internal/edge/entry/service.go
+++ b/internal/edge/entry/service.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	end, err := deadline(c, time.Now())
+	end, err := e.acceptedDeadline(c)
 	if err != nil {
 		return err
 	}
--- a/internal/edge/entry/timeout.go
+++ b/internal/edge/entry/timeout.go
@@ -24,3 +24,13 @@
 	}
 	return now.Add(timeout), nil
 }
+
+// acceptedDeadline is deadline for a request that is about to be sent to a server. A planned stop refuses it if the process may end before.
+func (e *Entry) acceptedDeadline(c fiber.Ctx) (time.Time, error) {
+	now := time.Now()
+	end, err := deadline(c, now)
+	if err != nil {
+		return time.Time{}, err
+	}
+	return end, e.stop.Load().Check(now, end)
+}
--- a/internal/edge/gateway/forward.go
+++ b/internal/edge/gateway/forward.go
@@ -30,12 +30,14 @@
 // forward sends the request to a backend server and passes on its answer: once all of it has arrived, or a large one as it arrives. The error is
 // a refusal.
 func (g *Gateway) forward(c fiber.Ctx, r callerRequest) error {
-	ctx, cancel := context.WithCancel(c.Context())
+	ctx, cancel := context.WithCancelCause(c.Context())
 	conn := c.RequestCtx().Conn()
-	stopWatching := callerconn.CancelOnHangup(conn, cancel)
+	stopWatching := callerconn.CancelOnHangup(conn, func() { cancel(nil) })
+	stopEnding := context.AfterFunc(g.ending, func() { cancel(context.Cause(g.ending)) })
 	end := sync.OnceFunc(func() {
 		stopWatching()
-		cancel()
+		stopEnding()
+		cancel(nil)
 	})
 	passed := false
 	defer func() {
@@ -52,6 +54,8 @@
 	g.deps.Metrics.observeLatency(r.route.Kind, time.Since(r.arrived))
 	platform.CopyAnswerHeader(c.Response(), &final.Header)
 	if passed = final.Passed != nil; passed {
+		// No other answer can take the place of one that has begun.
+		stopEnding()
 		g.running.Add(1)
 		c.Response().SetBodyStream(newPassedStream(ctx, conn, final.Passed, r.deadline, func() {
 			end()
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -16,13 +16,13 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/oleandershelf/oleandershelf/internal/core/admission"
 	"github.com/oleandershelf/oleandershelf/internal/core/routing"
 	"github.com/oleandershelf/oleandershelf/internal/core/verdict"
 	"github.com/oleandershelf/oleandershelf/internal/edge/batchjob"
 	"github.com/oleandershelf/oleandershelf/internal/edge/call"
 	"github.com/oleandershelf/oleandershelf/internal/edge/callerconn"
 	"github.com/oleandershelf/oleandershelf/internal/edge/refusal"
-	"github.com/oleandershelf/oleandershelf/internal/edge/ticker"
 	"github.com/oleandershelf/oleandershelf/internal/edge/view"
 	"github.com/oleandershelf/oleandershelf/platform"
 )
@@ -37,8 +37,6 @@
 	noConfigurationRetryAfter = 300 * time.Millisecond
 	// shutdownTimeout is how long the gateway waits for open connections after its context has ended.
 	shutdownTimeout = time.Second
-	// drainPollInterval is how often Drain checks for running requests.
-	drainPollInterval = 20 * time.Millisecond
 )
 
 // Usage counts the requests that are charged to organisations.
@@ -62,17 +60,23 @@
 	deps Deps
 	app  *fiber.App
 	wg   conc.WaitGroup
+	// account has the callers' connections.
+	account *callerconn.Account
 	// bodyLimit is the maximum length of a body in bytes.
 	bodyLimit int
 	// running counts the requests that are being served.
 	running atomic.Int64
-	// leaving is set once callers are to open their next connection at another host.
-	leaving atomic.Bool
+	// stop is set once callers are to open their next connection at another host.
+	stop atomic.Pointer[admission.PlannedStop]
+	// ending ends with the cause call.ErrLeaving when the requests that are being served get their final answer.
+	ending     context.Context //nolint:containedctx // it belongs to the process, not to a call
+	endRunning context.CancelCauseFunc
 }
 
 // New returns a gateway that serves the callers of an account on l until ctx ends.
 func New(ctx context.Context, l net.Listener, account *callerconn.Account, bodyLimitBytes int, deps Deps) *Gateway {
-	g := &Gateway{deps: deps, bodyLimit: bodyLimitBytes}
+	g := &Gateway{deps: deps, account: account, bodyLimit: bodyLimitBytes}
+	g.ending, g.endRunning = context.WithCancelCause(ctx)
 	g.app = fiber.New(fiber.Config{
 		// Without copies, the library would overwrite a string that is used after its handler with another caller's request.
 		Immutable:      true,
@@ -124,6 +128,10 @@
 	r.table = snapshot.Table
 	path := string(c.Request().URI().PathOriginal())
 	if call, ok := platform.ReadBatchCall(c.Method(), path, c.Request().URI().QueryArgs()); ok {
+		r.deadline = r.arrived.Add(batchCallTime + min(r.caller.Wait, maxReadWait))
+		if err := g.stop.Load().Check(time.Now(), r.deadline); err != nil {
+			return err
+		}
 		callerconn.Serving(c.RequestCtx().Conn())
 		return g.handleBatchCall(c, r, call)
 	}
@@ -141,9 +149,15 @@
 	if route.Kind == routing.KindBatch && c.Method() != fiber.MethodPost {
 		return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "batch jobs are submitted by POST")
 	}
+	if err := g.stop.Load().Check(time.Now(), r.deadline); err != nil {
+		return err
+	}
 	if err := g.readBody(c, &r); err != nil {
 		return err
 	}
+	if err := g.stop.Load().Check(time.Now(), r.deadline); err != nil {
+		return err
+	}
 	if route.Kind == routing.KindBatch {
 		return g.submitJob(c, r)
 	}
@@ -152,7 +166,7 @@
 
 // closeIfNeeded makes the answer close the connection if the host is leaving, or the connection would keep too much for its next request.
 func (g *Gateway) closeIfNeeded(c fiber.Ctx) {
-	if g.leaving.Load() || callerconn.HoldsLargeHead(c.RequestCtx().Conn()) {
+	if g.stop.Load() != nil || callerconn.HoldsLargeHead(c.RequestCtx().Conn()) {
 		c.Set(fiber.HeaderConnection, "close")
 	}
 }
@@ -250,18 +264,6 @@
 		Dur("retryAfter", refusal.RetryAfter).Msg("request refused")
 }
 
-// Leave makes every further answer close its connection, so that callers open their next one at another host.
-func (g *Gateway) Leave() { g.leaving.Store(true) }
-
-// Drain closes the listener and waits until no request is running or ctx ends.
-func (g *Gateway) Drain(ctx context.Context) error {
-	err := g.app.ShutdownWithContext(ctx)
-	for g.running.Load() > 0 && ctx.Err() == nil {
-		ticker.Sleep(ctx, drainPollInterval)
-	}
-	return err
-}
-
 // Wait returns once all goroutines have ended, which happens after the context has ended.
 func (g *Gateway) Wait() { g.wg.Wait() }
 
@@ -273,4 +275,4 @@
 }
 
 // State returns the gateway's State.
-func (g *Gateway) State() any { return State{Running: g.running.Load(), Leaving: g.leaving.Load()} }
+func (g *Gateway) State() any { return State{Running: g.running.Load(), Leaving: g.stop.Load() != nil} }
--- a/internal/program/process/endless_harness_test.go
+++ b/internal/program/process/endless_harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/oleandershelf/oleandershelf/internal/program/binary"
+	"github.com/oleandershelf/oleandershelf/internal/program/settings"
 	"github.com/oleandershelf/oleandershelf/platform/platformtest"
 )
 
@@ -101,7 +102,13 @@
 }
 
 func (trial *endlessTrial) startProcess() {
-	t, program := trial.t, *programPath
+	trial.t.Helper()
+	trial.process, trial.entry = trial.runProcess(trial.settings("entry-0", trial.store.NewEndpoint(trial.t)), "/safe/x")
+}
+
+// runProcess runs a gateway as a process of its own, which is killed at the end of the test. It returns once a call to the path is answered.
+func (d *deployment) runProcess(set settings.Settings, path string) (*binary.Process, *testGateway) {
+	t, program := d.t, *programPath
 	t.Helper()
 	if program == "" {
 		built, err := binary.Path()
@@ -110,7 +117,6 @@
 		}
 		program = built
 	}
-	set := trial.settings("entry-0", trial.store.NewEndpoint(t))
 	fields, err := json.Marshal(map[string]any{
 		"hostId": set.HostID, "availabilityZone": set.AvailabilityZone, "listen": set.Listen, "peerListen": set.PeerListen,
 		"adminListen": set.AdminListen, "platformUrl": set.PlatformURL, "reportsUrl": set.ReportsURL, "peerSecret": set.PeerSecret,
@@ -119,32 +125,33 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(t.TempDir(), "entry-0.json")
-	if err := os.WriteFile(path, fields, 0o600); err != nil {
+	file := filepath.Join(t.TempDir(), set.HostID+".json")
+	if err := os.WriteFile(file, fields, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	log, err := os.Create(path + ".log")
+	log, err := os.Create(file + ".log")
 	if err != nil {
 		t.Fatal(err)
 	}
-	trial.process = binary.NewProcess(program, path, log)
-	if err := trial.process.Start(); err != nil {
+	process := binary.NewProcess(program, file, log)
+	if err := process.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		trial.process.Kill()
+		process.Kill()
 		_ = log.Close()
 		if t.Failed() {
 			// The system's temporary folder outlives the test.
-			kept := filepath.Join(os.TempDir(), "endless-"+strings.ReplaceAll(t.Name(), "/", "-")+".log")
+			kept := filepath.Join(os.TempDir(), "gateway-"+strings.ReplaceAll(t.Name(), "/", "-")+".log")
 			t.Logf("log of the gateway: %s (%v)", kept, os.Rename(log.Name(), kept))
 		}
 	})
-	trial.entry = &testGateway{set: set, url: "http://" + set.Listen.String(), closed: true}
-	trial.eventually("the gateway process serves", func() bool {
-		got, err := trial.tryCall(trial.entry, http.MethodPost, "/safe/x", keyNorth, "first", "")
+	entry := &testGateway{set: set, url: "http://" + set.Listen.String(), closed: true}
+	d.eventually("the gateway process serves", func() bool {
+		got, err := d.tryCall(entry, http.MethodPost, path, keyNorth, "first", "")
 		return err == nil && got.status == http.StatusOK
 	})
+	return process, entry
 }
 
 // faulty returns the servers that can answer without end.
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -353,7 +353,7 @@
 	ctx, cancel := context.WithTimeout(ctx, g.set.DrainTime-drainReserve)
 	defer cancel()
 	g.admin.SetReady(false)
-	g.gateway.Leave()
+	g.gateway.Leave(ctx, g.set.LeaveDelay)
 	g.gossip.Leave()
 	g.jobs.HandOverJobs(ctx)
 	g.leader.Stop()
