--- a/internal/program/process/malformed_test.go
+++ b/internal/program/process/malformed_test.go
@@ -511,3 +511,50 @@
 		})
 	}
 }
+
+// Guards against a store, or another service of the platform, that answers without end and thereby takes the memory of the gateway.
+func TestEndlessAnswersOfThePlatform(t *testing.T) {
+	const disturbance = 2 * time.Second
+	for _, form := range []headForm{
+		{name: "header line", answer: platformtest.RawAnswer{Fields: []string{"X-Odd: a"}, LineEnd: " ", Endless: "a"}},
+		{name: "header lines", answer: platformtest.RawAnswer{LineEnd: "\r\nX-Odd: a", Endless: "\r\nX-Odd: a"}},
+		{name: "no status line", answer: platformtest.RawAnswer{Before: "a", LineEnd: " ", Endless: "a"}},
+		{name: "interim answers", answer: platformtest.RawAnswer{
+			Before: "HTTP/1.1 100 Continue\r\n\r\n", Status: "HTTP/1.1 103 Early Hints", Framing: []string{}, Endless: "HTTP/1.1 103 Early Hints\r\n\r\n",
+		}},
+		{name: "body without a length", answer: platformtest.RawAnswer{Framing: []string{"Connection: close"}, Endless: " "}},
+		{name: "body of a declared length", answer: platformtest.RawAnswer{Framing: []string{"Content-Length: 1099511627776"}, Endless: " "}},
+		{name: "chunks", answer: platformtest.RawAnswer{Framing: []string{chunkedBody}, Body: "1\r\na\r\n", Endless: "1\r\na\r\n"}},
+	} {
+		t.Run(form.name, func(t *testing.T) {
+			d := newDeployment(t, 1)
+			var mu sync.Mutex
+			endless := 0
+			answerEndlessly := func(*http.Request) *platformtest.RawAnswer {
+				mu.Lock()
+				defer mu.Unlock()
+				endless++
+				return &form.answer
+			}
+			checkHeap := watchHeap(t)
+			d.gateways[0].storeEndpoint.SetRawAnswer(answerEndlessly)
+			d.usageReceiver.SetRawAnswer(answerEndlessly)
+			for end, i := time.Now().Add(disturbance), 0; time.Now().Before(end); i++ {
+				got := d.call(d.gateways[0], http.MethodPost, "/safe/x", keyNorth, fmt.Sprintf("call-%d", i), "question")
+				if got.status != http.StatusOK {
+					t.Errorf("%+v", got)
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			d.gateways[0].storeEndpoint.SetRawAnswer(nil)
+			d.usageReceiver.SetRawAnswer(nil)
+			checkHeap()
+			mu.Lock()
+			defer mu.Unlock()
+			if endless == 0 {
+				t.Error("no answer without end")
+			}
+			t.Logf("%d answers without end", endless)
+		})
+	}
+}
