gateway: don't promise "not run" for a job's submission in a planned stop

A submission takes milliseconds, so it is served until two seconds before the end of the drain, and answered 502 leaving, may have run, after that.

--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -129,7 +129,7 @@
 	path := string(c.Request().URI().PathOriginal())
 	if call, ok := platform.ReadBatchCall(c.Method(), path, c.Request().URI().QueryArgs()); ok {
 		r.deadline = r.arrived.Add(batchCallTime + min(r.caller.Wait, maxReadWait))
-		if err := g.stop.Load().Check(time.Now(), r.deadline); err != nil {
+		if err := g.refuseIfStopping(r); err != nil {
 			return err
 		}
 		callerconn.Serving(c.RequestCtx().Conn())
@@ -149,13 +149,13 @@
 	if route.Kind == routing.KindBatch && c.Method() != fiber.MethodPost {
 		return verdict.Refuse(verdict.NotRun, verdict.ReasonBadRequest, 0, "batch jobs are submitted by POST")
 	}
-	if err := g.stop.Load().Check(time.Now(), r.deadline); err != nil {
+	if err := g.refuseIfStopping(r); err != nil {
 		return err
 	}
 	if err := g.readBody(c, &r); err != nil {
 		return err
 	}
-	if err := g.stop.Load().Check(time.Now(), r.deadline); err != nil {
+	if err := g.refuseIfStopping(r); err != nil {
 		return err
 	}
 	if route.Kind == routing.KindBatch {
