--- a/internal/program/process/gateway_stop_test.go
+++ b/internal/program/process/gateway_stop_test.go
@@ -126,6 +126,7 @@
 
 // Guards against requests that are read in the last seconds of a planned stop, passed on, and cut without an answer.
 func TestPlannedStopAnswersWhatItPassesOn(t *testing.T) {
+	t.Parallel()
 	t.Run("calm", func(t *testing.T) {
 		t.Parallel()
 		checkPlannedStop(t, func(*platformtest.Endpoint) {})
--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -18,8 +18,8 @@
 	length    = flag.Duration("soak.for", 8*time.Second, "how long disturbances begin for each seed")
 )
 
-// The kinds of disturbances that existed when a seed failed: before link disturbances were added, and after. They are frozen,
-// since another set would change the schedule of the seed.
+// The kinds of disturbances that existed when a seed failed: before link disturbances were added, after, and with outages at steps.
+// They are frozen, since another set would change the schedule of the seed.
 var (
 	kindsBeforeLinks = []disturbanceKind{
 		disturbanceKill, disturbancePause, disturbanceTerminate, disturbanceReload, disturbanceStoreReject, disturbanceStoreHang,
@@ -32,6 +32,12 @@
 		disturbanceLinkOneWay, disturbanceLinkBlocked, disturbanceServerFault, disturbanceServerDrain, disturbanceKeyRotation,
 		disturbanceModelVersion,
 	}
+	kindsWithSteps = []disturbanceKind{
+		disturbanceKill, disturbancePause, disturbanceTerminate, disturbanceReload, disturbanceStoreReject, disturbanceStoreHang,
+		disturbanceStoreOutage, disturbanceStoreLoseAnswers, disturbanceStoreCompact, disturbanceLinkDelay, disturbanceLinkReset,
+		disturbanceLinkOneWay, disturbanceLinkBlocked, disturbanceServerFault, disturbanceServerDrain, disturbanceKeyRotation,
+		disturbanceModelVersion, disturbanceEvacuation, disturbanceServerCold, disturbanceStoreAtStep,
+	}
 )
 
 // regressionPlans are plans that revealed a fault once. They run in every test.
@@ -44,6 +50,8 @@
 	{Seed: 420, Length: 10 * time.Second, kinds: kindsWithLinks},
 	// Like 342, but links are reset while responses of the store are lost.
 	{Seed: 421, Length: 10 * time.Second, kinds: kindsWithLinks},
+	// A gateway that was terminated refused the repeated submission of an accepted job as not run.
+	{Seed: 513, Length: 10 * time.Second, kinds: kindsWithSteps},
 }
 
 // zonePlan disturbs the availability zones and the servers only. Among all kinds of disturbances, cold servers are rare, and most of them can't
