Let nothing but the lease's term end the duties of a holder that refuses

Cause: a refused connection counted as proof that the holder's process had ended, so that its lease was taken over 0.3 to 0.5 s later, while it ran for up to 3.3 s. A network that is cut refuses and resets connections too.

Change: nothing but the term, the holder's release, or a later process on the holder's own host ends a lease. A contender reads the lease as soon as the holder is silent, so that its wait begins up to a second earlier.

--- a/internal/core/lease/machine.go
+++ b/internal/core/lease/machine.go
@@ -84,6 +84,9 @@
 // version V. The contender waits longer than a term, counted from after it saw V, and its write succeeds
 // only if V is still the newest version. A renewal whose answer was lost gives no grant until it is seen
 // in the object.
+//
+// Nothing else ends a lease early but its holder's release, or a successor of its process on the same host. In particular a holder that refuses
+// connections may be alive: a network that is cut may refuse and reset them too.
 type Machine struct {
 	timing   Timing
 	self     Holder
@@ -104,8 +107,6 @@
 	past []FormerHolder
 	// oneProcess is set if each host runs one process at a time.
 	oneProcess bool
-	// ended is the last holder whose process is known to have ended.
-	ended Holder
 }
 
 // NewMachine returns a machine that has not seen the object yet. It takes the duty over only if contend is set.
@@ -120,10 +121,6 @@
 // A restarted holder then takes its duty over again at once and doesn't wait for the term to end.
 func (m *Machine) SetOneProcess(oneProcess bool) { m.oneProcess = oneProcess }
 
-// RecordEnd reports that the holder's process has ended, so that a contender doesn't wait for the term to end. Calls that the process has sent
-// under the lease must not take effect any more.
-func (m *Machine) RecordEnd(holder Holder) { m.ended = holder }
-
 // Next returns the next step. Now must be read before the step is carried out, since the term that a
 // write gives counts from it.
 func (m *Machine) Next(now Instant) Step {
@@ -163,7 +160,7 @@
 func (m *Machine) nextContender(now Instant) Step {
 	waited := now.Monotonic - m.seen.firstSeen.Monotonic
 	remaining := m.timing.Term + m.timing.Margin - waited
-	if m.free() || m.heldByEarlierRun() || m.heldByEndedRun() || remaining <= 0 {
+	if m.free() || m.heldByEarlierRun() || remaining <= 0 {
 		return m.prepareWrite(now, false)
 	}
 	return Step{Kind: StepWatch, IfVersion: m.seen.version, Wait: remaining}
@@ -186,11 +183,6 @@
 	return m.oneProcess && m.seen.record.Holder.HostID == m.self.HostID && m.seen.record.Holder != m.self
 }
 
-// heldByEndedRun reports whether the holder's process is known to have ended.
-func (m *Machine) heldByEndedRun() bool {
-	return m.ended.HostID != "" && m.seen.record.Holder == m.ended
-}
-
 // prepareWrite returns the step that takes, renews or releases the lease, and remembers the write as pending.
 func (m *Machine) prepareWrite(now Instant, release bool) Step {
 	if !m.heldBySelf() {
--- a/internal/core/roster/change.go
+++ b/internal/core/roster/change.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net/netip"
 	"slices"
 	"time"
 )
@@ -28,23 +27,6 @@
 	return failed
 }
 
-// RecordEnd records that no process listens at the address of the member: that run has ended, unless it is heard again. It returns false if
-// that was known, or no run of the entry is.
-func (r *Roster) RecordEnd(member Member) bool {
-	p, ok := r.peers[member.Address]
-	if !ok || p.ended == member.Incarnation {
-		return false
-	}
-	p.ended = member.Incarnation
-	return true
-}
-
-// HasEnded reports whether a run of an entry, by its address and incarnation, is known to have ended.
-func (r *Roster) HasEnded(address netip.AddrPort, incarnation uint64) bool {
-	p, ok := r.peers[address]
-	return ok && incarnation != 0 && p.ended == incarnation
-}
-
 // Change is a change of what this entry knows of another one.
 type Change struct {
 	// Previous is the member before the change; its HostID is empty if it was unknown.
@@ -81,9 +63,6 @@
 		r.invalidate()
 	}
 	p.lastHeard = now
-	if p.ended == member.Incarnation {
-		p.ended = 0
-	}
 	p.reportedDigest = digest
 	p.reportedAt = now
 	if digest == r.Digest() {
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -63,8 +63,6 @@
 	successor      bool
 	calling        bool
 	silent         bool
-	// ended is the incarnation of the last run that is known to have ended; 0 if none is.
-	ended uint64
 	// lastChange is the time of the newest known change of the entry's state.
 	lastChange time.Time
 	// reportedDigest is the digest that the entry last sent of its own list, 0 if it has sent none. reportedAt is when it sent that,
--- a/internal/edge/duty/keeper.go
+++ b/internal/edge/duty/keeper.go
@@ -73,12 +73,6 @@
 	return func(k *Keeper) { k.oneProcess = true }
 }
 
-// WithHolderEnded sets the function that reports whether the process of a holder is known to have ended. Its lease is then taken over at once.
-// Calls that the process has sent under the lease must not take effect any more.
-func WithHolderEnded(ended func(Holder) bool) Option {
-	return func(k *Keeper) { k.holderEnded = ended }
-}
-
 // WithNotes stores notes with the lease, which needs no additional calls. The write function returns the notes to store with
 // each write of the lease; the read function receives the holder's notes after each read of the lease, unless there are none.
 func WithNotes(write func() []string, read func(notes []string)) Option {
@@ -111,14 +105,12 @@
 	started  bool
 	// oneProcess is set if a host runs one process at a time.
 	oneProcess bool
-	// holderEnded reports whether the process of a holder is known to have ended.
-	holderEnded func(Holder) bool
-	clock       func() time.Time
-	writeNotes  func() []string
-	readNotes   func(notes []string)
-	startTime   time.Time
-	machine     *lease.Machine
-	current     atomic.Pointer[snapshot]
+	clock      func() time.Time
+	writeNotes func() []string
+	readNotes  func(notes []string)
+	startTime  time.Time
+	machine    *lease.Machine
+	current    atomic.Pointer[snapshot]
 	// reported is the newest version of the lease object that its holder announced by other means than the object itself.
 	reported atomic.Pointer[reportedVersion]
 	// released is set by Release. cancelWaits ends a wait or watch, so that the control goroutine reacts at once.
@@ -167,8 +159,6 @@
 		timing:     lease.DefaultTiming(),
 		mayContend: func() bool { return true },
 
-		holderEnded: func(Holder) bool { return false },
-
 		mayStart:    func() bool { return true },
 		clock:       time.Now,
 		releaseDone: make(chan struct{}),
--- a/internal/edge/duty/run.go
+++ b/internal/edge/duty/run.go
@@ -17,9 +17,6 @@
 func (k *Keeper) run(ctx, waitCtx context.Context) {
 	for ctx.Err() == nil {
 		k.machine.SetContend(k.mayContend())
-		if holder, ok := k.machine.Holder(); ok && k.holderEnded(holder) {
-			k.machine.RecordEnd(holder)
-		}
 		if k.released.Load() {
 			k.machine.Release()
 		}
--- a/internal/edge/gossip/gossip.go
+++ b/internal/edge/gossip/gossip.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
@@ -125,12 +124,6 @@
 	return member, ok
 }
 
-// HasEnded reports whether a run of an entry, by its address and incarnation, is known to have ended: no process listens at its address.
-func (g *Gossip) HasEnded(address netip.AddrPort, incarnation uint64) (ended bool) {
-	g.withRoster(func(r *roster.Roster) { ended = r.HasEnded(address, incarnation) })
-	return ended
-}
-
 // buildHeartbeat returns a heartbeat for the entry.
 func (g *Gossip) buildHeartbeat(now time.Time, to Member, keepsCopies bool) Heartbeat {
 	var list []roster.Update
@@ -171,14 +164,7 @@
 	defer cancel()
 	heartbeat := g.buildHeartbeat(time.Now(), call.Member, call.KeepsCopies)
 	answer, err := peer.Call[Heartbeat, Heartbeat](ctx, g.client, call.Address, MethodHeartbeat, heartbeat)
-	ended := false
-	g.withRoster(func(r *roster.Roster) {
-		r.CallEnded(call.Address)
-		ended = errors.Is(err, peer.ErrNotListening) && r.RecordEnd(call.Member)
-	})
-	if ended {
-		g.log.Info().Str("dependency", "entry").Str("entry", call.Member.HostID).Msg("ended")
-	}
+	g.withRoster(func(r *roster.Roster) { r.CallEnded(call.Address) })
 	if err != nil {
 		// An entry that doesn't answer is considered silent after some time.
 		return
--- a/internal/edge/peer/answer.go
+++ b/internal/edge/peer/answer.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/netip"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -70,9 +69,6 @@
 			return nil, err
 		}
 		conn, err := c.acquire(ctx, to)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return nil, errors.Wrapf(ErrNotListening, "method %s: %v", m, err)
-		}
 		if err != nil {
 			return nil, errors.Wrapf(ErrUnsent, "method %s: %v", m, err)
 		}
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -37,8 +37,6 @@
 var (
 	// ErrUnsent is returned if no byte of the request can have reached the peer. The request has not run.
 	ErrUnsent = errors.New("request was not sent")
-	// ErrNotListening is the ErrUnsent of an address at which no process listens.
-	ErrNotListening = errors.WithMessage(ErrUnsent, "no process listens at the address")
 	// ErrLost is returned if the request was sent and its answer is missing or incomplete. The request may have run.
 	ErrLost = errors.New("answer was lost")
 	// ErrCancelled is the cancellation cause of a handler's context if the client cancelled the request.
--- a/internal/edge/store/lease.go
+++ b/internal/edge/store/lease.go
@@ -18,14 +18,12 @@
 	store *Store
 	// holderAlive reports whether the lease holder is known to be alive from a source other than the lease.
 	holderAlive func() bool
-	// holderEnded reports whether the process of the lease holder is known to have ended.
-	holderEnded func() bool
 }
 
 // NewLeaseStore returns the leases in the store. holderAlive reports whether the lease holder is alive according to the
-// gossip between entries, and holderEnded whether its process is known to have ended.
-func NewLeaseStore(store *Store, holderAlive, holderEnded func() bool) LeaseStore {
-	return LeaseStore{store: store, holderAlive: holderAlive, holderEnded: holderEnded}
+// gossip between entries.
+func NewLeaseStore(store *Store, holderAlive func() bool) LeaseStore {
+	return LeaseStore{store: store, holderAlive: holderAlive}
 }
 
 // splitName splits "kind/name" at its first slash.
@@ -71,19 +69,21 @@
 	return l.store.Delete(ctx, kind, rest, ifVersion)
 }
 
-// Watch blocks while the holder is alive, then waits for the shorter of silentReadInterval and wait, unless the holder has ended, and reads the
-// object.
+// Watch reads the object as soon as the holder is no longer alive. If it hasn't been all the while, Watch first waits for the shorter of
+// silentReadInterval and wait.
 //
 // It doesn't watch the object at the store: every renewal would end that watch, so that the watches of each contender would
 // cost as many calls as the renewals. Entries hear of each other several times a second anyway, so the object is read only
 // while the holder is silent. The added delay only makes a contender wait longer before it takes the lease over.
 func (l LeaseStore) Watch(ctx context.Context, name string, _ product.Version, wait time.Duration) (product.Object, error) {
+	wasAlive := false
 	for l.holderAlive() {
+		wasAlive = true
 		if !ticker.Sleep(ctx, aliveCheckInterval) {
 			return product.Object{}, errors.Wrap(product.ErrUnavailable, ctx.Err().Error())
 		}
 	}
-	if !l.holderEnded() && !ticker.Sleep(ctx, min(silentReadInterval, wait)) {
+	if !wasAlive && !ticker.Sleep(ctx, min(silentReadInterval, wait)) {
 		return product.Object{}, errors.Wrap(product.ErrUnavailable, ctx.Err().Error())
 	}
 	return l.Get(ctx, name)
--- a/internal/program/process/gateway.go
+++ b/internal/program/process/gateway.go
@@ -237,9 +237,8 @@
 	holder := duty.Holder{HostID: self.HostID, Address: self.Address, Incarnation: self.Incarnation}
 	// While skipTakeover returns true, this entry neither polls the lease nor contends for it.
 	skipTakeover := func() bool { return !g.isContender() || g.isHolderAlive(g.sharedKeeper.Load()) }
-	leases := store.NewLeaseStore(g.store, skipTakeover, g.hasHolderEnded)
+	leases := store.NewLeaseStore(g.store, skipTakeover)
 	g.keeper = duty.NewKeeper(ctx, leases, leader.LeaseName, holder, duty.WithTiming(leader.LeaseTiming()), duty.WithOneProcess(),
-		duty.WithHolderEnded(g.hasEnded),
 		// The notes name the open batch jobs for entries that start later.
 		duty.WithNotes(g.jobs.OpenNotes, func(notes []string) { g.jobs.Reopen(notes, g.dutyRank()) }),
 		duty.WithStartIf(func() bool {
@@ -277,22 +276,6 @@
 	return roster.DutyPosition(g.gossip.Self(), g.gossip.Alive(time.Now()))
 }
 
-// hasEnded reports whether the process of a holder of the duties is known to have ended. The kernel drops what it had sent under its lease
-// (exchange.Client.DoExpiring).
-func (g *Gateway) hasEnded(holder duty.Holder) bool {
-	return g.gossip.HasEnded(holder.Address, holder.Incarnation)
-}
-
-// hasHolderEnded reports whether the process of the present holder is known to have ended.
-func (g *Gateway) hasHolderEnded() bool {
-	keeper := g.sharedKeeper.Load()
-	if keeper == nil {
-		return false
-	}
-	holder, ok := keeper.Holder()
-	return ok && g.hasEnded(holder)
-}
-
 // isHolderAlive reports whether the entry that holds the keeper's duty is alive and isn't leaving.
 func (g *Gateway) isHolderAlive(keeper *duty.Keeper) bool {
 	if keeper == nil {
@@ -303,7 +286,7 @@
 		return false
 	}
 	member, ok := g.gossip.Find(time.Now(), holder.HostID)
-	return ok && member.Incarnation == holder.Incarnation && !member.Leaving && !g.hasEnded(holder)
+	return ok && member.Incarnation == holder.Incarnation && !member.Leaving
 }
 
 // storeReached returns when this process first had the store's state, if it has.
