Take back the ends of servers that refused connections and are alive

Callers saw an item at no server for 12 s and more, with six servers free, after the network in front of three servers in turn had refused connections for 0.7 s.

Cause: a refused connection counted as the end of the server for good, and three such ends of an item without progress withhold it.

Change: it counts at once as before, so that the limit of three ended servers holds across jobs and entries. It is taken back once the same run of the server answers, a second or more later, or accepts connections after the five seconds in which the registration of an ended server expires. It counts again if the registration shows an end after all, and stays while the server refuses.

--- a/internal/core/backend/ends.go
+++ b/internal/core/backend/ends.go
@@ -75,6 +75,15 @@
 	}
 }
 
+// RetractEnd takes back the end of a server that is alive after all.
+func (b *Balancer) RetractEnd(key Key) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if state, ok := b.servers[key.ID]; ok && state.key == key {
+		b.ends.remove(state.server.Pool, key)
+	}
+}
+
 // recordEnd records the end of a server, unless it was leaving. The caller holds the lock.
 func (b *Balancer) recordEnd(now time.Time, state *serverState) {
 	if !state.server.Draining {
--- a/internal/core/batch/endcount.go
+++ b/internal/core/batch/endcount.go
@@ -17,7 +17,7 @@
 type ServerEnds struct {
 	Item   int `msgpack:"i"`
 	Reward int `msgpack:"r"`
-	// ItemCleared and RewardCleared are how many of these ends don't count, since a later run survived.
+	// ItemCleared and RewardCleared are how many of these ends don't count, since a later run survived or the server is alive.
 	ItemCleared   int `msgpack:"c,omitempty"`
 	RewardCleared int `msgpack:"d,omitempty"`
 	// Stalled is how many of the item's ends in a row, up to the last one, came before the run got past the ones before: past the event Reached.
@@ -135,8 +135,11 @@
 func (e ServerEnds) Merge(other ServerEnds) ServerEnds {
 	merged := e
 	merged.Age = 0
-	if other.Item > e.Item || other.Item == e.Item && other.Stalled > e.Stalled {
+	switch {
+	case other.Item > e.Item || other.Item == e.Item && other.ItemCleared > e.ItemCleared:
 		merged.Stalled = other.Stalled
+	case other.Item == e.Item && other.ItemCleared == e.ItemCleared:
+		merged.Stalled = max(e.Stalled, other.Stalled)
 	}
 	items, rewards := e.missing(other)
 	merged.Item = max(e.Item+items, other.Item)
@@ -209,6 +212,21 @@
 	return max(item, reward)
 }
 
+// Retract takes one end back whose server is alive after all. Its identity stays known, so that counts of other entries that include the end
+// don't bring it back.
+func (e *ServerEnds) Retract(reward bool) {
+	item, rewards := e.Uncleared()
+	switch {
+	case reward:
+		e.RewardCleared += min(1, rewards)
+	case item == 1:
+		e.Clear(false)
+	case item > 1:
+		e.ItemCleared++
+		e.Stalled = max(0, e.Stalled-1)
+	}
+}
+
 // Clear records that a run of the item or its reward call survived.
 func (e *ServerEnds) Clear(reward bool) {
 	if reward {
--- a/internal/core/batch/endtracker.go
+++ b/internal/core/batch/endtracker.go
@@ -146,6 +146,15 @@
 	t.caused = nil
 }
 
+// Retract records that an end under the item or its reward call was taken back, which left the given counts.
+func (t *EndTracker) Retract(now time.Time, item string, reward bool, left ServerEnds) {
+	if count, rewards := left.Uncleared(); !reward && count == 0 || reward && rewards == 0 {
+		t.Clear(now, item, reward, left)
+		return
+	}
+	t.Merge(now, item, left)
+}
+
 // Touch records that a job has the item withheld.
 func (t *EndTracker) Touch(now time.Time, item string) {
 	t.mu.Lock()
--- a/internal/core/batch/serverend.go
+++ b/internal/core/batch/serverend.go
@@ -34,6 +34,11 @@
 	p.updateServerEnds(id, func(ends *ServerEnds) { ends.Clear(reward) })
 }
 
+// RetractServerEnd takes back the end of a server under the item or, if reward is set, its reward call.
+func (p *Progress) RetractServerEnd(id string, reward bool) {
+	p.updateServerEnds(id, func(ends *ServerEnds) { ends.Retract(reward) })
+}
+
 // MergeServerEnds applies what is known of items from other jobs and other entries.
 func (p *Progress) MergeServerEnds(known func(item string) ServerEnds) {
 	for id := range p.items {
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -148,9 +148,9 @@
 			Int("fromEvent", from).Int("lastEvent", output.LastEvent).Int("version", r.version).Dur("took", time.Since(started)).AnErr("cause", r.cause).
 			Msg("item run not completed")
 	}
-	use := serverUse{item: item.ID, server: server.Key(), pool: server.Pool, from: from, last: output.LastEvent, lasted: time.Since(started), short: r.limit.Events > 0}
+	use := serverUse{item: item.ID, server: server.Key(), address: server.Address, pool: server.Pool, from: from, last: output.LastEvent, lasted: time.Since(started), short: r.limit.Events > 0}
 	if r.connectionLost && ctx.Err() == nil {
-		m.checkServer(ctx, j, j.recordInterruption(time.Now(), use), server.Address, errors.Is(r.cause, errStalled))
+		m.checkServer(ctx, j, j.recordInterruption(time.Now(), use), errors.Is(r.cause, errStalled))
 	}
 	if result == outcomeShortRun || result == outcomeMoved {
 		m.watchServer(ctx, r, started, use, result == outcomeShortRun)
--- a/internal/edge/batchjob/job.go
+++ b/internal/edge/batchjob/job.go
@@ -37,6 +37,8 @@
 	interruptedRuns []interruptedRun
 	// endedUnder holds the servers that were counted as ended under the items.
 	endedUnder map[serverUse]bool
+	// refusedEnds are those of them that were counted because the server refused connections, and may be taken back.
+	refusedEnds map[serverUse]*refusedEnd
 	// watched holds the items with a short run after which the server went on, since a server last ended under them.
 	watched map[string]bool
 	// rankingStale is set when an item waits again that ran when the placer last ranked the items.
@@ -93,6 +95,7 @@
 		slowMoves:   map[string]move{},
 		silences:    map[string]silence{},
 		endedUnder:  map[serverUse]bool{},
+		refusedEnds: map[serverUse]*refusedEnd{},
 		watched:     map[string]bool{},
 		changed:     make(chan struct{}),
 		wakeup:      make(chan struct{}, 1),
--- a/internal/edge/batchjob/leftrun.go
+++ b/internal/edge/batchjob/leftrun.go
@@ -65,13 +65,14 @@
 	servers := m.balancer.Servers()
 	at := slices.IndexFunc(servers, func(server backend.Server) bool { return server.Key() == run.server })
 	if at < 0 {
-		m.countServerEnd(j, run, "registration")
+		m.countServerEnd(j, run, evidenceRegistration)
 		return
 	}
 	j.mu.Lock()
 	j.interruptedRuns = slices.DeleteFunc(j.interruptedRuns, func(other interruptedRun) bool { return other.identity() == run.identity() })
 	j.mu.Unlock()
-	if !m.checkWatched(ctx, j, run.serverUse, servers[at].Address) {
+	run.address = servers[at].Address
+	if !m.checkWatched(ctx, j, run.serverUse) {
 		j.mu.Lock()
 		j.updatePendingLocked(run.item)
 		j.mu.Unlock()
--- a/internal/edge/batchjob/reward.go
+++ b/internal/edge/batchjob/reward.go
@@ -126,11 +126,11 @@
 	servers := slices.Concat(tally.Interrupted, tally.Unanswered)
 	var runs []interruptedRun
 	for _, server := range servers {
-		use := serverUse{item: item, server: server.Key(), reward: true, pool: server.Pool}
+		use := serverUse{item: item, server: server.Key(), address: server.Address, reward: true, pool: server.Pool}
 		runs = append(runs, j.recordInterruption(time.Now(), use))
 	}
-	for i, server := range servers {
-		m.checkServer(ctx, j, runs[i], server.Address, i >= len(tally.Interrupted))
+	for i := range runs {
+		m.checkServer(ctx, j, runs[i], i >= len(tally.Interrupted))
 	}
 }
 
--- a/internal/edge/batchjob/run.go
+++ b/internal/edge/batchjob/run.go
@@ -137,6 +137,7 @@
 		case <-changed:
 		case now := <-timer.C:
 			m.confirmServerEnds(now, j)
+			m.reviewRefusedEnds(ctx, now, j)
 			idle.observe(now)
 			if now.Sub(reviewed) >= reviewInterval {
 				reviewed = now
--- a/internal/edge/batchjob/serverend.go
+++ b/internal/edge/batchjob/serverend.go
@@ -86,7 +86,9 @@
 type serverUse struct {
 	item   string
 	server backend.Key
-	reward bool
+	// address is where the server was reached.
+	address netip.AddrPort
+	reward  bool
 	// pool is the server's pool.
 	pool string
 	// from and last are the last events known before the run and after it. They aren't known of reward calls.
@@ -177,7 +179,7 @@
 		}
 		ticker.Sleep(ctx, until-time.Since(started))
 		use.lasted = time.Since(started)
-		ended := m.checkWatched(ctx, j, use, r.server.Address)
+		ended := m.checkWatched(ctx, j, use)
 		j.mu.Lock()
 		defer j.mu.Unlock()
 		j.watched[r.item.ID] = !ended
@@ -190,15 +192,15 @@
 }
 
 // checkWatched reports whether the server has ended or may have, which counts until it is known.
-func (m *Manager) checkWatched(ctx context.Context, j *job, use serverUse, address netip.AddrPort) bool {
-	err := m.probes.probe(ctx, address)
+func (m *Manager) checkWatched(ctx context.Context, j *job, use serverUse) bool {
+	err := m.probes.probe(ctx, use.address)
 	switch {
 	case ctx.Err() != nil:
 		return false
 	case errors.Is(err, exchange.ErrEnded):
-		m.countServerEnd(j, interruptedRun{serverUse: use, at: time.Now()}, "connectionRefused")
+		m.countServerEnd(j, interruptedRun{serverUse: use, at: time.Now()}, evidenceRefused)
 	case !m.balancer.Registered(use.server):
-		m.countServerEnd(j, interruptedRun{serverUse: use, at: time.Now()}, "registration")
+		m.countServerEnd(j, interruptedRun{serverUse: use, at: time.Now()}, evidenceRegistration)
 	case err != nil:
 		j.markSilent(j.recordInterruption(time.Now(), use))
 	default:
@@ -207,14 +209,15 @@
 	return true
 }
 
-// checkServer finds out whether the server of an interrupted run has ended, and counts that for the item. If a probe can't tell, the
-// registration of the server may tell later; a server that stalled, or that a probe doesn't reach, counts until then.
-func (m *Manager) checkServer(ctx context.Context, j *job, run interruptedRun, address netip.AddrPort, stalled bool) {
-	err := m.probes.probe(ctx, address)
+// checkServer finds out whether the server of an interrupted run has ended, and counts that for the item. One that refuses connections counts
+// until it is known to be alive. If a probe can't tell, the registration of the server may tell later; a server that stalled, or that a probe
+// doesn't reach, counts until then.
+func (m *Manager) checkServer(ctx context.Context, j *job, run interruptedRun, stalled bool) {
+	err := m.probes.probe(ctx, run.address)
 	switch {
 	case errors.Is(err, exchange.ErrEnded):
 		m.balancer.RecordEnd(time.Now(), run.server)
-		m.countServerEnd(j, run, "connectionRefused")
+		m.countServerEnd(j, run, evidenceRefused)
 	case ctx.Err() == nil && (stalled || err != nil):
 		j.markSilent(run)
 	}
@@ -231,7 +234,7 @@
 	}
 	for _, run := range runs {
 		if !m.balancer.Registered(run.server) {
-			m.countServerEnd(j, run, "registration")
+			m.countServerEnd(j, run, evidenceRegistration)
 		}
 	}
 	outage := m.outage(now)
@@ -253,10 +256,20 @@
 }
 
 // countServerEnd counts a server that ended under an item or its reward call, once for each of these.
-func (m *Manager) countServerEnd(j *job, run interruptedRun, evidence string) {
+func (m *Manager) countServerEnd(j *job, run interruptedRun, evidence endEvidence) {
 	now := time.Now()
 	j.mu.Lock()
 	j.interruptedRuns = slices.DeleteFunc(j.interruptedRuns, func(other interruptedRun) bool { return other.identity() == run.identity() })
+	id := run.endID()
+	if refused := j.refusedEnds[run.identity()]; refused != nil && refused.retracted {
+		// The identity of an end that was taken back doesn't count again.
+		id = 0
+	}
+	if evidence == evidenceRefused {
+		j.refusedEnds[run.identity()] = &refusedEnd{interruptedRun: run, checkAt: run.at.Add(endConfirmTime)}
+	} else {
+		delete(j.refusedEnds, run.identity())
+	}
 	if j.endedUnder[run.identity()] {
 		j.mu.Unlock()
 		return
@@ -264,7 +277,7 @@
 	j.endedUnder[run.identity()] = true
 	delete(j.watched, run.item)
 	j.progress.RecordServerEnd(run.item, batch.EndedRun{
-		Server: run.endID(), From: run.from, Last: run.last, Lasted: run.lasted, Short: run.short, CutOff: run.cutOff, Reward: run.reward,
+		Server: id, From: run.from, Last: run.last, Lasted: run.lasted, Short: run.short, CutOff: run.cutOff, Reward: run.reward,
 	})
 	j.updatePendingLocked(run.item)
 	counted := j.progress.ServerEnds(run.item)
@@ -276,7 +289,7 @@
 	j.mu.Unlock()
 	pool := m.poolEnds(now, j, run.item)
 	m.metrics.countServerEnd()
-	m.log.Info().Str("request", j.spec.ID).Str("item", run.item).Str("server", run.server.ID).Bool("reward", run.reward).Str("evidence", evidence).
+	m.log.Info().Str("request", j.spec.ID).Str("item", run.item).Str("server", run.server.ID).Bool("reward", run.reward).Str("evidence", string(evidence)).
 		Int("fromEvent", run.from).Int("lastEvent", run.last).Bool("cutOff", run.cutOff).Dur("lasted", run.lasted).Int("poolEnds", pool.Ended).Int("endsByChance", pool.ByChance).
 		Int("poolServers", pool.Running).Object("counts", endCounts(ends)).
 		Bool("overLimit", ends.OverLimit()).Dur("after", now.Sub(run.at)).Msg("server ended under an item")
@@ -330,6 +343,7 @@
 	j.mu.Lock()
 	known := j.progress.ServerEnds(item)
 	j.progress.ClearServerEnds(item, reward)
+	maps.DeleteFunc(j.refusedEnds, func(use serverUse, _ *refusedEnd) bool { return use.item == item && use.reward == reward })
 	cleared := j.progress.ServerEnds(item)
 	j.mu.Unlock()
 	if cleared == known {
