Write the failures of items and reward calls to a page at once

Cause: a failure waited in memory, a final one up to 2.5 s for its group, another up to 0.9 s for a checkpoint; answers of 500 weren't counted before the pause that follows, those of reward calls before the probes of their servers. The entry that takes the job over knows the pages.

Change: a failure makes a page due at once, and is recorded right after its answer; several at once share a page. It is written again if another process's page took the number, and goes with the job if its entry leaves. Failures that another entry's page brought count for items that run as well.

--- a/internal/core/batch/merge_test.go
+++ b/internal/core/batch/merge_test.go
@@ -31,7 +31,7 @@
 			early.RecordCompletion(now, "done")
 			early.Requeue("begun")
 			early.Start("lost")
-			early.RecordFailure(now, "lost")
+			failRun(early, now, "lost")
 			doneBefore, begunBefore := early.Unwritten()
 			p := NewProgress(&Job{Terms: Terms{SingleVersion: test.single, MaxAttempts: 3}, Submission: submission}, 2)
 			p.Merge(now, doneBefore, begunBefore)
--- a/internal/core/batch/output.go
+++ b/internal/core/batch/output.go
@@ -63,6 +63,8 @@
 	// Failures and RewardFailures count how often servers failed the item and its reward call.
 	Failures       int `json:"failures,omitempty" msgpack:"f"`
 	RewardFailures int `json:"rewardFailures,omitempty" msgpack:"r"`
+	// Failed is set if servers have failed the item for good. Only entries that hand a job over send it; pages hold the result.
+	Failed bool `json:"failed,omitempty" msgpack:"x,omitempty"`
 	// ServerEnds and RewardServerEnds count the servers that ended while they ran the item and its reward call.
 	ServerEnds       int `json:"serverEnds,omitempty" msgpack:"e"`
 	RewardServerEnds int `json:"rewardServerEnds,omitempty" msgpack:"s"`
--- a/internal/core/batch/partial.go
+++ b/internal/core/batch/partial.go
@@ -1,6 +1,10 @@
 package batch
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Limits on checkpoints of unfinished output.
 const (
@@ -19,7 +23,7 @@
 // needsCheckpoint reports whether the item has enough new output, or a new failure, since its last checkpoint.
 func (s *itemState) needsCheckpoint() bool {
 	grown := !s.textComplete() && s.output.LastEvent >= s.checkpointEvent+max(minCheckpointEvents, s.checkpointEvent/checkpointGrowthDivisor)
-	return grown || s.totalFailures() > s.checkpointFailures
+	return grown || s.totalFailures() > s.checkpointFailures || s.failureUnsaved()
 }
 
 // checkpointDue reports whether any item needs a checkpoint.
@@ -40,17 +44,27 @@
 func (p *Progress) takeCheckpoints(maxBytes int) []Partial {
 	var checkpoints []Partial
 	size := 0
-	for _, partial := range p.partials((*itemState).needsCheckpoint) {
+	due := p.partials((*itemState).needsCheckpoint)
+	slices.SortStableFunc(due, func(a, b Partial) int { return cmp.Compare(p.checkpointRank(a), p.checkpointRank(b)) })
+	for _, partial := range due {
 		if size += len(partial.Text) + resultOverhead; size > maxBytes {
 			break
 		}
 		state := p.items[partial.Item]
-		state.checkpointEvent, state.checkpointFailures = partial.LastEvent, state.totalFailures()
+		state.checkpointEvent, state.checkpointFailures, state.savedFailures = partial.LastEvent, state.totalFailures(), state.failureCount()
 		checkpoints = append(checkpoints, partial)
 	}
 	return checkpoints
 }
 
+// checkpointRank puts checkpoints of failures that no page holds before the others.
+func (p *Progress) checkpointRank(partial Partial) int {
+	if p.items[partial.Item].failureUnsaved() {
+		return 0
+	}
+	return 1
+}
+
 // partials returns the state of the unfinished items that the filter selects.
 func (p *Progress) partials(selected func(*itemState) bool) []Partial {
 	var partials []Partial
@@ -63,16 +77,41 @@
 	return partials
 }
 
+// HandoverPartials returns what the entry needs to know that takes the job over: Partials, and the items that servers have failed for good, which
+// no page may hold yet.
+func (p *Progress) HandoverPartials() []Partial {
+	partials := p.Partials()
+	for _, state := range p.order {
+		if state.phase == phaseDone && state.failed {
+			partials = append(partials, Partial{Item: state.item.ID, Failures: state.failures, RewardFailures: state.rewardFailures, Failed: true})
+		}
+	}
+	return partials
+}
+
+// TakeOver applies the partials that a leaving entry sent with the job.
+func (p *Progress) TakeOver(now time.Time, partials []Partial) {
+	p.Resume(partials)
+	for _, partial := range partials {
+		if _, known := p.items[partial.Item]; known && partial.Failed {
+			p.MarkFailed(now, partial.Item)
+		}
+	}
+}
+
 // Resume applies the partials of another entry to items that wait to run or are withheld. Output is used only if the job allows its
 // weight versions and it is longer than what is known; failure counts always are.
 func (p *Progress) Resume(partials []Partial) {
 	for _, partial := range partials {
 		state, known := p.items[partial.Item]
-		if !known || state.textComplete() || state.phase != phaseWaiting && state.phase != phaseWithheld {
+		if !known || !state.unfinished() {
 			continue
 		}
 		state.failures = max(state.failures, partial.Failures)
 		state.rewardFailures = max(state.rewardFailures, partial.RewardFailures)
+		if state.textComplete() || state.phase != phaseWaiting && state.phase != phaseWithheld {
+			continue
+		}
 		p.MergeItemServerEnds(partial.Item, partial.serverEnds())
 		if partial.LastEvent <= state.output.LastEvent {
 			continue
--- a/internal/core/batch/progress.go
+++ b/internal/core/batch/progress.go
@@ -46,6 +46,10 @@
 	// failures counts failed runs, rewardFailures failed reward calls.
 	failures       int
 	rewardFailures int
+	// failed is set once the item is lost because servers failed it or its reward call as often as they may.
+	failed bool
+	// savedFailures is the failureCount that the latest page of this process holds.
+	savedFailures int
 	// ends counts the servers that ended under the item and its reward call. releasedEnds are the counts with which it was last released
 	// for an isolated run, at releasedAt.
 	ends         ServerEnds
@@ -78,6 +82,20 @@
 
 func (s *itemState) unfinished() bool { return s.phase < phaseDone }
 
+// failureCount counts what servers' answers have told of the item's failures, its final one included.
+func (s *itemState) failureCount() int {
+	count := s.failures + s.rewardFailures
+	if s.failed {
+		count++
+	}
+	return count
+}
+
+// failureUnsaved reports whether no page holds the item's latest failure.
+func (s *itemState) failureUnsaved() bool {
+	return s.phase != phasePublished && s.failureCount() > s.savedFailures
+}
+
 func (s *itemState) textComplete() bool {
 	return s.phase == phaseAwaitingScore || s.phase == phaseScoring || s.rewardWithheld
 }
@@ -113,6 +131,8 @@
 	// there is none.
 	lastPageAt     time.Time
 	unwrittenSince time.Time
+	// failureUnsaved is set while no page holds the latest failure of some item.
+	failureUnsaved bool
 	ended          bool
 }
 
@@ -210,6 +230,11 @@
 		p.published = append(p.published, result)
 	}
 	p.Resume(page.Partials)
+	for _, partial := range page.Partials {
+		if state, known := p.items[partial.Item]; known {
+			state.savedFailures = max(state.savedFailures, partial.Failures+partial.RewardFailures)
+		}
+	}
 }
 
 // Next returns the item to run next without starting it, or false if none waits.
@@ -259,18 +284,20 @@
 	}
 }
 
-// RecordFailure records a failed run of an item. The item is lost once it has failed as often as its route allows.
+// RecordFailure records that a run of an item failed. The item is lost once it has failed as often as its route allows; otherwise it waits for
+// Requeue.
+//
+// A page that holds the failure is due at once. Whoever runs the job after this process would otherwise send the item as often again.
 func (p *Progress) RecordFailure(now time.Time, id string) {
 	state := p.items[id]
 	if state.phase != phaseRunning {
 		return
 	}
 	state.failures++
+	p.failureUnsaved = true
 	if state.failures >= max(1, p.job.MaxAttempts) {
-		p.MarkLost(now, id)
-		return
+		p.MarkFailed(now, id)
 	}
-	p.Requeue(id)
 }
 
 // RecordCompletion records that the complete output of an item was received. It becomes the result unless it has to be
@@ -301,6 +328,17 @@
 	p.recordResult(now, state, Result{ID: id, State: StateLost, Versions: []int{}})
 }
 
+// MarkFailed marks an item as lost that servers have failed for good, if it has no result yet. A page that says so is due at once.
+func (p *Progress) MarkFailed(now time.Time, id string) {
+	state := p.items[id]
+	if !state.unfinished() {
+		return
+	}
+	state.failed = true
+	p.failureUnsaved = true
+	p.MarkLost(now, id)
+}
+
 func (p *Progress) recordResult(now time.Time, state *itemState, result Result) {
 	state.phase = phaseDone
 	state.result = result
@@ -324,8 +362,8 @@
 	}
 }
 
-// NextPage returns the page to write now, or false if it is better to wait. A page is due at once when all groups that
-// the trainer waits for are complete or all items have a result, after groupWriteInterval for other complete groups,
+// NextPage returns the page to write now, or false if it is better to wait. A page is due at once when a server has failed an item, when all
+// groups that the trainer waits for are complete or all items have a result, after groupWriteInterval for other complete groups,
 // after incompleteGroupDelay for parts of groups, and after checkpointInterval for checkpoints without results.
 func (p *Progress) NextPage(now time.Time) (Page, bool) {
 	if p.ended || !p.pageDue(now) {
@@ -344,6 +382,8 @@
 
 func (p *Progress) pageDue(now time.Time) bool {
 	switch {
+	case p.failureUnsaved:
+		return true
 	case p.unwrittenSince.IsZero():
 	case p.allDone() || p.wantedGroupsDone():
 		return true
@@ -395,8 +435,10 @@
 			break
 		}
 		page.Results = append(page.Results, state.result)
+		state.savedFailures = state.failureCount()
 	}
 	page.Partials = p.takeCheckpoints(maxPageBytes - size)
+	p.recountUnsavedFailures()
 	if len(page.Results)+len(page.Partials) == 0 {
 		p.recountUnwritten()
 		return Page{}, false
@@ -431,14 +473,19 @@
 	return fresh
 }
 
-// pageRank puts results of complete groups before those of incomplete ones.
+// pageRank puts results of complete groups and failures before the others.
 func pageRank(state *itemState) int {
-	if state.group.complete() {
+	if state.group.complete() || state.failed {
 		return 0
 	}
 	return 1
 }
 
+// recountUnsavedFailures recomputes failureUnsaved.
+func (p *Progress) recountUnsavedFailures() {
+	p.failureUnsaved = slices.ContainsFunc(p.order, (*itemState).failureUnsaved)
+}
+
 // ConfirmPage records that the page returned by NextPage was written as the next page of the log.
 func (p *Progress) ConfirmPage(now time.Time, page Page) {
 	p.ApplyPage(page)
@@ -467,8 +514,12 @@
 
 // ApplyConflictingPage applies a page that another process created under the number that this process tried.
 func (p *Progress) ApplyConflictingPage(page Page) {
+	for _, state := range p.order {
+		state.savedFailures = 0
+	}
 	p.ApplyPage(page)
 	p.recountUnwritten()
+	p.recountUnsavedFailures()
 }
 
 // Body returns the request body of an item, or false if the job has no such item.
--- a/internal/core/batch/progress_rapid_test.go
+++ b/internal/core/batch/progress_rapid_test.go
@@ -106,7 +106,7 @@
 	case "fail":
 		if item, ok := progress.Next(); ok {
 			progress.Start(item.ID)
-			progress.RecordFailure(now, item.ID)
+			failRun(progress, now, item.ID)
 		}
 	case "write":
 		page, ok := progress.NextPage(now)
--- a/internal/core/batch/progress_test.go
+++ b/internal/core/batch/progress_test.go
@@ -124,7 +124,7 @@
 	p := NewProgress(newTestJob(1, 1), 1)
 	for range 2 {
 		p.Start("0a")
-		p.RecordFailure(start, "0a")
+		failRun(p, start, "0a")
 	}
 	if item, ok := p.Next(); !ok || item.ID != "0b" {
 		t.Errorf("next item %v, %v", item, ok)
--- a/internal/core/batch/reward.go
+++ b/internal/core/batch/reward.go
@@ -53,17 +53,24 @@
 	}
 }
 
-// RecordUnscored records that a reward call ended without a score, and how often servers failed it. The item is lost at
-// once when its failures reach what its route allows, so that its group doesn't wait; otherwise the call is queued
-// again before those of other items.
-func (p *Progress) RecordUnscored(now time.Time, id string, failures, maxAttempts int) {
+// RecordRewardFailures records how often servers failed a reward call. The item is lost at once when its failures reach what its route
+// allows, so that its group doesn't wait; otherwise its call waits for RequeueReward. As with RecordFailure, a page is due at once.
+func (p *Progress) RecordRewardFailures(now time.Time, id string, failures, maxAttempts int) {
 	state := p.items[id]
-	if state.phase != phaseScoring {
+	if state.phase != phaseScoring || failures == 0 {
 		return
 	}
 	state.rewardFailures += failures
-	if failures > 0 && state.rewardFailures >= max(1, maxAttempts) {
-		p.MarkLost(now, id)
+	p.failureUnsaved = true
+	if state.rewardFailures >= max(1, maxAttempts) {
+		p.MarkFailed(now, id)
+	}
+}
+
+// RequeueReward queues a reward call that brought no score again, before those of other items.
+func (p *Progress) RequeueReward(id string) {
+	state := p.items[id]
+	if state.phase != phaseScoring {
 		return
 	}
 	state.phase = phaseAwaitingScore
--- a/internal/core/batch/reward_test.go
+++ b/internal/core/batch/reward_test.go
@@ -70,7 +70,7 @@
 				if got := startReward(p); got != "0a" {
 					t.Fatalf("reward call %d is for item %q", i, got)
 				}
-				p.RecordUnscored(start, "0a", failures, maxAttempts)
+				failReward(p, start, "0a", failures, maxAttempts)
 			}
 			if lost := p.items["0a"].result.State == StateLost; lost != test.lost {
 				t.Errorf("lost: %v", lost)
@@ -127,7 +127,7 @@
 	source := NewProgress(newScoredJob(1, 1), 1)
 	finishItem(t, source, start, "0a")
 	startReward(source)
-	source.RecordUnscored(start, "0a", 3, 4)
+	failReward(source, start, "0a", 3, 4)
 	startReward(source)
 	target := NewProgress(newScoredJob(1, 1), 2)
 	target.Resume(source.Partials())
@@ -152,9 +152,9 @@
 	p := NewProgress(newScoredJob(1, 1), 1)
 	finishItem(t, p, start, "0a")
 	startReward(p)
-	p.RecordUnscored(start, "0a", 1, 4)
+	failReward(p, start, "0a", 1, 4)
 	p.Start("0b")
-	p.RecordFailure(start, "0b")
+	failRun(p, start, "0b")
 	checkpoints := p.takeCheckpoints(maxPageBytes)
 	if len(checkpoints) != 2 || checkpoints[0].RewardFailures != 1 || checkpoints[1].Failures != 1 {
 		t.Errorf("%+v", checkpoints)
@@ -165,7 +165,7 @@
 	target := NewProgress(newScoredJob(1, 1), 2)
 	target.Resume(checkpoints)
 	target.Start("0b")
-	target.RecordFailure(start, "0b")
+	failRun(target, start, "0b")
 	if got := target.items["0b"].result.State; got != StateLost {
 		t.Errorf("item 0b is %q after two failures", got)
 	}
--- a/internal/core/batch/serverend_test.go
+++ b/internal/core/batch/serverend_test.go
@@ -77,7 +77,7 @@
 		}
 		p.StartReward("0a")
 		p.RecordServerEnd("0a", EndedRun{Reward: true})
-		p.RecordUnscored(start, "0a", 0, 2)
+		failReward(p, start, "0a", 0, 2)
 	}
 	if _, _, ok := p.NextReward(start); ok {
 		t.Error("the reward call is to be sent after three servers ended under it")
@@ -274,7 +274,7 @@
 	for range MaxServerEnds {
 		former.StartReward("0a")
 		former.RecordServerEnd("0a", EndedRun{Reward: true})
-		former.RecordUnscored(start, "0a", 0, 2)
+		failReward(former, start, "0a", 0, 2)
 	}
 	successor := NewProgress(job, 2)
 	successor.Resume(former.Partials())
--- a/internal/core/batch/work_test.go
+++ b/internal/core/batch/work_test.go
@@ -15,7 +15,7 @@
 		{ID: "a", Group: "g"}, {ID: "b", Group: "g"}, {ID: "c", Group: "h"}, {ID: "c", Group: "h"}, {ID: "d", Group: "i"},
 	}}}, 1)
 	p.Start("c").Append(Event{Number: 1, Data: "x"}, 1)
-	p.RecordFailure(now, "c")
+	failRun(p, now, "c")
 	p.RecordMove("c")
 	p.Start("b").Append(Event{Number: 1, Data: "y"}, 1)
 	p.Start("d").Append(Event{Number: 1, Data: "z"}, 1)
--- a/internal/edge/batchjob/handover.go
+++ b/internal/edge/batchjob/handover.go
@@ -96,7 +96,7 @@
 	q.Leaving = true
 	q.LeftRuns = leftRunMessages(time.Now(), left)
 	j.mu.Lock()
-	q.Partials = j.progress.Partials()
+	q.Partials = j.progress.HandoverPartials()
 	q.EndRequested = q.EndRequested || j.endRequested
 	j.mu.Unlock()
 	refusals := zerolog.Dict()
--- a/internal/edge/batchjob/item.go
+++ b/internal/edge/batchjob/item.go
@@ -157,6 +157,9 @@
 	} else {
 		m.serverEnds.Ended(server.ID, item.ID)
 	}
+	if result == outcomeFailed {
+		r.recordFailure()
+	}
 	if next := m.continueMove(ctx, r, result); next != nil {
 		return next
 	}
@@ -202,6 +205,16 @@
 	}
 }
 
+// recordFailure records in the job's progress that the server answered with a failure, before the pause that follows.
+func (r *itemRun) recordFailure() {
+	r.job.mu.Lock()
+	if current, runs := r.job.runs[r.item.ID]; !runs || current == r {
+		r.job.progress.RecordFailure(time.Now(), r.item.ID)
+	}
+	r.job.mu.Unlock()
+	r.job.wake()
+}
+
 // applyOutcome records in the job's progress how the run ended.
 func (r *itemRun) applyOutcome(result outcome) {
 	now := time.Now()
@@ -216,10 +229,8 @@
 	switch result {
 	case outcomeCompleted:
 		progress.RecordCompletion(now, r.item.ID)
-	case outcomeFailed:
-		progress.RecordFailure(now, r.item.ID)
 	case outcomeImpossible:
-		progress.MarkLost(now, r.item.ID)
+		progress.MarkFailed(now, r.item.ID)
 	case outcomeVersionMismatch, outcomeOverlong:
 		progress.DiscardOutput(r.item.ID)
 		progress.Requeue(r.item.ID)
--- a/internal/edge/batchjob/reward.go
+++ b/internal/edge/batchjob/reward.go
@@ -92,7 +92,7 @@
 // route back.
 func (j *job) postponeReward(ctx context.Context, item *batch.Item) {
 	ticker.Sleep(ctx, rewardDeniedDelay)
-	j.applyNoScore(time.Now(), item.ID, 0, 0)
+	j.requeueReward(item.ID)
 }
 
 // sendReward sends an item's reward call, to as many servers as attempts says, and records the score, if any.
@@ -116,9 +116,10 @@
 	if err == nil && tally.Failed == 0 {
 		pause = rewardDeniedDelay
 	}
+	j.recordRewardFailures(time.Now(), item.ID, tally.Failed, route.MaxAttempts)
 	m.checkRewardServers(ctx, j, item.ID, tally)
 	ticker.Sleep(ctx, pause)
-	j.applyNoScore(time.Now(), item.ID, tally.Failed, route.MaxAttempts)
+	j.requeueReward(item.ID)
 }
 
 // checkRewardServers finds out which of the servers have ended that interrupted a reward call or didn't answer it in time.
@@ -194,10 +195,18 @@
 	j.wake()
 }
 
-// applyNoScore records that a reward call brought no score.
-func (j *job) applyNoScore(now time.Time, item string, failures, maxAttempts int) {
+// recordRewardFailures records how often servers failed a reward call.
+func (j *job) recordRewardFailures(now time.Time, item string, failures, maxAttempts int) {
 	j.mu.Lock()
-	j.progress.RecordUnscored(now, item, failures, maxAttempts)
+	j.progress.RecordRewardFailures(now, item, failures, maxAttempts)
+	j.mu.Unlock()
+	j.wake()
+}
+
+// requeueReward queues a reward call that brought no score again.
+func (j *job) requeueReward(item string) {
+	j.mu.Lock()
+	j.progress.RequeueReward(item)
 	j.mu.Unlock()
 	j.wake()
 }
--- a/internal/edge/batchjob/takeover.go
+++ b/internal/edge/batchjob/takeover.go
@@ -118,7 +118,7 @@
 		return j
 	}
 	j.mu.Lock()
-	j.progress.Resume(partials)
+	j.progress.TakeOver(time.Now(), partials)
 	resumed := len(j.progress.Partials())
 	state := j.stateLocked()
 	j.mu.Unlock()
