batchjob: count a server's end again after one that was taken back

The identity of an end that was taken back stays known, so that a later end of the same run of the server didn't count once its record had been dropped. The record is kept. TestEndsAreTakenBackOnce failed before.

TestRetractedEndDoesNotCountLater guards the other side.

--- a/internal/core/batch/progress.go
+++ b/internal/core/batch/progress.go
@@ -48,7 +48,7 @@
 	rewardFailures int
 	// failed is set once the item is lost because servers failed it or its reward call as often as they may.
 	failed bool
-	// savedFailures is the failureCount that the latest page of this process holds.
+	// savedFailures is the failureCount that pages hold, as far as known.
 	savedFailures int
 	// ends counts the servers that ended under the item and its reward call. releasedEnds are the counts with which it was last released
 	// for an isolated run, at releasedAt.
--- a/internal/edge/batchjob/refusedend.go
+++ b/internal/edge/batchjob/refusedend.go
@@ -30,8 +30,9 @@
 	// checkAt is when the server is probed again if its registration hasn't told by then.
 	checkAt  time.Time
 	checking bool
-	// retracted is set once the end was taken back. It counts again if the registration is removed or replaced before checkAt.
-	retracted bool
+	// retracted is set once the end was taken back. It counts again if the registration is removed or replaced before checkAt. After that it is
+	// settled, and kept because a later end of the same run of the server must count although its identity is known.
+	retracted, settled bool
 }
 
 // reviewRefusedEnds confirms the ends that were counted because of refusals by the servers' registrations, and takes those back whose servers have
@@ -42,6 +43,7 @@
 	j.mu.Lock()
 	for use, end := range j.refusedEnds {
 		switch {
+		case end.settled:
 		case !m.balancer.Registered(end.server):
 			if end.retracted {
 				ended = append(ended, end)
@@ -54,7 +56,7 @@
 			alive = append(alive, end)
 		case now.Before(end.checkAt) || end.checking:
 		case end.retracted:
-			delete(j.refusedEnds, use)
+			end.settled = true
 		default:
 			end.checking = true
 			unknown = append(unknown, end)
--- a/internal/edge/batchjob/refusedend_test.go
+++ b/internal/edge/batchjob/refusedend_test.go
@@ -95,4 +95,25 @@
 	if left, _ := j.progress.ServerEnds("a").Uncleared(); left != 1 {
 		t.Errorf("%d ends count after another server ended, want 1", left)
 	}
+	p.countRefusals(j, now, "a", servers[1])
+	if left, _ := j.progress.ServerEnds("a").Uncleared(); left != 2 {
+		t.Errorf("%d ends count after the server ended whose end was taken back, want 2", left)
+	}
+}
+
+// Guards against the end of a server long after a refusal that counts for an item which ran there before it.
+func TestRetractedEndDoesNotCountLater(t *testing.T) {
+	p := newUnevenPool(t.Context(), t)
+	j := newPlacedJob("j", "a")
+	now := time.Now()
+	p.countRefusals(j, now, "a", p.balancer.Servers()[0])
+	for range 2 {
+		p.reviewRefusedEnds(t.Context(), now.Add(endConfirmTime), j)
+		j.wg.Wait()
+	}
+	p.restartServers(now.Add(time.Minute))
+	p.reviewRefusedEnds(t.Context(), now.Add(time.Minute), j)
+	if left, _ := j.progress.ServerEnds("a").Uncleared(); left != 0 {
+		t.Errorf("%d ends count, want none", left)
+	}
 }
