--- a/internal/program/process/holder_test.go
+++ b/internal/program/process/holder_test.go
@@ -165,6 +165,7 @@
 		cuts    = 3
 		cutTime = 2 * time.Second
 	)
+	t.Parallel()
 	trial := newHolderTrial(t, true)
 	trial.store.PutModelVersion(longName, 2)
 	trial.eventually("the version is ordered", func() bool { return len(trial.engine.ReceivedOrders()) > 0 })
